--- /dev/null
+++ b/core/config/compile.go
@@ -0,0 +1,294 @@
+package config
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Defaults of a policy's fields, and their limits.
+const (
+	DefaultTimeout     = 5 * time.Second
+	MaxTimeout         = 5 * time.Minute
+	DefaultMaxAttempts = 3
+	MaxMaxAttempts     = 10
+)
+
+// Policy is a PolicySpec with everything inherited filled in.
+type Policy struct {
+	Name        string
+	Priority    Priority
+	Timeout     time.Duration
+	Idempotent  *bool
+	MaxAttempts int
+	Key         KeyScope
+}
+
+// IsIdempotent reports whether a request of a method may run more than once.
+func (p *Policy) IsIdempotent(method string) bool {
+	if p.Idempotent != nil {
+		return *p.Idempotent
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// Route is a compiled route: it holds its service and policy, not their names
+// alone, so it can't point at what is not there.
+type Route struct {
+	Name       string
+	PathPrefix string
+	Methods    []string
+	Service    string
+	Policy     *Policy
+}
+
+// Snapshot is one version in compiled form. It is not changed after Compile.
+type Snapshot struct {
+	Version  uint64
+	routes   map[string][]*Route // by path prefix
+	policies map[string]*Policy
+	services map[string]*Policy
+}
+
+// Match returns the route with the longest prefix that covers the path at a
+// segment boundary and allows the method. Its cost grows with the length of
+// the path, not with the number of routes.
+func (s *Snapshot) Match(method, path string) (*Route, bool) {
+	for p := path; ; {
+		for _, r := range s.routes[p] {
+			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+				return r, true
+			}
+		}
+		if p == "/" || p == "" {
+			return nil, false
+		}
+		i := strings.LastIndexByte(strings.TrimSuffix(p, "/"), '/')
+		switch {
+		case strings.HasSuffix(p, "/"):
+			p = strings.TrimSuffix(p, "/")
+		case i <= 0:
+			p = "/"
+		default:
+			p = p[:i+1]
+		}
+	}
+}
+
+// HasService reports whether the snapshot holds a service.
+func (s *Snapshot) HasService(name string) bool {
+	_, ok := s.services[name]
+	return ok
+}
+
+// Routes returns the number of routes.
+func (s *Snapshot) Routes() int {
+	n := 0
+	for _, rs := range s.routes {
+		n += len(rs)
+	}
+	return n
+}
+
+// compiler gathers the faults of one set.
+type compiler struct {
+	set      *Set
+	specs    map[string]PolicySpec
+	snapshot *Snapshot
+	faults   []Fault
+}
+
+// Compile checks a whole set and returns what proxies route by, or every
+// fault found, ordered by object.
+func Compile(set *Set) (*Snapshot, []Fault) {
+	c := &compiler{set: set, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
+		Version: set.Version, routes: map[string][]*Route{},
+		policies: map[string]*Policy{}, services: map[string]*Policy{},
+	}}
+	if len(set.Objects) > MaxObjects {
+		c.fault(Key{}, "", "the set has %d objects, at most %d are allowed", len(set.Objects), MaxObjects)
+	}
+	keys := sortedKeys(set.Objects)
+	c.common(keys)
+	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route} {
+		for _, k := range keys {
+			step(k)
+		}
+	}
+	if len(c.faults) > 0 {
+		slices.SortStableFunc(c.faults, func(a, b Fault) int { return a.Object.Compare(b.Object) })
+		return nil, c.faults
+	}
+	return c.snapshot, nil
+}
+
+func (c *compiler) fault(k Key, field, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Object: k, Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *compiler) common(keys []Key) {
+	for _, k := range keys {
+		o := c.set.Objects[k]
+		switch {
+		case !k.Kind.known():
+			c.fault(k, "kind", "unknown kind %q", k.Kind)
+		case len(k.Name) > MaxNameBytes:
+			c.fault(k, "name", "has %d bytes, at most %d are allowed", len(k.Name), MaxNameBytes)
+		case !validName.MatchString(k.Name):
+			c.fault(k, "name", "must be of lower case letters, digits, '-' and '.', with a letter or digit at each end")
+		}
+		if len(o.Spec) > MaxObjectBytes {
+			c.fault(k, "spec", "has %d bytes, at most %d are allowed", len(o.Spec), MaxObjectBytes)
+		}
+	}
+}
+
+func (c *compiler) decode(k Key, into any) bool {
+	spec := c.set.Objects[k].Spec
+	if len(spec) == 0 {
+		c.fault(k, "spec", "is missing")
+		return false
+	}
+	if err := strictDecode(spec, into); err != nil {
+		c.fault(k, "spec", "%v", err)
+		return false
+	}
+	return true
+}
+
+func (c *compiler) policySpec(k Key) {
+	var spec PolicySpec
+	if k.Kind != KindPolicy || !c.decode(k, &spec) {
+		return
+	}
+	switch spec.Priority {
+	case "", PriorityStatus, PriorityInteractive, PriorityBatch:
+	default:
+		c.fault(k, "priority", "%q is not one of status, interactive, batch", spec.Priority)
+	}
+	switch spec.IdempotencyKey {
+	case "", KeyIgnored, KeyNode, KeyPlatform:
+	default:
+		c.fault(k, "idempotencyKey", "%q is not one of ignore, node, platform", spec.IdempotencyKey)
+	}
+	if spec.TimeoutMillis < 0 || time.Duration(spec.TimeoutMillis)*time.Millisecond > MaxTimeout {
+		c.fault(k, "timeoutMillis", "%d is not between 1 and %d", spec.TimeoutMillis, MaxTimeout.Milliseconds())
+	}
+	if spec.MaxAttempts < 0 || spec.MaxAttempts > MaxMaxAttempts {
+		c.fault(k, "maxAttempts", "%d is not between 1 and %d", spec.MaxAttempts, MaxMaxAttempts)
+	}
+	c.specs[k.Name] = spec
+}
+
+// policy follows the chain of extends from one policy to its defaults.
+func (c *compiler) policy(k Key) {
+	if k.Kind != KindPolicy {
+		return
+	}
+	p := &Policy{Name: k.Name}
+	visited := []string{}
+	for name := k.Name; name != ""; {
+		if slices.Contains(visited, name) {
+			c.fault(k, "extends", "forms a cycle: %s", strings.Join(append(visited, name), " -> "))
+			return
+		}
+		visited = append(visited, name)
+		spec, ok := c.specs[name]
+		if !ok {
+			if _, exists := c.set.Objects[Key{KindPolicy, name}]; !exists {
+				c.fault(k, "extends", "policy %q does not exist", name)
+			}
+			return
+		}
+		p.inherit(spec)
+		name = spec.Extends
+	}
+	p.fillDefaults()
+	c.snapshot.policies[k.Name] = p
+}
+
+func (p *Policy) inherit(spec PolicySpec) {
+	if p.Priority == "" {
+		p.Priority = spec.Priority
+	}
+	if p.Timeout == 0 {
+		p.Timeout = time.Duration(spec.TimeoutMillis) * time.Millisecond
+	}
+	if p.Idempotent == nil {
+		p.Idempotent = spec.Idempotent
+	}
+	if p.MaxAttempts == 0 {
+		p.MaxAttempts = spec.MaxAttempts
+	}
+	if p.Key == "" {
+		p.Key = spec.IdempotencyKey
+	}
+}
+
+func (p *Policy) fillDefaults() {
+	p.inherit(PolicySpec{
+		Priority: PriorityInteractive, TimeoutMillis: int(DefaultTimeout.Milliseconds()),
+		MaxAttempts: DefaultMaxAttempts, IdempotencyKey: KeyNode,
+	})
+}
+
+// resolve returns the policy of a name, or the defaults for no name.
+func (c *compiler) resolve(k Key, name string) *Policy {
+	if name == "" {
+		p := &Policy{}
+		p.fillDefaults()
+		return p
+	}
+	if _, ok := c.set.Objects[Key{KindPolicy, name}]; !ok {
+		c.fault(k, "policy", "policy %q does not exist", name)
+	}
+	return c.snapshot.policies[name]
+}
+
+func (c *compiler) service(k Key) {
+	var spec ServiceSpec
+	if k.Kind != KindService || !c.decode(k, &spec) {
+		return
+	}
+	c.snapshot.services[k.Name] = c.resolve(k, spec.Policy)
+}
+
+func (c *compiler) route(k Key) {
+	var spec RouteSpec
+	if k.Kind != KindRoute || !c.decode(k, &spec) {
+		return
+	}
+	if !strings.HasPrefix(spec.PathPrefix, "/") {
+		c.fault(k, "pathPrefix", "%q does not start with '/'", spec.PathPrefix)
+		return
+	}
+	for _, other := range c.snapshot.routes[spec.PathPrefix] {
+		if overlap(other.Methods, spec.Methods) {
+			c.fault(k, "pathPrefix", "%q is that of route %q too, for the same methods", spec.PathPrefix, other.Name)
+		}
+	}
+	if _, ok := c.set.Objects[Key{KindService, spec.Service}]; !ok {
+		c.fault(k, "service", "service %q does not exist", spec.Service)
+	}
+	policy := c.snapshot.services[spec.Service]
+	if spec.Policy != "" || policy == nil {
+		policy = c.resolve(k, spec.Policy)
+	}
+	c.snapshot.routes[spec.PathPrefix] = append(c.snapshot.routes[spec.PathPrefix], &Route{
+		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service, Policy: policy,
+	})
+}
+
+// overlap reports whether two method lists share one; empty means all.
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
--- /dev/null
+++ b/core/config/object.go
@@ -0,0 +1,202 @@
+// Package config holds operators' objects: their form, the check of a whole
+// set, the compiled form that proxies route by, and the deltas between
+// versions. Everything here is pure: no clock, no I/O, no goroutines.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Kind names the type of an object.
+type Kind string
+
+// The kinds of objects that operators write.
+const (
+	KindRoute   Kind = "Route"
+	KindService Kind = "Service"
+	KindPolicy  Kind = "Policy"
+)
+
+// Limits on what operators submit.
+const (
+	MaxNameBytes   = 128
+	MaxObjectBytes = 64 << 10
+	MaxObjects     = 50_000
+)
+
+var validName = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// Key identifies an object in a set.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns the key as Kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// ParseKey reads a key written as Kind/name.
+func ParseKey(s string) (Key, error) {
+	kind, name, ok := strings.Cut(s, "/")
+	if !ok || name == "" {
+		return Key{}, fmt.Errorf("object key %q is not of the form Kind/name", s)
+	}
+	k := Key{Kind: Kind(kind), Name: name}
+	if !k.Kind.known() {
+		return Key{}, fmt.Errorf("object key %q: unknown kind %q", s, kind)
+	}
+	return k, nil
+}
+
+func (k Kind) known() bool {
+	return k == KindRoute || k == KindService || k == KindPolicy
+}
+
+// Compare orders keys by kind, then name.
+func (k Key) Compare(o Key) int {
+	if c := strings.Compare(string(k.Kind), string(o.Kind)); c != 0 {
+		return c
+	}
+	return strings.Compare(k.Name, o.Name)
+}
+
+// Object is one named object of a set. Version is the configuration version
+// that last changed it, zero in a file an operator writes.
+type Object struct {
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version,omitempty"`
+	Author  string          `json:"author,omitempty"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+// Key returns the identity of the object.
+func (o Object) Key() Key { return Key{Kind: o.Kind, Name: o.Name} }
+
+// RouteSpec sends the requests below a path prefix to a service.
+type RouteSpec struct {
+	PathPrefix string   `json:"pathPrefix"`
+	Methods    []string `json:"methods,omitempty"` // empty: every method
+	Service    string   `json:"service"`
+	Policy     string   `json:"policy,omitempty"` // empty: the service's
+}
+
+// ServiceSpec names a group of backend servers that announce themselves.
+type ServiceSpec struct {
+	Policy string `json:"policy,omitempty"`
+}
+
+// PolicySpec says how the requests of a route are treated. A field left out
+// is taken from the policy named by Extends, and at last from the defaults.
+type PolicySpec struct {
+	Extends        string   `json:"extends,omitempty"`
+	Priority       Priority `json:"priority,omitempty"`
+	TimeoutMillis  int      `json:"timeoutMillis,omitempty"`
+	Idempotent     *bool    `json:"idempotent,omitempty"` // nil: by HTTP method
+	MaxAttempts    int      `json:"maxAttempts,omitempty"`
+	IdempotencyKey KeyScope `json:"idempotencyKey,omitempty"`
+}
+
+// Priority is the class by which a backend server's node orders its queue.
+type Priority string
+
+// The priority classes, the most urgent first.
+const (
+	PriorityStatus      Priority = "status"
+	PriorityInteractive Priority = "interactive"
+	PriorityBatch       Priority = "batch"
+)
+
+// KeyScope says where repeats of one Idempotency-Key are recognized.
+type KeyScope string
+
+// Scopes of an Idempotency-Key: not at all, by the memory of one node, or by
+// a claim in the platform that outlives every node.
+const (
+	KeyIgnored  KeyScope = "ignore"
+	KeyNode     KeyScope = "node"
+	KeyPlatform KeyScope = "platform"
+)
+
+// Fault is one reason why an object or a submission was refused.
+type Fault struct {
+	Object Key    `json:"object"`
+	Field  string `json:"field,omitempty"`
+	Reason string `json:"reason"`
+}
+
+// Error returns the fault as one line of text.
+func (f Fault) Error() string {
+	if f.Field == "" {
+		return fmt.Sprintf("%s: %s", f.Object, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", f.Object, f.Field, f.Reason)
+}
+
+// DecodeObjects reads a stream of JSON objects, each either one object or an
+// array of them. An unknown field outside of spec is an error; specs are
+// checked by Check.
+func DecodeObjects(r io.Reader) ([]Object, error) {
+	var out []Object
+	dec := json.NewDecoder(r)
+	for {
+		var raw json.RawMessage
+		err := dec.Decode(&raw)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read objects at byte %d: %w", dec.InputOffset(), err)
+		}
+		objs, err := decodeOneOrMany(raw)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, objs...)
+	}
+}
+
+func decodeOneOrMany(raw json.RawMessage) ([]Object, error) {
+	if trimmed := bytes.TrimSpace(raw); len(trimmed) > 0 && trimmed[0] == '[' {
+		var many []Object
+		err := strictDecode(raw, &many)
+		if err != nil {
+			return nil, fmt.Errorf("read array of objects: %w", err)
+		}
+		return many, nil
+	}
+	var one Object
+	if err := strictDecode(raw, &one); err != nil {
+		return nil, fmt.Errorf("read object: %w", err)
+	}
+	return []Object{one}, nil
+}
+
+// strictDecode decodes JSON and refuses unknown fields and trailing data.
+func strictDecode(raw []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if dec.More() {
+		return fmt.Errorf("data after the JSON value at byte %d", dec.InputOffset())
+	}
+	return nil
+}
+
+// sortedKeys returns the keys of objects in their canonical order.
+func sortedKeys(objects map[Key]Object) []Key {
+	keys := make([]Key, 0, len(objects))
+	for k := range objects {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, Key.Compare)
+	return keys
+}
--- /dev/null
+++ b/core/config/set.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Set is the whole of the objects at one version. A Set is not changed after
+// it was built; each change makes a new one.
+type Set struct {
+	Version uint64
+	Objects map[Key]Object
+	hash    uint64
+}
+
+// NewSet returns the set of objects at a version.
+func NewSet(version uint64, objects []Object) *Set {
+	s := &Set{Version: version, Objects: make(map[Key]Object, len(objects))}
+	for _, o := range objects {
+		s.put(o)
+	}
+	return s
+}
+
+// Hash returns a digest of the objects, the same in whatever order they came.
+// It is a sum of one digest for each object, so a delta costs what it changes.
+func (s *Set) Hash() uint64 { return s.hash }
+
+// Sorted returns the objects ordered by key.
+func (s *Set) Sorted() []Object {
+	out := make([]Object, 0, len(s.Objects))
+	for _, k := range sortedKeys(s.Objects) {
+		out = append(out, s.Objects[k])
+	}
+	return out
+}
+
+func (s *Set) put(o Object) {
+	if old, ok := s.Objects[o.Key()]; ok {
+		s.hash -= objectHash(old)
+	}
+	s.Objects[o.Key()] = o
+	s.hash += objectHash(o)
+}
+
+func (s *Set) remove(k Key) {
+	if old, ok := s.Objects[k]; ok {
+		s.hash -= objectHash(old)
+		delete(s.Objects, k)
+	}
+}
+
+func (s *Set) clone(version uint64) *Set {
+	return &Set{Version: version, Objects: maps.Clone(s.Objects), hash: s.hash}
+}
+
+func objectHash(o Object) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var num [8]byte
+	binary.LittleEndian.PutUint64(num[:], o.Version)
+	for _, part := range []string{string(o.Kind), o.Name, o.Author} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(num[:])
+	_, _ = d.Write(o.Spec)
+	return d.Sum64()
+}
+
+// Delta turns the set of one version into that of a later one.
+type Delta struct {
+	From, To uint64
+	Puts     []Object
+	Deletes  []Key
+	Hash     uint64 // of the set at To
+}
+
+// Diff returns the delta from one set to a later one.
+func Diff(from, to *Set) Delta {
+	d := Delta{From: from.Version, To: to.Version, Hash: to.hash}
+	for _, k := range sortedKeys(to.Objects) {
+		o := to.Objects[k]
+		old, ok := from.Objects[k]
+		if !ok || objectHash(old) != objectHash(o) {
+			d.Puts = append(d.Puts, o)
+		}
+	}
+	for _, k := range sortedKeys(from.Objects) {
+		if _, ok := to.Objects[k]; !ok {
+			d.Deletes = append(d.Deletes, k)
+		}
+	}
+	return d
+}
+
+// Apply returns the set that a delta leads to. The receiver stays as it was.
+// It fails when the delta starts from another version or ends in another
+// hash.
+func (s *Set) Apply(d Delta) (*Set, error) {
+	if d.From != s.Version {
+		return nil, fmt.Errorf("%w: delta starts from version %d, held is %d", ErrWrongBase, d.From, s.Version)
+	}
+	if d.To <= d.From {
+		return nil, fmt.Errorf("%w: delta leads from version %d to %d", ErrWrongBase, d.From, d.To)
+	}
+	next := s.clone(d.To)
+	for _, k := range d.Deletes {
+		next.remove(k)
+	}
+	for _, o := range d.Puts {
+		next.put(o)
+	}
+	if next.hash != d.Hash {
+		return nil, fmt.Errorf("%w: version %d has %016x, announced was %016x", ErrHash, d.To, next.hash, d.Hash)
+	}
+	return next, nil
+}
+
+// Errors of this package.
+var (
+	// ErrWrongBase says that a delta does not start from the held version.
+	ErrWrongBase = fmt.Errorf("delta does not fit the held version")
+	// ErrHash says that content and announced hash differ.
+	ErrHash = fmt.Errorf("hash does not match the content")
+)
--- /dev/null
+++ b/core/config/store.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of the stored form of a set.
+const (
+	// bucketTargetBytes is the size up to which one chunk is filled on average.
+	bucketTargetBytes = 128 << 10
+	// MaxChunkBytes is the largest chunk that the platform takes.
+	MaxChunkBytes = 1 << 20
+)
+
+// Manifest lists the chunks that hold a set. Objects are placed in chunks by
+// the hash of their key, so a small change rewrites one chunk.
+type Manifest struct {
+	Version uint64   `json:"version"`
+	Hash    uint64   `json:"hash"`
+	Chunks  []string `json:"chunks"` // SHA-256 of each, in hex
+}
+
+// Chunk is an encoded part of a set, named by the SHA-256 of its content.
+type Chunk struct {
+	Name string
+	Data []byte
+}
+
+// Head points at the manifest in force. It is changed by conditional update
+// alone, and so orders all versions.
+type Head struct {
+	Version  uint64    `json:"version"`
+	Epoch    uint64    `json:"epoch"` // of the publisher's lease
+	Hash     uint64    `json:"hash"`
+	Manifest string    `json:"manifest"`
+	Recent   []Settled `json:"recent,omitempty"` // newest last
+}
+
+// Settled names a submission and what became of it: the version it was
+// published as, or the faults for which it was rejected at that version.
+// Rejections go through the head too, so that two publishers can't settle one
+// submission in two ways.
+type Settled struct {
+	ID       string  `json:"id"`
+	Version  uint64  `json:"version"`
+	Rejected bool    `json:"rejected,omitempty"`
+	Faults   []Fault `json:"faults,omitempty"`
+}
+
+// Settled returns what became of a submission, if the head tells.
+func (h Head) Settled(id string) (Settled, bool) {
+	for _, s := range h.Recent {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return Settled{}, false
+}
+
+// EncodeSet returns the manifest and the chunks that hold a set.
+func EncodeSet(s *Set) (Manifest, []Chunk, error) {
+	buckets := make([][]Object, bucketCount(s))
+	for _, o := range s.Sorted() {
+		i := xxhash.Sum64String(o.Key().String()) % uint64(len(buckets))
+		buckets[i] = append(buckets[i], o)
+	}
+	m := Manifest{Version: s.Version, Hash: s.hash}
+	var chunks []Chunk
+	for _, b := range buckets {
+		data, err := json.Marshal(b)
+		if err != nil {
+			return Manifest{}, nil, fmt.Errorf("encode chunk of version %d: %w", s.Version, err)
+		}
+		if len(data) > MaxChunkBytes {
+			return Manifest{}, nil, fmt.Errorf("chunk of version %d has %d bytes, at most %d are allowed", s.Version, len(data), MaxChunkBytes)
+		}
+		c := Chunk{Name: ContentName(data), Data: data}
+		m.Chunks = append(m.Chunks, c.Name)
+		chunks = append(chunks, c)
+	}
+	return m, chunks, nil
+}
+
+// bucketCount grows by powers of two, so that it seldom changes.
+func bucketCount(s *Set) int {
+	size := 0
+	for _, o := range s.Objects {
+		size += len(o.Spec) + len(o.Name) + len(o.Author)
+	}
+	n := 1
+	for n*bucketTargetBytes < size {
+		n *= 2
+	}
+	return n
+}
+
+// ContentName returns the name of a chunk or manifest: its SHA-256 in hex.
+func ContentName(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// DecodeSet puts a set together from its manifest and chunks (by name).
+func DecodeSet(m Manifest, chunks map[string][]byte) (*Set, error) {
+	s := NewSet(m.Version, nil)
+	for _, name := range m.Chunks {
+		data, ok := chunks[name]
+		if !ok {
+			return nil, fmt.Errorf("version %d: chunk %s is missing", m.Version, name)
+		}
+		if ContentName(data) != name {
+			return nil, fmt.Errorf("version %d: chunk %s: %w", m.Version, name, ErrHash)
+		}
+		var objs []Object
+		if err := json.Unmarshal(data, &objs); err != nil {
+			return nil, fmt.Errorf("version %d: chunk %s: %w", m.Version, name, err)
+		}
+		for _, o := range objs {
+			s.put(o)
+		}
+	}
+	if s.hash != m.Hash {
+		return nil, fmt.Errorf("version %d: %w", m.Version, ErrHash)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/effect.go
@@ -0,0 +1,129 @@
+package core
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// Effect is something that the caller of Reduce is to do: one of the types
+// below. Effects of one Reduce are carried out in order.
+type Effect interface{ isEffect() }
+
+// StoreGet reads one object of the platform.
+type StoreGet struct {
+	Call StoreCallID
+	Key  string
+}
+
+// StoreList reads all objects under a prefix.
+type StoreList struct {
+	Call   StoreCallID
+	Prefix string
+}
+
+// StorePut writes an object if it is at version Base (zero: not there).
+type StorePut struct {
+	Call StoreCallID
+	Key  string
+	Data []byte
+	Base uint64
+}
+
+// StoreDelete removes an object if it is at version Base.
+type StoreDelete struct {
+	Call StoreCallID
+	Key  string
+	Base uint64
+}
+
+// StoreWatch waits for changes under a prefix.
+type StoreWatch struct {
+	Call   StoreCallID
+	Prefix string
+	After  uint64
+	Wait   time.Duration
+}
+
+// Dial opens a link to another node. It ends in LinkUp or LinkDown.
+type Dial struct {
+	Link    LinkID
+	Address string
+}
+
+// Send sends a message over a link.
+type Send struct {
+	Link    LinkID
+	Message message.Message
+}
+
+// CloseLink closes a link. No LinkDown follows.
+type CloseLink struct {
+	Link   LinkID
+	Reason string
+}
+
+// ProbeBackend asks the own backend server for its health.
+type ProbeBackend struct{}
+
+// Forward sends an attempt of a call to a backend server's node.
+type Forward struct {
+	Call    CallID
+	Attempt AttemptID
+	Target  string // ID of the backend server
+	Hop     string // address of its node
+	Local   bool   // it is the node's own
+	Class   admission.Class
+	Budget  time.Duration // time left until the call's deadline
+}
+
+// Finish ends a call without, or instead of, a backend server's answer.
+type Finish struct {
+	Call    CallID
+	Outcome retry.Outcome
+	NoRoute bool
+	Reason  string
+}
+
+// Run lets an attempt run at the own backend server.
+type Run struct{ Attempt AttemptID }
+
+// Refuse answers an attempt that did not run and never will.
+type Refuse struct {
+	Attempt AttemptID
+	Reason  admission.Reason
+}
+
+// Drained says that nothing is left in flight and the process may end.
+type Drained struct{}
+
+// Attr is one field of a log line.
+type Attr struct {
+	Key   string
+	Value any
+}
+
+// Log writes a numbered event to the log.
+type Log struct {
+	Code  notice.Code
+	Attrs []Attr
+}
+
+func (StoreGet) isEffect()     {}
+func (StoreList) isEffect()    {}
+func (StorePut) isEffect()     {}
+func (StoreDelete) isEffect()  {}
+func (StoreWatch) isEffect()   {}
+func (Dial) isEffect()         {}
+func (Send) isEffect()         {}
+func (CloseLink) isEffect()    {}
+func (ProbeBackend) isEffect() {}
+func (Forward) isEffect()      {}
+func (Finish) isEffect()       {}
+func (Run) isEffect()          {}
+func (Refuse) isEffect()       {}
+func (Drained) isEffect()      {}
+func (Log) isEffect()          {}
--- /dev/null
+++ b/core/event.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// Event is something that happened: one of the types below.
+type Event interface{ isEvent() }
+
+// StoreCallID ties a platform call to its result.
+type StoreCallID uint64
+
+// LinkID names a link between two nodes within one process. IDs of links
+// that core dials are even, those of accepted links odd.
+type LinkID uint64
+
+// CallID names a caller's request within one process.
+type CallID uint64
+
+// AttemptID names one attempt of a call everywhere.
+type AttemptID = admission.ID
+
+// StoreError says how a platform call failed.
+type StoreError uint8
+
+// The ways in which a platform call fails. After Failed its fate is unknown;
+// after the others nothing was written.
+const (
+	StoreOK StoreError = iota
+	StoreNotFound
+	StoreConflict
+	StoreTooLarge
+	StoreThrottled
+	StoreCompacted
+	StoreFailed
+)
+
+// StoreObject is an object read from the platform.
+type StoreObject struct {
+	Key     string
+	Version uint64
+	Created uint64
+	Data    []byte
+	Deleted bool // in the result of a watch
+}
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// StoreDone is the result of a platform call. Objects holds what a get, list
+// or watch returned, Version what a put made.
+type StoreDone struct {
+	Call     StoreCallID
+	Err      StoreError
+	Detail   string
+	Objects  []StoreObject
+	Revision uint64
+	Version  uint64
+}
+
+// LinkUp says that a link is open.
+type LinkUp struct {
+	Link    LinkID
+	Dialled bool
+}
+
+// LinkDown says that a link ended, or that a dial failed.
+type LinkDown struct {
+	Link   LinkID
+	Reason string
+}
+
+// LinkMessage is a message that came over a link.
+type LinkMessage struct {
+	Link    LinkID
+	Message message.Message
+}
+
+// BackendProbed is the result of a probe of the own backend server. Refused
+// says that nothing listens there: the process is dead, not slow.
+type BackendProbed struct {
+	OK      bool
+	Refused bool
+}
+
+// BackendLeaving says that the backend server announced its end itself.
+type BackendLeaving struct{}
+
+// Stop asks the node to drain and end.
+type Stop struct{}
+
+// CallArrived is a caller's request.
+type CallArrived struct {
+	Call     CallID
+	Method   string
+	Path     string
+	Key      string        // Idempotency-Key, empty for none
+	Budget   time.Duration // what the caller allows, zero: what the policy says
+	Repeats  bool          // the body can be sent again
+	Upstream bool          // sent by a backend server of the mesh, not from outside
+}
+
+// AttemptEnded says how an attempt of a call ended at this, its entry node.
+type AttemptEnded struct {
+	Call          CallID
+	Attempt       AttemptID
+	Outcome       retry.Outcome
+	Failed        bool // counts against the endpoint's health
+	Queue         int  // waiting there, as the answer told; -1: not told
+	AnswerStarted bool // part of the answer was passed on
+	Reason        string
+}
+
+// CallLeft says that the caller is gone or fully answered.
+type CallLeft struct{ Call CallID }
+
+// AttemptArrived is an attempt that reached the backend server's node.
+type AttemptArrived struct {
+	Attempt AttemptID
+	Class   admission.Class
+	Budget  time.Duration // time left until the call's deadline
+}
+
+// AttemptDone says that an attempt that ran has ended.
+type AttemptDone struct {
+	Attempt AttemptID
+	Took    time.Duration
+	Refused bool // the backend server's address refused the connection
+}
+
+// AttemptCancelled asks that an attempt not run. It is answered by Refuse
+// when that is certain.
+type AttemptCancelled struct{ Attempt AttemptID }
+
+func (Tick) isEvent()             {}
+func (StoreDone) isEvent()        {}
+func (LinkUp) isEvent()           {}
+func (LinkDown) isEvent()         {}
+func (LinkMessage) isEvent()      {}
+func (BackendProbed) isEvent()    {}
+func (BackendLeaving) isEvent()   {}
+func (Stop) isEvent()             {}
+func (CallArrived) isEvent()      {}
+func (AttemptEnded) isEvent()     {}
+func (CallLeft) isEvent()         {}
+func (AttemptArrived) isEvent()   {}
+func (AttemptDone) isEvent()      {}
+func (AttemptCancelled) isEvent() {}
--- /dev/null
+++ b/core/holder.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// keptDeltas bounds the deltas kept for nodes that are a few versions behind.
+const keptDeltas = 64
+
+// holder holds the configuration in force on this node.
+type holder struct {
+	set      *config.Set
+	snapshot *config.Snapshot
+	deltas   []config.Delta // consecutive, the last leads to set
+	refused  string         // why the newest version seen was not applied
+}
+
+func newHolder() holder { return holder{set: config.NewSet(0, nil), snapshot: &config.Snapshot{}} }
+
+func (s *State) configVersion() uint64 { return s.holder.set.Version }
+
+// take checks a newer set and puts it in force. An older or equal one is
+// dropped; a faulty one leaves the held one in force.
+func (s *State) take(set *config.Set) {
+	if set.Version <= s.holder.set.Version {
+		return
+	}
+	s.adopt(set, config.Diff(s.holder.set, set))
+}
+
+// adopt compiles a set beside the held one and swaps it in. The caller has
+// made sure that it is newer.
+func (s *State) adopt(set *config.Set, delta config.Delta) {
+	snapshot, faults := config.Compile(set)
+	if len(faults) > 0 {
+		s.refuse(fmt.Sprintf("version %d: %d faults, first: %v", set.Version, len(faults), faults[0]))
+		return
+	}
+	s.holder.set, s.holder.snapshot, s.holder.refused = set, snapshot, ""
+	s.holder.deltas = append(s.holder.deltas, delta)
+	if len(s.holder.deltas) > keptDeltas {
+		s.holder.deltas = s.holder.deltas[1:]
+	}
+	s.log(notice.ConfigApplied, Attr{"version", set.Version}, Attr{"objects", len(set.Objects)})
+	s.spreadConfig()
+	s.caughtUp()
+	s.report()
+}
+
+func (s *State) refuse(reason string) {
+	s.holder.refused = reason
+	s.log(notice.ConfigRefused, Attr{"reason", reason}, Attr{"held", s.configVersion()})
+	s.report()
+}
+
+// spreadConfig sends the held version to all that are known to hold less.
+func (s *State) spreadConfig() {
+	for _, id := range sortedLinks(s.links) {
+		l := s.links[id]
+		if l.open && (l.role == roleChild || l.role == roleRoot) {
+			s.sendConfig(id, l)
+		}
+	}
+}
+
+// sendConfig sends what leads from the version at the other end to the held
+// one: deltas where they are kept, else the whole.
+func (s *State) sendConfig(id LinkID, l *link) {
+	set := s.holder.set
+	if l.config >= set.Version {
+		return
+	}
+	for i, d := range s.holder.deltas {
+		if d.From != l.config {
+			continue
+		}
+		for _, next := range s.holder.deltas[i:] {
+			s.send(id, message.ConfigDelta{Delta: next})
+		}
+		l.config = set.Version
+		return
+	}
+	s.send(id, message.ConfigWhole{Version: set.Version, Hash: set.Hash(), Objects: set.Sorted()})
+	l.config = set.Version
+}
+
+func (s *State) deltaReceived(id LinkID, l *link, m message.ConfigDelta) {
+	l.config = max(l.config, m.Delta.To)
+	if m.Delta.To <= s.holder.set.Version {
+		return
+	}
+	if m.Delta.From != s.holder.set.Version {
+		s.send(id, message.ConfigWanted{Have: s.configVersion()})
+		return
+	}
+	set, err := s.holder.set.Apply(m.Delta)
+	if err != nil {
+		s.refuse(err.Error())
+		return
+	}
+	s.adopt(set, m.Delta)
+}
+
+func (s *State) wholeReceived(l *link, m message.ConfigWhole) {
+	l.config = max(l.config, m.Version)
+	set := config.NewSet(m.Version, m.Objects)
+	if set.Hash() != m.Hash {
+		s.refuse(fmt.Sprintf("version %d: %v", m.Version, config.ErrHash))
+		return
+	}
+	s.take(set)
+}
--- /dev/null
+++ b/core/message/message.go
@@ -0,0 +1,106 @@
+// Package message defines what nodes say to each other over a link. The
+// values are data: a receiver never changes them.
+package message
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+)
+
+// Message is one of the types below.
+type Message interface{ isMessage() }
+
+// LinkKind says what a dialled link is for.
+type LinkKind uint8
+
+// The kinds of links.
+const (
+	Child LinkKind = iota + 1 // the dialler asks to become a child in the tree
+	Root                      // the dialler is the root of another data centre
+)
+
+// Hello is the first message on a link, sent by the dialler.
+type Hello struct {
+	Node       string
+	DataCentre string
+	Peer       string // address of the dialler for other nodes
+	Kind       LinkKind
+	Config     uint64 // configuration version held, zero: none
+	ConfigHash uint64
+	Table      uint64 // digest of the endpoint table held
+}
+
+// Welcome accepts the dialler.
+type Welcome struct {
+	Node       string
+	DataCentre string
+	Path       []string // node IDs from the answering node up to its root
+	Config     uint64   // version held by the answering node
+	Rooted     bool     // the path ends in a node that acts as a root
+}
+
+// Redirect asks the dialler to join another node.
+type Redirect struct{ Peer string }
+
+// ComeBack asks the dialler to try again later.
+type ComeBack struct{ After time.Duration }
+
+// Heartbeat shows that the sender is alive. Parents tell their path, so that
+// a cycle in the tree is found by its members.
+type Heartbeat struct {
+	Path   []string
+	Rooted bool
+	Config uint64 // version held by the sender
+	Table  uint64 // digest of the sender's endpoint table
+}
+
+// ConfigDelta leads from one version to a later one.
+type ConfigDelta struct{ Delta config.Delta }
+
+// ConfigWhole carries a whole set.
+type ConfigWhole struct {
+	Version uint64
+	Hash    uint64
+	Objects []config.Object
+}
+
+// ConfigWanted asks for whatever leads from the version held to the newest.
+type ConfigWanted struct{ Have uint64 }
+
+// Endpoints carries entries that are new to the sender.
+type Endpoints struct{ Entries []endpoint.Entry }
+
+// TableWanted asks for all entries.
+type TableWanted struct{}
+
+// Report counts what the sender and all below it have applied.
+type Report struct {
+	DataCentre string
+	Applied    uint64 // smallest version applied by any of them
+	Nodes      int
+	Laggards   []Laggard // at most MaxLaggards
+}
+
+// MaxLaggards bounds the list of laggards in a report.
+const MaxLaggards = 16
+
+// Laggard names a node that has not applied the newest version.
+type Laggard struct {
+	Node    string `json:"node"`
+	Applied uint64 `json:"applied"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+func (Hello) isMessage()        {}
+func (Welcome) isMessage()      {}
+func (Redirect) isMessage()     {}
+func (ComeBack) isMessage()     {}
+func (Heartbeat) isMessage()    {}
+func (ConfigDelta) isMessage()  {}
+func (ConfigWhole) isMessage()  {}
+func (ConfigWanted) isMessage() {}
+func (Endpoints) isMessage()    {}
+func (TableWanted) isMessage()  {}
+func (Report) isMessage()       {}
--- /dev/null
+++ b/core/notice/notice.go
@@ -0,0 +1,61 @@
+// Package notice numbers the events that processes log. The numbers are
+// stable: operators and scripts match on them.
+package notice
+
+// Code is the number of an event.
+type Code int
+
+// The events. docs/EVENTS.md describes each.
+const (
+	NodeStarted         Code = 1001
+	NodeStopping        Code = 1002
+	NodeReady           Code = 1003
+	SettingsRefused     Code = 1004
+	ConfigApplied       Code = 2001
+	ConfigRefused       Code = 2002
+	SubmissionAccepted  Code = 2003
+	SubmissionRejected  Code = 2004
+	ConfigInForce       Code = 2005
+	LeaseTaken          Code = 3001
+	LeaseLost           Code = 3002
+	PlatformUnreachable Code = 3003
+	PlatformReachable   Code = 3004
+	LinkUp              Code = 4001
+	LinkDown            Code = 4002
+	JoinedParent        Code = 4003
+	LinkSilent          Code = 4004
+	PeerRefused         Code = 4005
+	EndpointState       Code = 5001
+	EndpointSuspected   Code = 5002
+	RequestRefused      Code = 6001
+)
+
+var names = map[Code]string{
+	NodeStarted:         "node started",
+	NodeStopping:        "node stopping",
+	NodeReady:           "node ready",
+	SettingsRefused:     "settings refused",
+	ConfigApplied:       "configuration applied",
+	ConfigRefused:       "configuration refused",
+	SubmissionAccepted:  "submission accepted",
+	SubmissionRejected:  "submission rejected",
+	ConfigInForce:       "configuration in force",
+	LeaseTaken:          "lease taken",
+	LeaseLost:           "lease lost",
+	PlatformUnreachable: "platform unreachable",
+	PlatformReachable:   "platform reachable",
+	LinkUp:              "link up",
+	LinkDown:            "link down",
+	JoinedParent:        "joined parent",
+	LinkSilent:          "link silent",
+	PeerRefused:         "peer refused",
+	EndpointState:       "endpoint state changed",
+	EndpointSuspected:   "endpoint suspected",
+	RequestRefused:      "request refused",
+}
+
+// String returns the text that goes with the number.
+func (c Code) String() string { return names[c] }
+
+// All returns every code and its text.
+func All() map[Code]string { return names }
--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// Config holds the settings of a State.
+type Config struct {
+	Node        string // ID of the node and of its backend server
+	DataCentre  string
+	Peer        string // own address for other nodes
+	Hop         string // own address for requests from other nodes
+	Service     string // of the backend server; empty: none stands beside this node
+	Slots       int
+	MaxQueue    int
+	Fanout      int
+	Incarnation endpoint.Incarnation
+	Seed        uint64
+
+	TickEvery      time.Duration
+	HeartbeatEvery time.Duration
+	MissedLimit    int // heartbeats missed before a link counts as silent
+	LeaseTTL       time.Duration
+	LeaseRenew     time.Duration
+	LeaseMargin    time.Duration
+	ProbeEvery     time.Duration
+	WatchWait      time.Duration
+	JoinJitter     time.Duration // upper bound of the first wait before a claim or a new try
+	SlowStart      time.Duration
+	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
+	DrainAtMost    time.Duration // after this the process ends in any case
+	RetryShare     float64       // retries for each call
+}
+
+// WithDefaults returns the settings with every zero field filled in.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.Slots, 6)
+	setDefault(&c.MaxQueue, 8*c.Slots)
+	setDefault(&c.Fanout, 16)
+	setDefault(&c.TickEvery, 50*time.Millisecond)
+	setDefault(&c.HeartbeatEvery, time.Second)
+	setDefault(&c.MissedLimit, 3)
+	setDefault(&c.LeaseTTL, 6*time.Second)
+	setDefault(&c.LeaseRenew, 2*time.Second)
+	setDefault(&c.LeaseMargin, time.Second)
+	setDefault(&c.ProbeEvery, time.Second)
+	setDefault(&c.WatchWait, 20*time.Second)
+	setDefault(&c.JoinJitter, 200*time.Millisecond)
+	setDefault(&c.SlowStart, 5*time.Second)
+	setDefault(&c.DrainAtLeast, time.Second)
+	setDefault(&c.DrainAtMost, 30*time.Second)
+	setDefault(&c.RetryShare, 0.1)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// State is the whole state of a node.
+type State struct {
+	cfg     Config
+	rng     *rand.Rand
+	now     time.Time
+	effects []Effect
+
+	lastCall StoreCallID
+	lastLink LinkID
+	calls    map[StoreCallID]storeCall
+	links    map[LinkID]*link
+
+	member    member
+	root      root
+	holder    holder
+	publisher publisher
+	table     *endpoint.Table
+	backend   backend
+	platform  platformState
+	requests  requests
+}
+
+// New returns the State of a node that has just started.
+func New(cfg Config) *State {
+	cfg = cfg.WithDefaults()
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation.Start)))
+	s := &State{
+		cfg: cfg, rng: rng,
+		calls: map[StoreCallID]storeCall{}, links: map[LinkID]*link{},
+		table: endpoint.NewTable(),
+	}
+	s.member = newMember(cfg)
+	s.root = newRoot(cfg)
+	s.holder = newHolder()
+	s.publisher = newPublisher(cfg)
+	s.backend = newBackend(cfg)
+	s.requests = newRequests(cfg, balance.New(balance.DefaultConfig(cfg.DataCentre), rng))
+	return s
+}
+
+// Reduce takes one event and returns what is to be done. The returned slice
+// is valid until the next call.
+func (s *State) Reduce(now time.Time, e Event) []Effect {
+	s.now = now
+	s.effects = s.effects[:0]
+	switch e := e.(type) {
+	case Tick:
+		s.tick()
+	case StoreDone:
+		s.storeDone(e)
+	case LinkUp:
+		s.linkUp(e)
+	case LinkDown:
+		s.linkDown(e.Link, e.Reason)
+	case LinkMessage:
+		s.linkMessage(e)
+	case BackendProbed:
+		s.backendProbed(e)
+	case BackendLeaving:
+		s.beginDrain()
+	case Stop:
+		s.stop()
+	case CallArrived:
+		s.callArrived(e)
+	case AttemptEnded:
+		s.attemptEnded(e)
+	case CallLeft:
+		s.callLeft(e.Call)
+	case AttemptArrived:
+		s.attemptArrived(e)
+	case AttemptDone:
+		s.attemptDone(e)
+	case AttemptCancelled:
+		s.attemptCancelled(e)
+	}
+	return s.effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) send(l LinkID, m message.Message) { s.emit(Send{Link: l, Message: m}) }
+
+func (s *State) log(c notice.Code, attrs ...Attr) { s.emit(Log{Code: c, Attrs: attrs}) }
+
+func (s *State) tick() {
+	s.storeTick()
+	s.linksTick()
+	s.memberTick()
+	s.rootTick()
+	s.publisherTick()
+	s.backendTick()
+}
+
+// jitter returns a random time below limit ("full jitter").
+func (s *State) jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(s.rng.Int64N(int64(limit)))
+}
+
+// Ready reports whether the node may serve callers, and if not, why.
+func (s *State) Ready() (bool, string) {
+	switch {
+	case s.backend.stopping:
+		return false, "draining"
+	case s.configVersion() == 0:
+		return false, "holds no configuration yet"
+	case !s.member.current:
+		return false, "has not caught up with its root yet"
+	}
+	return true, ""
+}
+
+// Dump is the state of a node in a form for people and scripts.
+type Dump struct {
+	Node          string           `json:"node"`
+	DataCentre    string           `json:"dataCentre"`
+	Time          time.Time        `json:"time"`
+	Ready         bool             `json:"ready"`
+	NotReady      string           `json:"notReady,omitempty"`
+	Phase         string           `json:"phase"`
+	Path          []string         `json:"path"`
+	ConfigVersion uint64           `json:"configVersion"`
+	ConfigHash    uint64           `json:"configHash"`
+	Routes        int              `json:"routes"`
+	Publisher     bool             `json:"publisher"`
+	Links         []DumpLink       `json:"links"`
+	Reports       []message.Report `json:"reports,omitempty"`
+	Endpoints     []endpoint.Entry `json:"endpoints"`
+	Backend       DumpBackend      `json:"backend"`
+	Calls         int              `json:"calls"`
+	RetryTokens   float64          `json:"retryTokens"`
+}
+
+// DumpLink is one link of a Dump.
+type DumpLink struct {
+	ID        LinkID    `json:"id"`
+	Role      string    `json:"role"`
+	Node      string    `json:"node"`
+	Peer      string    `json:"peer"`
+	LastHeard time.Time `json:"lastHeard"`
+}
+
+// DumpBackend is the own backend server in a Dump.
+type DumpBackend struct {
+	Service  string `json:"service,omitempty"`
+	State    string `json:"state"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	Slots    int    `json:"slots"`
+	Stopping bool   `json:"stopping"`
+}
+
+// Dump returns a copy of the state for display.
+func (s *State) Dump() Dump {
+	ready, why := s.Ready()
+	d := Dump{
+		Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Time: s.now, Ready: ready, NotReady: why,
+		Phase: s.member.phase.String(), Path: s.path(), Publisher: s.publisher.lease.Held(s.now),
+		Endpoints: s.table.Entries(), Calls: len(s.requests.calls), RetryTokens: s.requests.budget.Tokens(),
+		Backend:       s.backend.dump(s.cfg),
+		ConfigVersion: s.holder.set.Version, ConfigHash: s.holder.set.Hash(), Routes: s.holder.snapshot.Routes(),
+	}
+	for _, id := range sortedLinks(s.links) {
+		l := s.links[id]
+		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
+	}
+	for _, dc := range sortedNames(s.root.reports) {
+		d.Reports = append(d.Reports, s.root.reports[dc])
+	}
+	return d
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("core: a type of our own can't be encoded: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/core/store.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// purpose says which part of the state a platform call belongs to.
+type purpose uint8
+
+const (
+	forRootLeaseRead purpose = iota + 1
+	forRootLeaseWrite
+	forLeaseList
+	forHeadRead
+	forHeadWatch
+	forManifest
+	forChunk
+	forPublisherLease
+	forPublisher
+)
+
+// storeCall is what is remembered of a platform call until its result comes.
+type storeCall struct {
+	purpose purpose
+	name    string // of the object, where the purpose has several
+	version uint64
+	step    publishStep
+	round   uint64 // of the publisher's work; a result of an older round is dropped
+}
+
+// platformState tells outages in the log once, not for each call.
+type platformState struct {
+	down    bool
+	retries []laterList
+}
+
+type laterList struct {
+	at     time.Time
+	prefix string
+	call   storeCall
+}
+
+// storeRetryAfter is the upper bound of the random wait before a failed read
+// is tried again.
+const storeRetryAfter = 2 * time.Second
+
+func (s *State) nextCall(c storeCall) StoreCallID {
+	s.lastCall++
+	s.calls[s.lastCall] = c
+	return s.lastCall
+}
+
+func (s *State) storeGet(key string, c storeCall) {
+	s.emit(StoreGet{Call: s.nextCall(c), Key: key})
+}
+
+func (s *State) storeList(prefix string, c storeCall) {
+	s.emit(StoreList{Call: s.nextCall(c), Prefix: prefix})
+}
+
+func (s *State) storePut(key string, data []byte, base uint64, c storeCall) {
+	s.emit(StorePut{Call: s.nextCall(c), Key: key, Data: data, Base: base})
+}
+
+func (s *State) storeDelete(key string, base uint64, c storeCall) {
+	s.emit(StoreDelete{Call: s.nextCall(c), Key: key, Base: base})
+}
+
+func (s *State) storeWatch(prefix string, after uint64, wait time.Duration, c storeCall) {
+	s.emit(StoreWatch{Call: s.nextCall(c), Prefix: prefix, After: after, Wait: wait})
+}
+
+// storeListLater lists after a random wait.
+func (s *State) storeListLater(prefix string, c storeCall) {
+	s.platform.retries = append(s.platform.retries, laterList{at: s.now.Add(s.jitter(storeRetryAfter)), prefix: prefix, call: c})
+}
+
+func (s *State) storeTick() {
+	var later []laterList
+	for _, r := range s.platform.retries {
+		if s.now.Before(r.at) {
+			later = append(later, r)
+			continue
+		}
+		s.storeList(r.prefix, r.call)
+	}
+	s.platform.retries = later
+}
+
+func (s *State) platformFailed(done StoreDone) {
+	if s.platform.down || done.Err == StoreNotFound || done.Err == StoreConflict {
+		return
+	}
+	s.platform.down = true
+	s.log(notice.PlatformUnreachable, Attr{"detail", done.Detail})
+}
+
+func (s *State) storeDone(done StoreDone) {
+	c, ok := s.calls[done.Call]
+	if !ok {
+		return
+	}
+	delete(s.calls, done.Call)
+	if done.Err == StoreOK && s.platform.down {
+		s.platform.down = false
+		s.log(notice.PlatformReachable)
+	}
+	switch c.purpose {
+	case forRootLeaseRead:
+		s.rootLeaseRead(done)
+	case forRootLeaseWrite:
+		s.rootLeaseWritten(done)
+	case forLeaseList:
+		if s.member.phase == phaseRoot {
+			s.leasesListed(done)
+		}
+	case forHeadRead:
+		s.headReadDone(done)
+	case forHeadWatch:
+		s.headWatched(done)
+	case forManifest:
+		s.manifestRead(c, done)
+	case forChunk:
+		s.chunkRead(c, done)
+	case forPublisherLease:
+		s.publisherLeaseWritten(done)
+	case forPublisher:
+		if c.round == s.publisher.round {
+			s.publisherStep(c, done)
+		}
+	}
+}
+
+// readLease returns the record that a get found; version zero: none exists.
+func readLease(done StoreDone) (lease.Record, uint64, error) {
+	switch {
+	case done.Err == StoreNotFound:
+		return lease.Record{}, 0, nil
+	case done.Err != StoreOK || len(done.Objects) != 1:
+		return lease.Record{}, 0, fmt.Errorf("read lease: %s", done.Detail)
+	}
+	var rec lease.Record
+	if err := json.Unmarshal(done.Objects[0].Data, &rec); err != nil {
+		return lease.Record{}, 0, fmt.Errorf("read lease %q: %w", done.Objects[0].Key, err)
+	}
+	return rec, done.Objects[0].Version, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,334 @@
+// Package node runs one core.State: it turns what happens outside into events
+// and carries effects out. Its parts are put together with fx.
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// Clock tells the time and ticks.
+type Clock interface {
+	Now() time.Time
+	// Tick returns a channel that receives every d until stop is called.
+	Tick(d time.Duration) (ticks <-chan time.Time, stop func())
+}
+
+// SystemClock is the Clock of the machine.
+type SystemClock struct{}
+
+// Now implements Clock.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// Tick implements Clock.
+func (SystemClock) Tick(d time.Duration) (<-chan time.Time, func()) {
+	t := time.NewTicker(d)
+	return t.C, t.Stop
+}
+
+// Prober asks the own backend server for its health.
+type Prober interface {
+	Probe(ctx context.Context) (ok, refused bool)
+}
+
+// Links opens links to other nodes.
+type Links interface {
+	Dial(ctx context.Context, address string, opened func(*peer.Link) any) error
+}
+
+// effectBacklog is the room for the effects of one call or attempt that its
+// goroutine has not taken yet; the reducer emits at most two between events.
+const effectBacklog = 8
+
+// Node runs one State.
+type Node struct {
+	clock  Clock
+	store  platform.Store
+	prober Prober
+	log    *eventlog.Logger
+	links  Links
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	drained chan struct{}
+
+	mu           sync.Mutex // guards all below
+	state        *core.State
+	open         map[core.LinkID]*peer.Link
+	lastAccepted core.LinkID
+	calls        map[core.CallID]chan core.Effect
+	attempts     map[core.AttemptID]chan core.Effect
+}
+
+// New returns a Node that is not running yet.
+func New(cfg core.Config, clock Clock, store platform.Store, prober Prober, log *eventlog.Logger) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		clock: clock, store: store, prober: prober, log: log, ctx: ctx, cancel: cancel,
+		drained: make(chan struct{}), state: core.New(cfg),
+		open: map[core.LinkID]*peer.Link{}, lastAccepted: 1,
+		calls: map[core.CallID]chan core.Effect{}, attempts: map[core.AttemptID]chan core.Effect{},
+	}
+}
+
+// Start begins to run. links carries what the node says to others.
+func (n *Node) Start(links Links, tickEvery time.Duration) {
+	n.links = links
+	n.log.Write(notice.NodeStarted)
+	ticks, stop := n.clock.Tick(tickEvery)
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		defer stop()
+		for {
+			n.Step(core.Tick{})
+			select {
+			case <-ticks:
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Drained is closed when the node has drained after a core.Stop.
+func (n *Node) Drained() <-chan struct{} { return n.drained }
+
+// Stop ends all that the node has under way.
+func (n *Node) Stop() {
+	n.cancel()
+	n.mu.Lock()
+	for _, l := range n.open {
+		l.Close()
+	}
+	n.mu.Unlock()
+	n.wg.Wait()
+}
+
+// Step takes an event into the reducer and carries the effects out. Nothing
+// in it blocks, so it may be called from anywhere; holding the lock while the
+// effects are handed over keeps them in the order in which they were decided.
+func (n *Node) Step(e core.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.step(e)
+}
+
+func (n *Node) step(e core.Event) {
+	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+		n.carryOut(effect)
+	}
+}
+
+// Dump returns the state for display.
+func (n *Node) Dump() core.Dump {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Dump()
+}
+
+// Ready reports whether the node may serve callers, and if not, why.
+func (n *Node) Ready() (bool, string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Ready()
+}
+
+func (n *Node) carryOut(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Forward:
+		n.toCall(e.Call, e)
+	case core.Finish:
+		n.toCall(e.Call, e)
+	case core.Run:
+		n.toAttempt(e.Attempt, e)
+	case core.Refuse:
+		n.toAttempt(e.Attempt, e)
+	case core.Send:
+		if l, ok := n.open[e.Link]; ok {
+			_ = l.Send(e.Message) // a failed link reports its end by Down
+		}
+	case core.CloseLink:
+		if l, ok := n.open[e.Link]; ok {
+			delete(n.open, e.Link)
+			l.Close()
+		}
+	case core.Dial:
+		n.run(func() { n.dial(e) })
+	case core.ProbeBackend:
+		n.run(n.probe)
+	case core.Log:
+		n.log.Write(e.Code, e.Attrs...)
+	case core.Drained:
+		close(n.drained)
+	default:
+		n.run(func() { n.callStore(effect) })
+	}
+}
+
+func (n *Node) run(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+func (n *Node) toCall(id core.CallID, e core.Effect) {
+	if ch, ok := n.calls[id]; ok {
+		ch <- e
+	}
+}
+
+func (n *Node) toAttempt(id core.AttemptID, e core.Effect) {
+	if ch, ok := n.attempts[id]; ok {
+		ch <- e
+	}
+}
+
+// OpenCall implements proxy.Decider.
+func (n *Node) OpenCall(id core.CallID) <-chan core.Effect {
+	ch := make(chan core.Effect, effectBacklog)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls[id] = ch
+	return ch
+}
+
+// CloseCall implements proxy.Decider.
+func (n *Node) CloseCall(id core.CallID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.calls, id)
+}
+
+// OpenAttempt implements proxy.Decider.
+func (n *Node) OpenAttempt(id core.AttemptID) (<-chan core.Effect, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, open := n.attempts[id]; open {
+		return nil, false
+	}
+	ch := make(chan core.Effect, effectBacklog)
+	n.attempts[id] = ch
+	return ch, true
+}
+
+// CloseAttempt implements proxy.Decider.
+func (n *Node) CloseAttempt(id core.AttemptID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.attempts, id)
+}
+
+func (n *Node) probe() {
+	ok, refused := n.prober.Probe(n.ctx)
+	n.Step(core.BackendProbed{OK: ok, Refused: refused})
+}
+
+func (n *Node) dial(e core.Dial) {
+	err := n.links.Dial(n.ctx, e.Address, func(l *peer.Link) any {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.open[e.Link] = l
+		n.step(core.LinkUp{Link: e.Link, Dialled: true})
+		return e.Link
+	})
+	if err != nil {
+		n.Step(core.LinkDown{Link: e.Link, Reason: err.Error()})
+	}
+}
+
+// Accepted implements peer.Handler.
+func (n *Node) Accepted(l *peer.Link) any {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lastAccepted += 2
+	n.open[n.lastAccepted] = l
+	n.step(core.LinkUp{Link: n.lastAccepted})
+	return n.lastAccepted
+}
+
+// Received implements peer.Handler.
+func (n *Node) Received(link any, m message.Message) {
+	n.Step(core.LinkMessage{Link: link.(core.LinkID), Message: m})
+}
+
+// Down implements peer.Handler.
+func (n *Node) Down(link any, reason string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, link.(core.LinkID))
+	n.step(core.LinkDown{Link: link.(core.LinkID), Reason: reason})
+}
+
+// callStore makes one platform call and steps its result in.
+func (n *Node) callStore(effect core.Effect) {
+	done, err := n.request(effect)
+	if n.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		done.Err, done.Detail = storeError(err), err.Error()
+	}
+	n.Step(done)
+}
+
+func (n *Node) request(effect core.Effect) (core.StoreDone, error) {
+	switch e := effect.(type) {
+	case core.StoreGet:
+		o, err := n.store.Get(n.ctx, e.Key)
+		return core.StoreDone{Call: e.Call, Objects: []core.StoreObject{storeObject(o, false)}}, err
+	case core.StoreList:
+		objs, rev, err := n.store.List(n.ctx, e.Prefix)
+		done := core.StoreDone{Call: e.Call, Revision: rev}
+		for _, o := range objs {
+			done.Objects = append(done.Objects, storeObject(o, false))
+		}
+		return done, err
+	case core.StorePut:
+		v, err := n.store.Put(n.ctx, e.Key, e.Data, e.Base)
+		return core.StoreDone{Call: e.Call, Version: v}, err
+	case core.StoreDelete:
+		return core.StoreDone{Call: e.Call}, n.store.Delete(n.ctx, e.Key, e.Base)
+	case core.StoreWatch:
+		changes, rev, err := n.store.Watch(n.ctx, e.Prefix, e.After, e.Wait)
+		done := core.StoreDone{Call: e.Call, Revision: rev}
+		for _, c := range changes {
+			done.Objects = append(done.Objects, storeObject(c.Object, c.Deleted))
+		}
+		return done, err
+	}
+	panic("node: effect of unknown type")
+}
+
+func storeObject(o platform.Object, deleted bool) core.StoreObject {
+	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Deleted: deleted}
+}
+
+// storeError turns an error of the platform into the reducer's.
+func storeError(err error) core.StoreError {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return core.StoreNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return core.StoreConflict
+	case errors.Is(err, platform.ErrTooLarge):
+		return core.StoreTooLarge
+	case errors.Is(err, platform.ErrThrottled):
+		return core.StoreThrottled
+	case errors.Is(err, platform.ErrCompacted):
+		return core.StoreCompacted
+	}
+	return core.StoreFailed
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,174 @@
+// Package operator is what operators' tools use: it submits edits, follows
+// their status and reads the objects in force, all through the platform.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/status"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// Keys in the platform.
+const (
+	submissionPrefix = "submission/"
+	statusPrefix     = "status/"
+	headKey          = "config/head"
+	manifestPrefix   = "config/manifest/"
+	chunkPrefix      = "config/chunk/"
+)
+
+// Errors of this package.
+var (
+	// ErrNoSubmission says that no submission has the ID.
+	ErrNoSubmission = fmt.Errorf("submission does not exist")
+	// ErrUnknownFate says that the platform gave no answer; the submission
+	// may have been taken. Submitting it again under the same ID is safe.
+	ErrUnknownFate = fmt.Errorf("it is not known whether the submission was taken")
+)
+
+// Client talks to the platform for one operator.
+type Client struct{ store platform.Store }
+
+// New returns a Client.
+func New(store platform.Store) *Client { return &Client{store: store} }
+
+// submitTries bounds the calls by which a lost answer is settled.
+const submitTries = 5
+
+// Submit hands a submission in. Submitting it again under the same ID has no
+// second effect.
+func (c *Client) Submit(ctx context.Context, sub config.Submission) error {
+	data, err := json.Marshal(sub)
+	if err != nil {
+		return fmt.Errorf("encode submission %s: %w", sub.ID, err)
+	}
+	if len(data) > platform.MaxValueBytes {
+		return fmt.Errorf("submission %s has %d bytes, at most %d are allowed: split it", sub.ID, len(data), platform.MaxValueBytes)
+	}
+	for range submitTries {
+		if _, err = c.Status(ctx, sub.ID); err == nil {
+			return nil // it is there: an earlier answer was lost
+		}
+		if !errors.Is(err, ErrNoSubmission) {
+			continue
+		}
+		_, err = c.store.Put(ctx, submissionPrefix+sub.ID, data, 0)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+	}
+	return fmt.Errorf("submission %s: %w: %w", sub.ID, ErrUnknownFate, err)
+}
+
+// Status returns how far a submission has come.
+func (c *Client) Status(ctx context.Context, id string) (status.Status, error) {
+	// The submission is read first: it is removed only after its status was
+	// written, so one of the two is always found.
+	_, subErr := c.store.Get(ctx, submissionPrefix+id)
+	o, err := c.store.Get(ctx, statusPrefix+id)
+	switch {
+	case err == nil:
+		var st status.Status
+		if err := json.Unmarshal(o.Data, &st); err != nil {
+			return status.Status{}, fmt.Errorf("status of %s can't be read: %w", id, err)
+		}
+		return st, nil
+	case !errors.Is(err, platform.ErrNotFound):
+		return status.Status{}, fmt.Errorf("status of %s: %w", id, err)
+	case subErr == nil:
+		return status.Status{ID: id, Phase: status.Pending}, nil
+	case errors.Is(subErr, platform.ErrNotFound):
+		return status.Status{}, fmt.Errorf("status of %s: %w", id, ErrNoSubmission)
+	}
+	return status.Status{}, fmt.Errorf("status of %s: %w", id, subErr)
+}
+
+// waitEvery is the longest time between two looks at a status.
+const waitEvery = 5 * time.Second
+
+// Wait returns the status once it is InForce or Rejected, or the last one
+// seen and an error when ctx ends before.
+func (c *Client) Wait(ctx context.Context, id string) (status.Status, error) {
+	var last status.Status
+	for {
+		_, revision, listErr := c.store.List(ctx, statusPrefix+id)
+		st, err := c.Status(ctx, id)
+		if err == nil {
+			last = st
+			if st.Phase == status.InForce || st.Phase == status.Rejected {
+				return st, nil
+			}
+		}
+		if ctx.Err() != nil {
+			return last, fmt.Errorf("wait for %s: %w", id, ctx.Err())
+		}
+		if err != nil || listErr != nil {
+			sleep(ctx, waitEvery/10)
+			continue
+		}
+		_, _, _ = c.store.Watch(ctx, statusPrefix+id, revision, waitEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// Current returns the set that is published.
+func (c *Client) Current(ctx context.Context) (*config.Set, error) {
+	o, err := c.store.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return config.NewSet(0, nil), nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read head: %w", err)
+	}
+	var h config.Head
+	if err := json.Unmarshal(o.Data, &h); err != nil {
+		return nil, fmt.Errorf("read head: %w", err)
+	}
+	if h.Version == 0 {
+		return config.NewSet(0, nil), nil
+	}
+	o, err = c.store.Get(ctx, manifestPrefix+h.Manifest)
+	if err != nil {
+		return nil, fmt.Errorf("read manifest of version %d: %w", h.Version, err)
+	}
+	var m config.Manifest
+	if err := json.Unmarshal(o.Data, &m); err != nil {
+		return nil, fmt.Errorf("read manifest of version %d: %w", h.Version, err)
+	}
+	chunks := map[string][]byte{}
+	for _, name := range m.Chunks {
+		o, err := c.store.Get(ctx, chunkPrefix+name)
+		if err != nil {
+			return nil, fmt.Errorf("read chunk of version %d: %w", h.Version, err)
+		}
+		chunks[name] = o.Data
+	}
+	return config.DecodeSet(m, chunks)
+}
+
+// Edit returns the submission that turns the published set's objects into
+// those given: objects that differ are put at the version read.
+func Edit(id, author string, current *config.Set, objects []config.Object) config.Submission {
+	sub := config.Submission{ID: id, Author: author}
+	for _, o := range objects {
+		base := current.Objects[o.Key()].Version
+		if o.Version != 0 {
+			base = o.Version // the operator edited what was read at this version
+		}
+		o.Version, o.Author = 0, ""
+		sub.Puts = append(sub.Puts, config.Put{Object: o, Base: base})
+	}
+	return sub
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,218 @@
+// Package peer carries messages between nodes over gRPC: one stream of frames
+// each way for each link, opened by the dialler.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/agatekeel/agatekeel/core/message"
+	pb "github.com/agatekeel/agatekeel/peer/peerpb"
+)
+
+// Limits of a link.
+const (
+	maxFrameBytes  = 64 << 20
+	queuedMessages = 1024 // a link whose other end takes nothing for so long is closed
+)
+
+// Errors of this package.
+var (
+	// ErrFrame says that a frame or message is of an unknown type.
+	ErrFrame = fmt.Errorf("unknown frame")
+	// ErrClosed says that a link is closed.
+	ErrClosed = fmt.Errorf("link is closed")
+	// ErrBacklog says that the other end does not take messages fast enough.
+	ErrBacklog = fmt.Errorf("link has a backlog of %d messages", queuedMessages)
+)
+
+// Handler is told what happens on links. Its methods are called from the
+// goroutine that reads the link, in the order of the messages.
+type Handler interface {
+	// Accepted is called once for each link that another node opened. The
+	// handler's answer is what Received and Down are given as link.
+	Accepted(l *Link) (link any)
+	Received(link any, m message.Message)
+	Down(link any, reason string)
+}
+
+// Link is one open link.
+type Link struct {
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	closed bool
+	queue  chan *pb.Frame
+}
+
+func newLink(cancel context.CancelFunc) *Link {
+	return &Link{cancel: cancel, queue: make(chan *pb.Frame, queuedMessages)}
+}
+
+// Send queues a message. It does not block: a full queue closes the link.
+func (l *Link) Send(m message.Message) error {
+	f, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return ErrClosed
+	}
+	select {
+	case l.queue <- f:
+		return nil
+	default:
+		l.closed = true
+		l.cancel()
+		return ErrBacklog
+	}
+}
+
+// Close ends the link at once; messages still queued are dropped.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.cancel()
+}
+
+// stream is the part of both ends' gRPC streams that a link needs.
+type stream interface {
+	Context() context.Context
+	Send(*pb.Frame) error
+	Recv() (*pb.Frame, error)
+}
+
+// write sends queued frames until the stream ends.
+func (l *Link) write(s stream) {
+	for {
+		select {
+		case f := <-l.queue:
+			if err := s.Send(f); err != nil {
+				l.Close()
+				return
+			}
+		case <-s.Context().Done():
+			return
+		}
+	}
+}
+
+// read hands every message to the handler until the stream ends, and returns
+// why it ended.
+func (l *Link) read(s stream, link any, h Handler) string {
+	for {
+		f, err := s.Recv()
+		if err != nil {
+			l.Close()
+			return err.Error()
+		}
+		m, err := Decode(f)
+		if err != nil {
+			continue // from a newer node: what we don't know can't be meant for us
+		}
+		h.Received(link, m)
+	}
+}
+
+// Transport opens and accepts links.
+type Transport struct {
+	pb.UnimplementedPeerServer
+	handler Handler
+	server  *grpc.Server
+	creds   credentials.TransportCredentials
+	wg      sync.WaitGroup
+}
+
+// Config holds the settings of a Transport.
+type Config struct {
+	// Server and Client secure links; nil: in the clear.
+	Server, Client credentials.TransportCredentials
+}
+
+// NewTransport returns a Transport that tells h of its links.
+func NewTransport(cfg Config, h Handler) *Transport {
+	t := &Transport{handler: h, creds: cfg.Client}
+	if t.creds == nil {
+		t.creds = insecure.NewCredentials()
+	}
+	opts := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxFrameBytes), grpc.WriteBufferSize(16 << 10), grpc.ReadBufferSize(16 << 10),
+	}
+	if cfg.Server != nil {
+		opts = append(opts, grpc.Creds(cfg.Server))
+	}
+	t.server = grpc.NewServer(opts...)
+	pb.RegisterPeerServer(t.server, t)
+	return t
+}
+
+// Serve accepts links until Stop.
+func (t *Transport) Serve(l net.Listener) error {
+	if err := t.server.Serve(l); err != nil {
+		return fmt.Errorf("peer listener %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// Stop closes all accepted links and waits for all to end.
+func (t *Transport) Stop() {
+	t.server.Stop()
+	t.wg.Wait()
+}
+
+// Link implements the gRPC service: it lives as long as the link.
+func (t *Transport) Link(s pb.Peer_LinkServer) error {
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	l := newLink(cancel)
+	link := t.handler.Accepted(l)
+	go l.write(s)
+	ended := make(chan string, 1)
+	go func() { ended <- l.read(s, link, t.handler) }()
+	// Returning ends the stream, which ends read and write.
+	reason := "closed here"
+	select {
+	case reason = <-ended:
+	case <-ctx.Done():
+	}
+	t.handler.Down(link, reason)
+	return nil
+}
+
+// Dial opens a link to a node. It returns when the stream is open or failed;
+// opened is called before the first message is read.
+func (t *Transport) Dial(ctx context.Context, address string, opened func(*Link) (link any)) error {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(t.creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
+		grpc.WithWriteBufferSize(16<<10), grpc.WithReadBufferSize(16<<10))
+	if err != nil {
+		return fmt.Errorf("dial %s: %w", address, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s, err := pb.NewPeerClient(conn).Link(ctx)
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return fmt.Errorf("dial %s: %w", address, err)
+	}
+	l := newLink(cancel)
+	link := opened(l)
+	t.wg.Add(1)
+	go l.write(s)
+	go func() {
+		defer t.wg.Done()
+		reason := l.read(s, link, t.handler)
+		cancel()
+		_ = conn.Close()
+		t.handler.Down(link, reason)
+	}()
+	return nil
+}
