--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -8,8 +8,12 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/internal/testseed"
 )
 
+func TestMain(m *testing.M) { testseed.Main(m) }
+
 func object(kind Kind, name, spec string) Object {
 	return Object{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
 }
--- /dev/null
+++ b/core/coretest/mesh.go
@@ -0,0 +1,490 @@
+// Package coretest drives a handful of reducers under a fake clock, a fake
+// platform and fake links, for tests of what nodes decide together. It is not
+// a cluster simulator: there are no processes, sockets or goroutines, and all
+// runs of one seed are the same.
+package coretest
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+)
+
+// Faults are what may go wrong. Probabilities are for each call or message.
+type Faults struct {
+	PlatformDown  bool
+	PlatformDelay time.Duration // upper bound of the random time each way
+	FailBefore    float64       // a call fails without effect
+	LoseAnswer    float64       // a call takes effect and its answer is lost
+	LinkDelay     time.Duration // upper bound of the random time of a message
+	Duplicate     float64       // a link message arrives twice
+}
+
+// platformTimeout is how long a call to a platform that is down takes to fail.
+const platformTimeout = 500 * time.Millisecond
+
+// Mesh holds the nodes of one run.
+type Mesh struct {
+	Now    time.Time
+	Rand   *rand.Rand
+	Store  *platformtest.Store
+	Faults Faults
+	// OnStep, if set, is called after each event a node took.
+	OnStep func(n *Node, e core.Event)
+	// OnEffect, if set, is given the effects that belong to requests, logs
+	// and draining.
+	OnEffect func(n *Node, e core.Effect)
+	// OnSend, if set, sees every message a node sends.
+	OnSend func(from, to *Node, m message.Message)
+	// OnStore, if set, sees every platform call as it arrives there.
+	OnStore func(n *Node, e core.Effect)
+
+	nodes   map[string]*Node
+	queue   queue
+	order   uint64
+	cut     map[[2]string]bool
+	watches []*watch
+}
+
+// Node is one reducer of a Mesh.
+type Node struct {
+	Name    string
+	State   *core.State
+	Config  core.Config
+	Alive   bool
+	Backend bool // the backend server answers probes
+	Life    int  // counts starts
+
+	mesh   *Mesh
+	paused time.Time
+	links  map[core.LinkID]*end
+	last   core.LinkID
+}
+
+// end is one end of a link.
+type end struct {
+	node   *Node
+	life   int
+	peer   *end
+	id     core.LinkID
+	closed bool
+	next   time.Time // earliest arrival of the next message: links keep order
+}
+
+type watch struct {
+	node   *Node
+	life   int
+	effect core.StoreWatch
+	done   bool
+}
+
+// New returns an empty Mesh whose random numbers come from seed.
+func New(seed uint64) *Mesh {
+	return &Mesh{
+		Now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		Rand:  rand.New(rand.NewPCG(seed, 1)),
+		Store: platformtest.NewStore(),
+		Faults: Faults{
+			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
+		},
+		nodes: map[string]*Node{}, cut: map[[2]string]bool{},
+	}
+}
+
+// Nodes returns all nodes by name, those that are down too.
+func (m *Mesh) Nodes() []*Node {
+	var out []*Node
+	for _, name := range slices.Sorted(maps.Keys(m.nodes)) {
+		out = append(out, m.nodes[name])
+	}
+	return out
+}
+
+// Node returns the node of a name.
+func (m *Mesh) Node(name string) *Node { return m.nodes[name] }
+
+// Start starts a node, or starts it anew with nothing kept. Node, addresses,
+// incarnation and seed of cfg are filled in.
+func (m *Mesh) Start(name string, cfg core.Config) *Node {
+	n, ok := m.nodes[name]
+	if !ok {
+		n = &Node{Name: name, Backend: true, mesh: m}
+		m.nodes[name] = n
+	}
+	n.Life++
+	cfg.Node, cfg.Peer, cfg.Hop = name, name, name
+	cfg.Incarnation = endpoint.Incarnation{Start: m.Now.UnixMilli(), Random: m.Rand.Uint32()}
+	cfg.Seed = m.Rand.Uint64()
+	cfg = cfg.WithDefaults()
+	n.Config, n.State, n.Alive, n.paused = cfg, core.New(cfg), true, time.Time{}
+	n.links, n.last = map[core.LinkID]*end{}, 1
+	m.tick(n, n.Life)
+	return n
+}
+
+// Restart starts a node anew with the settings it had.
+func (m *Mesh) Restart(name string) *Node {
+	m.Crash(name)
+	return m.Start(name, m.nodes[name].Config)
+}
+
+// Crash ends a node at once. The other ends of its links learn of it, unless
+// they are cut off from it.
+func (m *Mesh) Crash(name string) {
+	n := m.nodes[name]
+	if !n.Alive {
+		return
+	}
+	n.Alive = false
+	for _, id := range slices.Sorted(maps.Keys(n.links)) {
+		m.hangUp(n.links[id])
+	}
+}
+
+// Pause stops a node for a time; what comes for it is handed over afterwards.
+func (m *Mesh) Pause(name string, d time.Duration) { m.nodes[name].paused = m.Now.Add(d) }
+
+// Cut silences all traffic between two nodes: open links lose what is sent,
+// new ones fail. Nobody is told.
+func (m *Mesh) Cut(a, b string) { m.cut[pair(a, b)] = true }
+
+// Heal ends all cuts, pauses and faults. Delays stay.
+func (m *Mesh) Heal() {
+	m.cut = map[[2]string]bool{}
+	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
+	for _, n := range m.nodes {
+		n.paused = time.Time{}
+	}
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// Run lets time pass.
+func (m *Mesh) Run(d time.Duration) { m.RunUntil(d, func() bool { return false }) }
+
+// RunUntil lets time pass until stop holds, d at most, and reports whether it
+// held.
+func (m *Mesh) RunUntil(d time.Duration, stop func() bool) bool {
+	end := m.Now.Add(d)
+	for m.queue.Len() > 0 && !m.queue[0].at.After(end) {
+		if stop() {
+			return true
+		}
+		it := heap.Pop(&m.queue).(item)
+		if it.at.After(m.Now) {
+			m.Now = it.at
+		}
+		it.do()
+	}
+	m.Now = end
+	return stop()
+}
+
+// Step hands an event to a node now.
+func (m *Mesh) Step(name string, e core.Event) {
+	n := m.nodes[name]
+	m.step(n, n.Life, e)
+}
+
+// After runs do when d has passed.
+func (m *Mesh) After(d time.Duration, do func()) {
+	m.order++
+	heap.Push(&m.queue, item{at: m.Now.Add(d), order: m.order, do: do})
+}
+
+func (m *Mesh) random(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(m.Rand.Int64N(int64(limit)))
+}
+
+func (m *Mesh) tick(n *Node, life int) {
+	if n.Life != life || !n.Alive {
+		return
+	}
+	m.step(n, life, core.Tick{})
+	m.After(n.Config.TickEvery, func() { m.tick(n, life) })
+}
+
+// step hands an event to one life of a node, later if the node is paused.
+func (m *Mesh) step(n *Node, life int, e core.Event) {
+	if n.Life != life || !n.Alive {
+		return
+	}
+	if m.Now.Before(n.paused) {
+		m.After(n.paused.Sub(m.Now), func() { m.step(n, life, e) })
+		return
+	}
+	effects := slices.Clone(n.State.Reduce(m.Now, e))
+	if m.OnStep != nil {
+		m.OnStep(n, e)
+	}
+	for _, effect := range effects {
+		m.carryOut(n, effect)
+	}
+}
+
+func (m *Mesh) carryOut(n *Node, effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Dial:
+		m.dial(n, e)
+	case core.Send:
+		m.send(n, e)
+	case core.CloseLink:
+		if l, ok := n.links[e.Link]; ok {
+			delete(n.links, e.Link)
+			m.hangUp(l)
+		}
+	case core.ProbeBackend:
+		life := n.Life
+		m.After(time.Millisecond, func() { m.step(n, life, core.BackendProbed{OK: n.Backend, Refused: !n.Backend}) })
+	case core.StoreGet, core.StoreList, core.StorePut, core.StoreDelete, core.StoreWatch:
+		life := n.Life
+		m.After(m.random(m.Faults.PlatformDelay), func() { m.callStore(n, life, effect) })
+	default:
+		if m.OnEffect != nil {
+			m.OnEffect(n, effect)
+		}
+	}
+}
+
+// hangUp tells the other end of a link that it is closed.
+func (m *Mesh) hangUp(l *end) {
+	l.closed = true
+	p := l.peer
+	if p == nil || m.cut[pair(l.node.Name, p.node.Name)] {
+		return
+	}
+	m.After(m.random(m.Faults.LinkDelay), func() {
+		if p.closed {
+			return
+		}
+		p.closed = true
+		delete(p.node.links, p.id)
+		m.step(p.node, p.life, core.LinkDown{Link: p.id, Reason: "closed by the other end"})
+	})
+}
+
+func (m *Mesh) dial(n *Node, e core.Dial) {
+	life := n.Life
+	m.After(m.random(m.Faults.LinkDelay), func() {
+		to, ok := m.nodes[e.Address]
+		if !ok || !to.Alive || m.cut[pair(n.Name, e.Address)] || to == n {
+			m.step(n, life, core.LinkDown{Link: e.Link, Reason: "connection failed"})
+			return
+		}
+		if n.Life != life || !n.Alive {
+			return
+		}
+		to.last += 2
+		near := &end{node: n, life: life, id: e.Link}
+		far := &end{node: to, life: to.Life, id: to.last, peer: near}
+		near.peer = far
+		n.links[near.id], to.links[far.id] = near, far
+		m.step(to, far.life, core.LinkUp{Link: far.id})
+		m.step(n, life, core.LinkUp{Link: near.id, Dialled: true})
+	})
+}
+
+func (m *Mesh) send(n *Node, e core.Send) {
+	l, ok := n.links[e.Link]
+	if !ok || l.closed {
+		return
+	}
+	if m.OnSend != nil {
+		m.OnSend(n, l.peer.node, e.Message)
+	}
+	copies := 1
+	if m.Rand.Float64() < m.Faults.Duplicate {
+		copies = 2
+	}
+	p := l.peer
+	for range copies {
+		at := m.Now.Add(m.random(m.Faults.LinkDelay))
+		if at.Before(p.next) {
+			at = p.next
+		}
+		p.next = at
+		m.After(at.Sub(m.Now), func() {
+			if !p.closed && !m.cut[pair(n.Name, p.node.Name)] {
+				m.step(p.node, p.life, core.LinkMessage{Link: p.id, Message: e.Message})
+			}
+		})
+	}
+}
+
+// callStore lets a call take effect at the platform.
+func (m *Mesh) callStore(n *Node, life int, effect core.Effect) {
+	if m.OnStore != nil {
+		m.OnStore(n, effect)
+	}
+	switch {
+	case m.Faults.PlatformDown:
+		m.After(platformTimeout, func() { m.step(n, life, failed(effect)) })
+		return
+	case m.Rand.Float64() < m.Faults.FailBefore:
+		m.answer(n, life, failed(effect))
+		return
+	}
+	if w, ok := effect.(core.StoreWatch); ok {
+		m.watch(&watch{node: n, life: life, effect: w})
+		return
+	}
+	done := m.effectOf(effect)
+	if m.Rand.Float64() < m.Faults.LoseAnswer {
+		done = failed(effect)
+	}
+	m.answer(n, life, done)
+	m.wakeWatches()
+}
+
+func (m *Mesh) answer(n *Node, life int, done core.StoreDone) {
+	m.After(m.random(m.Faults.PlatformDelay), func() { m.step(n, life, done) })
+}
+
+func (m *Mesh) effectOf(effect core.Effect) core.StoreDone {
+	ctx := context.Background()
+	switch e := effect.(type) {
+	case core.StoreGet:
+		o, err := m.Store.Get(ctx, e.Key)
+		return result(core.StoreDone{Call: e.Call, Objects: objects(o)}, err)
+	case core.StoreList:
+		objs, rev, err := m.Store.List(ctx, e.Prefix)
+		return result(core.StoreDone{Call: e.Call, Revision: rev, Objects: objects(objs...)}, err)
+	case core.StorePut:
+		v, err := m.Store.Put(ctx, e.Key, e.Data, e.Base)
+		return result(core.StoreDone{Call: e.Call, Version: v}, err)
+	case core.StoreDelete:
+		return result(core.StoreDone{Call: e.Call}, m.Store.Delete(ctx, e.Key, e.Base))
+	}
+	panic("coretest: not a platform call")
+}
+
+func (m *Mesh) watch(w *watch) {
+	m.watches = append(m.watches, w)
+	m.wakeWatches()
+	m.After(w.effect.Wait, func() {
+		if !w.done {
+			w.done = true
+			_, rev, _ := m.Store.List(context.Background(), w.effect.Prefix)
+			m.answer(w.node, w.life, core.StoreDone{Call: w.effect.Call, Revision: rev})
+		}
+	})
+}
+
+// wakeWatches answers every watch that has something to tell, or fails it
+// when the platform is down.
+func (m *Mesh) wakeWatches() {
+	m.watches = slices.DeleteFunc(m.watches, func(w *watch) bool { return w.done })
+	for _, w := range m.watches {
+		changes, rev, err := m.Store.Watch(context.Background(), w.effect.Prefix, w.effect.After, 0)
+		if err == nil && len(changes) == 0 {
+			continue
+		}
+		w.done = true
+		done := core.StoreDone{Call: w.effect.Call, Revision: rev}
+		for _, c := range changes {
+			o := objects(c.Object)[0]
+			o.Deleted = c.Deleted
+			done.Objects = append(done.Objects, o)
+		}
+		m.answer(w.node, w.life, result(done, err))
+	}
+}
+
+// DropWatches fails every waiting watch.
+func (m *Mesh) DropWatches() {
+	for _, w := range m.watches {
+		if !w.done {
+			w.done = true
+			m.answer(w.node, w.life, failed(w.effect))
+		}
+	}
+	m.watches = nil
+}
+
+func objects(objs ...platform.Object) []core.StoreObject {
+	out := make([]core.StoreObject, 0, len(objs))
+	for _, o := range objs {
+		out = append(out, core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data})
+	}
+	return out
+}
+
+func failed(effect core.Effect) core.StoreDone {
+	done := core.StoreDone{Err: core.StoreFailed, Detail: "no answer"}
+	switch e := effect.(type) {
+	case core.StoreGet:
+		done.Call = e.Call
+	case core.StoreList:
+		done.Call = e.Call
+	case core.StorePut:
+		done.Call = e.Call
+	case core.StoreDelete:
+		done.Call = e.Call
+	case core.StoreWatch:
+		done.Call = e.Call
+	}
+	return done
+}
+
+func result(done core.StoreDone, err error) core.StoreDone {
+	if err == nil {
+		return done
+	}
+	done.Detail = err.Error()
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		done.Err = core.StoreNotFound
+	case errors.Is(err, platform.ErrConflict):
+		done.Err = core.StoreConflict
+	case errors.Is(err, platform.ErrTooLarge):
+		done.Err = core.StoreTooLarge
+	case errors.Is(err, platform.ErrCompacted):
+		done.Err = core.StoreCompacted
+	default:
+		done.Err = core.StoreFailed
+	}
+	return done
+}
+
+// item is something to happen at a time; order settles ties.
+type item struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+type queue []item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+)
+
+// admin serves health, metrics and the state dump.
+func admin(n *Node, r metrics.Registry) http.Handler {
+	e := gin.New()
+	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c *gin.Context) {
+		if ok, why := n.Ready(); !ok {
+			c.String(http.StatusServiceUnavailable, "%s\n", why)
+			return
+		}
+		c.String(http.StatusOK, "ok\n")
+	})
+	e.GET("/metrics", func(c *gin.Context) {
+		c.Header("Content-Type", "application/json")
+		metrics.WriteJSONOnce(r, c.Writer)
+	})
+	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.Dump()) })
+	e.POST("/drain", func(c *gin.Context) {
+		n.Step(core.BackendLeaving{})
+		c.String(http.StatusAccepted, "draining\n")
+	})
+	return e
+}
--- /dev/null
+++ b/node/store.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"errors"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// callStore makes one platform call and steps its result in.
+func (n *Node) callStore(effect core.Effect) {
+	done, err := n.request(effect)
+	if n.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		done.Err, done.Detail = storeError(err), err.Error()
+	}
+	n.Step(done)
+}
+
+func (n *Node) request(effect core.Effect) (core.StoreDone, error) {
+	switch e := effect.(type) {
+	case core.StoreGet:
+		o, err := n.store.Get(n.ctx, e.Key)
+		return core.StoreDone{Call: e.Call, Objects: []core.StoreObject{storeObject(o, false)}}, err
+	case core.StoreList:
+		objs, rev, err := n.store.List(n.ctx, e.Prefix)
+		done := core.StoreDone{Call: e.Call, Revision: rev}
+		for _, o := range objs {
+			done.Objects = append(done.Objects, storeObject(o, false))
+		}
+		return done, err
+	case core.StorePut:
+		v, err := n.store.Put(n.ctx, e.Key, e.Data, e.Base)
+		return core.StoreDone{Call: e.Call, Version: v}, err
+	case core.StoreDelete:
+		return core.StoreDone{Call: e.Call}, n.store.Delete(n.ctx, e.Key, e.Base)
+	case core.StoreWatch:
+		changes, rev, err := n.store.Watch(n.ctx, e.Prefix, e.After, e.Wait)
+		done := core.StoreDone{Call: e.Call, Revision: rev}
+		for _, c := range changes {
+			done.Objects = append(done.Objects, storeObject(c.Object, c.Deleted))
+		}
+		return done, err
+	}
+	panic("node: effect of unknown type")
+}
+
+func storeObject(o platform.Object, deleted bool) core.StoreObject {
+	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Deleted: deleted}
+}
+
+// storeError turns an error of the platform into the reducer's.
+func storeError(err error) core.StoreError {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return core.StoreNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return core.StoreConflict
+	case errors.Is(err, platform.ErrTooLarge):
+		return core.StoreTooLarge
+	case errors.Is(err, platform.ErrThrottled):
+		return core.StoreThrottled
+	case errors.Is(err, platform.ErrCompacted):
+		return core.StoreCompacted
+	}
+	return core.StoreFailed
+}
