Prove the lease and mend what the proof turned up

A rapid-driven history of two to four processes with clocks of their own, slow and lost answers and pauses checks that no two of them hold the lease at once and that it is taken again afterwards. Counting the held time from the answer, or from a read of one's own record, turns the check red.

Mended: a claim whose answer was lost is held from its sending once a read finds it, without a second claim; a failed write is spaced by half of Renew instead of repeated at each tick; after a conflict the next read counts whatever its version, so that a deleted lease object can be taken again; RaiseEpoch keeps epochs growing when the object was deleted.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -45,15 +45,31 @@
 	held     bool
 	until    time.Time // end of the held time, by our clock
 	renewAt  time.Time
-	pending  *Write
-	sentAt   time.Time
+	retryAt  time.Time // no write is tried before, after one that failed
+	floor    uint64    // the next epoch is above it
+	pending  *sent
+	unknown  *sent // the last write whose fate is unknown
+	faults   faults
+}
+
+// sent is a write and the time at which it was handed out.
+type sent struct {
+	write Write
+	at    time.Time
+}
+
+// faults switch rules off, for tests that show that their checks can fail.
+type faults struct {
+	countFromAnswer bool // held time counts from the answer, not from the sending
+	trustRecord     bool // a record of our own is held from the time of reading
 }
 
 // New returns a Machine that has seen nothing yet.
 func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
 
 // Observe tells what a read returned; version zero means that no object
-// exists.
+// exists. A record that was written by a call whose answer was lost counts as
+// held from the time at which that call was sent.
 func (m *Machine) Observe(now time.Time, r Record, version uint64) {
 	if m.observed && version < m.version {
 		return // an answer that was overtaken by a newer one
@@ -65,6 +81,18 @@
 	if r.Holder != m.cfg.Holder {
 		m.held = false
 	}
+	if m.unknown != nil && m.unknown.write.Record == r {
+		m.hold(m.unknown.at)
+		m.unknown = nil
+	}
+	if m.faults.trustRecord && r.Holder == m.cfg.Holder {
+		m.hold(now)
+	}
+}
+
+// hold extends the held time to what a write sent at a time gives.
+func (m *Machine) hold(at time.Time) {
+	m.held, m.until, m.renewAt, m.retryAt = true, at.Add(m.cfg.TTL-m.cfg.Margin), at.Add(m.cfg.Renew), time.Time{}
 }
 
 // Held reports whether the lease may be used now.
@@ -73,6 +101,15 @@
 // Epoch returns the fencing epoch of the last seen record.
 func (m *Machine) Epoch() uint64 { return m.record.Epoch }
 
+// RaiseEpoch makes the next write carry an epoch above one that was found
+// elsewhere, as after the lease object was deleted. The lease counts as not
+// held until that write has taken effect.
+func (m *Machine) RaiseEpoch(above uint64) {
+	if m.record.Epoch <= above {
+		m.floor, m.held = max(m.floor, above), false
+	}
+}
+
 // Record returns the last seen record and whether one exists.
 func (m *Machine) Record() (Record, bool) { return m.record, m.observed && m.version != 0 }
 
@@ -85,26 +122,23 @@
 // Next returns the write that is due, if any: a renewal when held, a claim
 // when the lease can be taken and want is set.
 func (m *Machine) Next(now time.Time, want bool) (Write, bool) {
-	if m.pending != nil || !m.observed || !want {
+	if m.pending != nil || !m.observed || !want || now.Before(m.retryAt) {
 		return Write{}, false
 	}
-	r := Record{Holder: m.cfg.Holder, Address: m.cfg.Address, Epoch: m.record.Epoch, Round: m.record.Round + 1}
+	own := m.record.Holder == m.cfg.Holder && m.version != 0
+	renewal := own && m.Held(now)
 	switch {
-	case m.record.Holder == m.cfg.Holder && m.version != 0:
-		if m.Held(now) && now.Before(m.renewAt) {
-			return Write{}, false
-		}
-		if !m.Held(now) {
-			r.Epoch++ // the time lapsed: whatever ran under the old epoch is fenced off
-		}
-	case m.Expired(now):
-		r.Epoch++
-	default:
+	case renewal && now.Before(m.renewAt):
 		return Write{}, false
+	case !own && !m.Expired(now):
+		return Write{}, false
+	}
+	r := Record{Holder: m.cfg.Holder, Address: m.cfg.Address, Epoch: m.record.Epoch, Round: m.record.Round + 1}
+	if !renewal {
+		r.Epoch = max(r.Epoch, m.floor) + 1 // whatever ran under an older epoch is fenced off
 	}
-	w := Write{Record: r, Base: m.version}
-	m.pending, m.sentAt = &w, now
-	return w, true
+	m.pending = &sent{write: Write{Record: r, Base: m.version}, at: now}
+	return m.pending.write, true
 }
 
 // Written tells that the pending write took effect and made a version.
@@ -112,14 +146,32 @@
 	if m.pending == nil {
 		return
 	}
-	m.record, m.version, m.seenAt, m.observed = m.pending.Record, version, now, true
+	at := m.pending.at
+	if m.faults.countFromAnswer {
+		at = now
+	}
+	p := *m.pending
+	m.pending, m.unknown = nil, nil
+	if m.observed && version < m.version {
+		return // a read has shown already that another holder came after
+	}
+	m.record, m.version, m.seenAt, m.observed = p.write.Record, version, now, true
+	m.hold(at)
+}
+
+// Refused tells that the object was at another version than the pending
+// write expected. Nothing is written until a read has told what stands there.
+func (m *Machine) Refused() {
 	m.pending = nil
-	m.held, m.until, m.renewAt = true, m.sentAt.Add(m.cfg.TTL-m.cfg.Margin), m.sentAt.Add(m.cfg.Renew)
+	m.observed = false
 }
 
-// Lost tells that the pending write did not take effect, or that its fate is
-// unknown. The next read settles it.
+// Lost tells that the fate of the pending write is unknown. It is tried again
+// after a while; a read in between may settle it.
 func (m *Machine) Lost() {
-	m.pending = nil
-	m.renewAt = time.Time{}
+	if m.pending == nil {
+		return
+	}
+	m.unknown, m.pending = m.pending, nil
+	m.retryAt = m.unknown.at.Add(m.cfg.Renew / 2)
 }
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,271 @@
+package lease_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+const (
+	ttl    = 6 * time.Second
+	renew  = 2 * time.Second
+	margin = time.Second
+)
+
+func machine(name string) *lease.Machine {
+	return lease.New(lease.Config{Holder: name, Address: name, TTL: ttl, Renew: renew, Margin: margin})
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestClaimWithLostAnswerIsHeldFromItsSending(t *testing.T) {
+	is := is.New(t)
+	m := machine("a")
+	m.Observe(start, lease.Record{}, 0)
+	w, due := m.Next(start, true)
+	is.True(due)
+	m.Lost()
+	m.Observe(start.Add(3*time.Second), w.Record, 7)
+	is.True(m.Held(start.Add(ttl - margin - time.Millisecond)))
+	is.True(!m.Held(start.Add(ttl - margin))) // counted from the sending, not from the read
+	is.Equal(m.Epoch(), uint64(1))            // no second claim was needed
+}
+
+func TestDeletedLeaseCanBeTakenAgain(t *testing.T) {
+	is := is.New(t)
+	m := machine("a")
+	m.Observe(start, lease.Record{Holder: "b", Epoch: 4}, 9)
+	m.Observe(start.Add(ttl), lease.Record{Holder: "b", Epoch: 4}, 9)
+	_, due := m.Next(start.Add(ttl), true)
+	is.True(due)
+	m.Refused() // the object has been deleted
+	_, due = m.Next(start.Add(2*ttl), true)
+	is.True(!due) // a read comes first
+	m.Observe(start.Add(2*ttl), lease.Record{}, 0)
+	w, due := m.Next(start.Add(2*ttl), true)
+	is.True(due)
+	is.Equal(w.Base, uint64(0))
+}
+
+func TestFailedWritesAreSpaced(t *testing.T) {
+	is := is.New(t)
+	m := machine("a")
+	m.Observe(start, lease.Record{}, 0)
+	writes := 0
+	for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		if _, due := m.Next(at, true); due {
+			writes++
+			m.Lost()
+		}
+	}
+	is.Equal(writes, 10) // one in half of Renew
+}
+
+func TestRaisedEpochIsWrittenBeforeUse(t *testing.T) {
+	is := is.New(t)
+	m := machine("a")
+	m.Observe(start, lease.Record{}, 0)
+	_, _ = m.Next(start, true)
+	m.Written(start, 3)
+	is.True(m.Held(start))
+	m.RaiseEpoch(20)
+	is.True(!m.Held(start))
+	w, due := m.Next(start, true)
+	is.True(due)
+	is.Equal(w.Record.Epoch, uint64(21))
+}
+
+// world holds one lease object and processes with clocks of their own, which
+// call it with delays, lost answers and pauses.
+type world struct {
+	now     time.Duration // real time
+	record  lease.Record
+	version uint64
+	procs   []*proc
+	rng     *rand.Rand
+	lose    float64
+	slow    time.Duration
+}
+
+type proc struct {
+	name    string
+	m       *lease.Machine
+	offset  time.Duration // of its clock
+	paused  time.Duration // until, in real time
+	inbox   []answer
+	readAt  time.Duration
+	reading bool
+}
+
+type answer struct {
+	at time.Duration
+	do func(now time.Time)
+}
+
+func (p *proc) clock(w *world) time.Time { return start.Add(p.offset + w.now) }
+
+func (w *world) later() time.Duration { return w.now + time.Duration(w.rng.Int64N(int64(w.slow))) }
+
+const worldStep = 50 * time.Millisecond
+
+// run lets time pass and reports the first time at which two processes held
+// the lease at once, by what each of them believes.
+func (w *world) run(d time.Duration) (int, error) {
+	held := 0
+	for end := w.now + d; w.now < end; w.now += worldStep {
+		for _, p := range w.procs {
+			if w.now >= p.paused {
+				w.act(p)
+			}
+		}
+		var holders []string
+		for _, p := range w.procs {
+			if p.m.Held(p.clock(w)) { // a paused process too: it may wake at any instruction
+				holders = append(holders, p.name)
+			}
+		}
+		if len(holders) > 1 {
+			return held, fmt.Errorf("at %s the lease is held by %v", w.now, holders)
+		}
+		held += len(holders)
+	}
+	return held, nil
+}
+
+func (w *world) act(p *proc) {
+	now := p.clock(w)
+	var rest []answer
+	for _, a := range p.inbox {
+		if a.at <= w.now {
+			a.do(now)
+			continue
+		}
+		rest = append(rest, a)
+	}
+	p.inbox = rest
+	if !p.reading && w.now >= p.readAt {
+		p.reading = true
+		r, v := w.record, w.version
+		p.inbox = append(p.inbox, answer{w.later(), func(now time.Time) {
+			p.reading, p.readAt = false, w.now+500*time.Millisecond
+			p.m.Observe(now, r, v)
+		}})
+	}
+	if wr, due := p.m.Next(now, true); due {
+		w.write(p, wr)
+	}
+}
+
+// write takes effect at once; its answer is late or lost.
+func (w *world) write(p *proc, wr lease.Write) {
+	at := w.later()
+	if wr.Base != w.version {
+		p.inbox = append(p.inbox, answer{at, func(time.Time) { p.m.Refused() }})
+		return
+	}
+	w.record = wr.Record
+	w.version++
+	v := w.version
+	if w.rng.Float64() < w.lose {
+		p.inbox = append(p.inbox, answer{at, func(time.Time) { p.m.Lost() }})
+		return
+	}
+	p.inbox = append(p.inbox, answer{at, func(now time.Time) { p.m.Written(now, v) }})
+}
+
+func newWorld(seed uint64, n int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), slow: 100 * time.Millisecond, version: 0}
+	for i := range n {
+		name := string(rune('a' + i))
+		w.procs = append(w.procs, &proc{name: name, m: machine(name), offset: time.Duration(w.rng.Int64N(int64(time.Hour)))})
+	}
+	return w
+}
+
+// history drives processes through pauses, slow answers and lost ones.
+func history(t *rapid.T, prepare func(*lease.Machine)) (held int, err error) {
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "processes"))
+	for _, p := range w.procs {
+		prepare(p.m)
+	}
+	for range rapid.IntRange(2, 10).Draw(t, "steps") {
+		w.slow = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, time.Second, 4 * time.Second}).Draw(t, "slow")
+		w.lose = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "lose")
+		if rapid.Bool().Draw(t, "pause") {
+			p := rapid.SampledFrom(w.procs).Draw(t, "who")
+			p.paused = w.now + rapid.SampledFrom([]time.Duration{time.Second, 5 * time.Second, 15 * time.Second}).Draw(t, "for")
+		}
+		var n int
+		if n, err = w.run(5 * time.Second); err != nil {
+			return held, err
+		}
+		held += n
+	}
+	w.slow, w.lose = 10*time.Millisecond, 0
+	for _, p := range w.procs {
+		p.paused = 0
+	}
+	healed, err := w.run(4 * ttl)
+	if err == nil && healed == 0 {
+		err = fmt.Errorf("nobody held the lease after the faults ended")
+	}
+	return held + healed, err
+}
+
+// TestOneHolder checks that clocks which run at one rate never give the lease
+// to two processes at once, whatever is paused, slow or lost, and that it is
+// taken again once faults end.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := history(t, func(*lease.Machine) {}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestOneHolderCheckCanFail shows that the check above finds a holder that
+// counts from the wrong moment.
+func TestOneHolderCheckCanFail(t *testing.T) {
+	for name, fault := range map[string]func(*lease.Machine){
+		"held from the answer":  (*lease.Machine).CountFromAnswer,
+		"held from the reading": (*lease.Machine).TrustRecord,
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := false
+			for seed := range 200 {
+				if found = worst(uint64(seed), fault); found {
+					break
+				}
+			}
+			if !found {
+				t.Fatal("the fault was not found")
+			}
+		})
+	}
+}
+
+// worst runs one fixed history of slow answers and pauses and reports whether
+// two held the lease at once.
+func worst(seed uint64, fault func(*lease.Machine)) bool {
+	w := newWorld(seed, 3)
+	for _, p := range w.procs {
+		fault(p.m)
+	}
+	for range 8 {
+		w.slow, w.lose = 4*time.Second, 0.3
+		w.procs[w.rng.IntN(len(w.procs))].paused = w.now + 15*time.Second
+		if _, err := w.run(5 * time.Second); err != nil {
+			return true
+		}
+	}
+	return false
+}
--- a/core/member.go
+++ b/core/member.go
@@ -120,7 +120,7 @@
 func (s *State) rootLeaseWritten(done StoreDone) {
 	m := &s.member
 	if done.Err != StoreOK {
-		m.lease.Lost()
+		leaseNotWritten(m.lease, done)
 		if done.Err == StoreFailed {
 			s.platformFailed(done)
 		}
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -130,7 +130,7 @@
 
 func (s *State) publisherLeaseWritten(done StoreDone) {
 	if done.Err != StoreOK {
-		s.publisher.lease.Lost()
+		leaseNotWritten(s.publisher.lease, done)
 		s.platformFailed(done)
 		return
 	}
--- a/core/store.go
+++ b/core/store.go
@@ -150,3 +150,12 @@
 	}
 	return rec, done.Objects[0].Version, nil
 }
+
+// leaseNotWritten tells a lease that its pending write failed.
+func leaseNotWritten(m *lease.Machine, done StoreDone) {
+	if done.Err == StoreConflict {
+		m.Refused()
+		return
+	}
+	m.Lost()
+}
