Keep refusals true when copies come late, twice or to a later life

Cause: attempt IDs were remembered by count alone, so a copy that came after 16k others ran again; a copy of an attempt that ran was refused as not run; and a node that had restarted vouched for what its earlier life had done.

Change: admission.Memory remembers attempts within a bound and keeps a mark for each origin, below which an ID counts as one that may have been seen (the anti-replay window). An attempt and its cancel carry the incarnation they are meant for; a later life answers neither for an earlier one. Refuse tells the outcome to be passed on: not run only if no copy ran or will.

A remembered ID is not dropped by the attempt's budget: a message that was held up carries the budget it left with, so its age can't be told without a clock that both ends share.

Proof: TestOutcomesAreTrue lets nodes crash, pause and restart while messages are delayed, lost and duplicated, and compares every outcome with what backend servers recorded. TestTruthCheckNoticesFaults turns six safeguards off, one at a time, and each turns the check red.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -19,7 +19,8 @@
 // Reason says why an attempt was refused.
 type Reason string
 
-// The reasons for a refusal. After each the attempt has not run.
+// The reasons for a refusal. After SeenBefore and EarlierLife another copy of
+// the attempt may have run; after the others it has not run.
 const (
 	Admitted     Reason = ""
 	QueueFull    Reason = "queue full"
@@ -27,6 +28,7 @@
 	NotServing   Reason = "backend server takes no new requests"
 	Cancelled    Reason = "cancelled before it started"
 	SeenBefore   Reason = "attempt was seen before"
+	EarlierLife  Reason = "attempt was meant for an earlier life of this node"
 	UnknownRoute Reason = "no route"
 )
 
--- a/core/announce.go
+++ b/core/announce.go
@@ -15,18 +15,17 @@
 
 // backend is the own backend server: its announcement and its admission.
 type backend struct {
-	entry      endpoint.Entry
-	probeAt    time.Time
-	probing    bool
-	misses     int
-	readyAt    time.Time // end of slow start
-	stopping   bool
-	leaving    bool
-	stopSince  time.Time
-	drained    bool
-	queue      *admission.Queue
-	attempts   map[AttemptID]bool // true while it waits or runs
-	remembered []AttemptID        // oldest first
+	entry     endpoint.Entry
+	probeAt   time.Time
+	probing   bool
+	misses    int
+	readyAt   time.Time // end of slow start
+	stopping  bool
+	leaving   bool
+	stopSince time.Time
+	drained   bool
+	queue     *admission.Queue
+	memory    *admission.Memory
 }
 
 func newBackend(cfg Config) backend {
@@ -35,8 +34,8 @@
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
 		},
-		queue:    admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
-		attempts: map[AttemptID]bool{},
+		queue:  admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
+		memory: admission.NewMemory(rememberedAttempts),
 	}
 }
 
@@ -61,6 +60,7 @@
 	if b.entry.State == endpoint.Warming && !s.now.Before(b.readyAt) {
 		s.announce(endpoint.Ready)
 	}
+	b.memory.Age()
 	s.drainTick()
 }
 
--- /dev/null
+++ b/core/balance/bench_test.go
@@ -0,0 +1,35 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+)
+
+func rows(n int) []*endpoint.Row {
+	out := make([]*endpoint.Row, n)
+	for i := range out {
+		out[i] = &endpoint.Row{Entry: endpoint.Entry{ID: fmt.Sprintf("n%04d", i), DataCentre: fmt.Sprintf("dc%d", i%11), Slots: 6, State: endpoint.Ready}}
+	}
+	return out
+}
+
+func BenchmarkPick(b *testing.B) {
+	now := time.Unix(1000, 0)
+	for _, n := range []int{10, 100, 5300} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			bal := balance.New(balance.DefaultConfig("dc1"), rand.New(rand.NewPCG(1, 1)))
+			all := rows(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				r, _ := bal.Pick(now, all, nil)
+				bal.Sent(r.ID)
+				bal.Done(now, r.ID, balance.Result{Queue: 0})
+			}
+		})
+	}
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -69,15 +70,18 @@
 // ProbeBackend asks the own backend server for its health.
 type ProbeBackend struct{}
 
-// Forward sends an attempt of a call to a backend server's node.
+// Forward sends an attempt of a call to a backend server's node. The data
+// path writes it to one connection, once. Incarnation goes with it, and with a
+// cancel of it, to be handed over as For.
 type Forward struct {
-	Call    CallID
-	Attempt AttemptID
-	Target  string // ID of the backend server
-	Hop     string // address of its node
-	Local   bool   // it is the node's own
-	Class   admission.Class
-	Budget  time.Duration // time left until the call's deadline
+	Call        CallID
+	Attempt     AttemptID
+	Target      string // ID of the backend server
+	Incarnation endpoint.Incarnation
+	Hop         string // address of its node
+	Local       bool   // it is the node's own
+	Class       admission.Class
+	Budget      time.Duration // time left until the call's deadline
 }
 
 // Finish ends a call without, or instead of, a backend server's answer.
@@ -91,10 +95,13 @@
 // Run lets an attempt run at the own backend server.
 type Run struct{ Attempt AttemptID }
 
-// Refuse answers an attempt that did not run and never will.
+// Refuse answers an attempt without running it. Outcome is what the sender is
+// to be told, and what it may conclude: NotRun when no copy of the attempt ran
+// or will, Unknown when another copy of it may have run, or may yet.
 type Refuse struct {
 	Attempt AttemptID
 	Reason  admission.Reason
+	Outcome retry.Outcome
 }
 
 // Drained says that nothing is left in flight and the process may end.
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -118,11 +119,16 @@
 // CallLeft says that the caller is gone or fully answered.
 type CallLeft struct{ Call CallID }
 
-// AttemptArrived is an attempt that reached the backend server's node.
+// AttemptArrived is an attempt that reached the backend server's node. Run or
+// Refuse follows, at once or later. For says which life of the node it was
+// sent to (Forward.Incarnation); zero: the sender does not tell. A copy of an
+// attempt that is still open at this node may be answered by the data path
+// itself, as unknown.
 type AttemptArrived struct {
 	Attempt AttemptID
 	Class   admission.Class
 	Budget  time.Duration // time left until the call's deadline
+	For     endpoint.Incarnation
 }
 
 // AttemptDone says that an attempt that ran has ended.
@@ -133,8 +139,12 @@
 }
 
 // AttemptCancelled asks that an attempt not run. It is answered by Refuse
-// when that is certain.
-type AttemptCancelled struct{ Attempt AttemptID }
+// when that is certain, and by nothing otherwise. For is as in AttemptArrived:
+// a node can't vouch for what an earlier life of it did.
+type AttemptCancelled struct {
+	Attempt AttemptID
+	For     endpoint.Incarnation
+}
 
 func (Tick) isEvent()             {}
 func (StoreDone) isEvent()        {}
--- a/core/request.go
+++ b/core/request.go
@@ -91,13 +91,13 @@
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
 	s.requests.balancer.Sent(row.ID)
 	s.emit(Forward{
-		Call: id, Attempt: c.attempt, Target: row.ID, Hop: row.Hop, Local: row.ID == s.cfg.Node,
+		Call: id, Attempt: c.attempt, Target: row.ID, Incarnation: row.Incarnation, Hop: row.Hop, Local: row.ID == s.cfg.Node,
 		Class: c.class, Budget: c.deadline.Sub(s.now),
 	})
 }
 
 func (s *State) finish(id CallID, o retry.Outcome, reason string) {
-	if s.requests.calls[id].unknown {
+	if s.requests.calls[id].unknown && !s.fault.forgetUnknown {
 		o = retry.Unknown
 	}
 	delete(s.requests.calls, id)
@@ -115,7 +115,8 @@
 		return
 	}
 	c.unknown = c.unknown || e.Outcome == retry.Unknown
-	again := retry.Allowed(e.Outcome, c.route.Policy.IsIdempotent(c.method), e.AnswerStarted) &&
+	idempotent := c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
+	again := retry.Allowed(e.Outcome, idempotent, e.AnswerStarted) &&
 		c.repeats && c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
 	if !again {
 		s.finish(e.Call, e.Outcome, e.Reason)
--- /dev/null
+++ b/core/requests_export_test.go
@@ -0,0 +1,25 @@
+package core
+
+// SetReadyForTest lets the node serve without a tree.
+func (s *State) SetReadyForTest() { s.member.current = true }
+
+// RequestFault names a safeguard that a test turns off.
+type RequestFault string
+
+// The safeguards that tests turn off.
+const (
+	ForgetCancelled RequestFault = "a cancelled attempt is not remembered"
+	ForgetSeen      RequestFault = "an attempt seen before runs again"
+	IgnoreLife      RequestFault = "a node answers for its earlier lives"
+	VouchForCopies  RequestFault = "a copy is refused as not run"
+	ForgetUnknown   RequestFault = "not run is said after an unknown fate"
+	RepeatAll       RequestFault = "non-idempotent calls are repeated"
+)
+
+// BreakForTest turns a safeguard off.
+func (s *State) BreakForTest(f RequestFault) {
+	s.fault = requestFault{
+		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreLife: f == IgnoreLife,
+		vouchForCopies: f == VouchForCopies, forgetUnknown: f == ForgetUnknown, repeatAll: f == RepeatAll,
+	}
+}
--- /dev/null
+++ b/core/requests_truth_test.go
@@ -0,0 +1,124 @@
+package core_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// chaos is one run of concurrent calls under faults, drawn by its source.
+type chaos struct {
+	seed    uint64
+	fault   core.RequestFault
+	faults  coretest.TrafficFaults
+	steps   int
+	between time.Duration
+	pick    func(n int) int
+}
+
+// checkTruth compares the outcome of every call with what the backend servers
+// ran. It returns the first lie.
+func checkTruth(calls []*coretest.Call) error {
+	for _, c := range calls {
+		switch {
+		case c.Outcome == retry.NotRun && len(c.Runs) > 0:
+			return fmt.Errorf("call %d ended as not run (%s) and ran: %+v", c.ID, c.Reason, c.Runs)
+		case c.Outcome == retry.Ran && len(c.Runs) == 0:
+			return fmt.Errorf("call %d ended as run and did not run", c.ID)
+		case c.Method == "POST" && len(c.Runs) > 1:
+			return fmt.Errorf("non-idempotent call %d ran %d times: %+v", c.ID, len(c.Runs), c.Runs)
+		}
+	}
+	return nil
+}
+
+// run lets calls and faults happen, heals, waits and checks.
+func (c chaos) run(t failer) error {
+	m := newMesh(c.seed, 3, 2)
+	names := []string{"a1", "a2", "a3", "b1", "b2"}
+	breakAll := func() {
+		for _, n := range m.Nodes() {
+			n.State.BreakForTest(c.fault)
+		}
+	}
+	breakAll()
+	submitRoute(t, m, "s1", "/orders")
+	m.Run(10 * time.Second)
+	tr := coretest.NewTraffic(m)
+	tr.Faults = c.faults
+	tr.Serve = func(string, *coretest.Call) time.Duration {
+		return time.Duration(m.Rand.Int64N(int64(30 * time.Millisecond)))
+	}
+	for range c.steps {
+		switch c.pick(10) {
+		case 0:
+			m.Restart(names[c.pick(len(names))])
+			breakAll()
+		case 1:
+			m.Pause(names[c.pick(len(names))], 200*time.Millisecond)
+		case 2:
+			if open := tr.Calls; len(open) > 0 {
+				tr.Leave(open[len(open)-1-c.pick(min(len(open), 8))])
+			}
+		default:
+			for range 1 + c.pick(12) {
+				tr.Call(names[c.pick(len(names))], core.CallArrived{
+					Method: []string{"GET", "POST"}[c.pick(2)], Path: "/orders/1", Repeats: true,
+					Budget: time.Duration(20+c.pick(200)) * time.Millisecond,
+				})
+			}
+		}
+		m.Run(time.Duration(c.pick(int(c.between))))
+	}
+	m.Run(20 * time.Second)
+	return checkTruth(tr.Calls)
+}
+
+var roughTraffic = coretest.TrafficFaults{
+	Delay: 5 * time.Millisecond, Late: 0.1, LateBy: 2 * time.Second, Lose: 0.05, Duplicate: 0.1,
+}
+
+// TestOutcomesAreTrue lets nodes crash, pause and restart at their addresses
+// while messages are delayed, lost and duplicated: no call that ended as not
+// run has run or runs later, and no non-idempotent call runs twice.
+func TestOutcomesAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := chaos{
+			seed: rapid.Uint64().Draw(t, "seed"), faults: roughTraffic, between: 100 * time.Millisecond,
+			steps: rapid.IntRange(1, 25).Draw(t, "steps"),
+			pick:  func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") },
+		}
+		if err := c.run(t); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestTruthCheckNoticesFaults turns one safeguard off at a time and expects
+// the check of TestOutcomesAreTrue to fail.
+func TestTruthCheckNoticesFaults(t *testing.T) {
+	faults := []core.RequestFault{
+		core.ForgetCancelled, core.ForgetSeen, core.IgnoreLife, core.VouchForCopies, core.ForgetUnknown, core.RepeatAll,
+	}
+	for _, fault := range faults {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			var err error
+			for seed := uint64(1); seed < 200 && err == nil; seed++ {
+				rng := rand.New(rand.NewPCG(seed, 2))
+				c := chaos{seed: seed, fault: fault, faults: roughTraffic, steps: 40, between: 100 * time.Millisecond, pick: rng.IntN}
+				err = c.run(t)
+			}
+			is.True(err != nil) // the check must turn red
+			t.Log(err)
+		})
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -87,6 +87,7 @@
 	backend   backend
 	platform  platformState
 	requests  requests
+	fault     requestFault
 }
 
 // New returns the State of a node that has just started.
@@ -181,6 +182,12 @@
 	return true, ""
 }
 
+// Queued returns the number of attempts that wait for the own backend server.
+func (s *State) Queued() int {
+	_, waiting := s.backend.queue.Load()
+	return waiting
+}
+
 // Dump is the state of a node in a form for people and scripts.
 type Dump struct {
 	Node          string           `json:"node"`
