--- /dev/null
+++ b/cmd/agatekeel/apply.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os/user"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/status"
+	"github.com/agatekeel/agatekeel/operator"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// platformOption is shared by the commands that talk to the platform.
+type platformOption struct {
+	Platform string `long:"platform" env:"AGATEKEEL_PLATFORM" default:"http://127.0.0.1:8082" description:"URL of the platform"`
+}
+
+// readTimeout bounds a command that only reads.
+const readTimeout = 10 * time.Second
+
+func (o platformOption) store() (platform.Store, error) {
+	store, err := platform.NewClient(o.Platform)
+	if err != nil {
+		return nil, usageError("--platform: %v", err)
+	}
+	return store, nil
+}
+
+func (o platformOption) client() (*operator.Client, error) {
+	store, err := o.store()
+	if err != nil {
+		return nil, err
+	}
+	return operator.New(store), nil
+}
+
+// editOption is shared by the commands that compare files with what is
+// published.
+type editOption struct {
+	Prune   bool     `long:"prune" description:"delete published objects that are in none of the files"`
+	Deletes []string `long:"delete" value-name:"KIND/NAME" description:"delete this object (may be given several times)"`
+}
+
+// edit returns the submission that leads from what is published to the files.
+func (o editOption) edit(id, author string, current *config.Set, src source) (config.Submission, error) {
+	keys, err := keysOf(o.Deletes)
+	if err != nil {
+		return config.Submission{}, err
+	}
+	sub := operator.Edit(id, author, current, src.objects)
+	if o.Prune {
+		for _, old := range current.Sorted() {
+			if _, kept := src.files[old.Key()]; !kept {
+				keys = append(keys, old.Key())
+			}
+		}
+	}
+	seen := map[config.Key]bool{}
+	for _, k := range keys {
+		if !seen[k] {
+			seen[k] = true
+			sub.Deletes = append(sub.Deletes, config.Delete{Key: k, Base: current.Objects[k].Version})
+		}
+	}
+	return sub, nil
+}
+
+// applyCommand submits objects.
+type applyCommand struct {
+	console
+	platformOption
+	outputOption
+	editOption
+	Wait    bool          `long:"wait" description:"wait until in force or rejected"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"bound of the whole command; what was submitted stands when it passes"`
+	DryRun  bool          `long:"dry-run" description:"show the changes and check the result; submit nothing"`
+	Author  string        `long:"author" description:"name kept with the changed objects (default: user name)"`
+	ID      string        `long:"id" description:"submission ID; give that of an earlier try to settle a lost answer"`
+	Args    struct {
+		Paths []string `positional-arg-name:"PATH" description:"JSON file or directory"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *applyCommand) Execute([]string) error {
+	src, err := c.source()
+	if err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	sub, current, err := c.submission(ctx, client, src)
+	if err != nil {
+		return err
+	}
+	if c.DryRun {
+		return c.dryRun(current, sub, src)
+	}
+	started := time.Now()
+	c.announce(sub.ID)
+	if st, err := client.Status(ctx, sub.ID); err == nil && c.ID != "" {
+		c.notef("submission %s was taken by an earlier try; these files are not submitted again\n", st.ID)
+	}
+	if err := client.Submit(ctx, sub); err != nil {
+		return lostAnswer(sub.ID, err)
+	}
+	return c.follow(ctx, client, sub.ID, src, started)
+}
+
+func (c *applyCommand) source() (source, error) {
+	if _, err := keysOf(c.Deletes); err != nil {
+		return source{}, err
+	}
+	if len(c.Args.Paths) == 0 && len(c.Deletes) > 0 && !c.Prune {
+		return source{}, nil
+	}
+	if len(c.Args.Paths) == 0 {
+		return source{}, usageError("apply needs at least one PATH, or --delete")
+	}
+	return readObjects(c.Args.Paths)
+}
+
+func (c *applyCommand) submission(ctx context.Context, client *operator.Client, src source) (config.Submission, *config.Set, error) {
+	id, author := c.ID, c.Author
+	if id == "" {
+		id = newID()
+	}
+	if author == "" {
+		author = userName()
+	}
+	current, err := client.Current(ctx)
+	if err != nil {
+		return config.Submission{}, nil, fmt.Errorf("nothing was submitted: %w", err)
+	}
+	sub, err := c.edit(id, author, current, src)
+	return sub, current, err
+}
+
+func (c *applyCommand) dryRun(current *config.Set, sub config.Submission, src source) error {
+	if err := c.showChanges(c.outputOption, changesOf(current, sub)); err != nil {
+		return err
+	}
+	if faults := checkSubmission(current, sub); len(faults) > 0 {
+		return src.faultErrors(faults)
+	}
+	c.notef("no faults; nothing was submitted\n")
+	return nil
+}
+
+// announce tells the ID before the first write, so that "status ID" can be
+// asked whatever happens.
+func (c *applyCommand) announce(id string) {
+	if c.wantsJSON() {
+		c.notef("submission %s\n", id)
+		return
+	}
+	c.printf("submission %s\n", id)
+}
+
+func lostAnswer(id string, err error) error {
+	if errors.Is(err, operator.ErrUnknownFate) {
+		return fmt.Errorf("%w\nrun the same command with --id %s to settle it", err, id)
+	}
+	return fmt.Errorf("nothing was submitted: %w", err)
+}
+
+// follow shows the status, with Wait once it is final.
+func (c *applyCommand) follow(ctx context.Context, client *operator.Client, id string, src source, started time.Time) error {
+	st := status.Status{ID: id, Phase: status.Pending}
+	var waitErr error
+	if c.Wait {
+		if last, err := client.Wait(ctx, id); err != nil {
+			waitErr = fmt.Errorf("not in force when the time was up (last seen: %s); it may still come into force, nothing was "+
+				"taken back: ask \"agatekeel status %s\": %w", phaseName(last.Phase), id, err)
+		} else {
+			st = last
+		}
+	}
+	if waitErr != nil {
+		return waitErr
+	}
+	if err := c.showStatus(c.outputOption, st); err != nil {
+		return err
+	}
+	if st.Phase == status.Rejected {
+		return fmt.Errorf("submission %s is rejected, nothing was changed:\n%w", id, src.faultErrors(st.Faults))
+	}
+	if c.Wait && !c.wantsJSON() {
+		c.printf("after %d ms\n", time.Since(started).Milliseconds())
+	}
+	return nil
+}
+
+func phaseName(p status.Phase) string {
+	if p == "" {
+		return "no answer from the platform"
+	}
+	return string(p)
+}
+
+// newID returns a submission ID that sorts by time and that nobody else makes.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return time.Now().UTC().Format("20060102-150405-") + hex.EncodeToString(b[:])
+}
+
+func userName() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
--- a/cmd/agatekeel/dev.go
+++ b/cmd/agatekeel/dev.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"go.uber.org/fx"
-
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/internal/sample"
 	"github.com/agatekeel/agatekeel/node"
@@ -24,113 +19,174 @@
 
 // devCommand runs a whole mesh on one machine.
 type devCommand struct {
+	console
 	Listen   string        `long:"listen" default:"127.0.0.1:8080" description:"address for callers"`
 	Admin    string        `long:"admin" default:"127.0.0.1:8081" description:"admin address of the first node"`
 	Platform string        `long:"platform-listen" default:"127.0.0.1:8082" description:"address of the platform stand-in"`
 	Objects  string        `long:"objects" default:"examples/recipes" description:"objects to apply"`
 	RunFor   time.Duration `long:"run-for" description:"stop after this time (default: until SIGINT or SIGTERM)"`
 	Log      string        `long:"log" default:"warn" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
+
+	ready func(*mesh) // for tests: called once the mesh is ready
 }
 
 // devReadyTimeout bounds the time from the start to a mesh with its
 // configuration in force.
 const devReadyTimeout = 60 * time.Second
 
+// devSlots and devConnections are those of a sample backend server.
+const (
+	devSlots       = 6
+	devConnections = 130
+)
+
+// mesh is what dev has started.
+type mesh struct {
+	platform  string // URL of the platform stand-in
+	nodes     []*node.Node
+	listeners []*node.Listeners
+	closers   []func()
+}
+
+// close ends everything in reverse.
+func (m *mesh) close() {
+	for i := len(m.closers) - 1; i >= 0; i-- {
+		m.closers[i]()
+	}
+}
+
 // Execute implements flags.Commander.
 func (c *devCommand) Execute([]string) error {
 	started := time.Now()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	platformURL, closePlatform, err := servePlatform(c.Platform)
+	signals, stopSignals := endSignals()
+	defer stopSignals()
+	src, err := readObjects([]string{c.Objects})
 	if err != nil {
 		return err
 	}
-	defer closePlatform()
-	closeNodes, err := c.startNodes(platformURL)
-	defer closeNodes()
-	if err != nil {
+	m := &mesh{}
+	defer m.close()
+	if err := m.servePlatform(c.Platform); err != nil {
 		return err
 	}
-	if err := c.applyObjects(ctx, platformURL); err != nil {
+	if err := c.startNodes(m); err != nil {
 		return err
 	}
-	fmt.Printf("platform %s\nadmin http://%s\n", platformURL, c.Admin)
-	fmt.Printf("in force on every node after %d ms\n", time.Since(started).Milliseconds())
-	fmt.Printf("ready http://%s\n", c.Listen)
-	if c.RunFor > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.RunFor)
-		defer cancel()
+	if err := applyObjects(m.platform, src, signals); err != nil {
+		return err
+	}
+	c.printf("platform %s\nadmin http://%s\n", m.platform, m.listeners[0].Admin.Addr())
+	c.printf("in force on every node after %d ms\n", time.Since(started).Milliseconds())
+	c.printf("ready http://%s\n", m.listeners[0].Callers.Addr())
+	if c.ready != nil {
+		c.ready(m)
+	}
+	if c.waitForEnd(signals) {
+		drain(signals, m.nodes...)
 	}
-	<-ctx.Done()
 	return nil
 }
 
+// waitForEnd waits for a signal, which it reports, or the end of RunFor.
+func (c *devCommand) waitForEnd(signals <-chan os.Signal) (signalled bool) {
+	var over <-chan time.Time
+	if c.RunFor > 0 {
+		over = time.After(c.RunFor)
+	}
+	select {
+	case <-signals:
+		return true
+	case <-over:
+		return false
+	}
+}
+
 // servePlatform serves the platform stand-in.
-func servePlatform(address string) (string, func(), error) {
+func (m *mesh) servePlatform(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", nil, fmt.Errorf("platform stand-in: %w", err)
+		return fmt.Errorf("--platform-listen: %w", err)
 	}
 	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
-	return "http://" + l.Addr().String(), func() { _ = server.Close() }, nil
+	m.closers = append(m.closers, func() { _ = server.Close() })
+	m.platform = "http://" + l.Addr().String()
+	return nil
 }
 
 // startNodes starts two nodes for each sample service, one in each data
 // centre. The first listens on the addresses given.
-func (c *devCommand) startNodes(platformURL string) (closeAll func(), err error) {
-	var closers []func()
-	closeAll = func() {
-		for i := len(closers) - 1; i >= 0; i-- {
-			closers[i]()
-		}
+func (c *devCommand) startNodes(m *mesh) error {
+	s := settings.Settings{
+		DataCentres: []string{"derby", "leicester"}, Platform: m.platform,
+		Listen: settings.Listen{Callers: c.Listen, Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: c.Admin},
+		Log:    settings.Log{Format: "console", Level: c.Log},
 	}
-	dataCentres := []string{"derby", "leicester"}
-	first := true
 	for _, service := range []string{"recipe-book", "orders", "print-room", "scaler"} {
-		for _, dc := range dataCentres {
-			name := service + "-" + dc
-			backend, err := sample.Start(service, name)
-			if err != nil {
-				return closeAll, err
-			}
-			closers = append(closers, backend.Close)
-			s := settings.Settings{
-				Node: name, DataCentre: dc, DataCentres: dataCentres, Platform: platformURL,
-				Listen:  settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
-				Backend: settings.Backend{Service: service, Address: backend.Address(), Slots: 6, Connections: 130},
-				Log:     settings.Log{Format: "console", Level: c.Log},
+		for _, dc := range s.DataCentres {
+			s.Node, s.DataCentre = service+"-"+dc, dc
+			if err := m.startNode(s, service); err != nil {
+				return err
 			}
-			if first {
-				s.Listen.Callers, s.Listen.Admin, first = c.Listen, c.Admin, false
-			}
-			if err := settings.Check("dev", s); err != nil {
-				return closeAll, err
-			}
-			app := fx.New(fx.Supply(s), node.Module, fx.NopLogger)
-			if err := app.Start(context.Background()); err != nil {
-				return closeAll, fmt.Errorf("start node %s: %w", name, err)
-			}
-			closers = append(closers, func() { _ = app.Stop(context.Background()) })
+			s.Listen.Callers, s.Listen.Admin = "127.0.0.1:0", "127.0.0.1:0"
 		}
 	}
-	return closeAll, nil
+	return nil
 }
 
-func (c *devCommand) applyObjects(ctx context.Context, platformURL string) error {
-	ctx, cancel := context.WithTimeout(ctx, devReadyTimeout)
+// startNode starts a sample backend server and the node beside it.
+func (m *mesh) startNode(s settings.Settings, service string) error {
+	backend, err := sample.Start(service, s.Node)
+	if err != nil {
+		return err
+	}
+	m.closers = append(m.closers, backend.Close)
+	s.Backend = settings.Backend{Service: service, Address: backend.Address(), Slots: devSlots, Connections: devConnections}
+	if err := settings.Check("dev", s); err != nil {
+		return err
+	}
+	n, err := startNode(s)
+	if err != nil {
+		return err
+	}
+	m.nodes, m.listeners = append(m.nodes, n.node), append(m.listeners, n.listeners)
+	m.closers = append(m.closers, func() { _ = n.stop() })
+	return nil
+}
+
+// applyObjects submits objects as an operator would and waits until they are
+// in force. A signal ends the wait.
+func applyObjects(platformURL string, src source, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithTimeout(context.Background(), devReadyTimeout)
 	defer cancel()
+	settled := make(chan struct{})
+	defer close(settled)
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-settled:
+		}
+	}()
 	store, err := platform.NewClient(platformURL)
 	if err != nil {
 		return err
 	}
-	st, err := submit(ctx, operator.New(store), []string{c.Objects}, true)
+	client := operator.New(store)
+	current, err := client.Current(ctx)
+	if err != nil {
+		return err
+	}
+	sub := operator.Edit(newID(), userName(), current, src.objects)
+	if err := client.Submit(ctx, sub); err != nil {
+		return err
+	}
+	st, err := client.Wait(ctx, sub.ID)
 	if err != nil {
 		return err
 	}
 	if st.Phase == status.Rejected {
-		return errors.Join(faultErrors(st.Faults)...)
+		return src.faultErrors(st.Faults)
 	}
 	return nil
 }
--- a/cmd/agatekeel/dev_test.go
+++ b/cmd/agatekeel/dev_test.go
@@ -1,17 +1,52 @@
 package main
 
 import (
+	"bytes"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// startDev runs dev on free ports until the test ends.
+func startDev(t *testing.T) *mesh {
+	t.Helper()
+	ready, done := make(chan *mesh, 1), make(chan error, 1)
+	end := make(chan struct{})
+	dev := newDev(io.Discard)
+	dev.ready = func(m *mesh) {
+		ready <- m
+		<-end
+	}
+	go func() { done <- dev.Execute(nil) }()
+	t.Cleanup(func() {
+		close(end)
+		if err := <-done; err != nil {
+			t.Errorf("dev: %v", err)
+		}
+	})
+	select {
+	case m := <-ready:
+		return m
+	case err := <-done:
+		done <- nil
+		t.Fatalf("dev ended before it was ready: %v", err)
+		return nil
+	}
+}
+
+func newDev(out io.Writer) *devCommand {
+	return &devCommand{
+		console: console{out: out, err: out},
+		Listen:  "127.0.0.1:0", Admin: "127.0.0.1:0", Platform: "127.0.0.1:0",
+		Objects: "../../examples/recipes", RunFor: time.Millisecond, Log: "error",
+	}
+}
+
 func TestDevServesAndStops(t *testing.T) {
 	is := is.New(t)
-	dev := &devCommand{
-		Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Platform: "127.0.0.1:0",
-		Objects: "../../examples/recipes", RunFor: time.Millisecond, Log: "warn",
-	}
-	is.NoErr(dev.Execute(nil)) // returns only after the set is in force on every node
+	var out bytes.Buffer
+	is.NoErr(newDev(&out).Execute(nil)) // returns only after the set is in force on every node
+	is.True(bytes.Contains(out.Bytes(), []byte("ready http://127.0.0.1:")))
 }
--- /dev/null
+++ b/cmd/agatekeel/dump.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// dumpCommand prints a process's state.
+type dumpCommand struct {
+	console
+	Admin  string `long:"admin" default:"127.0.0.1:8081" description:"admin address of the process"`
+	Output string `short:"o" long:"output" choice:"json" default:"json" description:"form of the result"`
+}
+
+// Execute implements flags.Commander.
+func (c *dumpCommand) Execute([]string) error {
+	client := &http.Client{Timeout: readTimeout}
+	resp, err := client.Get("http://" + c.Admin + "/debug/state")
+	if err != nil {
+		return fmt.Errorf("dump: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("dump: %s answered %s", c.Admin, resp.Status)
+	}
+	if _, err := io.Copy(c.out, resp.Body); err != nil {
+		return fmt.Errorf("dump: the answer of %s was cut: %w", c.Admin, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/agatekeel/node.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/node"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// nodeCommand runs one node.
+type nodeCommand struct {
+	console
+	Settings string `long:"settings" required:"true" description:"settings file (JSON)"`
+	Check    bool   `long:"check-settings" description:"check the settings and exit"`
+}
+
+// Execute implements flags.Commander.
+func (c *nodeCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		c.printf("%s: no faults\n", c.Settings)
+		return nil
+	}
+	running, err := startNode(s)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Settings, err)
+	}
+	signals, stopSignals := endSignals()
+	defer stopSignals()
+	<-signals
+	drain(signals, running.node)
+	return running.stop()
+}
+
+// runningNode is a node that was started.
+type runningNode struct {
+	node      *node.Node
+	listeners *node.Listeners
+	app       *fx.App
+}
+
+func startNode(s settings.Settings) (runningNode, error) {
+	var r runningNode
+	r.app = fx.New(fx.Supply(s), node.Module, fx.NopLogger, fx.Populate(&r.node, &r.listeners))
+	if err := r.app.Start(context.Background()); err != nil {
+		return runningNode{}, fmt.Errorf("start node %s: %w", s.Node, dig.RootCause(err))
+	}
+	return r, nil
+}
+
+// stop ends the node at once.
+func (r runningNode) stop() error {
+	if err := r.app.Stop(context.Background()); err != nil {
+		return fmt.Errorf("stop node: %w", err)
+	}
+	return nil
+}
+
+// endSignals returns the signals that ask the process to end.
+func endSignals() (<-chan os.Signal, func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	return signals, func() { signal.Stop(signals) }
+}
+
+// drain asks nodes to end and waits until all have, or for a second signal.
+func drain(second <-chan os.Signal, nodes ...*node.Node) {
+	for _, n := range nodes {
+		n.Step(core.Stop{})
+	}
+	for _, n := range nodes {
+		select {
+		case <-n.Drained():
+		case <-second:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/agatekeel/status.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/agatekeel/agatekeel/core/status"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// statusPrefix is that of the status objects in the platform.
+const statusPrefix = "status/"
+
+// listedStatuses bounds the submissions that are listed.
+const listedStatuses = 20
+
+// statusCommand shows what became of submissions.
+type statusCommand struct {
+	console
+	platformOption
+	outputOption
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"submission (default: list the latest)"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	if c.Args.ID == "" {
+		return c.list(ctx)
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	st, err := client.Status(ctx, c.Args.ID)
+	if err != nil {
+		return err
+	}
+	return c.showStatus(c.outputOption, st)
+}
+
+// list shows the latest submissions, the newest first.
+func (c *statusCommand) list(ctx context.Context) error {
+	store, err := c.store()
+	if err != nil {
+		return err
+	}
+	objects, _, err := store.List(ctx, statusPrefix)
+	if err != nil {
+		return fmt.Errorf("list submissions: %w", err)
+	}
+	slices.SortFunc(objects, func(a, b platform.Object) int { return int(int64(b.Created) - int64(a.Created)) })
+	all := []status.Status{}
+	for _, o := range objects[:min(len(objects), listedStatuses)] {
+		var st status.Status
+		if err := json.Unmarshal(o.Data, &st); err != nil {
+			return fmt.Errorf("status %s can't be read: %w", o.Key, err)
+		}
+		all = append(all, st)
+	}
+	if c.wantsJSON() {
+		return c.json(all)
+	}
+	rows := [][]string{{"ID", "PHASE", "VERSION", "APPLIED"}}
+	for _, st := range all {
+		rows = append(rows, []string{st.ID, string(st.Phase), strconv.FormatUint(st.Version, 10), applied(st)})
+	}
+	return c.table(rows)
+}
+
+func applied(st status.Status) string {
+	if st.Nodes == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d of %d nodes", st.Applied, st.Nodes)
+}
+
+func (c console) showStatus(o outputOption, st status.Status) error {
+	if o.wantsJSON() {
+		return c.json(st)
+	}
+	c.printf("%s %s", st.ID, st.Phase)
+	if st.Version > 0 {
+		c.printf(", version %d", st.Version)
+	}
+	if st.Nodes > 0 {
+		c.printf(", on %s", applied(st))
+	}
+	c.printf("\n")
+	for _, l := range st.Laggards {
+		c.printf("  node %s is at version %d %s\n", l.Node, l.Applied, l.Reason)
+	}
+	for _, f := range st.Faults {
+		c.printf("  %s\n", f.Error())
+	}
+	return nil
+}
