Measure slopes and work the roles out at the target size

Cause: nothing said whether the design holds at 5,300 nodes.

Change: internal/capacity measures heap by endpoint, route, child and attempt; processor time by event, paced as control messages come; bytes of each message; a real node's memory; bytes and platform calls of 20 to 300 reducers in the fake mesh.

--- /dev/null
+++ b/internal/capacity/build.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// epoch is the time at which measured reducers start.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// entries returns n endpoint entries in 130 services and 11 data centres,
+// with names and addresses as long as real ones.
+func entries(n int) []endpoint.Entry {
+	out := make([]endpoint.Entry, 0, n)
+	for i := range n {
+		host := fmt.Sprintf("10.%d.%d.%d", i/65536, i/256%256, i%256)
+		out = append(out, endpoint.Entry{
+			ID: fmt.Sprintf("host-%05d", i), Service: fmt.Sprintf("service-%03d", i%targetServices),
+			DataCentre: fmt.Sprintf("centre-%02d", i%targetCentres), Peer: host + ":7001", Hop: host + ":7002",
+			Incarnation: endpoint.Incarnation{Start: epoch.UnixMilli() + int64(i), Random: uint32(i) * 2654435761},
+			Sequence:    3, State: endpoint.Ready, Slots: 6,
+		})
+	}
+	return out
+}
+
+// objects returns a set's objects: 130 services, 20 policies and n routes of
+// about the size of those in examples.
+func objects(routes int) []config.Object {
+	var out []config.Object
+	add := func(kind config.Kind, name string, spec any) {
+		data, err := json.Marshal(spec)
+		if err != nil {
+			panic(err)
+		}
+		out = append(out, config.Object{Kind: kind, Name: name, Version: 1, Author: "operator", Spec: data})
+	}
+	for i := range targetPolicies {
+		add(config.KindPolicy, fmt.Sprintf("policy-%02d", i), config.PolicySpec{Priority: config.PriorityInteractive, TimeoutMillis: 1000 + i})
+	}
+	for i := range targetServices {
+		add(config.KindService, fmt.Sprintf("service-%03d", i), config.ServiceSpec{Policy: fmt.Sprintf("policy-%02d", i%targetPolicies)})
+	}
+	for i := range routes {
+		add(config.KindRoute, fmt.Sprintf("route-%05d", i), config.RouteSpec{
+			PathPrefix: fmt.Sprintf("/service-%03d/resource-%05d", i%targetServices, i),
+			Methods:    []string{"GET", "POST"}, Service: fmt.Sprintf("service-%03d", i%targetServices),
+		})
+	}
+	return out
+}
+
+// delta returns a change of one route from version to version+1.
+func delta(set *config.Set) (config.Delta, *config.Set) {
+	changed := config.NewSet(set.Version+1, set.Sorted())
+	k := config.Key{Kind: config.KindRoute, Name: "route-00000"}
+	o := changed.Objects[k]
+	o.Version = changed.Version
+	o.Spec = json.RawMessage(fmt.Sprintf(`{"pathPrefix":"/service-000/changed-%d","service":"service-000"}`, changed.Version))
+	objs := changed.Sorted()
+	for i := range objs {
+		if objs[i].Key() == k {
+			objs[i] = o
+		}
+	}
+	changed = config.NewSet(set.Version+1, objs)
+	return config.Diff(set, changed), changed
+}
+
+// parentLink is the link of a joined node to its parent.
+const parentLink = core.LinkID(2)
+
+// joined returns a node that has a parent, a table and a configuration, and
+// the time that its reducer has reached.
+func joined(table, routes int) (*core.State, time.Time) {
+	now := epoch
+	s := core.New(core.Config{Node: "measured", DataCentre: "centre-00", Peer: "10.9.0.1:7001", Hop: "10.9.0.1:7002", Service: "service-000"})
+	reduce := func(e core.Event) []core.Effect { return s.Reduce(now, e) }
+	lease := []byte(`{"holder":"root","address":"10.9.0.2:7001","epoch":1,"round":1}`)
+	for _, effect := range reduce(core.Tick{}) {
+		if get, ok := effect.(core.StoreGet); ok {
+			reduce(core.StoreDone{Call: get.Call, Objects: []core.StoreObject{{Key: get.Key, Version: 1, Data: lease}}})
+		}
+	}
+	reduce(core.BackendProbed{OK: true})
+	reduce(core.LinkUp{Link: parentLink, Dialled: true})
+	set := config.NewSet(1, objects(routes))
+	say := func(m message.Message) { reduce(core.LinkMessage{Link: parentLink, Message: m}) }
+	say(message.Welcome{Node: "root", DataCentre: "centre-00", Path: []string{"root"}, Config: 1, Rooted: true})
+	say(message.ConfigWhole{Version: 1, Hash: set.Hash(), Objects: set.Sorted()})
+	say(message.Endpoints{Entries: entries(table)})
+	return s, now
+}
+
+// addChildren links n children to a node.
+func addChildren(s *core.State, now time.Time, n int) {
+	for i := range n {
+		link := core.LinkID(2*i + 1)
+		s.Reduce(now, core.LinkUp{Link: link})
+		s.Reduce(now, core.LinkMessage{Link: link, Message: message.Hello{
+			Node: fmt.Sprintf("child-%03d", i), DataCentre: "centre-00", Peer: fmt.Sprintf("10.8.0.%d:7001", i), Kind: message.Child, Config: 1,
+		}})
+	}
+}
--- /dev/null
+++ b/internal/capacity/cpu.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/peer"
+	"google.golang.org/protobuf/proto"
+)
+
+const second = time.Second
+
+// cpuSlopes measures the processor time of events, in nanoseconds, by what
+// they should and should not grow with.
+func cpuSlopes() []Slope {
+	routes, tables, children := []int{100, 1000, 5000}, []int{100, 1000, 5300}, []int{4, 16, 64}
+	return []Slope{
+		measure("check and compile of a whole set, by routes", "ns", routes, func(n int) float64 {
+			set := config.NewSet(1, objects(n))
+			return timeOf(func() { config.Compile(set) })
+		}),
+		measure("encoding of a whole set, by routes", "ns", routes, func(n int) float64 {
+			set := config.NewSet(1, objects(n))
+			return timeOf(func() { _, _, _ = config.EncodeSet(set) })
+		}),
+		measure("delta applied by a node, by routes", "ns", routes, deltaTime),
+		measure("endpoint entry merged by a node, by endpoints", "ns", tables, func(n int) float64 { return entryTime(n, 0) }),
+		measure("endpoint entry merged by a relay, by children", "ns", children, func(n int) float64 { return entryTime(5300, n) }),
+		measure("heartbeat from the parent, by endpoints", "ns", tables, heartbeatTime),
+		measure("report of a child, by children", "ns", children, reportTime),
+		measure("tick, by endpoints", "ns", tables, func(n int) float64 {
+			s, now := joined(n, 1000)
+			return timeOf(func() { s.Reduce(now, core.Tick{}) })
+		}),
+		measure("request in all, by endpoints", "ns", tables, requestTime),
+		measure("lease renewed, by endpoints", "ns", tables, func(int) float64 { return leaseTime() }),
+		measure("message encoded and decoded, by entries", "ns", []int{1, 100, 1000}, func(n int) float64 {
+			m := message.Endpoints{Entries: entries(n)}
+			return timeOf(func() { roundTrip(m) })
+		}),
+	}
+}
+
+func deltaTime(routes int) float64 {
+	s, now := joined(100, routes)
+	set := config.NewSet(1, objects(routes))
+	deltas := make(chan config.Delta, 4)
+	go func() {
+		for {
+			var d config.Delta
+			d, set = delta(set)
+			deltas <- d
+		}
+	}()
+	best := 1e18
+	for range 24 {
+		d := <-deltas
+		started := time.Now()
+		s.Reduce(now, core.LinkMessage{Link: parentLink, Message: message.ConfigDelta{Delta: d}})
+		best = min(best, float64(time.Since(started).Nanoseconds()))
+	}
+	return best
+}
+
+func entryTime(table, children int) float64 {
+	s, now := joined(table, 100)
+	addChildren(s, now, children)
+	list := entries(table)
+	i := 0
+	return timeOf(func() {
+		e := &list[i%len(list)]
+		e.Sequence++
+		i++
+		s.Reduce(now, core.LinkMessage{Link: parentLink, Message: message.Endpoints{Entries: []endpoint.Entry{*e}}})
+	})
+}
+
+func heartbeatTime(table int) float64 {
+	s, now := joined(table, 100)
+	m := message.Heartbeat{Path: []string{"root"}, Rooted: true, Config: 1}
+	for _, e := range s.Reduce(now.Add(2*second), core.Tick{}) {
+		if send, ok := e.(core.Send); ok {
+			if h, ok := send.Message.(message.Heartbeat); ok {
+				m.Table = h.Table
+			}
+		}
+	}
+	return timeOf(func() { s.Reduce(now, core.LinkMessage{Link: parentLink, Message: m}) })
+}
+
+func reportTime(children int) float64 {
+	s, now := joined(1000, 100)
+	addChildren(s, now, children)
+	nodes := 0
+	return timeOf(func() {
+		nodes++
+		s.Reduce(now, core.LinkMessage{Link: 1, Message: message.Report{DataCentre: "centre-00", Applied: 1, Nodes: 1 + nodes%2}})
+	})
+}
+
+// requestTime measures the reducer's part of one call: at the entry node and
+// at the backend server's.
+func requestTime(table int) float64 {
+	s, now := joined(table, 1000)
+	id := core.CallID(0)
+	return timeOf(func() {
+		id++
+		var attempt core.AttemptID
+		for _, e := range s.Reduce(now, core.CallArrived{Call: id, Method: "GET", Path: "/service-001/resource-00001/7", Repeats: true}) {
+			if f, ok := e.(core.Forward); ok {
+				attempt = f.Attempt
+			}
+		}
+		s.Reduce(now, core.AttemptArrived{Attempt: attempt, Budget: second})
+		s.Reduce(now, core.AttemptDone{Attempt: attempt, Took: time.Millisecond})
+		s.Reduce(now, core.AttemptEnded{Call: id, Attempt: attempt, Outcome: retry.Ran})
+	})
+}
+
+func leaseTime() float64 {
+	m := lease.New(lease.Config{Holder: "n", TTL: 6 * second, Renew: 2 * second, Margin: second})
+	m.Observe(epoch, lease.Record{}, 0)
+	now, version := epoch, uint64(0)
+	return timeOf(func() {
+		now = now.Add(2 * second)
+		if _, due := m.Next(now, true); due {
+			version++
+			m.Written(now, version)
+		}
+	})
+}
+
+func roundTrip(m message.Message) {
+	f, err := peer.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	data, err := proto.Marshal(f)
+	if err != nil {
+		panic(err)
+	}
+	if err := proto.Unmarshal(data, f); err != nil {
+		panic(err)
+	}
+	if _, err := peer.Decode(f); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/capacity/mesh.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// traffic is what one run of a fake mesh cost.
+type traffic struct {
+	Nodes          int
+	IdleMean       float64 // B/s sent and received by a node, nothing changing
+	IdleBusiest    float64 // B/s of the busiest node that is not a root
+	IdleRoot       float64 // B/s of the busiest root
+	ChangeBusiest  float64 // B for one change at the busiest node that is not a root
+	ChangeRoot     float64 // B for one change at the busiest root
+	ReadsIdle      float64 // platform reads a second, waiting watches counted once
+	WritesIdle     float64 // platform writes a second
+	CallsChange    float64 // platform calls for one change
+	RestartBusiest float64 // B for one restart at the busiest node that is not a root
+	Depth          int
+}
+
+// meshCentres is the number of data centres of a measured mesh.
+const meshCentres = 2
+
+// counter adds up what the nodes of a mesh send and ask.
+type counter struct {
+	bytes         map[string]float64
+	reads, writes float64
+}
+
+func (c *counter) reset() { *c = counter{bytes: map[string]float64{}} }
+
+// runMesh counts the bytes and calls of n nodes in the fake mesh: what the
+// reducers say, at the size that gRPC gives it.
+func runMesh(n int) traffic {
+	m := coretest.New(1)
+	var count counter
+	count.reset()
+	m.OnSend = func(from, to *coretest.Node, msg message.Message) {
+		b := wireBytes(msg)
+		count.bytes[from.Name] += b
+		count.bytes[to.Name] += b
+	}
+	m.OnStore = func(_ *coretest.Node, e core.Effect) {
+		switch e.(type) {
+		case core.StorePut, core.StoreDelete:
+			count.writes++
+		default:
+			count.reads++
+		}
+	}
+	for i := range n {
+		m.Start(fmt.Sprintf("host-%05d", i), core.Config{
+			DataCentre: fmt.Sprintf("centre-%02d", i%meshCentres), Service: fmt.Sprintf("service-%03d", i%targetServices),
+		})
+		m.Run(10 * time.Millisecond)
+	}
+	submit(m, 0)
+	m.Run(30 * time.Second)
+
+	t := traffic{Nodes: n}
+	const window = 60 * time.Second
+	count.reset()
+	m.Run(window)
+	seconds := window.Seconds()
+	t.IdleMean, t.IdleBusiest, t.IdleRoot = mean(count.bytes)/seconds, busiest(m, count.bytes, false)/seconds, busiest(m, count.bytes, true)/seconds
+	t.ReadsIdle, t.WritesIdle = count.reads/seconds, count.writes/seconds
+	idle := count
+
+	const changes = 10
+	count.reset()
+	for i := range changes {
+		submit(m, i+1)
+		m.Run(window / changes)
+	}
+	t.ChangeBusiest = (busiest(m, count.bytes, false) - busiest(m, idle.bytes, false)) / changes
+	t.ChangeRoot = (busiest(m, count.bytes, true) - busiest(m, idle.bytes, true)) / changes
+	t.CallsChange = (count.reads + count.writes - idle.reads - idle.writes) / changes
+
+	const restarts = 5
+	count.reset()
+	for i := range restarts {
+		m.Restart(fmt.Sprintf("host-%05d", n-1-i))
+		m.Run(window / restarts)
+	}
+	t.RestartBusiest = (busiest(m, count.bytes, false) - busiest(m, idle.bytes, false)) / restarts
+	for _, node := range m.Nodes() {
+		t.Depth = max(t.Depth, len(node.State.Dump().Path))
+	}
+	return t
+}
+
+func submit(m *coretest.Mesh, i int) {
+	var puts []config.Put
+	if i == 0 {
+		for _, o := range objects(200) {
+			puts = append(puts, config.Put{Object: o, AnyBase: true})
+		}
+	} else {
+		o := objects(1)[targetPolicies+targetServices]
+		o.Spec = json.RawMessage(fmt.Sprintf(`{"pathPrefix":"/service-000/changed-%d","service":"service-000"}`, i))
+		puts = append(puts, config.Put{Object: o, AnyBase: true})
+	}
+	id := fmt.Sprintf("submission-%03d", i)
+	data, err := json.Marshal(config.Submission{ID: id, Puts: puts})
+	if err != nil {
+		panic(err)
+	}
+	if _, err := m.Store.Put(context.Background(), "submission/"+id, data, 0); err != nil {
+		panic(err)
+	}
+}
+
+func mean(bytes map[string]float64) float64 {
+	sum := 0.0
+	for _, b := range bytes {
+		sum += b
+	}
+	return sum / float64(max(len(bytes), 1))
+}
+
+// busiest returns the largest count among roots, or among all others.
+func busiest(m *coretest.Mesh, bytes map[string]float64, roots bool) float64 {
+	most := 0.0
+	for _, n := range m.Nodes() {
+		if (n.State.Dump().Phase == "root") == roots {
+			most = max(most, bytes[n.Name])
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/capacity/paced.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+)
+
+// pacedRates are the rates, in operations a second, at which processor time
+// is watched. Control messages come one at a time, so each pays for a wake-up
+// of both processes; a batch, or a higher rate, would hide that.
+var pacedRates = []int{10, 30, 90}
+
+// pacedWindow is how long each rate is watched.
+const pacedWindow = 4 * time.Second
+
+// paced returns the processor time a second, in nanoseconds, of doing one
+// operation at a steady rate.
+func paced(rate int, do func()) float64 {
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	before, started := cpuTime(), time.Now()
+	for time.Since(started) < pacedWindow {
+		<-tick.C
+		do()
+	}
+	return float64(cpuTime()-before) / time.Since(started).Seconds()
+}
+
+// counting is a peer.Handler that counts messages.
+type counting struct{ received atomic.Int64 }
+
+func (*counting) Accepted(*peer.Link) any         { return nil }
+func (c *counting) Received(any, message.Message) { c.received.Add(1) }
+func (*counting) Down(any, string)                {}
+
+// linkSlope measures the processor time of one endpoint entry sent over a
+// real link, both ends together.
+func linkSlope() (Slope, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Slope{}, fmt.Errorf("listen: %w", err)
+	}
+	server := peer.NewTransport(peer.Config{}, &counting{})
+	go func() { _ = server.Serve(l) }()
+	defer server.Stop()
+	var link *peer.Link
+	client := peer.NewTransport(peer.Config{}, &counting{})
+	err = client.Dial(context.Background(), l.Addr().String(), func(l *peer.Link) any {
+		link = l
+		return nil
+	})
+	if err != nil {
+		return Slope{}, fmt.Errorf("dial: %w", err)
+	}
+	defer link.Close()
+	m := message.Endpoints{Entries: []endpoint.Entry(entries(1))}
+	return measure("link message sent and received, by messages a second", "ns", pacedRates, func(rate int) float64 {
+		return paced(rate, func() { _ = link.Send(m) })
+	}), nil
+}
+
+// platformSlope measures the processor time of one small platform call, the
+// stand-in's part included.
+func platformSlope() (Slope, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Slope{}, fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	client, err := platform.NewClient("http://" + l.Addr().String())
+	if err != nil {
+		return Slope{}, err
+	}
+	return measure("platform call, by calls a second", "ns", pacedRates, func(rate int) float64 {
+		return paced(rate, func() { _, _, _ = client.List(context.Background(), "lease/") })
+	}), nil
+}
+
+// tickSlope measures the processor time of the timer that drives a reducer.
+func tickSlope() (Slope, error) {
+	s, now := joined(targetEndpoints, 1000)
+	return measure("timer and tick, by ticks a second", "ns", pacedRates, func(rate int) float64 {
+		return paced(rate, func() { s.Reduce(now, core.Tick{}) })
+	}), nil
+}
--- /dev/null
+++ b/internal/capacity/resident.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/node"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// resident is what a real node uses at a size: the whole process, with its
+// listeners and links, and the platform stand-in beside it.
+type resident struct {
+	Endpoints int
+	Routes    int
+	Bytes     float64 // resident memory of the process
+	Private   float64 // of it, what no other process can share
+	CoreShare float64 // share of one core while nothing but control goes on
+}
+
+// silent is a peer.Handler that feeds a node and ignores what it says.
+type silent struct{}
+
+func (silent) Accepted(*peer.Link) any       { return nil }
+func (silent) Received(any, message.Message) {}
+func (silent) Down(any, string)              {}
+
+// measureResident runs one node that holds endpoints and routes. The process
+// ends with it: memory is only comparable in a fresh process, so each size is
+// a run of its own.
+func measureResident(endpoints, routes int, window time.Duration) (resident, error) {
+	r := resident{Endpoints: endpoints, Routes: routes}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return r, fmt.Errorf("platform stand-in: %w", err)
+	}
+	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+
+	var n *node.Node
+	var listeners *node.Listeners
+	s := settings.Settings{
+		Node: "measured", DataCentre: "centre-00", DataCentres: []string{"centre-00"}, Platform: "http://" + l.Addr().String(),
+		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Log:    settings.Log{Format: "json", Level: "error"},
+	}
+	app := fx.New(fx.Supply(s), node.Module, fx.NopLogger, fx.Populate(&n, &listeners))
+	if err := app.Start(context.Background()); err != nil {
+		return r, fmt.Errorf("start node: %w", err)
+	}
+	defer func() { _ = app.Stop(context.Background()) }()
+	if err := feed(listeners.Peer.Addr().String(), endpoints, routes); err != nil {
+		return r, err
+	}
+	for !full(n, endpoints, routes) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	debug.FreeOSMemory()
+	before := cpuTime()
+	time.Sleep(window)
+	r.CoreShare = float64(cpuTime()-before) / float64(window)
+	if r.Bytes, err = memoryOf("VmRSS:"); err != nil {
+		return r, err
+	}
+	r.Private, err = memoryOf("RssAnon:")
+	return r, err
+}
+
+// full reports whether the node holds what it was fed, its own entry aside.
+func full(n *node.Node, endpoints, routes int) bool {
+	d := n.Dump()
+	return len(d.Endpoints) >= endpoints && d.Routes >= routes && d.Phase == "root"
+}
+
+// feed tells a node a configuration and a table, as another root would.
+func feed(address string, endpoints, routes int) error {
+	transport := peer.NewTransport(peer.Config{}, silent{})
+	set := config.NewSet(1, objects(routes))
+	list := entries(endpoints)
+	err := transport.Dial(context.Background(), address, func(l *peer.Link) any {
+		for _, m := range []message.Message{
+			message.Hello{Node: "feeder", DataCentre: "centre-01", Peer: "127.0.0.1:1", Kind: message.Root, Config: 1, ConfigHash: set.Hash()},
+			message.ConfigWhole{Version: 1, Hash: set.Hash(), Objects: set.Sorted()},
+			message.Endpoints{Entries: list},
+		} {
+			if err := l.Send(m); err != nil {
+				panic(err)
+			}
+		}
+		go heartbeats(l)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("feed node: %w", err)
+	}
+	return nil
+}
+
+func heartbeats(l *peer.Link) {
+	for l.Send(message.Heartbeat{Path: []string{"feeder"}, Rooted: true, Config: 1}) == nil {
+		time.Sleep(time.Second)
+	}
+}
+
+// cpuTime returns the processor time used by this process so far.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memoryOf returns one of the memory sizes of this process, in bytes.
+func memoryOf(field string) (float64, error) {
+	data, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, field); ok {
+			kib, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 64)
+			return kib * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("no %s in /proc/self/status", field)
+}
--- /dev/null
+++ b/internal/capacity/roles.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"math"
+
+	"github.com/agatekeel/agatekeel/core"
+)
+
+// Deployment is a size to work out.
+type Deployment struct {
+	Name          string
+	Nodes         int
+	Centres       int
+	Services      int
+	Routes        int
+	ChangesADay   float64
+	RestartsADay  float64
+	FailuresADay  float64
+	CallsASecond  float64 // of callers, at all nodes together
+	HopsOfACall   float64 // backend servers that one caller's request reaches
+	HeartbeatsSec float64 // a second each way on a link
+	Fanout        float64
+}
+
+const day = 86400.0
+
+// entryUpdates is the number of times that a restarted node's entry changes:
+// draining, gone, then in its new life failed, warming, ready.
+const entryUpdates = 5
+
+// deployments returns today's two and the target.
+func deployments() []Deployment {
+	cfg := core.Config{}.WithDefaults()
+	beats := 1 / cfg.HeartbeatEvery.Seconds()
+	return []Deployment{
+		{"Hobbard & Lyle, today", 20, 4, 4, 20, 40, 4, 0.1, 400, 2, beats, float64(cfg.Fanout)},
+		{"Haenim, today", 17, 3, 4, 20, 40, 4, 0.1, 400, 2, beats, float64(cfg.Fanout)},
+		{"target", targetEndpoints, targetCentres, targetServices, targetRoutes, 8100, 470, 8, 1.3e6, 1, beats, float64(cfg.Fanout)},
+	}
+}
+
+// Results holds every slope by name.
+type Results struct {
+	Slopes   []Slope
+	Mesh     []traffic
+	Resident []resident
+	byName   map[string]Slope
+}
+
+func (r *Results) add(slopes ...Slope) {
+	if r.byName == nil {
+		r.byName = map[string]Slope{}
+	}
+	for _, s := range slopes {
+		r.Slopes = append(r.Slopes, s)
+		r.byName[s.Name] = s
+	}
+}
+
+// at returns a slope's value at x. An unknown name is a fault of this program.
+func (r *Results) at(name string, x float64) float64 {
+	s, ok := r.byName[name]
+	if !ok {
+		panic("capacity: no slope " + name)
+	}
+	return s.At(x)
+}
+
+// Role is what one role uses in a deployment.
+type Role struct {
+	Deployment string
+	Name       string
+	Held       int     // how many of them there are
+	State      float64 // bytes of reducer state
+	In, Out    float64 // messages a second
+	Bytes      float64 // a second, sent and received
+	Reads      float64 // platform calls a second
+	Writes     float64
+	Core       float64 // share of one core
+	Memory     float64 // resident bytes of the process
+}
+
+// perSecond are the rates that follow from a deployment.
+type perSecond struct{ changes, entries, wholes float64 }
+
+func (d Deployment) rates() perSecond {
+	return perSecond{
+		changes: d.ChangesADay / day,
+		entries: (entryUpdates*d.RestartsADay + 3*d.FailuresADay) / day,
+		wholes:  d.RestartsADay / float64(d.Nodes) / day, // of one node
+	}
+}
+
+// depth is the number of levels below a root.
+func (d Deployment) depth() float64 {
+	each := float64(d.Nodes) / float64(d.Centres)
+	return math.Max(1, math.Ceil(math.Log(each)/math.Log(d.Fanout)))
+}
+
+// link returns messages and bytes a second on one link between parent and
+// child, both ways together.
+func (r *Results) link(d Deployment) (messages, bytes float64) {
+	p := d.rates()
+	beat := r.at("heartbeat, by depth of the tree", d.depth())
+	report := r.at("report, by laggards", 0)
+	messages = 2*d.HeartbeatsSec + p.changes*2 + p.entries
+	bytes = 2*d.HeartbeatsSec*beat + p.changes*(r.at("delta, by objects changed", 1)+report) +
+		p.entries*r.at("endpoint entries", 1) +
+		p.wholes*(r.at("endpoint entries", float64(d.Nodes))+r.at("whole set, by routes", float64(d.Routes)))
+	return messages, bytes
+}
+
+// roles works every role of a deployment out.
+func (r *Results) roles(d Deployment) []Role {
+	p := d.rates()
+	messages, bytes := r.link(d)
+	state := r.at("state of an endpoint", float64(d.Nodes)) + r.byName["state of a route"].Each*float64(d.Routes)
+	tick := r.at("timer and tick, by ticks a second", 1/core.Config{}.WithDefaults().TickEvery.Seconds()) / 1e9
+	message := r.byName["link message sent and received, by messages a second"].Each / 2 / 1e9 // one end of it
+	call := r.byName["platform call, by calls a second"].Each / 1e9
+	apply := r.at("delta applied by a node, by routes", float64(d.Routes)) / 1e9
+	merge := r.at("endpoint entry merged by a relay, by children", d.Fanout) / 1e9
+
+	leaf := Role{
+		Deployment: d.Name, Name: "node", Held: d.Nodes, State: state, In: messages / 2, Out: messages / 2, Bytes: bytes,
+		Core: tick + messages*message + p.changes*apply + p.entries*merge,
+	}
+	relay := leaf
+	relay.Name, relay.Held = "relay", int(math.Max(0, math.Ceil(float64(d.Nodes)/d.Fanout)-float64(d.Centres)))
+	relay.Bytes, relay.In, relay.Out = bytes*(1+d.Fanout), leaf.In*(1+d.Fanout), leaf.Out*(1+d.Fanout)
+	relay.State += r.byName["state of a child"].Each * d.Fanout
+	relay.Core = tick + messages*(1+d.Fanout)*message + p.changes*apply + p.entries*merge
+
+	links := d.Fanout + float64(d.Centres-1)
+	lease := core.Config{}.WithDefaults()
+	root := relay
+	root.Name, root.Held = "root", d.Centres
+	root.Bytes, root.In, root.Out = bytes*links, leaf.In*links, leaf.Out*links
+	root.Writes = 1 / lease.LeaseRenew.Seconds()
+	root.Reads = 1/lease.LeaseRenew.Seconds() + 1/lease.WatchWait.Seconds() + p.changes
+	root.Core = tick + messages*links*message + (root.Reads+root.Writes)*call + p.changes*apply + p.entries*merge
+
+	publisher := root
+	publisher.Name, publisher.Held = "publisher (beside root)", 1
+	publisher.Writes += 1/lease.LeaseRenew.Seconds() + p.changes*writesOfAChange
+	publisher.Reads += 1/lease.WatchWait.Seconds() + p.changes*readsOfAChange
+	check := (r.at("check and compile of a whole set, by routes", float64(d.Routes)) + 2*r.at("encoding of a whole set, by routes", float64(d.Routes))) / 1e9
+	publisher.Core = root.Core + p.changes*(check+(writesOfAChange+readsOfAChange)*call)
+
+	platform := Role{
+		Deployment: d.Name, Name: "platform", Held: 1,
+		Reads:  float64(d.Centres)*root.Reads + publisher.Reads - root.Reads,
+		Writes: float64(d.Centres)*root.Writes + publisher.Writes - root.Writes + p.changes, // and the operators' own
+	}
+	roles := []Role{leaf, relay, root, publisher, platform}
+	if relay.Held == 0 {
+		roles = []Role{leaf, root, publisher, platform}
+	}
+	for i := range roles {
+		if roles[i].Name != "platform" {
+			roles[i].Memory = r.memory(roles[i].State)
+		}
+	}
+	return roles
+}
+
+// Platform calls that the publisher makes for one change: the submission's
+// watch and status are read; a chunk, the manifest, the head, the status
+// twice and the removal of the submission are written.
+const (
+	readsOfAChange  = 2
+	writesOfAChange = 6
+)
+
+// memory returns the resident memory of a process whose reducer holds state:
+// what a real node used at the largest size, and twice each further byte,
+// since the collector lets the heap grow to double.
+func (r *Results) memory(state float64) float64 {
+	if len(r.Resident) == 0 {
+		return math.NaN()
+	}
+	base := r.Resident[len(r.Resident)-1]
+	held := r.at("state of an endpoint", float64(base.Endpoints)) + r.byName["state of a route"].Each*float64(base.Routes)
+	return base.Bytes + 2*(state-held)
+}
+
+// Limits of the target.
+const (
+	limitCore   = 0.01
+	limitMemory = 32 << 20
+	limitBytes  = 3000
+	limitReads  = 2000
+	limitWrites = 300
+)
+
+// verdict compares a figure with its limit.
+func verdict(value, limit float64) string {
+	switch {
+	case math.IsNaN(value):
+		return "not measured"
+	case value <= limit:
+		return "holds"
+	}
+	return "falls short"
+}
--- /dev/null
+++ b/internal/capacity/wire.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/peer"
+)
+
+// frameOverhead is what a message costs on the wire beside its own bytes: the
+// gRPC prefix (5), the HTTP/2 frame header (9), IP and TCP headers with
+// timestamps (52).
+const frameOverhead = 5 + 9 + 52
+
+// wireBytes returns the bytes of a message on the wire, sent alone.
+func wireBytes(m message.Message) float64 {
+	f, err := peer.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	return float64(proto.Size(f) + frameOverhead)
+}
+
+// wireSlopes measures the bytes of each message.
+func wireSlopes() []Slope {
+	return []Slope{
+		measure("endpoint entries", "B", []int{1, 100, 1000}, func(n int) float64 {
+			return wireBytes(message.Endpoints{Entries: entries(n)})
+		}),
+		measure("delta, by objects changed", "B", []int{1, 4, 16}, func(n int) float64 {
+			return wireBytes(message.ConfigDelta{Delta: config.Delta{From: 1, To: 2, Hash: 1 << 60, Puts: objects(100)[150 : 150+n]}})
+		}),
+		measure("whole set, by routes", "B", []int{100, 1000, 5000}, func(n int) float64 {
+			return wireBytes(message.ConfigWhole{Version: 9, Hash: 1 << 60, Objects: objects(n)})
+		}),
+		measure("heartbeat, by depth of the tree", "B", []int{1, 2, 4}, func(n int) float64 {
+			path := make([]string, n)
+			for i := range path {
+				path[i] = fmt.Sprintf("host-%05d", i)
+			}
+			return wireBytes(message.Heartbeat{Path: path, Rooted: true, Config: 9000, Table: 1 << 60})
+		}),
+		measure("report, by laggards", "B", []int{0, 4, 16}, func(n int) float64 {
+			r := message.Report{DataCentre: "centre-00", Applied: 9000, Nodes: 480}
+			for i := range n {
+				r.Laggards = append(r.Laggards, message.Laggard{Node: fmt.Sprintf("host-%05d", i), Applied: 8999})
+			}
+			return wireBytes(r)
+		}),
+	}
+}
