Hold an Idempotency-Key to one run, by a node or by a claim

Change: policy idempotencyKey node (the default) places the key by rendezvous hash over the service's serving backend servers; the node there holds it for KeyKeep and refuses a repeat with the outcome and status of the first. Policy platform creates claim/<hash> in the platform before the first attempt; a repeat is told what the claim says, also after every node has died. A claim whose write has an unknown fate is read back and counts only if it is the call's own; a call that did not run deletes its claim. Claims are within a rate for each node, and the publisher collects them after ClaimKeep, one part of 256 a minute.

Ruled out: leading keyed calls through a home that forwards them on, which costs each a further hop; moving on to another home after a refusal, except by a home that is leaving, since the key would then have two homes.

Proof: TestKeyRunsOnce checks the calls of each key against a porcupine model of one run, for node under lost, late and doubled messages, for platform also under crashes, outages and lost answers of the platform. TestKeyCheckNoticesFaults turns four safeguards off; each turns it red.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -20,7 +20,8 @@
 type Reason string
 
 // The reasons for a refusal. After SeenBefore and EarlierLife another copy of
-// the attempt may have run; after the others it has not run.
+// the attempt may have run, after KeyUsed another request with its key; after
+// the others it has not run.
 const (
 	Admitted     Reason = ""
 	QueueFull    Reason = "queue full"
@@ -28,6 +29,8 @@
 	NotServing   Reason = "backend server takes no new requests"
 	Cancelled    Reason = "cancelled before it started"
 	SeenBefore   Reason = "attempt was seen before"
+	KeyUsed      Reason = "a request with this Idempotency-Key came before"
+	KeysFull     Reason = "too many idempotency keys are held"
 	EarlierLife  Reason = "attempt was meant for an earlier life of this node"
 	UnknownRoute Reason = "no route"
 )
--- a/core/admit.go
+++ b/core/admit.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
@@ -17,6 +18,9 @@
 	ignoreLife      bool // a node answers for its earlier lives
 	vouchForCopies  bool // a copy is refused as not run, whatever the first one did
 	forgetUnknown   bool // a call may end as not run after an attempt of unknown fate
+	forgetKeys      bool // the node forgets idempotency keys
+	takeLostClaims  bool // a claim whose write has an unknown fate counts as held
+	ignoreClaims    bool // a claim held by another request counts as held
 	repeatAll       bool // non-idempotent calls are tried again after an unknown fate
 }
 
@@ -35,21 +39,56 @@
 		s.refuseAttempt(e.Attempt, admission.SeenBefore, retry.Unknown)
 		return
 	}
-	reason, run := admission.NotServing, false
-	if !b.leaving && b.entry.State.Serves() {
-		run, reason = b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	if first, used := b.keys.First(e.Key); used && !s.fault.forgetKeys {
+		b.memory.Add(e.Attempt, admission.Refused)
+		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.KeyUsed, Outcome: first.Outcome, Status: first.Status})
+		return
 	}
+	run, reason := s.admit(e)
 	if reason != admission.Admitted {
 		b.memory.Add(e.Attempt, admission.Refused)
 		s.refuseAttempt(e.Attempt, reason, retry.NotRun)
 		return
 	}
 	b.memory.Add(e.Attempt, admission.Open)
+	if !e.Key.IsZero() {
+		b.keys.Begin(s.now, e.Key, e.Attempt)
+	}
 	if run {
 		s.emit(Run{Attempt: e.Attempt})
 	}
 }
 
+// admit decides about an attempt that came for the first time.
+func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
+	b := &s.backend
+	switch {
+	case b.leaving || !b.entry.State.Serves():
+		return false, admission.NotServing
+	case !e.Key.IsZero() && b.keys.Full():
+		return false, admission.KeysFull
+	}
+	return b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+}
+
+// dropWaiting refuses an attempt that waited.
+func (s *State) dropWaiting(id AttemptID, reason admission.Reason) {
+	s.backend.memory.End(id, admission.Refused)
+	s.backend.keys.End(id, idempotency.End{Outcome: retry.NotRun})
+	s.refuseAttempt(id, reason, retry.NotRun)
+}
+
+// endOf returns what a repeat of an attempt's key is told from now on.
+func endOf(e AttemptDone) idempotency.End {
+	switch {
+	case e.Refused:
+		return idempotency.End{Outcome: retry.NotRun}
+	case e.Cut:
+		return idempotency.End{Outcome: retry.Unknown}
+	}
+	return idempotency.End{Outcome: retry.Ran, Status: e.Status}
+}
+
 // forEarlierLife reports whether a message was meant for a process that was
 // at this address before. What that one ran is not known here, so nothing can
 // be said of an attempt sent to it.
@@ -64,10 +103,10 @@
 func (s *State) attemptDone(e AttemptDone) {
 	b := &s.backend
 	b.memory.End(e.Attempt, admission.Started)
+	b.keys.End(e.Attempt, endOf(e))
 	start, dropped := b.queue.Done(s.now, e.Took)
 	for _, w := range dropped {
-		b.memory.End(w.ID, admission.Refused)
-		s.refuseAttempt(w.ID, admission.TooLate, retry.NotRun)
+		s.dropWaiting(w.ID, admission.TooLate)
 	}
 	for _, w := range start {
 		s.emit(Run{Attempt: w.ID})
@@ -92,7 +131,8 @@
 		if !b.queue.Cancel(e.Attempt) {
 			return // it runs
 		}
-		b.memory.End(e.Attempt, admission.Refused)
+		s.dropWaiting(e.Attempt, admission.Cancelled)
+		return
 	default:
 		return
 	}
--- a/core/announce.go
+++ b/core/announce.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -26,6 +27,7 @@
 	drained   bool
 	queue     *admission.Queue
 	memory    *admission.Memory
+	keys      *idempotency.Memory
 }
 
 func newBackend(cfg Config) backend {
@@ -36,6 +38,7 @@
 		},
 		queue:  admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
 		memory: admission.NewMemory(rememberedAttempts),
+		keys:   idempotency.NewMemory(idempotency.Config{Keep: cfg.KeyKeep, MaxKeys: maxKeys}),
 	}
 }
 
@@ -61,6 +64,7 @@
 		s.announce(endpoint.Ready)
 	}
 	b.memory.Age()
+	b.keys.Expire(s.now)
 	s.drainTick()
 }
 
--- /dev/null
+++ b/core/claim.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// claimPrefix is the prefix of the claims on idempotency keys.
+const claimPrefix = "claim/"
+
+// maxKeys bounds the idempotency keys that one node holds in memory.
+const maxKeys = 64 << 10
+
+// Limits of what claims cost the platform.
+const (
+	claimBurst       = 20          // claims at once after a quiet time
+	claimSweepEvery  = time.Minute // between two lists of one part of the claims
+	claimSweepBatch  = 20          // deletes for each list
+	claimSweepShards = 256         // parts, by the first byte of the key
+)
+
+// ClaimRecord is the value of a claim: the right of one call to run under an
+// Idempotency-Key, and how it ended.
+type ClaimRecord struct {
+	Owner   string `json:"owner"`             // the call
+	Made    int64  `json:"made"`              // Unix milliseconds
+	Outcome string `json:"outcome,omitempty"` // empty: not known
+	Status  int    `json:"status,omitempty"`
+}
+
+// claim is a call's claim on its Idempotency-Key. Before it is held the call
+// has no attempt.
+type claim struct {
+	record  ClaimRecord
+	version uint64 // in the platform; zero: not held yet
+}
+
+// claims is what a node keeps of all its claims.
+type claims struct {
+	tokens  float64
+	filled  time.Time
+	waiting map[CallID]bool // calls whose claim is being made
+	sweepAt time.Time
+	shard   int
+}
+
+func claimKey(c *call) string { return claimPrefix + c.key.String() }
+
+// claim asks the platform for the right to run a call under its key.
+func (s *State) claim(id CallID, c *call) {
+	c.claim = &claim{record: ClaimRecord{
+		Owner: fmt.Sprintf("%s/%x/%d", s.cfg.Node, s.requests.origin, id), Made: s.now.UnixMilli(),
+	}}
+	if !s.requests.claims.take(s.now, s.cfg.ClaimsPerSecond) {
+		s.finish(id, retry.NotRun, "claims on idempotency keys are over this node's rate")
+		return
+	}
+	if s.requests.claims.waiting == nil {
+		s.requests.claims.waiting = map[CallID]bool{}
+	}
+	s.requests.claims.waiting[id] = true
+	s.storePut(claimKey(c), mustJSON(c.claim.record), 0, storeCall{purpose: forClaimWrite, request: id, name: claimKey(c)})
+}
+
+func (c *claims) take(now time.Time, perSecond float64) bool {
+	if !c.filled.IsZero() {
+		c.tokens = min(c.tokens+perSecond*now.Sub(c.filled).Seconds(), claimBurst)
+	}
+	c.filled = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// claimWritten goes on when the platform has answered. After an answer that
+// was lost the claim itself tells whose it is.
+func (s *State) claimWritten(id CallID, sc storeCall, done StoreDone) {
+	c, ok := s.requests.calls[id]
+	switch {
+	case !ok && done.Err == StoreOK: // given up in the meantime, and it never ran
+		s.storeDelete(sc.name, done.Version, storeCall{purpose: forClaimEnd})
+	case !ok:
+	case done.Err == StoreOK:
+		s.claimHeld(id, c, done.Version)
+	case done.Err == StoreFailed && s.fault.takeLostClaims, done.Err == StoreConflict && s.fault.ignoreClaims:
+		s.claimHeld(id, c, 1)
+	case done.Err == StoreFailed, done.Err == StoreConflict:
+		s.storeGet(claimKey(c), storeCall{purpose: forClaimRead, request: id})
+	default:
+		s.finish(id, retry.NotRun, "claim on the idempotency key: "+done.Detail)
+	}
+}
+
+func (s *State) claimHeld(id CallID, c *call, version uint64) {
+	delete(s.requests.claims.waiting, id)
+	c.claim.version = version
+	s.forward(id, c)
+}
+
+// claimRead settles whose claim stands. A call that finds none does not run:
+// its own may yet arrive.
+func (s *State) claimRead(id CallID, done StoreDone) {
+	c, ok := s.requests.calls[id]
+	if !ok {
+		return
+	}
+	var rec ClaimRecord
+	if done.Err != StoreOK || len(done.Objects) != 1 || json.Unmarshal(done.Objects[0].Data, &rec) != nil {
+		s.finish(id, retry.NotRun, "claim on the idempotency key can't be read: "+done.Detail)
+		return
+	}
+	switch {
+	case rec.Owner == c.claim.record.Owner:
+		s.claimHeld(id, c, done.Objects[0].Version)
+	case rec.Outcome == retry.Ran.String():
+		s.conclude(Finish{Call: id, Outcome: retry.Ran, Status: rec.Status, Reason: "a request with this Idempotency-Key ran"})
+	default:
+		s.finish(id, retry.Unknown, "a request with this Idempotency-Key may have run")
+	}
+}
+
+// endClaim records how a call ended: a claim on what did not run is given
+// free, and one of unknown fate is left as it is.
+func (s *State) endClaim(id CallID, c *call, o retry.Outcome, status int) {
+	delete(s.requests.claims.waiting, id)
+	switch {
+	case c.claim.version == 0:
+	case o == retry.NotRun:
+		s.storeDelete(claimKey(c), c.claim.version, storeCall{purpose: forClaimEnd})
+	case o == retry.Ran:
+		c.claim.record.Outcome, c.claim.record.Status = o.String(), status
+		s.storePut(claimKey(c), mustJSON(c.claim.record), c.claim.version, storeCall{purpose: forClaimEnd})
+	}
+}
+
+func (s *State) claimTick() {
+	for _, id := range sortedNames(s.requests.claims.waiting) {
+		if c, ok := s.requests.calls[id]; ok && !s.now.Before(c.deadline) {
+			s.finish(id, retry.NotRun, "the platform did not answer in time")
+		}
+	}
+	s.sweepClaims()
+}
+
+// sweepClaims lets the publisher delete claims that are past their time, one
+// part at a time.
+func (s *State) sweepClaims() {
+	cl := &s.requests.claims
+	if s.now.Before(cl.sweepAt) || !s.publisher.lease.Held(s.now) {
+		return
+	}
+	cl.sweepAt = s.now.Add(claimSweepEvery)
+	s.storeList(fmt.Sprintf("%s%02x", claimPrefix, cl.shard), storeCall{purpose: forClaimSweep})
+}
+
+func (s *State) claimsListed(done StoreDone) {
+	cl := &s.requests.claims
+	if done.Err != StoreOK {
+		return
+	}
+	deleted := 0
+	for _, o := range done.Objects {
+		var rec ClaimRecord
+		if err := json.Unmarshal(o.Data, &rec); err == nil && s.now.UnixMilli()-rec.Made < s.cfg.ClaimKeep.Milliseconds() {
+			continue
+		}
+		if deleted == claimSweepBatch {
+			return // the same part again next time
+		}
+		deleted++
+		s.storeDelete(o.Key, o.Version, storeCall{purpose: forClaimEnd})
+	}
+	cl.shard = (cl.shard + 1) % claimSweepShards
+}
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -18,6 +18,9 @@
 	Duplicate float64
 }
 
+// answered is the HTTP status of what a backend server answers.
+const answered = 201
+
 // cancelGrace is how long an entry node waits for the answer to a cancel.
 const cancelGrace = 50 * time.Millisecond
 
@@ -234,7 +237,7 @@
 	f := a.forward
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Life, core.AttemptArrived{
-		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, For: f.Incarnation,
+		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, For: f.Incarnation, Key: f.Key,
 	})
 }
 
@@ -279,7 +282,7 @@
 		return
 	}
 	t.mesh.After(took, func() {
-		t.mesh.step(n, life, core.AttemptDone{Attempt: id, Took: t.mesh.Now.Sub(started)})
+		t.mesh.step(n, life, core.AttemptDone{Attempt: id, Took: t.mesh.Now.Sub(started), Status: answered})
 		if n.Life != life || !n.Alive {
 			return
 		}
@@ -289,7 +292,7 @@
 			queue = t.Queue(n.Name, queue)
 		}
 		t.after(func() {
-			t.end(a, core.AttemptEnded{Outcome: retry.Ran, Failed: failed, Queue: queue, AnswerStarted: true})
+			t.end(a, core.AttemptEnded{Outcome: retry.Ran, Failed: failed, Queue: queue, AnswerStarted: true, Status: answered})
 		})
 	})
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -72,7 +73,7 @@
 
 // Forward sends an attempt of a call to a backend server's node. The data
 // path writes it to one connection, once. Incarnation goes with it, and with a
-// cancel of it, to be handed over as For.
+// cancel of it, to be handed over as For; so does Key, zero for none.
 type Forward struct {
 	Call        CallID
 	Attempt     AttemptID
@@ -82,13 +83,17 @@
 	Local       bool   // it is the node's own
 	Class       admission.Class
 	Budget      time.Duration // time left until the call's deadline
+	Key         idempotency.Key
 }
 
 // Finish ends a call without, or instead of, a backend server's answer.
+// Outcome Ran says that an earlier request with the same Idempotency-Key ran;
+// Status is that of its answer, zero if it is not known.
 type Finish struct {
 	Call    CallID
 	Outcome retry.Outcome
 	NoRoute bool
+	Status  int
 	Reason  string
 }
 
@@ -97,11 +102,14 @@
 
 // Refuse answers an attempt without running it. Outcome is what the sender is
 // to be told, and what it may conclude: NotRun when no copy of the attempt ran
-// or will, Unknown when another copy of it may have run, or may yet.
+// or will, Unknown when another copy of it may have run, or may yet, Ran when
+// an earlier request with the same Idempotency-Key ran; Status is that of the
+// earlier answer, zero if it is not known.
 type Refuse struct {
 	Attempt AttemptID
 	Reason  admission.Reason
 	Outcome retry.Outcome
+	Status  int
 }
 
 // Drained says that nothing is left in flight and the process may end.
--- a/core/event.go
+++ b/core/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -113,6 +114,7 @@
 	Failed        bool // counts against the endpoint's health
 	Queue         int  // waiting there, as the answer told; -1: not told
 	AnswerStarted bool // part of the answer was passed on
+	Status        int  // HTTP status of an answer, zero: not known
 	Reason        string
 }
 
@@ -123,12 +125,14 @@
 // Refuse follows, at once or later. For says which life of the node it was
 // sent to (Forward.Incarnation); zero: the sender does not tell. A copy of an
 // attempt that is still open at this node may be answered by the data path
-// itself, as unknown.
+// itself, as unknown. Key is that of the Forward; an attempt whose key was
+// used before is refused with the outcome of the first.
 type AttemptArrived struct {
 	Attempt AttemptID
 	Class   admission.Class
 	Budget  time.Duration // time left until the call's deadline
 	For     endpoint.Incarnation
+	Key     idempotency.Key
 }
 
 // AttemptDone says that an attempt that ran has ended.
@@ -136,6 +140,8 @@
 	Attempt AttemptID
 	Took    time.Duration
 	Refused bool // the backend server's address refused the connection
+	Cut     bool // no whole answer came: what the backend server did is not known
+	Status  int  // HTTP status of the answer, zero: not known
 }
 
 // AttemptCancelled asks that an attempt not run. It is answered by Refuse
--- a/core/request.go
+++ b/core/request.go
@@ -1,11 +1,14 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
@@ -17,6 +20,7 @@
 	balancer    *balance.Balancer
 	budget      *retry.Budget
 	calls       map[CallID]*call
+	claims      claims
 	lastAttempt uint64
 	origin      uint64 // random number of this process, in every attempt ID
 }
@@ -34,12 +38,15 @@
 	target   string
 	attempt  AttemptID
 	unknown  bool // an earlier attempt may have run
+	key      idempotency.Key
+	claim    *claim // nil: the policy wants none
 }
 
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
 		balancer: b, calls: map[CallID]*call{},
 		budget: retry.NewBudget(retry.Config{Share: cfg.RetryShare, Reserve: retryReserve}),
+		claims: claims{tokens: claimBurst},
 		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
 	}
 }
@@ -75,12 +82,46 @@
 		deadline: s.now.Add(budget), repeats: e.Repeats,
 	}
 	s.requests.calls[e.Call] = c
+	scope := keyScope(e, route.Policy)
+	if scope != config.KeyIgnored {
+		c.key = idempotency.KeyOf(route.Service, e.Key)
+	}
+	if scope == config.KeyPlatform {
+		s.claim(e.Call, c)
+		return
+	}
 	s.forward(e.Call, c)
 }
 
+// keyScope returns where repeats of a call are recognized. A call that may
+// run more than once needs no key.
+func keyScope(e CallArrived, p *config.Policy) config.KeyScope {
+	if e.Key == "" || p.IsIdempotent(e.Method) {
+		return config.KeyIgnored
+	}
+	return p.Key
+}
+
+// choose returns the backend server for the next attempt of a call: the home
+// of its key if a node is to hold it, else the balancer's choice.
+func (s *State) choose(c *call) (*endpoint.Row, bool) {
+	rows := s.table.Serving(c.route.Service)
+	if c.key.IsZero() || c.claim != nil {
+		return s.requests.balancer.Pick(s.now, rows, c.tried)
+	}
+	var home *endpoint.Row
+	best := uint64(0)
+	for _, r := range rows {
+		if w := c.key.Weight(r.ID); !slices.Contains(c.tried, r.ID) && (home == nil || w > best) {
+			home, best = r, w
+		}
+	}
+	return home, home != nil
+}
+
 // forward sends the next attempt of a call.
 func (s *State) forward(id CallID, c *call) {
-	row, ok := s.requests.balancer.Pick(s.now, s.table.Serving(c.route.Service), c.tried)
+	row, ok := s.choose(c)
 	if !ok {
 		s.finish(id, retry.NotRun, "no backend server of service "+c.route.Service+" takes requests")
 		return
@@ -92,16 +133,38 @@
 	s.requests.balancer.Sent(row.ID)
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: row.ID, Incarnation: row.Incarnation, Hop: row.Hop, Local: row.ID == s.cfg.Node,
-		Class: c.class, Budget: c.deadline.Sub(s.now),
+		Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
 	})
 }
 
+// homeKey returns the key that the target is to hold.
+func (c *call) homeKey() idempotency.Key {
+	if c.claim != nil {
+		return idempotency.Key{}
+	}
+	return c.key
+}
+
+// finish ends a call without a backend server's answer.
 func (s *State) finish(id CallID, o retry.Outcome, reason string) {
-	if s.requests.calls[id].unknown && !s.fault.forgetUnknown {
-		o = retry.Unknown
+	s.conclude(Finish{Call: id, Outcome: o, Reason: reason})
+}
+
+func (s *State) conclude(f Finish) {
+	c := s.requests.calls[f.Call]
+	if c.unknown && f.Outcome == retry.NotRun && !s.fault.forgetUnknown {
+		f.Outcome = retry.Unknown
 	}
+	s.endCall(f.Call, c, f.Outcome, f.Status)
+	s.emit(f)
+}
+
+// endCall forgets a call and lets go of its claim.
+func (s *State) endCall(id CallID, c *call, o retry.Outcome, status int) {
 	delete(s.requests.calls, id)
-	s.emit(Finish{Call: id, Outcome: o, Reason: reason})
+	if c.claim != nil {
+		s.endClaim(id, c, o, status)
+	}
 }
 
 func (s *State) attemptEnded(e AttemptEnded) {
@@ -111,26 +174,40 @@
 	}
 	s.requests.balancer.Done(s.now, c.target, balance.Result{Failed: e.Failed, Queue: e.Queue})
 	if e.Outcome == retry.Ran {
-		delete(s.requests.calls, e.Call)
+		s.endCall(e.Call, c, retry.Ran, e.Status)
 		return
 	}
 	c.unknown = c.unknown || e.Outcome == retry.Unknown
-	idempotent := c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
-	again := retry.Allowed(e.Outcome, idempotent, e.AnswerStarted) &&
-		c.repeats && c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
-	if !again {
+	if !s.tryAgain(c, e) {
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
 	}
 	s.forward(e.Call, c)
 }
 
+// tryAgain reports whether a call gets another attempt, and spends the budget
+// for it.
+func (s *State) tryAgain(c *call, e AttemptEnded) bool {
+	idempotent := c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
+	if !retry.Allowed(e.Outcome, idempotent, e.AnswerStarted) || !c.repeats {
+		return false
+	}
+	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing {
+		return false // only a home that is leaving hands its keys on
+	}
+	return c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
+}
+
 // callLeft ends a call whose caller is gone.
 func (s *State) callLeft(id CallID) {
 	c, ok := s.requests.calls[id]
 	if !ok {
 		return
 	}
-	s.requests.balancer.Done(s.now, c.target, balance.Result{Queue: -1})
-	delete(s.requests.calls, id)
+	o := retry.NotRun
+	if c.attempts > 0 {
+		s.requests.balancer.Done(s.now, c.target, balance.Result{Queue: -1})
+		o = retry.Unknown
+	}
+	s.endCall(id, c, o, 0)
 }
--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // SetReadyForTest lets the node serve without a tree.
 func (s *State) SetReadyForTest() { s.member.current = true }
 
@@ -14,6 +16,9 @@
 	VouchForCopies  RequestFault = "a copy is refused as not run"
 	ForgetUnknown   RequestFault = "not run is said after an unknown fate"
 	RepeatAll       RequestFault = "non-idempotent calls are repeated"
+	ForgetKeys      RequestFault = "a node forgets idempotency keys"
+	TakeLostClaims  RequestFault = "a claim of unknown fate counts as held"
+	IgnoreClaims    RequestFault = "a claim of another counts as held"
 )
 
 // BreakForTest turns a safeguard off.
@@ -21,5 +26,9 @@
 	s.fault = requestFault{
 		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreLife: f == IgnoreLife,
 		vouchForCopies: f == VouchForCopies, forgetUnknown: f == ForgetUnknown, repeatAll: f == RepeatAll,
+		forgetKeys: f == ForgetKeys, takeLostClaims: f == TakeLostClaims, ignoreClaims: f == IgnoreClaims,
 	}
 }
+
+// SetClaimKeepForTest sets how long claims stay in the platform.
+func (s *State) SetClaimKeepForTest(d time.Duration) { s.cfg.ClaimKeep = d }
--- /dev/null
+++ b/core/requests_key_test.go
@@ -0,0 +1,271 @@
+package core_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// keyModel is one Idempotency-Key: a call may run under it while none has,
+// and may be told that an earlier one ran once one has.
+var keyModel = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, output any) []any {
+		ran, c := state.(bool), output.(*coretest.Call)
+		switch {
+		case c.Outcome == retry.NotRun && len(c.Runs) == 0:
+			return []any{ran}
+		case c.Outcome == retry.Ran && len(c.Runs) == 0: // told of an earlier run
+			if ran {
+				return []any{true}
+			}
+			return nil
+		case len(c.Runs) == 0: // not known, and it did not
+			return []any{ran}
+		case len(c.Runs) == 1 && !ran && c.Outcome != retry.NotRun:
+			return []any{true}
+		}
+		return nil
+	},
+}).ToModel()
+
+// checkKeys checks that the calls of each key are linearizable as one run.
+func checkKeys(calls []*coretest.Call, end time.Time) error {
+	var history []porcupine.Operation
+	for i, c := range calls {
+		returned := c.Ended
+		if c.Outcome != retry.Ran && c.Outcome != retry.NotRun {
+			returned = end // what is not known may happen later
+		}
+		history = append(history, porcupine.Operation{
+			ClientId: i, Input: c.Key, Call: c.Started.UnixNano(), Output: c, Return: returned.UnixNano(),
+		})
+	}
+	if porcupine.CheckOperations(keyModel, history) {
+		return nil
+	}
+	var b strings.Builder
+	for _, c := range calls {
+		fmt.Fprintf(&b, "\n%s call %d: %s, runs %+v", c.Key, c.ID, c.Outcome, c.Runs)
+	}
+	return fmt.Errorf("calls of a key are not one run:%s", b.String())
+}
+
+func submitScope(t failer, m *coretest.Mesh, scope config.KeyScope) {
+	t.Helper()
+	submitSpecs(t, m, "scope", map[config.Key]string{
+		{Kind: config.KindPolicy, Name: "once"}:    fmt.Sprintf(`{"idempotencyKey":%q,"maxAttempts":4}`, scope),
+		{Kind: config.KindService, Name: "orders"}: `{"policy":"once"}`,
+		{Kind: config.KindRoute, Name: "orders"}:   `{"pathPrefix":"/orders","service":"orders"}`,
+	})
+}
+
+func submitSpecs(t failer, m *coretest.Mesh, id string, specs map[config.Key]string) {
+	t.Helper()
+	sub := config.Submission{ID: id}
+	for k, spec := range specs {
+		sub.Puts = append(sub.Puts, config.Put{Object: config.Object{Kind: k.Kind, Name: k.Name, Spec: json.RawMessage(spec)}, AnyBase: true})
+	}
+	data, err := json.Marshal(sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Store.Put(context.Background(), "submission/"+id, data, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// runKeys sends repeats of a few keys into all nodes. With the scope node all
+// nodes live on; with platform they crash, and the platform fails and loses
+// answers.
+func (c chaos) runKeys(t failer, scope config.KeyScope) error {
+	m := newMesh(c.seed, 3, 2)
+	names := []string{"a1", "a2", "a3", "b1", "b2"}
+	breakAll := func() {
+		for _, n := range m.Nodes() {
+			n.State.BreakForTest(c.fault)
+		}
+	}
+	breakAll()
+	submitScope(t, m, scope)
+	m.Run(10 * time.Second)
+	tr := coretest.NewTraffic(m)
+	tr.Faults = c.faults
+	tr.Serve = func(string, *coretest.Call) time.Duration {
+		return time.Duration(m.Rand.Int64N(int64(30 * time.Millisecond)))
+	}
+	for i := range c.steps {
+		if scope == config.KeyPlatform {
+			switch c.pick(12) {
+			case 0:
+				m.Restart(names[c.pick(len(names))])
+				breakAll()
+			case 1:
+				m.Faults.LoseAnswer = 0.5 * float64(c.pick(2))
+			case 2:
+				m.Faults.FailBefore = 0.3 * float64(c.pick(2))
+			case 3:
+				m.Faults.PlatformDown = c.pick(3) == 0
+			}
+		}
+		for range 1 + c.pick(4) {
+			tr.Call(names[c.pick(len(names))], core.CallArrived{
+				Method: "POST", Path: "/orders", Repeats: true, Key: fmt.Sprintf("k%d", i/3),
+				Budget: time.Duration(50+c.pick(500)) * time.Millisecond,
+			})
+		}
+		m.Run(time.Duration(c.pick(int(c.between))))
+	}
+	m.Run(20 * time.Second)
+	return checkKeys(tr.Calls, m.Now)
+}
+
+// TestKeyRunsOnce sends repeats of Idempotency-Keys concurrently into all
+// nodes under each scope and its faults: each key is one run.
+func TestKeyRunsOnce(t *testing.T) {
+	for _, scope := range []config.KeyScope{config.KeyNode, config.KeyPlatform} {
+		t.Run(string(scope), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				c := chaos{
+					seed: rapid.Uint64().Draw(t, "seed"), faults: roughTraffic, between: 100 * time.Millisecond,
+					steps: rapid.IntRange(1, 15).Draw(t, "steps"),
+					pick:  func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") },
+				}
+				if err := c.runKeys(t, scope); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// TestKeyCheckNoticesFaults turns the safeguards of keys off, one at a time.
+func TestKeyCheckNoticesFaults(t *testing.T) {
+	tests := []struct {
+		scope config.KeyScope
+		fault core.RequestFault
+	}{
+		{config.KeyIgnored, ""},
+		{config.KeyNode, core.ForgetKeys},
+		{config.KeyPlatform, core.TakeLostClaims},
+		{config.KeyPlatform, core.IgnoreClaims},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%s/%s", tt.scope, tt.fault), func(t *testing.T) {
+			is := is.New(t)
+			var err error
+			for seed := uint64(1); seed < 200 && err == nil; seed++ {
+				rng := rand.New(rand.NewPCG(seed, 2))
+				c := chaos{seed: seed, fault: tt.fault, faults: roughTraffic, steps: 30, between: 100 * time.Millisecond, pick: rng.IntN}
+				err = c.runKeys(t, tt.scope)
+			}
+			is.True(err != nil) // the check must turn red
+		})
+	}
+}
+
+// TestRepeatIsToldHowTheFirstEnded covers both scopes without faults, and the
+// scope platform across the death of every node.
+func TestRepeatIsToldHowTheFirstEnded(t *testing.T) {
+	for _, scope := range []config.KeyScope{config.KeyNode, config.KeyPlatform} {
+		t.Run(string(scope), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(3, 2, 1)
+			submitScope(t, m, scope)
+			m.Run(10 * time.Second)
+			tr := coretest.NewTraffic(m)
+			order := func(entry string) *coretest.Call {
+				c := tr.Call(entry, core.CallArrived{Method: "POST", Path: "/orders", Repeats: true, Key: "k"})
+				m.Run(time.Second)
+				return c
+			}
+			is.Equal(len(order("a1").Runs), 1)
+			repeat := order("b1")
+			is.Equal(repeat.Outcome, retry.Ran)
+			is.Equal(len(repeat.Runs), 0)
+			if scope == config.KeyNode {
+				return
+			}
+			for _, n := range m.Nodes() {
+				m.Restart(n.Name)
+			}
+			m.Run(20 * time.Second)
+			repeat = order("a2")
+			is.Equal(repeat.Outcome, retry.Ran) // the claim outlives every node
+			is.Equal(len(repeat.Runs), 0)
+		})
+	}
+}
+
+// TestClaimsAreCollected lets claims grow old and expects the publisher to
+// delete them.
+func TestClaimsAreCollected(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(4, 2, 1)
+	submitScope(t, m, config.KeyPlatform)
+	m.Run(10 * time.Second)
+	tr := coretest.NewTraffic(m)
+	for i := range 5 {
+		tr.Call("a1", core.CallArrived{Method: "POST", Path: "/orders", Key: fmt.Sprint(i)})
+	}
+	m.Run(time.Second)
+	claims := func() int {
+		objs, _, err := m.Store.List(t.Context(), "claim/")
+		is.NoErr(err)
+		return len(objs)
+	}
+	is.Equal(claims(), 5)
+	for _, n := range m.Nodes() {
+		n.State.SetClaimKeepForTest(time.Hour)
+	}
+	m.Run(50 * time.Minute)
+	is.Equal(claims(), 5) // not before their time
+	m.Run(6 * time.Hour)  // one part of 256 a minute
+	is.Equal(claims(), 0)
+}
+
+// TestClaimsAreWithinARate sends more keyed calls than a node may claim.
+func TestClaimsAreWithinARate(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(5, 2, 1)
+	submitScope(t, m, config.KeyPlatform)
+	m.Run(10 * time.Second)
+	tr := coretest.NewTraffic(m)
+	for i := range 100 {
+		tr.Call("a1", core.CallArrived{Method: "POST", Path: "/orders", Key: fmt.Sprint(i)})
+	}
+	m.Run(time.Second)
+	ran, refused := 0, 0
+	for _, c := range tr.Calls {
+		ran += len(c.Runs)
+		if c.Outcome == retry.NotRun {
+			refused++
+		}
+	}
+	is.Equal(ran, 20)
+	is.Equal(refused, 80)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -37,6 +37,10 @@
 	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
+
+	KeyKeep         time.Duration // how long a node holds an Idempotency-Key
+	ClaimKeep       time.Duration // how long a claim stays in the platform
+	ClaimsPerSecond float64       // claims that this node may create
 }
 
 // WithDefaults returns the settings with every zero field filled in.
@@ -57,6 +61,9 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.KeyKeep, 10*time.Minute)
+	setDefault(&c.ClaimKeep, 24*time.Hour)
+	setDefault(&c.ClaimsPerSecond, 5)
 	return c
 }
 
@@ -159,6 +166,7 @@
 	s.rootTick()
 	s.publisherTick()
 	s.backendTick()
+	s.claimTick()
 }
 
 // jitter returns a random time below limit ("full jitter").
--- a/core/store.go
+++ b/core/store.go
@@ -22,6 +22,10 @@
 	forChunk
 	forPublisherLease
 	forPublisher
+	forClaimWrite
+	forClaimRead
+	forClaimEnd
+	forClaimSweep
 )
 
 // storeCall is what is remembered of a platform call until its result comes.
@@ -30,6 +34,7 @@
 	name    string // of the object, where the purpose has several
 	version uint64
 	step    publishStep
+	request CallID // that a claim is for
 	round   uint64 // of the publisher's work; a result of an older round is dropped
 }
 
@@ -129,6 +134,12 @@
 		s.chunkRead(c, done)
 	case forPublisherLease:
 		s.publisherLeaseWritten(done)
+	case forClaimWrite:
+		s.claimWritten(c.request, c, done)
+	case forClaimRead:
+		s.claimRead(c.request, done)
+	case forClaimSweep:
+		s.claimsListed(done)
 	case forPublisher:
 		if c.round == s.publisher.round {
 			s.publisherStep(c, done)
