Bound the queue's wait and share its slots by class

Cause: status checks could starve all others, attempts waited as long as the queue was full, the lines of a class were allocated anew, and one average of all runs decided about each class.

Change: the queue pushes the youngest of the least urgent class out for a more urgent one, up to a kept share; a class that has let eight more urgent starts pass gets the next; an interactive attempt is dropped after Target once the queue has stood for Interval, any other after MaxWait, also when no run ends; an attempt that could not end by its deadline is dropped before it starts. StatusSlots keeps slots for status checks alone.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,9 +1,13 @@
 // Package admission decides at a backend server's node which attempts run,
 // which wait and which are refused: as many run as the backend server has
-// slots, the rest wait in a bounded queue by priority class.
+// slots, the rest wait in a bounded queue by priority class, for a bounded
+// time.
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class orders the queue; the smaller runs first.
 type Class uint8
@@ -37,10 +41,37 @@
 
 // Config holds the settings of a Queue.
 type Config struct {
-	Slots    int
-	MaxQueue int
+	Slots       int
+	StatusSlots int           // of Slots, those that run nothing but Status
+	MaxQueue    int           // attempts that wait, of all classes
+	MaxWait     time.Duration // none waits longer
+	// Target is the longest wait of Interactive once the queue has not been
+	// empty for Interval (controlled delay: Nichols and Jacobson, "Controlling
+	// Queue Delay").
+	Target   time.Duration
+	Interval time.Duration
+}
+
+// DefaultConfig returns the settings used where none are given.
+func DefaultConfig(slots int) Config {
+	return Config{
+		Slots: slots, MaxQueue: 8 * slots, MaxWait: time.Second,
+		Target: 100 * time.Millisecond, Interval: 500 * time.Millisecond,
+	}
 }
 
+// maxPassed is the number of starts of more urgent classes that an attempt at
+// the head of its class lets pass. Each class that waits so gets one start of
+// maxPassed+1 at least.
+const maxPassed = 8
+
+// keptShare is the part of the queue, for each class, from which a more urgent
+// class can't push it out.
+const keptShare = 8
+
+// smoothing is the weight of the past in the smoothed time of a run.
+const smoothing = 8
+
 // ID names an attempt in all of the mesh: a random number of the process that
 // made it, and its count there.
 type ID struct {
@@ -53,95 +84,224 @@
 	ID       ID
 	Class    Class
 	Deadline time.Time
+	arrived  time.Time
 }
 
 // Queue holds the attempts at one backend server.
 type Queue struct {
-	cfg     Config
-	running int
-	queued  [classes][]Waiting
-	length  int
-	average time.Duration // smoothed time of a run
+	cfg      Config
+	running  []Waiting // at most Slots
+	lines    [classes]line
+	length   int
+	passed   [classes]int           // starts of more urgent classes while this one waited
+	average  [classes]time.Duration // smoothed time of a run
+	overall  time.Duration          // the same over all classes
+	emptyAt  time.Time              // when the queue was empty last
+	starts   []Waiting
+	droppeds []Waiting
+	fault    fault
+}
+
+// fault turns single safeguards off. Tests set it to show that their checks
+// notice; it is zero otherwise.
+type fault struct {
+	strict     bool // no class lets another one go first
+	waitOn     bool // nothing is dropped for its wait
+	overCommit bool // one more runs than there are slots
 }
 
 // New returns an empty Queue.
 func New(cfg Config) *Queue { return &Queue{cfg: cfg} }
 
-// Arrive takes an attempt in: run reports that it starts now; otherwise it
-// waits when reason is Admitted, or is refused.
-func (q *Queue) Arrive(now time.Time, w Waiting) (run bool, reason Reason) {
-	if q.running < q.cfg.Slots && q.length == 0 {
-		q.running++
-		return true, Admitted
+// Decision is the answer to an arrival. Reason is Admitted for an attempt that
+// runs now or waits.
+type Decision struct {
+	Run    bool
+	Reason Reason
+	Pushed []Waiting // pushed out of the queue to make room
+}
+
+// Arrive takes an attempt in or refuses it. Pushed is valid until the next
+// call.
+func (q *Queue) Arrive(now time.Time, w Waiting) Decision {
+	w.arrived = now
+	if q.length == 0 {
+		q.emptyAt = now
+	}
+	switch {
+	case !now.Before(w.Deadline):
+		return Decision{Reason: TooLate}
+	case q.canStart(w.Class) && q.nothingBefore(w.Class):
+		q.running = append(q.running, w)
+		return Decision{Run: true}
 	}
-	if q.length >= q.cfg.MaxQueue {
-		return false, QueueFull
+	wait := q.wait(w.Class)
+	switch {
+	case now.Add(wait + q.average[w.Class]).After(w.Deadline):
+		return Decision{Reason: TooLate}
+	case wait > q.cfg.MaxWait:
+		return Decision{Reason: QueueFull}
 	}
-	ahead := q.ahead(w.Class) + 1
-	wait := q.average * time.Duration(ahead) / time.Duration(max(q.cfg.Slots, 1))
-	if now.Add(wait + q.average).After(w.Deadline) {
-		return false, TooLate
+	q.droppeds = q.droppeds[:0]
+	if q.length >= q.cfg.MaxQueue && !q.pushOut(w.Class) {
+		return Decision{Reason: QueueFull}
 	}
-	q.queued[w.Class] = append(q.queued[w.Class], w)
+	q.lines[w.Class].push(w)
 	q.length++
-	return false, Admitted
+	return Decision{Pushed: q.droppeds}
 }
 
-func (q *Queue) ahead(c Class) int {
-	n := 0
-	for i := Class(0); i <= c; i++ {
-		n += len(q.queued[i])
+// canStart reports whether a slot is free for a class.
+func (q *Queue) canStart(c Class) bool {
+	free := q.cfg.Slots - len(q.running)
+	if q.fault.overCommit {
+		free++
+	}
+	if c == Status {
+		return free > 0
+	}
+	others := 0
+	for i := range q.running {
+		if q.running[i].Class != Status {
+			others++
+		}
+	}
+	return free > 0 && others < max(q.cfg.Slots-q.cfg.StatusSlots, 1)
+}
+
+// nothingBefore reports whether an arrival of a class is the next to start.
+func (q *Queue) nothingBefore(c Class) bool {
+	return q.length == 0 || c == Status && q.lines[Status].len() == 0
+}
+
+// wait estimates the time that an attempt of a class waits from now on.
+func (q *Queue) wait(c Class) time.Duration {
+	ahead := 1
+	for i := range c + 1 {
+		ahead += q.lines[i].len()
+	}
+	return q.overall * time.Duration(ahead) / time.Duration(max(q.cfg.Slots, 1))
+}
+
+// pushOut makes room for a class by the youngest of the least urgent class
+// that holds more than its kept share.
+func (q *Queue) pushOut(c Class) bool {
+	for i := classes - 1; i > c; i-- {
+		if l := &q.lines[i]; l.len() > q.cfg.MaxQueue/keptShare {
+			q.droppeds = append(q.droppeds, l.popLast())
+			q.length--
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 // Done counts the end of a run that took the given time, and returns what
-// starts now and what was dropped because its deadline has passed.
-func (q *Queue) Done(now time.Time, took time.Duration) (start, dropped []Waiting) {
-	q.running = max(q.running-1, 0)
-	const weight = 8
-	q.average += (took - q.average) / weight
+// starts now and what was dropped because it waited too long or can't end by
+// its deadline. The slices are valid until the next call.
+func (q *Queue) Done(now time.Time, id ID, took time.Duration) (start, dropped []Waiting) {
+	i := slices.IndexFunc(q.running, func(w Waiting) bool { return w.ID == id })
+	if i < 0 {
+		return nil, nil
+	}
+	c := q.running[i].Class
+	q.running = slices.Delete(q.running, i, i+1)
+	q.average[c] += (took - q.average[c]) / smoothing
+	q.overall += (took - q.overall) / smoothing
 	return q.fill(now)
 }
 
 func (q *Queue) fill(now time.Time) (start, dropped []Waiting) {
-	for q.running < q.cfg.Slots && q.length > 0 {
-		w := q.pop()
-		if now.After(w.Deadline) {
-			dropped = append(dropped, w)
+	q.starts, q.droppeds = q.starts[:0], q.droppeds[:0]
+	for q.length > 0 {
+		c := q.next()
+		if c == classes {
+			break
+		}
+		w := q.lines[c].pop()
+		q.length--
+		if q.late(now, w) {
+			q.droppeds = append(q.droppeds, w)
 			continue
 		}
-		q.running++
-		start = append(start, w)
+		q.count(c)
+		q.running = append(q.running, w)
+		q.starts = append(q.starts, w)
+	}
+	if q.length == 0 {
+		q.emptyAt = now
 	}
-	return start, dropped
+	return q.starts, q.droppeds
 }
 
-func (q *Queue) pop() Waiting {
-	for c := range q.queued {
-		if len(q.queued[c]) > 0 {
-			w := q.queued[c][0]
-			q.queued[c] = q.queued[c][1:]
-			q.length--
-			return w
+// next returns the class whose head starts next: the most urgent, unless one
+// has let enough of them pass. It returns classes if none can start.
+func (q *Queue) next() Class {
+	first := classes
+	for c := range classes {
+		if q.lines[c].len() == 0 || !q.canStart(c) {
+			continue
+		}
+		if q.passed[c] >= maxPassed && !q.fault.strict {
+			return c
+		}
+		first = min(first, c)
+	}
+	return first
+}
+
+// count notes that a class starts, past those that are less urgent.
+func (q *Queue) count(started Class) {
+	q.passed[started] = 0
+	for c := started + 1; c < classes; c++ {
+		q.passed[c]++
+		if q.lines[c].len() == 0 {
+			q.passed[c] = 0
 		}
 	}
-	return Waiting{}
+}
+
+// late reports whether an attempt has waited too long, or is past the time at
+// which it could end by its deadline.
+func (q *Queue) late(now time.Time, w Waiting) bool {
+	if q.fault.waitOn {
+		return false
+	}
+	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || now.Add(q.average[w.Class]).After(w.Deadline)
+}
+
+func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
+	if c == Interactive && now.Sub(q.emptyAt) > q.cfg.Interval {
+		return q.cfg.Target
+	}
+	return q.cfg.MaxWait
+}
+
+// Expire drops what has waited too long, when no run ends for a long time.
+// The slice is valid until the next call.
+func (q *Queue) Expire(now time.Time) []Waiting {
+	q.droppeds = q.droppeds[:0]
+	for c := range classes {
+		for l := &q.lines[c]; l.len() > 0 && q.late(now, l.head()); q.length-- {
+			q.droppeds = append(q.droppeds, l.pop())
+		}
+	}
+	return q.droppeds
 }
 
 // Cancel takes a waiting attempt out and reports whether it was there.
 func (q *Queue) Cancel(id ID) bool {
-	for c := range q.queued {
-		for i, w := range q.queued[c] {
-			if w.ID == id {
-				q.queued[c] = append(q.queued[c][:i:i], q.queued[c][i+1:]...)
-				q.length--
-				return true
-			}
+	for c := range classes {
+		if q.lines[c].remove(id) {
+			q.length--
+			return true
 		}
 	}
 	return false
 }
 
 // Load returns the number running and the number waiting.
-func (q *Queue) Load() (running, waiting int) { return q.running, q.length }
+func (q *Queue) Load() (running, waiting int) { return len(q.running), q.length }
+
+// WaitingOf returns the number of a class that wait.
+func (q *Queue) WaitingOf(c Class) int { return q.lines[c].len() }
--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,198 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+)
+
+const (
+	testSlots   = 3
+	testMaxWait = 200 * time.Millisecond
+	tick        = 50 * time.Millisecond
+	// passLimit is how many starts of other classes may pass a class that
+	// waits: 8 of the more urgent, and one that waited as long itself.
+	passLimit = 9
+)
+
+// queueRun plays arrivals and ends against a Queue and checks its promises.
+type queueRun struct {
+	q       *admission.Queue
+	now     time.Time
+	next    uint64
+	waiting map[admission.ID]admission.Waiting
+	arrived map[admission.ID]time.Time
+	running []admission.ID
+	passed  map[admission.Class]int
+}
+
+func (r *queueRun) start(w admission.Waiting) error {
+	r.running = append(r.running, w.ID)
+	delete(r.waiting, w.ID)
+	if len(r.running) > testSlots {
+		return fmt.Errorf("%d run in %d slots", len(r.running), testSlots)
+	}
+	if waited := r.now.Sub(r.arrived[w.ID]); waited > testMaxWait {
+		return fmt.Errorf("%v started after a wait of %v", w.ID, waited)
+	}
+	r.passed[w.Class] = 0
+	waits := map[admission.Class]bool{}
+	for _, o := range r.waiting {
+		waits[o.Class] = true
+	}
+	for c := range admission.Batch + 1 {
+		if !waits[c] || c == w.Class {
+			r.passed[c] = 0
+			continue
+		}
+		if r.passed[c]++; r.passed[c] > passLimit {
+			return fmt.Errorf("class %d waits while %d others start", c, r.passed[c])
+		}
+	}
+	return nil
+}
+
+func (r *queueRun) arrive(c admission.Class, budget time.Duration) error {
+	r.next++
+	w := admission.Waiting{ID: admission.ID{Origin: 1, Number: r.next}, Class: c, Deadline: r.now.Add(budget)}
+	r.arrived[w.ID] = r.now
+	d := r.q.Arrive(r.now, w)
+	for _, p := range d.Pushed {
+		if p.Class <= c {
+			return fmt.Errorf("class %d pushed class %d out", c, p.Class)
+		}
+		delete(r.waiting, p.ID)
+	}
+	switch {
+	case d.Run:
+		return r.start(w)
+	case d.Reason == admission.Admitted:
+		r.waiting[w.ID] = w
+	}
+	return nil
+}
+
+func (r *queueRun) step(pick func(n int) int) error {
+	r.now = r.now.Add(time.Duration(pick(5)) * time.Millisecond)
+	switch k := pick(10); {
+	case k < 6:
+		return r.arrive(admission.Class(min(pick(12)/4, 2)), time.Duration(1+pick(500))*time.Millisecond)
+	case k < 9 && len(r.running) > 0:
+		i := pick(len(r.running))
+		id := r.running[i]
+		r.running = append(r.running[:i:i], r.running[i+1:]...)
+		start, dropped := r.q.Done(r.now, id, 4*time.Millisecond)
+		for _, w := range dropped {
+			delete(r.waiting, w.ID)
+		}
+		for _, w := range start {
+			if err := r.start(w); err != nil {
+				return err
+			}
+		}
+	default:
+		r.now = r.now.Add(tick)
+		for _, w := range r.q.Expire(r.now) {
+			delete(r.waiting, w.ID)
+		}
+		for id := range r.waiting {
+			if waited := r.now.Sub(r.arrived[id]); waited > testMaxWait+tick {
+				return fmt.Errorf("%v has waited for %v", id, waited)
+			}
+		}
+	}
+	return nil
+}
+
+func playQueue(fault admission.Fault, steps int, pick func(n int) int) error {
+	cfg := admission.DefaultConfig(testSlots)
+	cfg.MaxWait = testMaxWait
+	r := &queueRun{
+		q: admission.New(cfg), now: time.Unix(1000, 0), waiting: map[admission.ID]admission.Waiting{},
+		arrived: map[admission.ID]time.Time{}, passed: map[admission.Class]int{},
+	}
+	r.q.BreakForTest(fault)
+	for range steps {
+		if err := r.step(pick); err != nil {
+			return err
+		}
+		running, waiting := r.q.Load()
+		if running != len(r.running) || waiting != len(r.waiting) || waiting > cfg.MaxQueue {
+			return fmt.Errorf("counts %d running and %d waiting, are %d and %d", running, waiting, len(r.running), len(r.waiting))
+		}
+	}
+	return nil
+}
+
+// TestQueueKeepsItsBounds plays random arrivals: no more run than there are
+// slots, none waits past its bound, no class is starved for good, and the
+// counts are right.
+func TestQueueKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.IntRange(1, 300).Draw(t, "steps")
+		if err := playQueue("", steps, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestQueueCheckNoticesFaults turns one safeguard off at a time.
+func TestQueueCheckNoticesFaults(t *testing.T) {
+	for _, fault := range []admission.Fault{admission.Strict, admission.WaitOn, admission.OverCommit} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			var err error
+			for seed := uint64(1); seed < 50 && err == nil; seed++ {
+				err = playQueue(fault, 2000, rand.New(rand.NewPCG(seed, 1)).IntN)
+			}
+			is.True(err != nil) // the check must turn red
+			t.Log(err)
+		})
+	}
+}
+
+func TestArrive(t *testing.T) {
+	now := time.Unix(1000, 0)
+	long := now.Add(time.Minute)
+	tests := []struct {
+		name    string
+		waiting []admission.Class
+		arrives admission.Waiting
+		want    admission.Decision
+	}{
+		{name: "past its deadline", arrives: admission.Waiting{Deadline: now}, want: admission.Decision{Reason: admission.TooLate}},
+		{name: "free slot", arrives: admission.Waiting{Deadline: long}, want: admission.Decision{Run: true}},
+		{
+			name: "batch is full of batch", waiting: []admission.Class{2, 2, 2, 2, 2},
+			arrives: admission.Waiting{Class: admission.Batch, Deadline: long}, want: admission.Decision{Reason: admission.QueueFull},
+		},
+		{
+			name: "status pushes batch out", waiting: []admission.Class{2, 2, 2, 2, 2},
+			arrives: admission.Waiting{Class: admission.Status, Deadline: long},
+			want:    admission.Decision{Pushed: []admission.Waiting{{ID: admission.ID{Number: 4}}}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := admission.New(admission.Config{Slots: 1, MaxQueue: 4, MaxWait: time.Minute, Target: time.Minute, Interval: time.Minute})
+			for i, c := range tt.waiting {
+				q.Arrive(now, admission.Waiting{ID: admission.ID{Number: uint64(i)}, Class: c, Deadline: long})
+			}
+			tt.arrives.ID.Number = 100
+			got := q.Arrive(now, tt.arrives)
+			is.Equal(got.Run, tt.want.Run)
+			is.Equal(got.Reason, tt.want.Reason)
+			is.Equal(len(got.Pushed), len(tt.want.Pushed))
+			for i := range got.Pushed {
+				is.Equal(got.Pushed[i].ID, tt.want.Pushed[i].ID)
+			}
+		})
+	}
+}
--- a/core/admit.go
+++ b/core/admit.go
@@ -68,7 +68,18 @@
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
 	}
-	return b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	for _, w := range d.Pushed {
+		s.dropWaiting(w.ID, admission.QueueFull)
+	}
+	return d.Run, d.Reason
+}
+
+// admitTick refuses what has waited too long while no run ended.
+func (s *State) admitTick() {
+	for _, w := range s.backend.queue.Expire(s.now) {
+		s.dropWaiting(w.ID, admission.TooLate)
+	}
 }
 
 // dropWaiting refuses an attempt that waited.
@@ -104,7 +115,7 @@
 	b := &s.backend
 	b.memory.End(e.Attempt, admission.Started)
 	b.keys.End(e.Attempt, endOf(e))
-	start, dropped := b.queue.Done(s.now, e.Took)
+	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
 	for _, w := range dropped {
 		s.dropWaiting(w.ID, admission.TooLate)
 	}
--- a/core/announce.go
+++ b/core/announce.go
@@ -36,7 +36,7 @@
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
 		},
-		queue:  admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
+		queue:  admission.New(cfg.admission()),
 		memory: admission.NewMemory(rememberedAttempts),
 		keys:   idempotency.NewMemory(idempotency.Config{Keep: cfg.KeyKeep, MaxKeys: maxKeys}),
 	}
@@ -63,6 +63,7 @@
 	if b.entry.State == endpoint.Warming && !s.now.Before(b.readyAt) {
 		s.announce(endpoint.Ready)
 	}
+	s.admitTick()
 	b.memory.Age()
 	b.keys.Expire(s.now)
 	s.drainTick()
--- a/core/state.go
+++ b/core/state.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -19,6 +20,7 @@
 	Hop         string // own address for requests from other nodes
 	Service     string // of the backend server; empty: none stands beside this node
 	Slots       int
+	StatusSlots int // of Slots, those that run nothing but status checks
 	MaxQueue    int
 	Fanout      int
 	Incarnation endpoint.Incarnation
@@ -38,6 +40,10 @@
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
 
+	QueueMaxWait  time.Duration // none waits longer for a slot
+	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
+	QueueInterval time.Duration
+
 	KeyKeep         time.Duration // how long a node holds an Idempotency-Key
 	ClaimKeep       time.Duration // how long a claim stays in the platform
 	ClaimsPerSecond float64       // claims that this node may create
@@ -67,6 +73,15 @@
 	return c
 }
 
+func (c Config) admission() admission.Config {
+	a := admission.DefaultConfig(c.Slots)
+	setDefault(&c.QueueMaxWait, a.MaxWait)
+	setDefault(&c.QueueTarget, a.Target)
+	setDefault(&c.QueueInterval, a.Interval)
+	a.StatusSlots, a.MaxQueue, a.MaxWait, a.Target, a.Interval = c.StatusSlots, c.MaxQueue, c.QueueMaxWait, c.QueueTarget, c.QueueInterval
+	return a
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
