--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// CoreConfig returns the settings of a State for one life of a node: the
+// tunables of its settings, the addresses at which it listens, and what tells
+// this life from others.
+func CoreConfig(s settings.Settings, peer, hop string, life endpoint.Incarnation, seed uint64) core.Config {
+	cfg := core.Config{
+		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
+		Service: s.Backend.Service, Slots: s.Backend.Slots, MaxQueue: s.Backend.Queue,
+		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
+		Fanout:         s.Distribution.Fanout,
+		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
+		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
+		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
+		RetryShare:   s.Requests.RetryShare,
+		DrainAtLeast: time.Duration(s.Drain.AtLeast), DrainAtMost: time.Duration(s.Drain.AtMost),
+		Incarnation: life, Seed: seed,
+	}
+	return cfg.WithDefaults()
+}
+
+// newCoreConfig names this life of the node by its start and a random number:
+// hosts keep nothing, so no counter could.
+func newCoreConfig(s settings.Settings, l *Listeners) core.Config {
+	var random [12]byte
+	_, _ = rand.Read(random[:]) // never fails
+	life := endpoint.Incarnation{Start: time.Now().UnixMilli(), Random: binary.LittleEndian.Uint32(random[:4])}
+	return CoreConfig(s, l.Peer.Addr().String(), l.Hop.Addr().String(), life, binary.LittleEndian.Uint64(random[4:]))
+}
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+func TestCoreConfigTakesEveryTunable(t *testing.T) {
+	is := is.New(t)
+	second := func(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Second) }
+	s := settings.Settings{
+		Node: "n", DataCentre: "derby", Seeds: []string{"10.0.0.1:1"},
+		Backend: settings.Backend{Service: "orders", Slots: 11, Queue: 12, ProbeEvery: second(13), SlowStart: second(14)},
+		Distribution: settings.Distribution{
+			Favour: "bytes", Fanout: 21, HeartbeatEvery: second(22), MissedHeartbeats: 23, JoinJitter: second(24), WatchWait: second(25),
+		},
+		Lease:    settings.Lease{TTL: second(33), Renew: second(31), Margin: second(32)},
+		Requests: settings.Requests{RetryShare: 0.41},
+		Drain:    settings.Drain{AtLeast: second(51), AtMost: second(52)},
+	}
+	life := endpoint.Incarnation{Start: 61, Random: 62}
+	got := CoreConfig(s, "peer", "hop", life, 63)
+	want := core.Config{
+		Node: "n", DataCentre: "derby", Peer: "peer", Hop: "hop", Service: "orders", Slots: 11, MaxQueue: 12,
+		ProbeEvery: 13 * time.Second, SlowStart: 14 * time.Second, Fanout: 21, HeartbeatEvery: 22 * time.Second, MissedLimit: 23,
+		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
+		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
+		Incarnation: life, Seed: 63,
+	}.WithDefaults()
+	is.Equal(got, want)
+}
--- a/node/module.go
+++ b/node/module.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -15,7 +13,6 @@
 	"go.uber.org/fx"
 
 	"github.com/agatekeel/agatekeel/core"
-	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
@@ -53,26 +50,14 @@
 	return proxy.New(proxy.Config{Backend: s.Backend.Address, Connections: s.Backend.Connections}, d, r)
 }
 
-// newCoreConfig names this life of the node by its start and a random number:
-// hosts keep nothing, so no counter could.
-func newCoreConfig(s settings.Settings, l *Listeners) core.Config {
-	var random [12]byte
-	_, _ = rand.Read(random[:])
-	return core.Config{
-		Node: s.Node, DataCentre: s.DataCentre, Peer: l.Peer.Addr().String(), Hop: l.Hop.Addr().String(),
-		Service: s.Backend.Service, Slots: s.Backend.Slots, Fanout: s.Distribute.Fanout,
-		Incarnation: endpoint.Incarnation{
-			Start: time.Now().UnixMilli(), Random: binary.LittleEndian.Uint32(random[:4]),
-		},
-		Seed: binary.LittleEndian.Uint64(random[4:]),
-	}.WithDefaults()
-}
-
 // Listeners holds the open listeners of a node.
 type Listeners struct{ Callers, Hop, Peer, Admin net.Listener }
 
 func newListeners(lc fx.Lifecycle, s settings.Settings) (*Listeners, error) {
 	l := &Listeners{}
+	if s.Listen.Admin == "" {
+		s.Listen.Admin = settings.DefaultAdmin
+	}
 	for _, one := range []struct {
 		field, address string
 		into           *net.Listener
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// check returns every fault of settings that have the right form.
+func check(s Settings) []Fault {
+	var faults []Fault
+	var invalid validator.ValidationErrors
+	if err := newValidator().Struct(s); errors.As(err, &invalid) {
+		for _, f := range invalid {
+			_, field, _ := strings.Cut(f.Namespace(), ".")
+			faults = append(faults, Fault{Field: field, Reason: reason(f, s)})
+		}
+	}
+	return appendNew(faults, checkTogether(s))
+}
+
+// checkTogether checks fields that depend on one another.
+func checkTogether(s Settings) []Fault {
+	var faults []Fault
+	fault := func(field, format string, args ...any) {
+		faults = append(faults, Fault{Field: field, Reason: fmt.Sprintf(format, args...)})
+	}
+	if s.Lease.TTL > 0 && s.Lease.Renew+s.Lease.Margin >= s.Lease.TTL {
+		fault("lease.renew", "with lease.margin is not below lease.ttl, so that a lease would lapse between renewals")
+	}
+	if s.Drain.AtMost > 0 && s.Drain.AtLeast > s.Drain.AtMost {
+		fault("drain.atLeast", "is over drain.atMost")
+	}
+	if s.Backend.Address != "" && s.Backend.Service == "" {
+		fault("backend.service", "is missing, but backend.address is set")
+	}
+	if s.TLS.Enabled() {
+		for _, f := range []struct{ field, value string }{
+			{"tls.certificate", s.TLS.Certificate}, {"tls.key", s.TLS.Key}, {"tls.ca", s.TLS.CA},
+		} {
+			if f.value == "" {
+				fault(f.field, "is missing: certificate, key and CA are set together or not at all")
+			}
+		}
+	}
+	return append(faults, checkAddresses(s)...)
+}
+
+// checkAddresses checks that no two listeners share an address, and that
+// other nodes can reach those that are told to them.
+func checkAddresses(s Settings) []Fault {
+	var faults []Fault
+	taken := map[string]string{}
+	for _, one := range []struct {
+		field, address string
+		told           bool
+	}{
+		{"listen.callers", s.Listen.Callers, false}, {"listen.hop", s.Listen.Hop, true},
+		{"listen.peer", s.Listen.Peer, true}, {"listen.admin", s.Listen.Admin, false},
+		{"backend.address", s.Backend.Address, false},
+	} {
+		a, err := netip.ParseAddrPort(one.address)
+		if err != nil {
+			continue // told by the library's check
+		}
+		if one.told && a.Addr().IsUnspecified() {
+			faults = append(faults, Fault{Field: one.field, Reason: fmt.Sprintf(
+				"%q is told to other nodes, so it must be an IP number of this host", one.address)})
+		}
+		if other, ok := taken[one.address]; ok && a.Port() != 0 {
+			faults = append(faults, Fault{Field: one.field, Reason: fmt.Sprintf("%q is that of %s too", one.address, other)})
+		}
+		taken[one.address] = one.field
+	}
+	return faults
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	v.RegisterCustomTypeFunc(func(f reflect.Value) any { return time.Duration(f.Int()) }, Duration(0))
+	must(v.RegisterValidation("oneofslice", inSliceOf))
+	must(v.RegisterValidation("ipport", isAddrPort))
+	return v
+}
+
+// inSliceOf checks that a string is among those of another field.
+func inSliceOf(f validator.FieldLevel) bool {
+	list := f.Parent().FieldByName(f.Param())
+	for i := range list.Len() {
+		if list.Index(i).String() == f.Field().String() {
+			return true
+		}
+	}
+	return false
+}
+
+// isAddrPort checks for an IP number and a port; names are not looked up.
+func isAddrPort(f validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func reason(f validator.FieldError, s Settings) string {
+	switch f.Tag() {
+	case "required", "required_with":
+		return "is missing"
+	case "ipport":
+		return fmt.Sprintf("%q is not of the form IP:port", f.Value())
+	case "url":
+		return fmt.Sprintf("%q is not a URL", f.Value())
+	case "oneof":
+		return fmt.Sprintf("%q is not one of: %s", f.Value(), f.Param())
+	case "oneofslice":
+		return fmt.Sprintf("%q is not one of dataCentres: %s", f.Value(), strings.Join(s.DataCentres, " "))
+	case "startswith":
+		return fmt.Sprintf("%q does not start with %q", f.Value(), f.Param())
+	case "unique":
+		return "names the same twice"
+	case "printascii":
+		return fmt.Sprintf("%q has characters that can't be printed", f.Value())
+	case "min":
+		return fmt.Sprintf("%v is below the least, %s", f.Value(), f.Param())
+	case "max":
+		return fmt.Sprintf("%v is over the most, %s", sizeOf(f.Value()), f.Param())
+	}
+	return fmt.Sprintf("%v fails the check %q", f.Value(), f.Tag())
+}
+
+// sizeOf returns what a limit of a value's size is compared with.
+func sizeOf(v any) any {
+	switch r := reflect.ValueOf(v); r.Kind() {
+	case reflect.String, reflect.Slice:
+		return fmt.Sprintf("a length of %d", r.Len())
+	}
+	return v
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,67 +1,125 @@
 // Package settings reads a node's settings: JSON, decoded strictly, every
-// fault reported at once.
+// fault reported at once with the path of its field.
+// docs/operations/settings.md describes every field.
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net/netip"
 	"os"
-	"reflect"
 	"strings"
-
-	"github.com/go-playground/validator/v10"
+	"time"
 )
 
-// Settings are those of one node. Addresses are IP:port.
+// DefaultAdmin is where a node listens for its operators unless set
+// otherwise: on loopback.
+const DefaultAdmin = "127.0.0.1:8081"
+
+// Settings are those of one node. Addresses are IP:port. A field of zero
+// takes its default.
 type Settings struct {
-	Node        string       `json:"node" validate:"required,max=128"`
-	DataCentre  string       `json:"dataCentre" validate:"required,oneofslice=DataCentres"`
-	DataCentres []string     `json:"dataCentres" validate:"required,min=1,unique,dive,required"`
-	Platform    string       `json:"platform" validate:"required,url"`
-	Seeds       []string     `json:"seeds,omitempty" validate:"dive,ipport"`
-	Listen      Listen       `json:"listen"`
-	Backend     Backend      `json:"backend"`
-	Log         Log          `json:"log"`
-	Distribute  Distribution `json:"distribution"`
+	Node         string       `json:"node" validate:"required,max=128,printascii"`
+	DataCentre   string       `json:"dataCentre" validate:"required,oneofslice=DataCentres"`
+	DataCentres  []string     `json:"dataCentres" validate:"required,min=1,unique,dive,required,max=128"`
+	Platform     string       `json:"platform" validate:"required,url"`
+	Seeds        []string     `json:"seeds,omitempty" validate:"max=64,unique,dive,ipport"`
+	Listen       Listen       `json:"listen"`
+	Backend      Backend      `json:"backend,omitzero"`
+	Distribution Distribution `json:"distribution,omitzero"`
+	Lease        Lease        `json:"lease,omitzero"`
+	Requests     Requests     `json:"requests,omitzero"`
+	Drain        Drain        `json:"drain,omitzero"`
+	TLS          TLS          `json:"tls,omitzero"`
+	Log          Log          `json:"log,omitzero"`
 }
 
 // Listen holds the addresses that a node listens on. Callers and Hop carry
-// requests, Peer carries the links between nodes.
+// requests, Peer carries the links between nodes. Hop and Peer are told to
+// the other nodes, so they are numbers at which those reach this host.
 type Listen struct {
 	Callers string `json:"callers" validate:"required,ipport"`
 	Hop     string `json:"hop" validate:"required,ipport"`
 	Peer    string `json:"peer" validate:"required,ipport"`
-	Admin   string `json:"admin" validate:"required,ipport"`
+	Admin   string `json:"admin,omitempty" validate:"omitempty,ipport"`
 }
 
 // Backend describes the backend server beside the node. Without a service
 // none stands there.
 type Backend struct {
-	Service     string `json:"service,omitempty" validate:"max=128"`
-	Address     string `json:"address,omitempty" validate:"required_with=Service,omitempty,ipport"`
-	Slots       int    `json:"slots,omitempty" validate:"min=0,max=10000"`
-	Connections int    `json:"connections,omitempty" validate:"min=0,max=100000"`
-	HealthPath  string `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
+	Service     string   `json:"service,omitempty" validate:"max=128"`
+	Address     string   `json:"address,omitempty" validate:"required_with=Service,omitempty,ipport"`
+	Slots       int      `json:"slots,omitempty" validate:"min=0,max=10000"`
+	Queue       int      `json:"queue,omitempty" validate:"min=0,max=100000"`
+	Connections int      `json:"connections,omitempty" validate:"min=0,max=100000"`
+	HealthPath  string   `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
+	ProbeEvery  Duration `json:"probeEvery,omitempty" validate:"omitempty,min=50ms,max=1m"`
+	SlowStart   Duration `json:"slowStart,omitempty" validate:"omitempty,min=1ms,max=10m"`
+}
+
+// Distribution says how configuration is spread.
+type Distribution struct {
+	Favour           string   `json:"favour,omitempty" validate:"omitempty,oneof=convergence bytes"`
+	Fanout           int      `json:"fanout,omitempty" validate:"omitempty,min=2,max=1024"`
+	HeartbeatEvery   Duration `json:"heartbeatEvery,omitempty" validate:"omitempty,min=50ms,max=1m"`
+	MissedHeartbeats int      `json:"missedHeartbeats,omitempty" validate:"omitempty,min=2,max=20"`
+	JoinJitter       Duration `json:"joinJitter,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	WatchWait        Duration `json:"watchWait,omitempty" validate:"omitempty,min=1s,max=1m"`
+}
+
+// Lease holds the times of the leases of root and publisher.
+type Lease struct {
+	TTL    Duration `json:"ttl,omitempty" validate:"omitempty,min=1s,max=5m"`
+	Renew  Duration `json:"renew,omitempty" validate:"omitempty,min=100ms,max=2m"`
+	Margin Duration `json:"margin,omitempty" validate:"omitempty,min=10ms,max=1m"`
+}
+
+// Requests says how callers' requests are treated.
+type Requests struct {
+	RetryShare float64 `json:"retryShare,omitempty" validate:"min=0,max=1"`
+}
+
+// Drain bounds the time from a request to end until the process ends.
+type Drain struct {
+	AtLeast Duration `json:"atLeast,omitempty" validate:"omitempty,min=1ms,max=1m"`
+	AtMost  Duration `json:"atMost,omitempty" validate:"omitempty,min=100ms,max=1h"`
+}
+
+// TLS names the PEM files that secure what nodes say to each other. Without
+// them it goes in the clear.
+type TLS struct {
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	CA          string `json:"ca,omitempty"`
 }
 
+// Enabled reports whether links and hops are secured.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
 // Log says how events are written.
 type Log struct {
 	Format string `json:"format,omitempty" validate:"omitempty,oneof=json console"`
 	Level  string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
 
-// Distribution says what the spreading of configuration favours.
-type Distribution struct {
-	Favour string `json:"favour,omitempty" validate:"omitempty,oneof=convergence bytes"`
-	Fanout int    `json:"fanout,omitempty" validate:"min=0,max=1024"`
+// Duration is a time.Duration written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration as in \"1.5s\"", text)
+	}
+	*d = Duration(v)
+	return nil
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
 // Fault is one thing wrong with a settings file.
 type Fault struct {
-	Field  string
+	Field  string // path of the field, as in listen.peer
 	Reason string
 }
 
@@ -89,81 +147,44 @@
 	return Decode(file, data)
 }
 
-// Decode reads and checks settings; file is named in errors.
+// Decode reads and checks settings; file is named in errors. Its error is an
+// *Error with every fault.
 func Decode(file string, data []byte) (Settings, error) {
-	var s Settings
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return Settings{}, fmt.Errorf("%s: at byte %d: %w", file, dec.InputOffset(), err)
-	}
-	return s, Check(file, s)
-}
-
-// Check returns an *Error with every fault, or nil.
-func Check(file string, s Settings) error {
-	v := newValidator()
-	err := v.Struct(s)
-	var invalid validator.ValidationErrors
-	if !errors.As(err, &invalid) {
-		return err
+	faults, err := inspect(data)
+	if err != nil {
+		return Settings{}, &Error{File: file, Faults: []Fault{{Field: "(whole file)", Reason: err.Error()}}}
 	}
-	e := &Error{File: file}
-	for _, f := range invalid {
-		_, field, _ := strings.Cut(f.Namespace(), ".")
-		e.Faults = append(e.Faults, Fault{Field: field, Reason: reason(f, s)})
+	var s Settings
+	if err := json.Unmarshal(data, &s); err != nil && len(faults) == 0 {
+		return Settings{}, &Error{File: file, Faults: []Fault{{Field: "(whole file)", Reason: err.Error()}}}
 	}
-	return e
-}
-
-func newValidator() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
-	must(v.RegisterValidation("oneofslice", inSliceOf))
-	must(v.RegisterValidation("ipport", isAddrPort))
-	return v
-}
-
-// inSliceOf checks that a string is among those of another field.
-func inSliceOf(f validator.FieldLevel) bool {
-	list := f.Parent().FieldByName(f.Param())
-	for i := range list.Len() {
-		if list.Index(i).String() == f.Field().String() {
-			return true
-		}
+	faults = appendNew(faults, check(s))
+	if len(faults) > 0 {
+		return Settings{}, &Error{File: file, Faults: faults}
 	}
-	return false
-}
-
-// isAddrPort checks for an IP number and a port; names are not looked up.
-func isAddrPort(f validator.FieldLevel) bool {
-	_, err := netip.ParseAddrPort(f.Field().String())
-	return err == nil
+	return s, nil
 }
 
-func must(err error) {
-	if err != nil {
-		panic(err)
+// Check returns an *Error with every fault, or nil. name is that of the file
+// in errors.
+func Check(name string, s Settings) error {
+	if faults := check(s); len(faults) > 0 {
+		return &Error{File: name, Faults: faults}
 	}
+	return nil
 }
 
-func reason(f validator.FieldError, s Settings) string {
-	switch f.Tag() {
-	case "required", "required_with":
-		return "is missing"
-	case "ipport":
-		return fmt.Sprintf("%q is not of the form IP:port", f.Value())
-	case "url":
-		return fmt.Sprintf("%q is not a URL", f.Value())
-	case "oneof":
-		return fmt.Sprintf("%q is not one of: %s", f.Value(), f.Param())
-	case "oneofslice":
-		return fmt.Sprintf("%q is not one of dataCentres: %s", f.Value(), strings.Join(s.DataCentres, " "))
-	case "min", "max":
-		return fmt.Sprintf("%v is beyond the %s of %s", f.Value(), f.Tag(), f.Param())
+// appendNew appends the faults of fields that have none yet: a field of the
+// wrong type is also empty, which is not worth a second line.
+func appendNew(faults, more []Fault) []Fault {
+	faulty := map[string]bool{}
+	for _, f := range faults {
+		faulty[f.Field] = true
+	}
+	for _, f := range more {
+		if !faulty[f.Field] {
+			faults = append(faults, f)
+		}
 	}
-	return fmt.Sprintf("%v fails the check %q", f.Value(), f.Tag())
+	return faults
 }
