Measure a node's memory in a process that holds only what a node links

Cause: the resident memory of the capacity program counted the pages of its own plotting and fitting libraries.

Change: internal/capacity/resident is a program of its own; sizes and states of the target are shared in internal/capacity/sizes.

--- a/internal/capacity/cpu.go
+++ b/internal/capacity/cpu.go
@@ -3,14 +3,16 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/peer"
-	"google.golang.org/protobuf/proto"
 )
 
 const second = time.Second
@@ -21,11 +23,11 @@
 	routes, tables, children := []int{100, 1000, 5000}, []int{100, 1000, 5300}, []int{4, 16, 64}
 	return []Slope{
 		measure("check and compile of a whole set, by routes", "ns", routes, func(n int) float64 {
-			set := config.NewSet(1, objects(n))
+			set := config.NewSet(1, sizes.Objects(n))
 			return timeOf(func() { config.Compile(set) })
 		}),
 		measure("encoding of a whole set, by routes", "ns", routes, func(n int) float64 {
-			set := config.NewSet(1, objects(n))
+			set := config.NewSet(1, sizes.Objects(n))
 			return timeOf(func() { _, _, _ = config.EncodeSet(set) })
 		}),
 		measure("delta applied by a node, by routes", "ns", routes, deltaTime),
@@ -34,26 +36,26 @@
 		measure("heartbeat from the parent, by endpoints", "ns", tables, heartbeatTime),
 		measure("report of a child, by children", "ns", children, reportTime),
 		measure("tick, by endpoints", "ns", tables, func(n int) float64 {
-			s, now := joined(n, 1000)
+			s, now := sizes.Joined(n, 1000)
 			return timeOf(func() { s.Reduce(now, core.Tick{}) })
 		}),
 		measure("request in all, by endpoints", "ns", tables, requestTime),
 		measure("lease renewed, by endpoints", "ns", tables, func(int) float64 { return leaseTime() }),
 		measure("message encoded and decoded, by entries", "ns", []int{1, 100, 1000}, func(n int) float64 {
-			m := message.Endpoints{Entries: entries(n)}
+			m := message.Endpoints{Entries: sizes.Entries(n)}
 			return timeOf(func() { roundTrip(m) })
 		}),
 	}
 }
 
 func deltaTime(routes int) float64 {
-	s, now := joined(100, routes)
-	set := config.NewSet(1, objects(routes))
+	s, now := sizes.Joined(100, routes)
+	set := config.NewSet(1, sizes.Objects(routes))
 	deltas := make(chan config.Delta, 4)
 	go func() {
 		for {
 			var d config.Delta
-			d, set = delta(set)
+			d, set = sizes.Delta(set)
 			deltas <- d
 		}
 	}()
@@ -61,27 +63,27 @@
 	for range 24 {
 		d := <-deltas
 		started := time.Now()
-		s.Reduce(now, core.LinkMessage{Link: parentLink, Message: message.ConfigDelta{Delta: d}})
+		s.Reduce(now, core.LinkMessage{Link: sizes.ParentLink, Message: message.ConfigDelta{Delta: d}})
 		best = min(best, float64(time.Since(started).Nanoseconds()))
 	}
 	return best
 }
 
 func entryTime(table, children int) float64 {
-	s, now := joined(table, 100)
-	addChildren(s, now, children)
-	list := entries(table)
+	s, now := sizes.Joined(table, 100)
+	sizes.AddChildren(s, now, children)
+	list := sizes.Entries(table)
 	i := 0
 	return timeOf(func() {
 		e := &list[i%len(list)]
 		e.Sequence++
 		i++
-		s.Reduce(now, core.LinkMessage{Link: parentLink, Message: message.Endpoints{Entries: []endpoint.Entry{*e}}})
+		s.Reduce(now, core.LinkMessage{Link: sizes.ParentLink, Message: message.Endpoints{Entries: []endpoint.Entry{*e}}})
 	})
 }
 
 func heartbeatTime(table int) float64 {
-	s, now := joined(table, 100)
+	s, now := sizes.Joined(table, 100)
 	m := message.Heartbeat{Path: []string{"root"}, Rooted: true, Config: 1}
 	for _, e := range s.Reduce(now.Add(2*second), core.Tick{}) {
 		if send, ok := e.(core.Send); ok {
@@ -90,12 +92,12 @@
 			}
 		}
 	}
-	return timeOf(func() { s.Reduce(now, core.LinkMessage{Link: parentLink, Message: m}) })
+	return timeOf(func() { s.Reduce(now, core.LinkMessage{Link: sizes.ParentLink, Message: m}) })
 }
 
 func reportTime(children int) float64 {
-	s, now := joined(1000, 100)
-	addChildren(s, now, children)
+	s, now := sizes.Joined(1000, 100)
+	sizes.AddChildren(s, now, children)
 	nodes := 0
 	return timeOf(func() {
 		nodes++
@@ -106,7 +108,7 @@
 // requestTime measures the reducer's part of one call: at the entry node and
 // at the backend server's.
 func requestTime(table int) float64 {
-	s, now := joined(table, 1000)
+	s, now := sizes.Joined(table, 1000)
 	id := core.CallID(0)
 	return timeOf(func() {
 		id++
@@ -124,8 +126,8 @@
 
 func leaseTime() float64 {
 	m := lease.New(lease.Config{Holder: "n", TTL: 6 * second, Renew: 2 * second, Margin: second})
-	m.Observe(epoch, lease.Record{}, 0)
-	now, version := epoch, uint64(0)
+	m.Observe(sizes.Start, lease.Record{}, 0)
+	now, version := sizes.Start, uint64(0)
 	return timeOf(func() {
 		now = now.Add(2 * second)
 		if _, due := m.Next(now, true); due {
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -2,7 +2,7 @@
 // docs/CAPACITY.md from them. Memory of a real node is measured in a process
 // of its own for each size:
 //
-//	for n in 100 1000 5300; do go run ./internal/capacity -resident $n -routes 5000 > docs/measurements/resident-$n.json; done
+//	for n in 100 1000 5300; do go run ./internal/capacity/resident -endpoints $n > docs/measurements/resident-$n.json; done
 //	go run ./internal/capacity
 package main
 
@@ -14,21 +14,10 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"time"
-)
 
-// The target size.
-const (
-	targetEndpoints = 5300
-	targetServices  = 130
-	targetPolicies  = 20
-	targetCentres   = 11
-	targetRoutes    = 5000
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 )
 
-// residentWindow is how long a real node's processor time is watched.
-const residentWindow = 10 * time.Second
-
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
@@ -37,17 +26,8 @@
 }
 
 func run() error {
-	endpoints := flag.Int("resident", 0, "measure a real node that holds this many endpoints, print JSON and end")
-	routes := flag.Int("routes", 1000, "routes that the real node holds")
 	docs := flag.String("docs", "docs", "directory of the page")
 	flag.Parse()
-	if *endpoints > 0 {
-		r, err := measureResident(*endpoints, *routes, residentWindow)
-		if err != nil {
-			return err
-		}
-		return json.NewEncoder(os.Stdout).Encode(r)
-	}
 	r, err := measureAll()
 	if err != nil {
 		return err
@@ -80,23 +60,23 @@
 }
 
 // readResident reads what runs of real nodes have printed.
-func readResident(docs string) ([]resident, error) {
+func readResident(docs string) ([]sizes.Resident, error) {
 	files, err := filepath.Glob(filepath.Join(docs, "measurements", "resident-*.json"))
 	if err != nil {
 		return nil, fmt.Errorf("find measurements: %w", err)
 	}
-	var out []resident
+	var out []sizes.Resident
 	for _, f := range files {
 		data, err := os.ReadFile(f)
 		if err != nil {
 			return nil, fmt.Errorf("read measurement: %w", err)
 		}
-		var r resident
+		var r sizes.Resident
 		if err := json.Unmarshal(data, &r); err != nil {
 			return nil, fmt.Errorf("read measurement %s: %w", f, err)
 		}
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b resident) int { return cmp.Compare(a.Endpoints, b.Endpoints) })
+	slices.SortFunc(out, func(a, b sizes.Resident) int { return cmp.Compare(a.Endpoints, b.Endpoints) })
 	return out, nil
 }
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -10,6 +10,7 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 )
 
 // traffic is what one run of a fake mesh cost.
@@ -59,7 +60,7 @@
 	}
 	for i := range n {
 		m.Start(fmt.Sprintf("host-%05d", i), core.Config{
-			DataCentre: fmt.Sprintf("centre-%02d", i%meshCentres), Service: fmt.Sprintf("service-%03d", i%targetServices),
+			DataCentre: fmt.Sprintf("centre-%02d", i%meshCentres), Service: fmt.Sprintf("service-%03d", i%sizes.TargetServices),
 		})
 		m.Run(10 * time.Millisecond)
 	}
@@ -101,11 +102,11 @@
 func submit(m *coretest.Mesh, i int) {
 	var puts []config.Put
 	if i == 0 {
-		for _, o := range objects(200) {
+		for _, o := range sizes.Objects(200) {
 			puts = append(puts, config.Put{Object: o, AnyBase: true})
 		}
 	} else {
-		o := objects(1)[targetPolicies+targetServices]
+		o := sizes.Objects(1)[sizes.TargetPolicies+sizes.TargetServices]
 		o.Spec = json.RawMessage(fmt.Sprintf(`{"pathPrefix":"/service-000/changed-%d","service":"service-000"}`, i))
 		puts = append(puts, config.Put{Object: o, AnyBase: true})
 	}
--- a/internal/capacity/paced.go
+++ b/internal/capacity/paced.go
@@ -11,6 +11,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
@@ -29,12 +30,12 @@
 func paced(rate int, do func()) float64 {
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
-	before, started := cpuTime(), time.Now()
+	before, started := sizes.CPUTime(), time.Now()
 	for time.Since(started) < pacedWindow {
 		<-tick.C
 		do()
 	}
-	return float64(cpuTime()-before) / time.Since(started).Seconds()
+	return float64(sizes.CPUTime()-before) / time.Since(started).Seconds()
 }
 
 // counting is a peer.Handler that counts messages.
@@ -64,7 +65,7 @@
 		return Slope{}, fmt.Errorf("dial: %w", err)
 	}
 	defer link.Close()
-	m := message.Endpoints{Entries: []endpoint.Entry(entries(1))}
+	m := message.Endpoints{Entries: []endpoint.Entry(sizes.Entries(1))}
 	return measure("link message sent and received, by messages a second", "ns", pacedRates, func(rate int) float64 {
 		return paced(rate, func() { _ = link.Send(m) })
 	}), nil
@@ -91,7 +92,7 @@
 
 // tickSlope measures the processor time of the timer that drives a reducer.
 func tickSlope() (Slope, error) {
-	s, now := joined(targetEndpoints, 1000)
+	s, now := sizes.Joined(sizes.TargetEndpoints, 1000)
 	return measure("timer and tick, by ticks a second", "ns", pacedRates, func(rate int) float64 {
 		return paced(rate, func() { s.Reduce(now, core.Tick{}) })
 	}), nil
--- a/internal/capacity/resident.go
+++ b/internal/capacity/resident/main.go
@@ -1,7 +1,11 @@
+// Command resident runs one real node that holds a number of endpoints and
+// routes, and prints what its process uses as JSON.
 package main
 
 import (
 	"context"
+	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,27 +13,34 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/settings"
 )
 
-// resident is what a real node uses at a size: the whole process, with its
-// listeners and links, and the platform stand-in beside it.
-type resident struct {
-	Endpoints int
-	Routes    int
-	Bytes     float64 // resident memory of the process
-	Private   float64 // of it, what no other process can share
-	CoreShare float64 // share of one core while nothing but control goes on
+// window is how long the node's processor time is watched.
+const window = 10 * time.Second
+
+func main() {
+	endpoints := flag.Int("endpoints", sizes.TargetEndpoints, "endpoints that the node holds")
+	routes := flag.Int("routes", sizes.TargetRoutes, "routes that the node holds")
+	flag.Parse()
+	r, err := measure(*endpoints, *routes)
+	if err == nil {
+		err = json.NewEncoder(os.Stdout).Encode(r)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "resident:", err)
+		os.Exit(1)
+	}
 }
 
 // silent is a peer.Handler that feeds a node and ignores what it says.
@@ -39,11 +50,11 @@
 func (silent) Received(any, message.Message) {}
 func (silent) Down(any, string)              {}
 
-// measureResident runs one node that holds endpoints and routes. The process
+// measure runs one node that holds endpoints and routes. The process
 // ends with it: memory is only comparable in a fresh process, so each size is
 // a run of its own.
-func measureResident(endpoints, routes int, window time.Duration) (resident, error) {
-	r := resident{Endpoints: endpoints, Routes: routes}
+func measure(endpoints, routes int) (sizes.Resident, error) {
+	r := sizes.Resident{Endpoints: endpoints, Routes: routes}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return r, fmt.Errorf("platform stand-in: %w", err)
@@ -71,9 +82,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	debug.FreeOSMemory()
-	before := cpuTime()
+	before := sizes.CPUTime()
 	time.Sleep(window)
-	r.CoreShare = float64(cpuTime()-before) / float64(window)
+	r.CoreShare = float64(sizes.CPUTime()-before) / float64(window)
 	if r.Bytes, err = memoryOf("VmRSS:"); err != nil {
 		return r, err
 	}
@@ -90,8 +101,8 @@
 // feed tells a node a configuration and a table, as another root would.
 func feed(address string, endpoints, routes int) error {
 	transport := peer.NewTransport(peer.Config{}, silent{})
-	set := config.NewSet(1, objects(routes))
-	list := entries(endpoints)
+	set := config.NewSet(1, sizes.Objects(routes))
+	list := sizes.Entries(endpoints)
 	err := transport.Dial(context.Background(), address, func(l *peer.Link) any {
 		for _, m := range []message.Message{
 			message.Hello{Node: "feeder", DataCentre: "centre-01", Peer: "127.0.0.1:1", Kind: message.Root, Config: 1, ConfigHash: set.Hash()},
@@ -117,15 +128,6 @@
 	}
 }
 
-// cpuTime returns the processor time used by this process so far.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		panic(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // memoryOf returns one of the memory sizes of this process, in bytes.
 func memoryOf(field string) (float64, error) {
 	data, err := os.ReadFile("/proc/self/status")
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 )
 
 // Deployment is a size to work out.
@@ -35,7 +36,7 @@
 	return []Deployment{
 		{"Hobbard & Lyle, today", 20, 4, 4, 20, 40, 4, 0.1, 400, 2, beats, float64(cfg.Fanout)},
 		{"Haenim, today", 17, 3, 4, 20, 40, 4, 0.1, 400, 2, beats, float64(cfg.Fanout)},
-		{"target", targetEndpoints, targetCentres, targetServices, targetRoutes, 8100, 470, 8, 1.3e6, 1, beats, float64(cfg.Fanout)},
+		{"target", sizes.TargetEndpoints, sizes.TargetCentres, sizes.TargetServices, sizes.TargetRoutes, 8100, 470, 8, 1.3e6, 1, beats, float64(cfg.Fanout)},
 	}
 }
 
@@ -43,7 +44,7 @@
 type Results struct {
 	Slopes   []Slope
 	Mesh     []traffic
-	Resident []resident
+	Resident []sizes.Resident
 	byName   map[string]Slope
 }
 
--- a/internal/capacity/build.go
+++ b/internal/capacity/sizes/sizes.go
@@ -1,8 +1,10 @@
-package main
+// Package sizes makes states and messages of the target size for measurements.
+package sizes
 
 import (
 	"encoding/json"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core"
@@ -11,28 +13,37 @@
 	"github.com/agatekeel/agatekeel/core/message"
 )
 
-// epoch is the time at which measured reducers start.
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+// The target size.
+const (
+	TargetEndpoints = 5300
+	TargetServices  = 130
+	TargetPolicies  = 20
+	TargetCentres   = 11
+	TargetRoutes    = 5000
+)
+
+// Start is the time at which measured reducers start.
+var Start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// entries returns n endpoint entries in 130 services and 11 data centres,
+// Entries returns n endpoint entries in 130 services and 11 data centres,
 // with names and addresses as long as real ones.
-func entries(n int) []endpoint.Entry {
+func Entries(n int) []endpoint.Entry {
 	out := make([]endpoint.Entry, 0, n)
 	for i := range n {
 		host := fmt.Sprintf("10.%d.%d.%d", i/65536, i/256%256, i%256)
 		out = append(out, endpoint.Entry{
-			ID: fmt.Sprintf("host-%05d", i), Service: fmt.Sprintf("service-%03d", i%targetServices),
-			DataCentre: fmt.Sprintf("centre-%02d", i%targetCentres), Peer: host + ":7001", Hop: host + ":7002",
-			Incarnation: endpoint.Incarnation{Start: epoch.UnixMilli() + int64(i), Random: uint32(i) * 2654435761},
+			ID: fmt.Sprintf("host-%05d", i), Service: fmt.Sprintf("service-%03d", i%TargetServices),
+			DataCentre: fmt.Sprintf("centre-%02d", i%TargetCentres), Peer: host + ":7001", Hop: host + ":7002",
+			Incarnation: endpoint.Incarnation{Start: Start.UnixMilli() + int64(i), Random: uint32(i) * 2654435761},
 			Sequence:    3, State: endpoint.Ready, Slots: 6,
 		})
 	}
 	return out
 }
 
-// objects returns a set's objects: 130 services, 20 policies and n routes of
+// Objects returns a set's Objects: 130 services, 20 policies and n routes of
 // about the size of those in examples.
-func objects(routes int) []config.Object {
+func Objects(routes int) []config.Object {
 	var out []config.Object
 	add := func(kind config.Kind, name string, spec any) {
 		data, err := json.Marshal(spec)
@@ -41,23 +52,23 @@
 		}
 		out = append(out, config.Object{Kind: kind, Name: name, Version: 1, Author: "operator", Spec: data})
 	}
-	for i := range targetPolicies {
+	for i := range TargetPolicies {
 		add(config.KindPolicy, fmt.Sprintf("policy-%02d", i), config.PolicySpec{Priority: config.PriorityInteractive, TimeoutMillis: 1000 + i})
 	}
-	for i := range targetServices {
-		add(config.KindService, fmt.Sprintf("service-%03d", i), config.ServiceSpec{Policy: fmt.Sprintf("policy-%02d", i%targetPolicies)})
+	for i := range TargetServices {
+		add(config.KindService, fmt.Sprintf("service-%03d", i), config.ServiceSpec{Policy: fmt.Sprintf("policy-%02d", i%TargetPolicies)})
 	}
 	for i := range routes {
 		add(config.KindRoute, fmt.Sprintf("route-%05d", i), config.RouteSpec{
-			PathPrefix: fmt.Sprintf("/service-%03d/resource-%05d", i%targetServices, i),
-			Methods:    []string{"GET", "POST"}, Service: fmt.Sprintf("service-%03d", i%targetServices),
+			PathPrefix: fmt.Sprintf("/service-%03d/resource-%05d", i%TargetServices, i),
+			Methods:    []string{"GET", "POST"}, Service: fmt.Sprintf("service-%03d", i%TargetServices),
 		})
 	}
 	return out
 }
 
-// delta returns a change of one route from version to version+1.
-func delta(set *config.Set) (config.Delta, *config.Set) {
+// Delta returns a change of one route from version to version+1.
+func Delta(set *config.Set) (config.Delta, *config.Set) {
 	changed := config.NewSet(set.Version+1, set.Sorted())
 	k := config.Key{Kind: config.KindRoute, Name: "route-00000"}
 	o := changed.Objects[k]
@@ -73,13 +84,13 @@
 	return config.Diff(set, changed), changed
 }
 
-// parentLink is the link of a joined node to its parent.
-const parentLink = core.LinkID(2)
+// ParentLink is the link of a Joined node to its parent.
+const ParentLink = core.LinkID(2)
 
-// joined returns a node that has a parent, a table and a configuration, and
+// Joined returns a node that has a parent, a table and a configuration, and
 // the time that its reducer has reached.
-func joined(table, routes int) (*core.State, time.Time) {
-	now := epoch
+func Joined(table, routes int) (*core.State, time.Time) {
+	now := Start
 	s := core.New(core.Config{Node: "measured", DataCentre: "centre-00", Peer: "10.9.0.1:7001", Hop: "10.9.0.1:7002", Service: "service-000"})
 	reduce := func(e core.Event) []core.Effect { return s.Reduce(now, e) }
 	lease := []byte(`{"holder":"root","address":"10.9.0.2:7001","epoch":1,"round":1}`)
@@ -89,17 +100,17 @@
 		}
 	}
 	reduce(core.BackendProbed{OK: true})
-	reduce(core.LinkUp{Link: parentLink, Dialled: true})
-	set := config.NewSet(1, objects(routes))
-	say := func(m message.Message) { reduce(core.LinkMessage{Link: parentLink, Message: m}) }
+	reduce(core.LinkUp{Link: ParentLink, Dialled: true})
+	set := config.NewSet(1, Objects(routes))
+	say := func(m message.Message) { reduce(core.LinkMessage{Link: ParentLink, Message: m}) }
 	say(message.Welcome{Node: "root", DataCentre: "centre-00", Path: []string{"root"}, Config: 1, Rooted: true})
 	say(message.ConfigWhole{Version: 1, Hash: set.Hash(), Objects: set.Sorted()})
-	say(message.Endpoints{Entries: entries(table)})
+	say(message.Endpoints{Entries: Entries(table)})
 	return s, now
 }
 
-// addChildren links n children to a node.
-func addChildren(s *core.State, now time.Time, n int) {
+// AddChildren links n children to a node.
+func AddChildren(s *core.State, now time.Time, n int) {
 	for i := range n {
 		link := core.LinkID(2*i + 1)
 		s.Reduce(now, core.LinkUp{Link: link})
@@ -108,3 +119,22 @@
 		}})
 	}
 }
+
+// Resident is what a real node uses at a size: the whole process, with its
+// listeners and links, and the platform stand-in beside it.
+type Resident struct {
+	Endpoints int
+	Routes    int
+	Bytes     float64 // resident memory of the process
+	Private   float64 // of it, what no other process can share
+	CoreShare float64 // share of one core while nothing but control goes on
+}
+
+// CPUTime returns the processor time used by this process so far.
+func CPUTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/peer"
 )
 
@@ -28,13 +29,13 @@
 func wireSlopes() []Slope {
 	return []Slope{
 		measure("endpoint entries", "B", []int{1, 100, 1000}, func(n int) float64 {
-			return wireBytes(message.Endpoints{Entries: entries(n)})
+			return wireBytes(message.Endpoints{Entries: sizes.Entries(n)})
 		}),
 		measure("delta, by objects changed", "B", []int{1, 4, 16}, func(n int) float64 {
-			return wireBytes(message.ConfigDelta{Delta: config.Delta{From: 1, To: 2, Hash: 1 << 60, Puts: objects(100)[150 : 150+n]}})
+			return wireBytes(message.ConfigDelta{Delta: config.Delta{From: 1, To: 2, Hash: 1 << 60, Puts: sizes.Objects(100)[150 : 150+n]}})
 		}),
 		measure("whole set, by routes", "B", []int{100, 1000, 5000}, func(n int) float64 {
-			return wireBytes(message.ConfigWhole{Version: 9, Hash: 1 << 60, Objects: objects(n)})
+			return wireBytes(message.ConfigWhole{Version: 9, Hash: 1 << 60, Objects: sizes.Objects(n)})
 		}),
 		measure("heartbeat, by depth of the tree", "B", []int{1, 2, 4}, func(n int) float64 {
 			path := make([]string, n)
