Add TLS between nodes by PEM files that are read again when they change

Cause: links and requests between nodes went in the clear, to and from anybody. Change: package security reads certificate, key and CA, and looks at each handshake whether they changed; what can't be read leaves the last reading in use. Both ends show certificates of the CA; a link names the node of the other end's certificate, and a refused handshake is told with address and reason. Messages and bytes are counted by type and direction by gRPC's stats handler.

--- /dev/null
+++ b/peer/identity.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/grpc/credentials"
+	grpcpeer "google.golang.org/grpc/peer"
+
+	"github.com/agatekeel/agatekeel/security"
+)
+
+// Identity is what a link knows of its other end by itself.
+type Identity struct {
+	Address string // IP:port
+	Node    string // as its certificate says; empty without TLS
+}
+
+// identityOf returns the Identity of a stream's other end.
+func identityOf(ctx context.Context) Identity {
+	p, ok := grpcpeer.FromContext(ctx)
+	if !ok {
+		return Identity{}
+	}
+	id := Identity{Address: p.Addr.String()}
+	if info, ok := p.AuthInfo.(credentials.TLSInfo); ok {
+		id.Node = security.Name(info.State)
+	}
+	return id
+}
+
+// NewCredentials returns the two ends' credentials for a Config. refused is
+// told of each connection that is turned away, with its address.
+func NewCredentials(c *security.Credentials, refused func(address string, reason error)) (server, client credentials.TransportCredentials) {
+	server = reporting{TransportCredentials: credentials.NewTLS(c.Server(alpn)), refused: refused}
+	return server, credentials.NewTLS(c.Client(alpn))
+}
+
+// alpn is the protocol that gRPC speaks.
+const alpn = "h2"
+
+// reporting tells of handshakes that fail.
+type reporting struct {
+	credentials.TransportCredentials
+	refused func(address string, reason error)
+}
+
+// ServerHandshake implements credentials.TransportCredentials.
+func (r reporting) ServerHandshake(conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	secured, info, err := r.TransportCredentials.ServerHandshake(conn)
+	if err != nil {
+		r.refused(conn.RemoteAddr().String(), err)
+	}
+	return secured, info, err
+}
+
+// Clone implements credentials.TransportCredentials.
+func (r reporting) Clone() credentials.TransportCredentials {
+	return reporting{TransportCredentials: r.TransportCredentials.Clone(), refused: r.refused}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
@@ -48,8 +49,13 @@
 	mu     sync.Mutex
 	closed bool
 	queue  chan *pb.Frame
+	other  Identity // known from the first message on
 }
 
+// Other returns what the link knows of its other end. It may be called by
+// Handler.Received alone.
+func (l *Link) Other() Identity { return l.other }
+
 func newLink(cancel context.CancelFunc) *Link {
 	return &Link{cancel: cancel, queue: make(chan *pb.Frame, queuedMessages)}
 }
@@ -108,12 +114,15 @@
 // read hands every message to the handler until the stream ends, and returns
 // why it ended.
 func (l *Link) read(s stream, link any, h Handler) string {
-	for {
+	for first := true; ; first = false {
 		f, err := s.Recv()
 		if err != nil {
 			l.Close()
 			return err.Error()
 		}
+		if first {
+			l.other = identityOf(s.Context())
+		}
 		m, err := Decode(f)
 		if err != nil {
 			continue // from a newer node: what we don't know can't be meant for us
@@ -128,6 +137,7 @@
 	handler Handler
 	server  *grpc.Server
 	creds   credentials.TransportCredentials
+	traffic *traffic // nil: not counted
 	wg      sync.WaitGroup
 }
 
@@ -135,6 +145,8 @@
 type Config struct {
 	// Server and Client secure links; nil: in the clear.
 	Server, Client credentials.TransportCredentials
+	// Metrics counts messages and bytes by type; nil: not counted.
+	Metrics metrics.Registry
 }
 
 // NewTransport returns a Transport that tells h of its links.
@@ -149,6 +161,10 @@
 	if cfg.Server != nil {
 		opts = append(opts, grpc.Creds(cfg.Server))
 	}
+	if cfg.Metrics != nil {
+		t.traffic = newTraffic(cfg.Metrics)
+		opts = append(opts, grpc.StatsHandler(t.traffic))
+	}
 	t.server = grpc.NewServer(opts...)
 	pb.RegisterPeerServer(t.server, t)
 	return t
@@ -190,9 +206,14 @@
 // Dial opens a link to a node. It returns when the stream is open or failed;
 // opened is called before the first message is read.
 func (t *Transport) Dial(ctx context.Context, address string, opened func(*Link) (link any)) error {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(t.creds),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
-		grpc.WithWriteBufferSize(16<<10), grpc.WithReadBufferSize(16<<10))
+	opts := []grpc.DialOption{
+		grpc.WithTransportCredentials(t.creds), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
+		grpc.WithWriteBufferSize(16 << 10), grpc.WithReadBufferSize(16 << 10),
+	}
+	if t.traffic != nil {
+		opts = append(opts, grpc.WithStatsHandler(t.traffic))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
--- /dev/null
+++ b/peer/secure_test.go
@@ -0,0 +1,119 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/security"
+	"github.com/agatekeel/agatekeel/security/securitytest"
+)
+
+// end is one end of links: it tells of the first message and of the end.
+type end struct {
+	accepted chan *peer.Link
+	received chan received
+	down     chan string
+}
+
+// received is a message and who sent it.
+type received struct {
+	message message.Message
+	from    peer.Identity
+}
+
+func newEnd() *end {
+	return &end{accepted: make(chan *peer.Link, 8), received: make(chan received, 8), down: make(chan string, 8)}
+}
+
+func (e *end) Accepted(l *peer.Link) any {
+	e.accepted <- l
+	return l
+}
+
+func (e *end) Received(link any, m message.Message) {
+	e.received <- received{m, link.(*peer.Link).Other()}
+}
+
+func (e *end) Down(_ any, reason string) { e.down <- reason }
+
+type silent struct{}
+
+func (silent) CertificatesRead(string, time.Time) {}
+func (silent) CertificatesRefused(error)          {}
+
+// transport returns a Transport with the certificate of a node.
+func transport(t *testing.T, a *securitytest.Authority, node string, e *end, refused chan string, r metrics.Registry) *peer.Transport {
+	t.Helper()
+	c, err := security.Load(a.Write(t.TempDir(), node), silent{})
+	is.New(t).NoErr(err)
+	cfg := peer.Config{Metrics: r}
+	cfg.Server, cfg.Client = peer.NewCredentials(c, func(_ string, reason error) { refused <- reason.Error() })
+	tr := peer.NewTransport(cfg, e)
+	t.Cleanup(tr.Stop)
+	return tr
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, tr *peer.Transport) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	go func() { _ = tr.Serve(l) }()
+	return l.Addr().String()
+}
+
+func TestLinkNamesTheNodeOfTheCertificate(t *testing.T) {
+	is := is.New(t)
+	ca, ours, theirs, registry := securitytest.New(t, "ca"), newEnd(), newEnd(), metrics.NewRegistry()
+	address := serve(t, transport(t, ca, "a", ours, nil, registry))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client := transport(t, ca, "b", theirs, nil, nil)
+	var link *peer.Link
+	is.NoErr(client.Dial(ctx, address, func(l *peer.Link) any {
+		link = l
+		return l
+	}))
+	is.NoErr(link.Send(message.ConfigWanted{Have: 7}))
+	got := <-ours.received
+	is.Equal(got.message, message.ConfigWanted{Have: 7})
+	is.Equal(got.from.Node, "b")
+	is.NoErr((<-ours.accepted).Send(message.ConfigWanted{Have: 8}))
+	is.Equal((<-theirs.received).from.Node, "a")
+	cancel()
+	<-ours.down
+
+	is.Equal(registry.Get("peer.in.config_wanted.messages").(metrics.Counter).Count(), int64(1))
+	is.Equal(registry.Get("peer.out.config_wanted.messages").(metrics.Counter).Count(), int64(1))
+	bytes := registry.Get("peer.in.config_wanted.bytes").(metrics.Counter).Count()
+	is.True(bytes > 5 && bytes < 20) // the header of gRPC and a few bytes
+}
+
+func TestNodeWithoutARightCertificateIsRefused(t *testing.T) {
+	ca, other := securitytest.New(t, "ca"), securitytest.New(t, "other")
+	server, refused := newEnd(), make(chan string, 8)
+	address := serve(t, transport(t, ca, "a", server, refused, nil))
+	dialled := func(*peer.Link) any { return nil }
+	tests := []struct {
+		name   string
+		client *peer.Transport
+	}{
+		{"of another CA", transport(t, other, "b", newEnd(), nil, nil)},
+		{"in the clear", peer.NewTransport(peer.Config{}, newEnd())},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(tt.client.Dial(context.Background(), address, dialled) != nil) // no link
+			is.True(<-refused != "")                                               // the server tells why
+			is.Equal(len(server.accepted), 0)
+		})
+	}
+}
--- /dev/null
+++ b/security/security_test.go
@@ -0,0 +1,171 @@
+package security_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/security"
+	"github.com/agatekeel/agatekeel/security/securitytest"
+)
+
+// observed gathers what an Observer is told.
+type observed struct {
+	read    []string
+	refused []error
+}
+
+func (o *observed) CertificatesRead(name string, _ time.Time) { o.read = append(o.read, name) }
+func (o *observed) CertificatesRefused(err error)             { o.refused = append(o.refused, err) }
+
+func load(t *testing.T, files security.Files) *security.Credentials {
+	t.Helper()
+	c, err := security.Load(files, &observed{})
+	is.New(t).NoErr(err)
+	return c
+}
+
+// handshake connects a client to a server and returns what each end says, and
+// the names that they saw.
+func handshake(t *testing.T, server, client *tls.Config) (sawClient, sawServer string, serverErr, clientErr error) {
+	t.Helper()
+	a, b := connection(t)
+	deadline := time.Now().Add(10 * time.Second)
+	_, _ = a.SetDeadline(deadline), b.SetDeadline(deadline)
+	s, c := tls.Server(a, server), tls.Client(b, client)
+	done := make(chan error, 1)
+	go func() {
+		err := s.Handshake()
+		if err == nil {
+			_, err = s.Write([]byte("x"))
+		}
+		_ = a.Close()
+		done <- err
+	}()
+	clientErr = c.Handshake()
+	if clientErr == nil {
+		_, clientErr = c.Read(make([]byte, 1)) // a refusal of the client comes after its handshake
+	}
+	_ = b.Close()
+	serverErr = <-done
+	return security.Name(s.ConnectionState()), security.Name(c.ConnectionState()), serverErr, clientErr
+}
+
+// connection returns the two ends of a connection over loopback.
+func connection(t *testing.T) (server, client net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	client, err = net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	server, err = l.Accept()
+	is.NoErr(err)
+	return server, client
+}
+
+func TestHandshakes(t *testing.T) {
+	ours, theirs := securitytest.New(t, "ours"), securitytest.New(t, "theirs")
+	server := load(t, ours.Write(t.TempDir(), "a"))
+	good := load(t, ours.Write(t.TempDir(), "b"))
+	tests := []struct {
+		name           string
+		server, client *tls.Config
+		refused        string // by either end; empty: they connect
+	}{
+		{"right certificates", server.Server(), good.Client(), ""},
+		{"client of another CA", server.Server(), withRoots(t, theirs, ours), "unknown authority"},
+		{"client without a certificate", server.Server(), &tls.Config{InsecureSkipVerify: true}, "didn't provide a certificate"},
+		{"server of another CA", load(t, theirs.Write(t.TempDir(), "a")).Server(), good.Client(), "unknown authority"},
+		{"certificate for servers as client", server.Server(),
+			load(t, ours.Write(t.TempDir(), "b", x509.ExtKeyUsageServerAuth)).Client(), "incompatible key usage"},
+		{"certificate for clients as server",
+			load(t, ours.Write(t.TempDir(), "a", x509.ExtKeyUsageClientAuth)).Server(), good.Client(), "incompatible key usage"},
+		{"old protocol", server.Server(), &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS12}, "protocol version"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sawClient, sawServer, serverErr, clientErr := handshake(t, tt.server, tt.client)
+			if tt.refused == "" {
+				is.NoErr(serverErr)
+				is.NoErr(clientErr)
+				is.Equal(sawClient, "b")
+				is.Equal(sawServer, "a")
+				return
+			}
+			is.True(serverErr != nil || clientErr != nil)
+			text := errorText(serverErr) + errorText(clientErr)
+			is.True(strings.Contains(text, tt.refused)) // the reason is told
+		})
+	}
+}
+
+// withRoots returns a client of one authority that trusts another's servers.
+func withRoots(t *testing.T, signer, trusted *securitytest.Authority) *tls.Config {
+	files := signer.Write(t.TempDir(), "b")
+	files.CA = trusted.Write(t.TempDir(), "b").CA
+	return load(t, files).Client()
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func TestChangedFilesAreReadAgain(t *testing.T) {
+	is := is.New(t)
+	dir, o := t.TempDir(), &observed{}
+	old, next := securitytest.New(t, "old"), securitytest.New(t, "next")
+	files := old.Write(dir, "a")
+	c, err := security.Load(files, o)
+	is.NoErr(err)
+	client := load(t, next.Write(t.TempDir(), "b"))
+	_, _, _, clientErr := handshake(t, c.Server(), client.Client())
+	is.True(clientErr != nil) // another CA
+
+	next.Write(dir, "a")
+	later(t, files)
+	_, _, serverErr, clientErr := handshake(t, c.Server(), client.Client())
+	is.NoErr(serverErr)
+	is.NoErr(clientErr) // the new files are in use without a restart
+	is.Equal(o.read, []string{"a", "a"})
+
+	is.NoErr(os.WriteFile(files.Key, []byte("torn"), 0o600))
+	later(t, files)
+	_, _, serverErr, clientErr = handshake(t, c.Server(), client.Client())
+	is.NoErr(serverErr)
+	is.NoErr(clientErr) // what was read before stays in use
+	is.Equal(len(o.refused), 1)
+}
+
+// later moves the times of the files on, as a later write would.
+func later(t *testing.T, files security.Files) {
+	t.Helper()
+	for _, f := range []string{files.Certificate, files.Key, files.CA} {
+		info, err := os.Stat(f)
+		is.New(t).NoErr(err)
+		when := info.ModTime().Add(time.Minute)
+		is.New(t).NoErr(os.Chtimes(f, when, when))
+	}
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	is := is.New(t)
+	files := securitytest.New(t, "ca").Write(t.TempDir(), "a")
+	is.NoErr(os.WriteFile(files.CA, []byte("no certificate"), 0o600))
+	_, err := security.Load(files, &observed{})
+	is.True(strings.Contains(err.Error(), files.CA+" holds no certificate"))
+	is.NoErr(os.Remove(files.Key))
+	_, err = security.Load(files, &observed{})
+	is.True(strings.Contains(err.Error(), files.Key))
+}
