Tell the whole state, metrics and numbered events of a process

Cause: the dump left out leases, the publisher's work, queues, balance and the runtime; metrics were two; events had no catalogue, and five were never written. Change: core.Dump and /debug/state hold them; /metrics counts requests by class and outcome, refusals by reason, platform calls by kind and outcome, messages by type, versions and convergence, each named in docs/operations/metrics.md and held to it by a test both ways. docs/EVENTS.md holds number, level, text, fields, meaning and remedy of each event, held to core/notice by a test. TLS is wired by settings: a node that gives another name than its certificate is refused, with a test, as is a hop without a certificate.

--- /dev/null
+++ b/cmd/agatekeel/tls_test.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/security"
+	"github.com/agatekeel/agatekeel/security/securitytest"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// startSecured starts two nodes with TLS, one beside orders and one beside
+// scaler, and puts the sample objects in force.
+func startSecured(t *testing.T, ca *securitytest.Authority) (*mesh, []*sample.Backend) {
+	t.Helper()
+	is := is.New(t)
+	m := &mesh{}
+	t.Cleanup(m.close)
+	is.NoErr(m.servePlatform("127.0.0.1:0"))
+	var backends []*sample.Backend
+	for _, service := range []string{"orders", "scaler"} {
+		b, err := sample.Start(service, service)
+		is.NoErr(err)
+		backends = append(backends, b)
+		m.closers = append(m.closers, b.Close)
+		files := ca.Write(t.TempDir(), service)
+		n, err := startNode(settings.Settings{
+			Node: service, DataCentre: "derby", DataCentres: []string{"derby"}, Platform: m.platform,
+			Listen:  settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+			Backend: settings.Backend{Service: service, Address: b.Address(), Slots: 2},
+			TLS:     settings.TLS{Certificate: files.Certificate, Key: files.Key, CA: files.CA},
+			Log:     settings.Log{Level: "error"},
+		})
+		is.NoErr(err)
+		m.nodes, m.listeners = append(m.nodes, n.node), append(m.listeners, n.listeners)
+		m.closers = append(m.closers, func() { _ = n.stop() })
+	}
+	src, err := readObjects([]string{"../../examples/recipes"})
+	is.NoErr(err)
+	is.NoErr(applyObjects(m.platform, src, nil))
+	return m, backends
+}
+
+func TestRequestsBetweenNodesOverTLS(t *testing.T) {
+	is := is.New(t)
+	m, backends := startSecured(t, securitytest.New(t, "ca"))
+	resp, err := http.Get("http://" + m.listeners[0].Callers.Addr().String() + "/scaler/recipes/1")
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(json.Valid(body))
+	is.Equal(backends[1].Ran(), int64(1)) // it ran beside the other node
+
+	// The hop takes nobody without a certificate.
+	hop := m.listeners[1].Hop.Addr().String()
+	resp, err = http.Get("http://" + hop + "/scaler/recipes/1")
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusBadRequest) // told to speak TLS
+	bare := http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	_, err = bare.Get("https://" + hop + "/scaler/recipes/1")
+	is.True(err != nil)
+	is.Equal(backends[1].Ran(), int64(1))
+}
+
+// impostor is the end of a link that says nothing by itself.
+type impostor struct {
+	received chan message.Message
+	down     chan string
+}
+
+func (i impostor) Accepted(*peer.Link) any           { return nil }
+func (i impostor) Received(_ any, m message.Message) { i.received <- m }
+func (i impostor) Down(_ any, reason string)         { i.down <- reason }
+func (impostor) CertificatesRead(string, time.Time)  {}
+func (impostor) CertificatesRefused(error)           {}
+
+func TestNodeThatGivesAnotherNameIsRefused(t *testing.T) {
+	ca := securitytest.New(t, "ca")
+	m, _ := startSecured(t, ca)
+	var root string // of the two, one is root and takes children
+	for i, n := range m.nodes {
+		if n.Dump().Phase == "root" {
+			root = m.listeners[i].Peer.Addr().String()
+		}
+	}
+	for _, tt := range []struct {
+		name    string
+		refused bool
+	}{{"print-room", false}, {"recipe-book", true}} {
+		t.Run("calls itself "+tt.name, func(t *testing.T) {
+			is := is.New(t)
+			i := impostor{received: make(chan message.Message, 64), down: make(chan string, 1)}
+			c, err := security.Load(ca.Write(t.TempDir(), "print-room"), i)
+			is.NoErr(err)
+			cfg := peer.Config{}
+			cfg.Server, cfg.Client = peer.NewCredentials(c, func(string, error) {})
+			transport := peer.NewTransport(cfg, i)
+			defer transport.Stop()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var link *peer.Link
+			is.NoErr(transport.Dial(ctx, root, func(l *peer.Link) any {
+				link = l
+				return nil
+			}))
+			is.NoErr(link.Send(message.Hello{Node: tt.name, DataCentre: "derby", Peer: "127.0.0.1:1", Kind: message.Child}))
+			select {
+			case got := <-i.received:
+				_, welcome := got.(message.Welcome)
+				is.True(welcome && !tt.refused)
+			case reason := <-i.down:
+				is.True(tt.refused)
+				is.True(!strings.Contains(reason, "certificate")) // the handshake was right, the name was not
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/dump.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/status"
+)
+
+// DumpRoles is the part of a Dump that tells of the roles of a node and of
+// what is under way.
+type DumpRoles struct {
+	Leases     []DumpLease             `json:"leases"`
+	OtherRoots map[string]lease.Record `json:"otherRoots,omitempty"` // by data centre, as a root knows them
+	Fetching   uint64                  `json:"fetching,omitempty"`   // version that is being read from the platform
+	Publishing *DumpPublisher          `json:"publishing,omitempty"`
+	StoreCalls int                     `json:"storeCalls"` // under way
+	Platform   DumpPlatform            `json:"platform"`
+	Requests   []DumpCall              `json:"requests"`
+	Balance    []balance.View          `json:"balance"`
+	Attempts   DumpAttempts            `json:"attempts"`
+	Settings   Config                  `json:"settings"`
+}
+
+// DumpLease is a lease as this node last saw it.
+type DumpLease struct {
+	Name    string       `json:"name"`
+	Record  lease.Record `json:"record"`
+	Known   bool         `json:"known"`   // the object exists
+	Held    bool         `json:"held"`    // by this node
+	Expired bool         `json:"expired"` // this node may take it
+}
+
+// DumpPublisher is the work of the publisher.
+type DumpPublisher struct {
+	Version  uint64          `json:"version"` // of the head
+	Epoch    uint64          `json:"epoch"`
+	Listed   bool            `json:"listed"`
+	Watching bool            `json:"watching"`
+	AtWork   string          `json:"atWork,omitempty"` // submission
+	Queue    []string        `json:"queue"`            // submissions that wait for their turn
+	Awaited  []status.Status `json:"awaited"`          // accepted and not yet in force
+}
+
+// DumpPlatform tells how the platform is seen.
+type DumpPlatform struct {
+	Down    bool `json:"down"`
+	Retries int  `json:"retries"` // reads that wait to be tried again
+}
+
+// DumpCall is one caller's request under way.
+type DumpCall struct {
+	Call     CallID    `json:"call"`
+	Method   string    `json:"method"`
+	Route    string    `json:"route"`
+	Target   string    `json:"target"`
+	Attempts int       `json:"attempts"`
+	Deadline time.Time `json:"deadline"`
+}
+
+// DumpAttempts is what the own backend server's node keeps of attempts.
+type DumpAttempts struct {
+	Remembered int `json:"remembered"` // IDs of which a late copy would be refused
+	Origins    int `json:"origins"`    // processes that sent them
+}
+
+// dumpedCalls bounds the requests of a Dump.
+const dumpedCalls = 1000
+
+func (s *State) dumpRoles() DumpRoles {
+	d := DumpRoles{
+		Leases: []DumpLease{
+			s.dumpLease(rootLeasePrefix+s.cfg.DataCentre, s.member.lease), s.dumpLease(publisherLeaseKey, s.publisher.lease),
+		},
+		OtherRoots: s.root.others, StoreCalls: len(s.calls),
+		Platform: DumpPlatform{Down: s.platform.down, Retries: len(s.platform.retries)},
+		Requests: []DumpCall{}, Balance: s.requests.balancer.Views(),
+		Settings: s.cfg,
+	}
+	d.Attempts.Remembered, d.Attempts.Origins = s.backend.memory.Len()
+	if f := s.root.fetch; f != nil {
+		d.Fetching = f.head.Version
+	}
+	if s.publisher.active {
+		d.Publishing = s.publisher.dump()
+	}
+	ids := sortedNames(s.requests.calls)
+	for _, id := range ids[:min(len(ids), dumpedCalls)] {
+		c := s.requests.calls[id]
+		d.Requests = append(d.Requests, DumpCall{
+			Call: id, Method: c.method, Route: c.route.Name, Target: c.target, Attempts: c.attempts, Deadline: c.deadline,
+		})
+	}
+	return d
+}
+
+func (s *State) dumpLease(name string, m *lease.Machine) DumpLease {
+	record, known := m.Record()
+	return DumpLease{Name: name, Record: record, Known: known, Held: m.Held(s.now), Expired: m.Expired(s.now)}
+}
+
+func (p *publisher) dump() *DumpPublisher {
+	d := &DumpPublisher{
+		Version: p.head.Version, Epoch: p.head.Epoch, Listed: p.listed, Watching: p.watching,
+		Queue: []string{}, Awaited: []status.Status{},
+	}
+	if p.job != nil {
+		d.AtWork = p.job.sub.ID
+	}
+	for _, q := range p.queue {
+		d.Queue = append(d.Queue, q.sub.ID)
+	}
+	for _, a := range p.waiting {
+		d.Awaited = append(d.Awaited, a.status)
+	}
+	return d
+}
+
+// Children returns the number of links below this node in the tree.
+func (d Dump) Children() int {
+	n := 0
+	for _, l := range d.Links {
+		if l.Role == roleChild.String() {
+			n++
+		}
+	}
+	return n
+}
+
+// Depth returns the number of links from this node to its root.
+func (d Dump) Depth() int { return max(len(d.Path)-1, 0) }
--- /dev/null
+++ b/core/notice/level.go
@@ -0,0 +1,31 @@
+package notice
+
+// Level says how much an event matters.
+type Level uint8
+
+// The levels, the least first.
+const (
+	Debug Level = iota
+	Info
+	Warn
+	Error
+)
+
+// String returns the name of the level as it stands in settings and logs.
+func (l Level) String() string {
+	return [...]string{Debug: "debug", Info: "info", Warn: "warn", Error: "error"}[l]
+}
+
+// Level returns the level of an event.
+func (c Code) Level() Level {
+	switch c {
+	case CertificatesRefused:
+		return Error
+	case ConfigRefused, SubmissionRejected, PlatformUnreachable, RootWithoutLease, LinkSilent,
+		EndpointSuspected, LeaseLost, PeerRefused, ListenerFault:
+		return Warn
+	case LinkUp, LinkDown:
+		return Debug
+	}
+	return Info
+}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -10,7 +10,7 @@
 	NodeStarted         Code = 1001
 	NodeStopping        Code = 1002
 	NodeReady           Code = 1003
-	SettingsRefused     Code = 1004
+	NodeDrained         Code = 1004
 	ConfigApplied       Code = 2001
 	ConfigRefused       Code = 2002
 	SubmissionAccepted  Code = 2003
@@ -20,21 +20,25 @@
 	LeaseLost           Code = 3002
 	PlatformUnreachable Code = 3003
 	PlatformReachable   Code = 3004
+	RootWithoutLease    Code = 3005
 	LinkUp              Code = 4001
 	LinkDown            Code = 4002
 	JoinedParent        Code = 4003
 	LinkSilent          Code = 4004
 	PeerRefused         Code = 4005
+	CertificatesRead    Code = 4006
+	CertificatesRefused Code = 4007
 	EndpointState       Code = 5001
 	EndpointSuspected   Code = 5002
-	RequestRefused      Code = 6001
+	RequestsRefused     Code = 6001
+	ListenerFault       Code = 6002
 )
 
 var names = map[Code]string{
 	NodeStarted:         "node started",
 	NodeStopping:        "node stopping",
 	NodeReady:           "node ready",
-	SettingsRefused:     "settings refused",
+	NodeDrained:         "node drained",
 	ConfigApplied:       "configuration applied",
 	ConfigRefused:       "configuration refused",
 	SubmissionAccepted:  "submission accepted",
@@ -44,14 +48,18 @@
 	LeaseLost:           "lease lost",
 	PlatformUnreachable: "platform unreachable",
 	PlatformReachable:   "platform reachable",
+	RootWithoutLease:    "acts as root without a lease",
 	LinkUp:              "link up",
 	LinkDown:            "link down",
 	JoinedParent:        "joined parent",
 	LinkSilent:          "link silent",
 	PeerRefused:         "peer refused",
+	CertificatesRead:    "certificates read",
+	CertificatesRefused: "certificates refused",
 	EndpointState:       "endpoint state changed",
 	EndpointSuspected:   "endpoint suspected",
-	RequestRefused:      "request refused",
+	RequestsRefused:     "requests refused",
+	ListenerFault:       "listener fault",
 }
 
 // String returns the text that goes with the number.
--- a/core/state.go
+++ b/core/state.go
@@ -207,6 +207,8 @@
 	Backend       DumpBackend      `json:"backend"`
 	Calls         int              `json:"calls"`
 	RetryTokens   float64          `json:"retryTokens"`
+
+	DumpRoles
 }
 
 // DumpLink is one link of a Dump.
@@ -242,6 +244,7 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
 	}
--- /dev/null
+++ b/eventlog/catalogue_test.go
@@ -0,0 +1,55 @@
+package eventlog
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// entry is one event as the catalogue and the code know it.
+type entry struct{ number, level, text string }
+
+// catalogue reads the table of docs/EVENTS.md: entries in order, and the
+// fields of each number.
+func catalogue(t *testing.T) (entries []entry, fields map[string][]string) {
+	t.Helper()
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/EVENTS.md")
+	is.NoErr(err)
+	fields = map[string][]string{}
+	for line := range strings.Lines(string(page)) {
+		cells := strings.Split(line, "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		if len(cells) != 8 {
+			continue
+		}
+		if _, err := strconv.Atoi(cells[1]); err != nil {
+			continue // the head of the table
+		}
+		entries = append(entries, entry{cells[1], cells[2], cells[3]})
+		fields[cells[1]] = strings.FieldsFunc(cells[4], func(r rune) bool { return r == ',' || r == ' ' })
+		slices.Sort(fields[cells[1]])
+		is.True(cells[5] != "" && cells[6] != "") // each has a meaning, and what to do
+	}
+	return entries, fields
+}
+
+func TestCatalogueAndCodeAgree(t *testing.T) {
+	is := is.New(t)
+	var code []entry
+	for c, text := range notice.All() {
+		code = append(code, entry{fmt.Sprint(int(c)), c.Level().String(), text})
+	}
+	slices.SortFunc(code, func(a, b entry) int { return strings.Compare(a.number, b.number) })
+	documented, _ := catalogue(t)
+	is.Equal(documented, code) // number, level and text of each, both ways
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -22,9 +22,10 @@
 	})
 	e.GET("/metrics", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
+		updateGauges(r, n.ProcessState())
 		metrics.WriteJSONOnce(r, c.Writer)
 	})
-	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.Dump()) })
+	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.ProcessState()) })
 	e.POST("/drain", func(c *gin.Context) {
 		n.Step(core.BackendLeaving{})
 		c.String(http.StatusAccepted, "draining\n")
--- /dev/null
+++ b/node/admin_test.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// handClock is moved by hand.
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func (c *handClock) Tick(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+
+type noProber struct{}
+
+func (noProber) Probe(context.Context) (ok, refused bool) { return false, false }
+
+// newTestNode returns a node that is not started, and its registry.
+func newTestNode() (*Node, metrics.Registry) {
+	r := metrics.NewRegistry()
+	cfg := core.Config{Node: "n1", DataCentre: "derby", Service: "orders"}.WithDefaults()
+	n := New(cfg, &handClock{now: time.Unix(1000, 0)}, newMeteredStore(platformtest.NewStore(), r), noProber{}, eventlog.Nop())
+	n.CountIn(r)
+	return n, r
+}
+
+func get(h http.Handler, path string) (int, string) {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+	return w.Code, w.Body.String()
+}
+
+func TestAdminTellsHealthAndState(t *testing.T) {
+	is := is.New(t)
+	n, r := newTestNode()
+	h := admin(n, r)
+	code, _ := get(h, "/healthz")
+	is.Equal(code, http.StatusOK)
+	code, body := get(h, "/readyz")
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.Equal(body, "holds no configuration yet\n") // the reason is told
+
+	code, body = get(h, "/debug/state")
+	is.Equal(code, http.StatusOK)
+	var s map[string]any
+	is.NoErr(json.Unmarshal([]byte(body), &s))
+	for _, field := range []string{
+		"node", "phase", "path", "configVersion", "links", "endpoints", "backend", "leases", "storeCalls", "platform",
+		"requests", "balance", "attempts", "settings", "open", "build", "runtime",
+	} {
+		if _, ok := s[field]; !ok {
+			t.Errorf("the state has no %s", field)
+		}
+	}
+	is.Equal(len(s["leases"].([]any)), 2)
+}
+
+// registered returns the names of all metrics of a node.
+func registered(t *testing.T) []string {
+	t.Helper()
+	n, r := newTestNode()
+	_ = proxy.New(proxy.Config{}, n, r)
+	_ = peer.NewTransport(peer.Config{Metrics: r}, n)
+	code, body := get(admin(n, r), "/metrics")
+	is.New(t).Equal(code, http.StatusOK)
+	var all map[string]any
+	is.New(t).NoErr(json.Unmarshal([]byte(body), &all))
+	names := []string{}
+	for name := range all {
+		names = append(names, name)
+	}
+	return names
+}
+
+var (
+	metricRow   = regexp.MustCompile("(?m)^\\| `([A-Za-z.]+)` \\|")
+	placeholder = regexp.MustCompile(`[A-Z]+`)
+)
+
+func TestPageNamesEveryMetric(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/operations/metrics.md")
+	is.NoErr(err)
+	names, used := registered(t), map[string]bool{}
+	rows := metricRow.FindAllStringSubmatch(string(page), -1)
+	is.True(len(rows) > 10)
+	for _, name := range names {
+		documented := false
+		for _, row := range rows {
+			pattern := "^" + placeholder.ReplaceAllString(regexp.QuoteMeta(row[1]), "[a-z_-]+") + "$"
+			if regexp.MustCompile(pattern).MatchString(name) {
+				documented, used[row[1]] = true, true
+			}
+		}
+		if !documented {
+			t.Errorf("metric %s is not on the page", name)
+		}
+	}
+	for _, row := range rows {
+		if !used[row[1]] {
+			t.Errorf("no metric is named %s", row[1])
+		}
+	}
+}
+
+func count(r metrics.Registry, name string) int64 { return r.Get(name).(metrics.Counter).Count() }
+
+func TestRequestsAreCountedByClassAndOutcome(t *testing.T) {
+	is := is.New(t)
+	n, r := newTestNode()
+	o := n.observer
+	o.effect(core.Forward{Call: 1, Class: admission.Status})
+	o.event(core.AttemptEnded{Call: 1, Outcome: retry.NotRun})
+	o.effect(core.Forward{Call: 1, Class: admission.Status})
+	o.event(core.AttemptEnded{Call: 1, Outcome: retry.Ran})
+	o.effect(core.Finish{Call: 2, Outcome: retry.NotRun, NoRoute: true})
+	o.effect(core.Forward{Call: 3, Class: admission.Batch})
+	o.effect(core.Finish{Call: 3, Outcome: retry.Unknown})
+	o.effect(core.Refuse{Reason: admission.QueueFull})
+	is.Equal(count(r, "requests.status.ran"), int64(1))
+	is.Equal(count(r, "requests.status.not-run"), int64(0)) // an attempt is no request
+	is.Equal(count(r, "requests.retries"), int64(1))
+	is.Equal(count(r, "requests.unrouted.not-run"), int64(1))
+	is.Equal(count(r, "requests.batch.unknown"), int64(1))
+	is.Equal(count(r, "attempts.refused.queue-full"), int64(1))
+	is.Equal(len(o.classes), 0) // nothing is kept of calls that ended
+}
+
+func TestConvergenceIsTimedAtThePublisher(t *testing.T) {
+	is := is.New(t)
+	n, r := newTestNode()
+	clock := n.clock.(*handClock)
+	event := func(c notice.Code) core.Log { return core.Log{Code: c, Attrs: []core.Attr{{Key: "id", Value: "s"}}} }
+	n.observer.effect(event(notice.SubmissionAccepted))
+	clock.now = clock.now.Add(3 * time.Second)
+	n.observer.effect(event(notice.ConfigInForce))
+	n.observer.effect(event(notice.ConfigInForce)) // told twice: counted once
+	timer := r.Get("config.convergence").(metrics.Timer)
+	is.Equal(timer.Count(), int64(1))
+	is.Equal(timer.Max(), int64(3*time.Second))
+}
+
+func TestPlatformCallsAreCounted(t *testing.T) {
+	is := is.New(t)
+	r, store := metrics.NewRegistry(), platformtest.NewStore()
+	m, ctx := newMeteredStore(store, r), context.Background()
+	version, err := m.Put(ctx, "k", []byte("v"), 0)
+	is.NoErr(err)
+	_, err = m.Put(ctx, "k", []byte("v"), 0)
+	is.True(err != nil)
+	_, err = m.Get(ctx, "other")
+	is.True(err != nil)
+	_, _, err = m.List(ctx, "k")
+	is.NoErr(err)
+	_, _, err = m.Watch(ctx, "k", 0, time.Millisecond)
+	is.NoErr(err)
+	is.NoErr(m.Delete(ctx, "k", version))
+	store.SetFaults(platformtest.Faults{Throttle: func(string, string) bool { return true }})
+	_, err = m.Get(ctx, "k")
+	is.True(err != nil)
+	store.SetFaults(platformtest.Faults{Down: true})
+	_, err = m.Get(ctx, "k")
+	is.True(err != nil)
+	for _, name := range strings.Fields("put.ok put.conflict get.not-found list.ok watch.ok delete.ok get.throttled get.failed") {
+		is.Equal(fmt.Sprint(name, count(r, "platform."+name)), fmt.Sprint(name, 1))
+	}
+}
+
+var _ platform.Store = (*meteredStore)(nil)
--- /dev/null
+++ b/node/metered.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+var outcomeNames = map[core.StoreError]string{
+	core.StoreOK: "ok", core.StoreNotFound: "not-found", core.StoreConflict: "conflict", core.StoreTooLarge: "too-large",
+	core.StoreThrottled: "throttled", core.StoreCompacted: "compacted", core.StoreFailed: "failed",
+}
+
+// meteredStore counts the calls of a Store by kind and outcome, and times
+// them.
+type meteredStore struct {
+	store  platform.Store
+	counts map[string]metrics.Counter
+	timers map[string]metrics.Timer
+}
+
+func newMeteredStore(s platform.Store, r metrics.Registry) *meteredStore {
+	m := &meteredStore{store: s, counts: map[string]metrics.Counter{}, timers: map[string]metrics.Timer{}}
+	for _, kind := range []string{"get", "list", "put", "delete", "watch"} {
+		m.timers[kind] = metrics.GetOrRegisterTimer("platform."+kind+".time", r)
+		for _, outcome := range outcomeNames {
+			name := kind + "." + outcome
+			m.counts[name] = metrics.GetOrRegisterCounter("platform."+name, r)
+		}
+	}
+	return m
+}
+
+func (m *meteredStore) done(kind string, started time.Time, err error) {
+	outcome := core.StoreOK
+	if err != nil {
+		outcome = storeError(err)
+	}
+	m.counts[kind+"."+outcomeNames[outcome]].Inc(1)
+	m.timers[kind].UpdateSince(started)
+}
+
+// Get implements platform.Store.
+func (m *meteredStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	started := time.Now()
+	o, err := m.store.Get(ctx, key)
+	m.done("get", started, err)
+	return o, err
+}
+
+// List implements platform.Store.
+func (m *meteredStore) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	started := time.Now()
+	objects, revision, err := m.store.List(ctx, prefix)
+	m.done("list", started, err)
+	return objects, revision, err
+}
+
+// Put implements platform.Store.
+func (m *meteredStore) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
+	started := time.Now()
+	version, err := m.store.Put(ctx, key, data, base)
+	m.done("put", started, err)
+	return version, err
+}
+
+// Delete implements platform.Store.
+func (m *meteredStore) Delete(ctx context.Context, key string, base uint64) error {
+	started := time.Now()
+	err := m.store.Delete(ctx, key, base)
+	m.done("delete", started, err)
+	return err
+}
+
+// Watch implements platform.Store.
+func (m *meteredStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	started := time.Now()
+	changes, revision, err := m.store.Watch(ctx, prefix, after, wait)
+	m.done("watch", started, err)
+	return changes, revision, err
+}
--- a/node/module.go
+++ b/node/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,17 +14,20 @@
 	"go.uber.org/fx"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
 	"github.com/agatekeel/agatekeel/proxy"
+	"github.com/agatekeel/agatekeel/security"
 	"github.com/agatekeel/agatekeel/settings"
 )
 
 // Module puts a node together from settings.Settings.
 var Module = fx.Module("node",
 	fx.Provide(
-		newLogger, newStore, newProber, newCoreConfig, newListeners, newProxy, newRegistry,
+		newLogger, newStore, newProber, newCoreConfig, newListeners, newProxy, newRegistry, newCredentials,
+		newTransport,
 		func() Clock { return SystemClock{} },
 		New,
 		fx.Annotate(func(n *Node) *Node { return n }, fx.As(new(proxy.Decider))),
@@ -32,22 +36,35 @@
 )
 
 func newLogger(s settings.Settings) (*eventlog.Logger, error) {
-	cfg := eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node}
-	if cfg.Format == "" {
-		cfg.Format = "json"
-	}
-	if cfg.Level == "" {
-		cfg.Level = "info"
-	}
-	return eventlog.New(cfg)
+	return eventlog.New(eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node})
 }
 
-func newStore(s settings.Settings) (platform.Store, error) { return platform.NewClient(s.Platform) }
+func newStore(s settings.Settings, r metrics.Registry) (platform.Store, error) {
+	client, err := platform.NewClient(s.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("settings: platform: %w", err)
+	}
+	return newMeteredStore(client, r), nil
+}
 
 func newRegistry() metrics.Registry { return metrics.NewRegistry() }
 
-func newProxy(s settings.Settings, d proxy.Decider, r metrics.Registry) *proxy.Proxy {
-	return proxy.New(proxy.Config{Backend: s.Backend.Address, Connections: s.Backend.Connections}, d, r)
+func newProxy(s settings.Settings, d proxy.Decider, r metrics.Registry, c *security.Credentials) *proxy.Proxy {
+	cfg := proxy.Config{Backend: s.Backend.Address, Connections: s.Backend.Connections}
+	if c != nil {
+		cfg.HopDial = hopDialer(c).DialContext
+	}
+	return proxy.New(cfg, d, r)
+}
+
+func newTransport(n *Node, r metrics.Registry, c *security.Credentials, log *eventlog.Logger) *peer.Transport {
+	cfg := peer.Config{Metrics: r}
+	if c != nil {
+		cfg.Server, cfg.Client = peer.NewCredentials(c, func(address string, reason error) {
+			logPeerRefused(log, address, reason.Error())
+		})
+	}
+	return peer.NewTransport(cfg, n)
 }
 
 // Listeners holds the open listeners of a node.
@@ -118,37 +135,66 @@
 
 type runParams struct {
 	fx.In
-	Lifecycle fx.Lifecycle
-	Node      *Node
-	Config    core.Config
-	Listeners *Listeners
-	Proxy     *proxy.Proxy
-	Registry  metrics.Registry
+	Lifecycle   fx.Lifecycle
+	Node        *Node
+	Config      core.Config
+	Listeners   *Listeners
+	Transport   *peer.Transport
+	Proxy       *proxy.Proxy
+	Registry    metrics.Registry
+	Credentials *security.Credentials
+	Log         *eventlog.Logger
+}
+
+// server is one HTTP listener of a node.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+func (p runParams) servers() []server {
+	hop := p.Listeners.Hop
+	if p.Credentials != nil {
+		hop = tls.NewListener(hop, p.Credentials.Server(alpnHTTP))
+	}
+	servers := []server{
+		{"callers", p.Listeners.Callers, &http.Server{Handler: p.Proxy.Callers()}},
+		{"hop", hop, &http.Server{Handler: p.Proxy.Hops()}},
+		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry)}},
+	}
+	for _, s := range servers {
+		s.http.ReadHeaderTimeout = headerTimeout
+		s.http.ErrorLog = p.Log.Std(notice.ListenerFault, core.Attr{Key: "listener", Value: s.name})
+	}
+	return servers
 }
 
+// headerTimeout bounds the time in which the header of a request comes in.
+const headerTimeout = 10 * time.Second
+
+// alpnHTTP is the protocol of requests between nodes.
+const alpnHTTP = "http/1.1"
+
 // run starts the listeners and the node, and stops them in reverse.
 func run(p runParams) {
-	transport := peer.NewTransport(peer.Config{}, p.Node)
-	servers := []*http.Server{
-		{Handler: p.Proxy.Callers()}, {Handler: p.Proxy.Hops()}, {Handler: admin(p.Node, p.Registry)},
-	}
-	listeners := []net.Listener{p.Listeners.Callers, p.Listeners.Hop, p.Listeners.Admin}
+	p.Node.CountIn(p.Registry)
+	servers := p.servers()
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			for i, s := range servers {
-				s.ReadHeaderTimeout = 10 * time.Second
-				go func() { _ = s.Serve(listeners[i]) }()
+			for _, s := range servers {
+				go func() { _ = s.http.Serve(s.listener) }()
 			}
-			go func() { _ = transport.Serve(p.Listeners.Peer) }()
-			p.Node.Start(transport, p.Config.TickEvery)
+			go func() { _ = p.Transport.Serve(p.Listeners.Peer) }()
+			p.Node.Start(p.Transport, p.Config.TickEvery)
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			for _, s := range servers {
-				_ = s.Close()
+				_ = s.http.Close()
 			}
 			p.Node.Stop()
-			transport.Stop()
+			p.Transport.Stop()
 			p.Proxy.Close()
 			return nil
 		},
--- a/node/node.go
+++ b/node/node.go
@@ -7,10 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/internal/build"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
 )
@@ -67,6 +70,7 @@
 	lastAccepted core.LinkID
 	calls        map[core.CallID]chan core.Effect
 	attempts     map[core.AttemptID]chan core.Effect
+	observer     *observer
 }
 
 // New returns a Node that is not running yet.
@@ -77,13 +81,15 @@
 		drained: make(chan struct{}), state: core.New(cfg),
 		open: map[core.LinkID]*peer.Link{}, lastAccepted: 1,
 		calls: map[core.CallID]chan core.Effect{}, attempts: map[core.AttemptID]chan core.Effect{},
+		observer: newObserver(metrics.NewRegistry(), log, clock),
 	}
 }
 
 // Start begins to run. links carries what the node says to others.
 func (n *Node) Start(links Links, tickEvery time.Duration) {
 	n.links = links
-	n.log.Write(notice.NodeStarted)
+	info := build.Read()
+	n.log.Write(notice.NodeStarted, core.Attr{Key: "version", Value: info.Version}, core.Attr{Key: "revision", Value: info.Revision})
 	ticks, stop := n.clock.Tick(tickEvery)
 	n.wg.Add(1)
 	go func() {
@@ -124,7 +130,9 @@
 }
 
 func (n *Node) step(e core.Event) {
+	n.observer.event(e)
 	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+		n.observer.effect(effect)
 		n.carryOut(effect)
 	}
 }
@@ -169,6 +177,7 @@
 	case core.Log:
 		n.log.Write(e.Code, e.Attrs...)
 	case core.Drained:
+		n.log.Write(notice.NodeDrained)
 		close(n.drained)
 	default:
 		n.run(func() { n.callStore(effect) })
@@ -209,6 +218,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.calls, id)
+	n.observer.left(id)
 }
 
 // OpenAttempt implements proxy.Decider.
@@ -260,6 +270,9 @@
 
 // Received implements peer.Handler.
 func (n *Node) Received(link any, m message.Message) {
+	if n.refused(link.(core.LinkID), m) {
+		return
+	}
 	n.Step(core.LinkMessage{Link: link.(core.LinkID), Message: m})
 }
 
--- /dev/null
+++ b/node/security.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/security"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// newCredentials returns nil when the settings name no TLS files.
+func newCredentials(s settings.Settings, log *eventlog.Logger) (*security.Credentials, error) {
+	if !s.TLS.Enabled() {
+		return nil, nil
+	}
+	files := security.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, CA: s.TLS.CA}
+	return security.Load(files, certificateLog{log})
+}
+
+// certificateLog logs each reading of the TLS files.
+type certificateLog struct{ log *eventlog.Logger }
+
+// CertificatesRead implements security.Observer.
+func (l certificateLog) CertificatesRead(certificate string, notAfter time.Time) {
+	l.log.Write(notice.CertificatesRead,
+		core.Attr{Key: "certificate", Value: certificate}, core.Attr{Key: "notAfter", Value: notAfter})
+}
+
+// CertificatesRefused implements security.Observer.
+func (l certificateLog) CertificatesRefused(err error) {
+	l.log.Write(notice.CertificatesRefused, core.Attr{Key: "reason", Value: err.Error()})
+}
+
+func logPeerRefused(log *eventlog.Logger, address, reason string) {
+	log.Write(notice.PeerRefused, core.Attr{Key: "address", Value: address}, core.Attr{Key: "reason", Value: reason})
+}
+
+// hopDialer returns a dialer that secures connections for requests.
+func hopDialer(c *security.Credentials) *tls.Dialer {
+	return &tls.Dialer{NetDialer: &net.Dialer{Timeout: hopDialTimeout, KeepAlive: hopKeepAlive}, Config: c.Client()}
+}
+
+// Times of connections for requests between nodes.
+const (
+	hopDialTimeout = time.Second
+	hopKeepAlive   = 15 * time.Second
+)
+
+// refused closes a link whose other end names itself as another node than its
+// certificate does.
+func (n *Node) refused(id core.LinkID, m message.Message) bool {
+	var named string
+	switch m := m.(type) {
+	case message.Hello:
+		named = m.Node
+	case message.Welcome:
+		named = m.Node
+	default:
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.open[id]
+	if !ok {
+		return false
+	}
+	other := l.Other()
+	if other.Node == "" || other.Node == named {
+		return false
+	}
+	logPeerRefused(n.log, other.Address, "certificate of "+other.Node+" shown by a node that calls itself "+named)
+	l.Close()
+	return true
+}
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/build"
+)
+
+// ProcessState is the whole state of a process: that of the reducer, what is
+// open around it, and the Go runtime.
+type ProcessState struct {
+	core.Dump
+	Open    OpenState    `json:"open"`
+	Build   build.Info   `json:"build"`
+	Runtime RuntimeState `json:"runtime"`
+}
+
+// OpenState counts what the process holds open.
+type OpenState struct {
+	Links    int `json:"links"`
+	Calls    int `json:"calls"`    // callers' requests
+	Attempts int `json:"attempts"` // at the own backend server
+}
+
+// RuntimeState tells of the Go runtime. Sizes are in bytes.
+type RuntimeState struct {
+	Goroutines  int       `json:"goroutines"`
+	Processors  int       `json:"processors"`
+	HeapInUse   uint64    `json:"heapInUse"`
+	HeapObjects uint64    `json:"heapObjects"`
+	FromSystem  uint64    `json:"fromSystem"`
+	Collections uint32    `json:"collections"`
+	LastPause   string    `json:"lastPause"`
+	LastCollect time.Time `json:"lastCollection,omitzero"`
+}
+
+// ProcessState returns the whole state of the process for display.
+func (n *Node) ProcessState() ProcessState {
+	n.mu.Lock()
+	s := ProcessState{
+		Dump: n.state.Dump(),
+		Open: OpenState{Links: len(n.open), Calls: len(n.calls), Attempts: len(n.attempts)},
+	}
+	n.mu.Unlock()
+	s.Build, s.Runtime = build.Read(), readRuntime()
+	return s
+}
+
+func readRuntime() RuntimeState {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	r := RuntimeState{
+		Goroutines: runtime.NumGoroutine(), Processors: runtime.GOMAXPROCS(0),
+		HeapInUse: m.HeapInuse, HeapObjects: m.HeapObjects, FromSystem: m.Sys, Collections: m.NumGC,
+	}
+	if m.NumGC > 0 {
+		r.LastPause = time.Duration(m.PauseNs[(m.NumGC+255)%256]).String()
+		r.LastCollect = time.Unix(0, int64(m.LastGC)).UTC()
+	}
+	return r
+}
+
+// CountIn lets the node count in a registry. It is called before Start.
+func (n *Node) CountIn(r metrics.Registry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observer = newObserver(r, n.log, n.clock)
+}
+
+// updateGauges sets the gauges of a registry from a state.
+func updateGauges(r metrics.Registry, s ProcessState) {
+	ready := int64(0)
+	if s.Ready {
+		ready = 1
+	}
+	for name, value := range map[string]int64{
+		"node.ready":         ready,
+		"config.version":     int64(s.ConfigVersion),
+		"tree.depth":         int64(s.Depth()),
+		"tree.children":      int64(s.Children()),
+		"links.open":         int64(s.Open.Links),
+		"endpoints.known":    int64(len(s.Endpoints)),
+		"backend.running":    int64(s.Backend.Running),
+		"backend.waiting":    int64(s.Backend.Waiting),
+		"requests.open":      int64(s.Open.Calls),
+		"runtime.goroutines": int64(s.Runtime.Goroutines),
+		"runtime.heap":       int64(s.Runtime.HeapInUse),
+	} {
+		metrics.GetOrRegisterGauge(name, r).Update(value)
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,6 +38,9 @@
 type Config struct {
 	Backend     string // address of the own backend server
 	Connections int    // to it, at most
+
+	// HopDial opens connections to other nodes; nil: TCP in the clear.
+	HopDial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Proxy serves callers and other nodes.
@@ -53,10 +56,14 @@
 
 // New returns a Proxy that asks d and counts in r.
 func New(cfg Config, d Decider, r metrics.Registry) *Proxy {
+	hop := newTransport(0)
+	if cfg.HopDial != nil {
+		hop.DialContext = cfg.HopDial
+	}
 	return &Proxy{
 		cfg: cfg, core: d,
 		backend: newTransport(cfg.Connections),
-		hop:     newTransport(0),
+		hop:     hop,
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
