--- a/core/announce.go
+++ b/core/announce.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -26,6 +27,7 @@
 	drained   bool
 	queue     *admission.Queue
 	memory    *admission.Memory
+	keys      *idempotency.Memory
 }
 
 func newBackend(cfg Config) backend {
@@ -34,8 +36,9 @@
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
 		},
-		queue:  admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
+		queue:  admission.New(cfg.admission()),
 		memory: admission.NewMemory(rememberedAttempts),
+		keys:   idempotency.NewMemory(idempotency.Config{Keep: cfg.KeyKeep, MaxKeys: maxKeys}),
 	}
 }
 
@@ -60,7 +63,9 @@
 	if b.entry.State == endpoint.Warming && !s.now.Before(b.readyAt) {
 		s.announce(endpoint.Ready)
 	}
+	s.admitTick()
 	b.memory.Age()
+	b.keys.Expire(s.now)
 	s.drainTick()
 }
 
