--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -104,6 +104,13 @@
 	faults   []Fault
 }
 
+// MaxSetBytes bounds the specs of a set: every node holds all of them.
+const MaxSetBytes = 8 << 20
+
+// CompileDelta is Compile for a set that a delta leads to from one that was
+// compiled before.
+func CompileDelta(_ *Snapshot, _, next *Set, _ Delta) (*Snapshot, []Fault) { return Compile(next) }
+
 // Compile checks a whole set and returns what proxies route by, or every
 // fault found, ordered by object.
 func Compile(set *Set) (*Snapshot, []Fault) {
@@ -133,8 +140,10 @@
 }
 
 func (c *compiler) common(keys []Key) {
+	total := 0
 	for _, k := range keys {
 		o := c.set.Objects[k]
+		total += len(o.Spec)
 		switch {
 		case !k.Kind.known():
 			c.fault(k, "kind", "unknown kind %q", k.Kind)
@@ -147,6 +156,9 @@
 			c.fault(k, "spec", "has %d bytes, at most %d are allowed", len(o.Spec), MaxObjectBytes)
 		}
 	}
+	if total > MaxSetBytes {
+		c.fault(Key{}, "", "the set has %d bytes, at most %d are allowed", total, MaxSetBytes)
+	}
 }
 
 func (c *compiler) decode(k Key, into any) bool {
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -132,8 +132,9 @@
 		objs = append(objs, object(KindRoute, fmt.Sprintf("r%d", i), `{"pathPrefix":"/`+strings.Repeat("x", 300)+`","service":"s"}`))
 	}
 	set := NewSet(9, objs)
-	m, chunks, err := EncodeSet(set)
+	e, err := Encode(set)
 	is.NoErr(err)
+	m, chunks := e.Manifest, e.Chunks()
 	is.True(len(chunks) > 1)
 	data := map[string][]byte{}
 	for _, c := range chunks {
--- a/core/config/set.go
+++ b/core/config/set.go
@@ -107,6 +107,15 @@
 	if d.To <= d.From {
 		return nil, fmt.Errorf("%w: delta leads from version %d to %d", ErrWrongBase, d.From, d.To)
 	}
+	next := s.apply(d)
+	if next.hash != d.Hash {
+		return nil, fmt.Errorf("%w: version %d has %016x, announced was %016x", ErrHash, d.To, next.hash, d.Hash)
+	}
+	return next, nil
+}
+
+// apply returns the set that the puts and deletes of a delta lead to.
+func (s *Set) apply(d Delta) *Set {
 	next := s.clone(d.To)
 	for _, k := range d.Deletes {
 		next.remove(k)
@@ -114,12 +123,12 @@
 	for _, o := range d.Puts {
 		next.put(o)
 	}
-	if next.hash != d.Hash {
-		return nil, fmt.Errorf("%w: version %d has %016x, announced was %016x", ErrHash, d.To, next.hash, d.Hash)
-	}
-	return next, nil
+	return next
 }
 
+// Empty reports whether the delta changes no object.
+func (d Delta) Empty() bool { return len(d.Puts) == 0 && len(d.Deletes) == 0 }
+
 // Errors of this package.
 var (
 	// ErrWrongBase says that a delta does not start from the held version.
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -5,14 +5,12 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Sizes of the stored form of a set.
 const (
 	// bucketTargetBytes is the size up to which one chunk is filled on average.
-	bucketTargetBytes = 128 << 10
+	bucketTargetBytes = 32 << 10
 	// MaxChunkBytes is the largest chunk that the platform takes.
 	MaxChunkBytes = 1 << 20
 )
@@ -39,6 +37,7 @@
 	Hash     uint64    `json:"hash"`
 	Manifest string    `json:"manifest"`
 	Recent   []Settled `json:"recent,omitempty"` // newest last
+	Sweep    uint64    `json:"sweep,omitempty"`  // one more with each collection of garbage
 }
 
 // Settled names a submission and what became of it: the version it was
@@ -62,43 +61,6 @@
 	return Settled{}, false
 }
 
-// EncodeSet returns the manifest and the chunks that hold a set.
-func EncodeSet(s *Set) (Manifest, []Chunk, error) {
-	buckets := make([][]Object, bucketCount(s))
-	for _, o := range s.Sorted() {
-		i := xxhash.Sum64String(o.Key().String()) % uint64(len(buckets))
-		buckets[i] = append(buckets[i], o)
-	}
-	m := Manifest{Version: s.Version, Hash: s.hash}
-	var chunks []Chunk
-	for _, b := range buckets {
-		data, err := json.Marshal(b)
-		if err != nil {
-			return Manifest{}, nil, fmt.Errorf("encode chunk of version %d: %w", s.Version, err)
-		}
-		if len(data) > MaxChunkBytes {
-			return Manifest{}, nil, fmt.Errorf("chunk of version %d has %d bytes, at most %d are allowed", s.Version, len(data), MaxChunkBytes)
-		}
-		c := Chunk{Name: ContentName(data), Data: data}
-		m.Chunks = append(m.Chunks, c.Name)
-		chunks = append(chunks, c)
-	}
-	return m, chunks, nil
-}
-
-// bucketCount grows by powers of two, so that it seldom changes.
-func bucketCount(s *Set) int {
-	size := 0
-	for _, o := range s.Objects {
-		size += len(o.Spec) + len(o.Name) + len(o.Author)
-	}
-	n := 1
-	for n*bucketTargetBytes < size {
-		n *= 2
-	}
-	return n
-}
-
 // ContentName returns the name of a chunk or manifest: its SHA-256 in hex.
 func ContentName(data []byte) string {
 	sum := sha256.Sum256(data)
--- a/core/config/submission.go
+++ b/core/config/submission.go
@@ -1,6 +1,11 @@
 package config
 
-import "fmt"
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
 
 // Submission is what an operator sends: edits that take effect together or
 // not at all.
@@ -27,41 +32,90 @@
 	AnyBase bool   `json:"anyBase,omitempty"`
 }
 
+// MaxAuthorBytes bounds the name of an author, which every object carries.
+const MaxAuthorBytes = 256
+
 // Merge returns the set that a submission leads to at version current+1, or
 // the faults for which it can't be merged. It checks bases and duplicates,
 // not the content: that is Compile's.
 func Merge(current *Set, sub Submission) (*Set, []Fault) {
-	next := current.clone(current.Version + 1)
-	seen := make(map[Key]bool, len(sub.Puts)+len(sub.Deletes))
-	var faults []Fault
+	next, _, faults := MergeDelta(current, sub)
+	return next, faults
+}
+
+// MergeDelta is Merge that also returns the delta from current to the set.
+func MergeDelta(current *Set, sub Submission) (*Set, Delta, []Fault) {
+	m := merger{current: current, version: current.Version + 1, author: sub.Author, seen: map[Key]bool{}}
+	if len(sub.Author) > MaxAuthorBytes {
+		m.faults = append(m.faults, Fault{Field: "author", Reason: fmt.Sprintf(
+			"has %d bytes, at most %d are allowed", len(sub.Author), MaxAuthorBytes)})
+	}
 	for _, p := range sub.Puts {
-		k := p.Object.Key()
-		if f := mergeFault(current, seen, k, p.Base, p.AnyBase); f != nil {
-			faults = append(faults, *f)
-			continue
-		}
-		o := p.Object
-		o.Version, o.Author = next.Version, sub.Author
-		if old, ok := current.Objects[k]; ok && string(old.Spec) == string(o.Spec) {
-			continue // unchanged: the version that last changed it stays
-		}
-		next.put(o)
+		m.put(p)
 	}
 	for _, d := range sub.Deletes {
-		if f := mergeFault(current, seen, d.Key, d.Base, d.AnyBase); f != nil {
-			faults = append(faults, *f)
-			continue
-		}
-		if _, ok := current.Objects[d.Key]; !ok {
-			faults = append(faults, Fault{Object: d.Key, Reason: "does not exist, so it can't be deleted"})
-			continue
-		}
-		next.remove(d.Key)
+		m.delete(d)
+	}
+	if len(m.faults) > 0 {
+		return nil, Delta{}, m.faults
+	}
+	m.delta.From, m.delta.To = current.Version, m.version
+	slices.SortFunc(m.delta.Puts, func(a, b Object) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(m.delta.Deletes, Key.Compare)
+	next := current.apply(m.delta)
+	m.delta.Hash = next.hash
+	return next, m.delta, nil
+}
+
+// merger gathers the delta and the faults of one submission.
+type merger struct {
+	current *Set
+	version uint64
+	author  string
+	seen    map[Key]bool
+	delta   Delta
+	faults  []Fault
+}
+
+func (m *merger) put(p Put) {
+	k := p.Object.Key()
+	if f := mergeFault(m.current, m.seen, k, p.Base, p.AnyBase); f != nil {
+		m.faults = append(m.faults, *f)
+		return
+	}
+	o := p.Object
+	o.Version, o.Author = m.version, m.author
+	spec, err := canonical(o.Spec)
+	if err != nil {
+		m.faults = append(m.faults, Fault{Object: k, Field: "spec", Reason: err.Error()})
+		return
+	}
+	o.Spec = spec
+	if old, ok := m.current.Objects[k]; ok && bytes.Equal(old.Spec, o.Spec) {
+		return // unchanged: the version that last changed it stays
+	}
+	m.delta.Puts = append(m.delta.Puts, o)
+}
+
+// canonical returns a spec as encoding it again would leave it, so that the
+// hash of a set is the same before and after it was stored.
+func canonical(spec json.RawMessage) (json.RawMessage, error) {
+	if len(spec) == 0 {
+		return nil, nil
+	}
+	return json.Marshal(spec)
+}
+
+func (m *merger) delete(d Delete) {
+	if f := mergeFault(m.current, m.seen, d.Key, d.Base, d.AnyBase); f != nil {
+		m.faults = append(m.faults, *f)
+		return
 	}
-	if len(faults) > 0 {
-		return nil, faults
+	if _, ok := m.current.Objects[d.Key]; !ok {
+		m.faults = append(m.faults, Fault{Object: d.Key, Reason: "does not exist, so it can't be deleted"})
+		return
 	}
-	return next, nil
+	m.delta.Deletes = append(m.delta.Deletes, d.Key)
 }
 
 func mergeFault(current *Set, seen map[Key]bool, k Key, base uint64, anyBase bool) *Fault {
--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -67,6 +67,7 @@
 
 	mesh   *Mesh
 	paused time.Time
+	held   []func() // what came during a pause, in order
 	links  map[core.LinkID]*end
 	last   core.LinkID
 }
@@ -152,7 +153,23 @@
 }
 
 // Pause stops a node for a time; what comes for it is handed over afterwards.
-func (m *Mesh) Pause(name string, d time.Duration) { m.nodes[name].paused = m.Now.Add(d) }
+func (m *Mesh) Pause(name string, d time.Duration) {
+	n := m.nodes[name]
+	n.paused = m.Now.Add(d)
+	m.After(d, func() { m.wake(n) })
+}
+
+// wake hands over what came during a pause that is over.
+func (m *Mesh) wake(n *Node) {
+	if m.Now.Before(n.paused) {
+		return
+	}
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
 
 // Cut silences all traffic between two nodes: open links lose what is sent,
 // new ones fail. Nobody is told.
@@ -162,8 +179,9 @@
 func (m *Mesh) Heal() {
 	m.cut = map[[2]string]bool{}
 	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
-	for _, n := range m.nodes {
+	for _, n := range m.Nodes() {
 		n.paused = time.Time{}
+		m.wake(n)
 	}
 }
 
@@ -228,7 +246,7 @@
 		return
 	}
 	if m.Now.Before(n.paused) {
-		m.After(n.paused.Sub(m.Now), func() { m.step(n, life, e) })
+		n.held = append(n.held, func() { m.step(n, life, e) })
 		return
 	}
 	effects := slices.Clone(n.State.Reduce(m.Now, e))
--- a/core/holder.go
+++ b/core/holder.go
@@ -15,8 +15,9 @@
 type holder struct {
 	set      *config.Set
 	snapshot *config.Snapshot
-	deltas   []config.Delta // consecutive, the last leads to set
-	refused  string         // why the newest version seen was not applied
+	deltas   []config.Delta  // consecutive, the last leads to set
+	refused  string          // why the newest version seen was not applied
+	encoded  *config.Encoded // the stored form of set or of an older one; nil while not needed
 }
 
 func newHolder() holder { return holder{set: config.NewSet(0, nil), snapshot: &config.Snapshot{}} }
@@ -35,11 +36,12 @@
 // adopt compiles a set beside the held one and swaps it in. The caller has
 // made sure that it is newer.
 func (s *State) adopt(set *config.Set, delta config.Delta) {
-	snapshot, faults := config.Compile(set)
+	snapshot, faults := config.CompileDelta(s.holder.snapshot, s.holder.set, set, delta)
 	if len(faults) > 0 {
 		s.refuse(fmt.Sprintf("version %d: %d faults, first: %v", set.Version, len(faults), faults[0]))
 		return
 	}
+	s.keepEncoded(set, delta)
 	s.holder.set, s.holder.snapshot, s.holder.refused = set, snapshot, ""
 	s.holder.deltas = append(s.holder.deltas, delta)
 	if len(s.holder.deltas) > keptDeltas {
@@ -51,6 +53,37 @@
 	s.report()
 }
 
+// heldEncoded returns the stored form of the held set. Roots and publishers
+// alone ask for it.
+func (s *State) heldEncoded() (*config.Encoded, error) {
+	if e := s.holder.encoded; e != nil && e.Manifest.Version == s.holder.set.Version && e.Manifest.Hash == s.holder.set.Hash() {
+		return e, nil
+	}
+	e, err := config.Encode(s.holder.set)
+	if err != nil {
+		return nil, fmt.Errorf("held version %d: %w", s.holder.set.Version, err)
+	}
+	s.holder.encoded = e
+	return e, nil
+}
+
+// keepEncoded brings the stored form up to the set that is about to be held.
+func (s *State) keepEncoded(set *config.Set, delta config.Delta) {
+	e := s.holder.encoded
+	switch {
+	case e == nil || e.Manifest.Version == set.Version:
+		return
+	case s.member.phase != phaseRoot || e.Manifest.Version != s.holder.set.Version:
+		s.holder.encoded = nil
+		return
+	}
+	next, err := e.Next(set, delta)
+	if err != nil {
+		next = nil // the next one who asks finds out
+	}
+	s.holder.encoded = next
+}
+
 func (s *State) refuse(reason string) {
 	s.holder.refused = reason
 	s.log(notice.ConfigRefused, Attr{"reason", reason}, Attr{"held", s.configVersion()})
--- /dev/null
+++ b/core/lost.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// rejoinGrace is how long a node that has left the tree still counts as live:
+// it may serve callers while it looks for another parent.
+const rejoinGrace = 8 * time.Second
+
+// lostChild is a child that has left, with all that was below it.
+type lostChild struct {
+	applied uint64
+	until   time.Time
+}
+
+// childLeft counts a child as live, and behind, until it is back or its time
+// is up.
+func (s *State) childLeft(l *link) {
+	s.member.lost[l.node] = lostChild{applied: l.report.Applied, until: s.now.Add(rejoinGrace)}
+}
+
+// lostTick forgets the children that did not come back.
+func (s *State) lostTick() {
+	forgotten := false
+	for node, c := range s.member.lost {
+		if !s.now.Before(c.until) {
+			delete(s.member.lost, node)
+			forgotten = true
+		}
+	}
+	settled := s.now.Sub(s.member.since) >= rejoinGrace
+	if forgotten || settled && !s.member.settled {
+		s.member.settled = settled
+		s.member.reported = message.Report{} // what was greeted with is outdated
+		s.report()
+	}
+}
+
+// countLost adds to a report what may be live outside of the tree: children
+// that left, and the members of a data centre whose root is new.
+func (s *State) countLost(r *message.Report) {
+	name := func(l message.Laggard) {
+		r.Applied = min(r.Applied, l.Applied)
+		if len(r.Laggards) < message.MaxLaggards {
+			r.Laggards = append(r.Laggards, l)
+		}
+	}
+	for _, node := range sortedNames(s.member.lost) {
+		name(message.Laggard{Node: node, Applied: s.member.lost[node].applied, Reason: "has left the tree, may be joining again"})
+	}
+	if s.membersUnknown() {
+		name(message.Laggard{Node: "data centre " + s.cfg.DataCentre, Reason: "has no root or a new one, its members are joining"})
+	}
+}
+
+// membersUnknown reports whether nodes of the data centre may be live that
+// have not had the time to join this one, its root.
+func (s *State) membersUnknown() bool {
+	switch s.member.phase {
+	case phaseRoot:
+		return s.member.lease.Epoch() > 1 && s.now.Sub(s.member.since) < rejoinGrace
+	case phaseJoined:
+		return false
+	}
+	return true
+}
--- a/core/member.go
+++ b/core/member.go
@@ -46,10 +46,12 @@
 	target   uint64   // version to hold before the node serves
 	current  bool     // it has held target once
 	reported message.Report
+	lost     map[string]lostChild // by node
+	settled  bool                 // the phase has lasted for rejoinGrace
 }
 
 func newMember(cfg Config) member {
-	return member{lease: lease.New(lease.Config{
+	return member{lost: map[string]lostChild{}, lease: lease.New(lease.Config{
 		Holder: cfg.Node, Address: cfg.Peer, TTL: cfg.LeaseTTL, Renew: cfg.LeaseRenew, Margin: cfg.LeaseMargin,
 	})}
 }
@@ -58,7 +60,7 @@
 	if s.member.phase == p {
 		return
 	}
-	s.member.phase, s.member.since = p, s.now
+	s.member.phase, s.member.since, s.member.settled = p, s.now, false
 }
 
 // path returns the nodes from this one to its root.
@@ -70,6 +72,7 @@
 
 func (s *State) memberTick() {
 	m := &s.member
+	s.lostTick()
 	switch m.phase {
 	case phaseSeeking:
 		if !m.reading && !s.now.Before(m.retryAt) {
@@ -142,7 +145,10 @@
 	s.seekAgain(s.cfg.JoinJitter)
 }
 
-func (s *State) childLost(*link) { s.report() }
+func (s *State) childLost(l *link) {
+	s.childLeft(l)
+	s.report()
+}
 
 func (s *State) children() []LinkID {
 	var out []LinkID
@@ -174,6 +180,7 @@
 			s.drop(old, "replaced by a newer link")
 		}
 	}
+	delete(s.member.lost, m.Node)
 	l.role, l.report = roleChild, message.Report{DataCentre: m.DataCentre, Applied: m.Config, Nodes: 1}
 	s.greet(id, l, m)
 	s.report()
@@ -293,6 +300,7 @@
 	if s.holder.refused != "" {
 		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
 	}
+	s.countLost(&own)
 	var below []message.Report
 	for _, id := range s.children() {
 		below = append(below, s.links[id].report)
--- /dev/null
+++ b/core/publisher_commit.go
@@ -0,0 +1,208 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// Bounds of what the head names.
+const (
+	keptSettled   = 64  // settled submissions named in any case
+	maxFaults     = 32  // faults kept with a rejected submission
+	maxFaultBytes = 512 // of one text in a fault
+)
+
+// check merges and checks the whole set, then begins to publish the result.
+func (s *State) check(j *job) {
+	p := &s.publisher
+	if p.head.Version != s.configVersion() {
+		s.restartPublisher(s.after(&p.backoff)) // this node knows more than the head it read
+		return
+	}
+	faults := []config.Fault{{Reason: j.fault}}
+	if j.fault == "" {
+		j.next, j.delta, faults = config.MergeDelta(s.holder.set, j.sub)
+	}
+	if len(faults) == 0 && !s.cfg.faults.unchecked {
+		_, faults = config.CompileDelta(s.holder.snapshot, s.holder.set, j.next, j.delta)
+	}
+	if len(faults) == 0 {
+		faults = s.encode(j)
+	}
+	j.head = p.head
+	j.head.Epoch = p.lease.Epoch()
+	switch {
+	case len(faults) > 0:
+		j.next = nil
+		j.settled = config.Settled{ID: j.sub.ID, Version: p.head.Version, Rejected: true, Faults: boundFaults(faults)}
+		s.commit(j)
+	case j.delta.Empty() && p.head.Version > 0:
+		j.next = nil // nothing differs: the published version is the answer
+		j.settled = config.Settled{ID: j.sub.ID, Version: p.head.Version}
+		s.commit(j)
+	default:
+		j.settled = config.Settled{ID: j.sub.ID, Version: j.next.Version}
+		s.writeParts(j)
+	}
+}
+
+// boundFaults keeps the head and the status small, whatever was submitted.
+func boundFaults(faults []config.Fault) []config.Fault {
+	out := make([]config.Fault, 0, min(len(faults), maxFaults+1))
+	for i, f := range faults {
+		if i == maxFaults {
+			return append(out, config.Fault{Reason: fmt.Sprintf("and %d more faults", len(faults)-maxFaults)})
+		}
+		f.Object.Kind = config.Kind(boundText(string(f.Object.Kind)))
+		f.Object.Name, f.Field, f.Reason = boundText(f.Object.Name), boundText(f.Field), boundText(f.Reason)
+		out = append(out, f)
+	}
+	return out
+}
+
+func boundText(text string) string {
+	if len(text) <= maxFaultBytes {
+		return text
+	}
+	cut := maxFaultBytes
+	for cut > 0 && !utf8.RuneStart(text[cut]) {
+		cut--
+	}
+	return text[:cut] + "..."
+}
+
+// encode brings the next set into its stored form. Chunks that no object of
+// the change belongs to are taken over from the held set's.
+func (s *State) encode(j *job) []config.Fault {
+	held, err := s.heldEncoded()
+	if err != nil {
+		return []config.Fault{{Reason: err.Error()}}
+	}
+	j.encoded, err = held.Next(j.next, j.delta)
+	if err != nil {
+		return []config.Fault{{Reason: err.Error()}}
+	}
+	return nil
+}
+
+// writeParts writes the manifest and the chunks that the head does not lead
+// to yet, all at once: the head is what makes them count.
+func (s *State) writeParts(j *job) {
+	manifest := mustJSON(j.encoded.Manifest)
+	j.head.Version, j.head.Hash, j.head.Manifest = j.next.Version, j.encoded.Manifest.Hash, config.ContentName(manifest)
+	held := map[string]bool{}
+	if e, err := s.heldEncoded(); err == nil && config.ContentName(mustJSON(e.Manifest)) == s.publisher.head.Manifest {
+		for _, name := range e.Manifest.Chunks {
+			held[name] = true
+		}
+	}
+	j.parts = map[string][]byte{manifestPrefix + j.head.Manifest: manifest}
+	for _, c := range j.encoded.Chunks() {
+		if !held[c.Name] {
+			j.parts[chunkPrefix+c.Name] = c.Data
+		}
+	}
+	j.writes = len(j.parts)
+	for _, key := range sortedNames(j.parts) {
+		s.writePart(j, key, 0)
+	}
+}
+
+func (s *State) writePart(j *job, key string, base uint64) {
+	step := stepChunk
+	if strings.HasPrefix(key, manifestPrefix) {
+		step = stepManifest
+	}
+	s.storePut(key, j.parts[key], base, s.publisherCall(step, key))
+}
+
+// partWritten commits once all parts are written. One that exists already is
+// written anew: it may be garbage that is being collected, by its version.
+func (s *State) partWritten(c storeCall, done StoreDone) {
+	j := s.publisher.job
+	if done.Err != StoreOK {
+		s.storeGet(c.name, s.publisherCall(stepTouch, c.name))
+		return
+	}
+	j.writes--
+	if j.writes == 0 {
+		s.commit(j)
+	}
+}
+
+func (s *State) partRead(c storeCall, done StoreDone) {
+	base := uint64(0)
+	if done.Err == StoreOK && len(done.Objects) > 0 {
+		base = done.Objects[0].Version
+	}
+	s.writePart(s.publisher.job, c.name, base)
+}
+
+func (s *State) commit(j *job) {
+	j.head.Recent = s.recent(j.settled)
+	s.storePut(headKey, mustJSON(j.head), s.publisher.headAt, s.publisherCall(stepCommit, ""))
+}
+
+// recent returns the settled submissions that the next head names. One whose
+// status is not known to be written stays, with its faults.
+func (s *State) recent(settled config.Settled) []config.Settled {
+	p := &s.publisher
+	extra := len(p.head.Recent) + 1 - keptSettled
+	var out []config.Settled
+	for _, old := range p.head.Recent {
+		if p.recorded[old.ID] {
+			if extra > 0 {
+				extra--
+				continue
+			}
+			old.Faults = nil
+		}
+		out = append(out, old)
+	}
+	return append(out, settled)
+}
+
+// committed goes on after the update of the head, by which the submission is
+// settled.
+func (s *State) committed(done StoreDone) {
+	p, j := &s.publisher, s.publisher.job
+	if done.Err != StoreOK {
+		s.restartPublisher(s.after(&p.backoff))
+		return
+	}
+	p.head, p.headAt = j.head, done.Version
+	s.forgetEvicted()
+	if j.next != nil && j.next.Version > s.configVersion() {
+		s.holder.encoded = j.encoded
+		s.adopt(j.next, j.delta)
+	}
+	s.writeStatus(j)
+}
+
+// forgetEvicted keeps the record of written statuses as short as the head.
+func (s *State) forgetEvicted() {
+	p := &s.publisher
+	recorded := make(map[string]bool, len(p.head.Recent))
+	for _, settled := range p.head.Recent {
+		if p.recorded[settled.ID] {
+			recorded[settled.ID] = true
+		}
+	}
+	p.recorded = recorded
+}
+
+func (s *State) logSettled(settled config.Settled) {
+	if settled.Rejected {
+		s.log(notice.SubmissionRejected, Attr{"id", settled.ID}, Attr{"faults", len(settled.Faults)})
+		return
+	}
+	s.log(notice.SubmissionAccepted, Attr{"id", settled.ID}, Attr{"version", settled.Version})
+}
+
+// dropWaiting forgets an accepted submission that needs no more watching.
+func (p *publisher) dropWaiting(i int) { p.waiting = slices.Delete(p.waiting, i, i+1) }
--- /dev/null
+++ b/core/publisher_garbage.go
@@ -0,0 +1,199 @@
+package core
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/status"
+)
+
+// sweep is the collection of garbage: chunks and manifests that the head does
+// not lead to, and old statuses.
+//
+// Safety does not rest on the lease. A publisher that writes a chunk which
+// exists already gives it a new version, and garbage is deleted by the
+// version that was listed. Between the list and the deletes the head is
+// updated, so that a publisher which began before can't commit any more.
+// Garbage is deleted only when the sweep before has seen it too, so that a
+// reader has at least SweepEvery to finish.
+type sweep struct {
+	at       time.Time
+	statusAt time.Time // the next sweep that looks at statuses too
+	busy     bool
+	fencing  bool
+	ready    bool              // all lists are read, the head is to be updated
+	listed   map[string]uint64 // chunks and manifests with their versions
+	garbage  map[string]uint64 // what the sweep before found unreferenced
+	deletes  int               // under way
+}
+
+// statusSweeps is the number of sweeps for one look at all statuses.
+const statusSweeps = 4
+
+// reset ends a sweep. What the sweep before found is kept.
+func (w *sweep) reset() {
+	w.busy, w.fencing, w.ready, w.listed, w.deletes = false, false, false, nil, 0
+}
+
+func (s *State) sweepTick() {
+	w := &s.publisher.sweep
+	if w.busy || !s.publisher.listed || s.now.Before(w.at) {
+		return
+	}
+	w.busy, w.listed = true, map[string]uint64{}
+	s.storeList(chunkPrefix, s.publisherCall(stepGarbage, chunkPrefix))
+}
+
+// sweepFailed gives a sweep up; the next one finds what this one left.
+func (s *State) sweepFailed() {
+	w := &s.publisher.sweep
+	w.reset()
+	w.at = s.now.Add(s.cfg.SweepEvery)
+}
+
+func (s *State) garbageListed(prefix string, done StoreDone) {
+	w := &s.publisher.sweep
+	if !w.busy || w.listed == nil {
+		return // given up in the meantime
+	}
+	if prefix == statusPrefix {
+		s.statusesListed(done.Objects)
+		w.statusAt = s.now.Add(statusSweeps * s.cfg.SweepEvery)
+		w.ready = true
+		return
+	}
+	for _, o := range done.Objects {
+		w.listed[o.Key] = o.Version
+	}
+	switch {
+	case prefix == chunkPrefix:
+		s.storeList(manifestPrefix, s.publisherCall(stepGarbage, manifestPrefix))
+	case !s.now.Before(w.statusAt):
+		s.storeList(statusPrefix, s.publisherCall(stepGarbage, statusPrefix))
+	default:
+		w.ready = true
+	}
+}
+
+// statusesListed takes up accepted submissions that nobody follows and
+// removes settled ones that are old. One that the head names is kept: without
+// its status it would be recorded anew.
+func (s *State) statusesListed(objects []StoreObject) {
+	for _, o := range objects {
+		var st status.Status
+		id := o.Key[len(statusPrefix):]
+		if json.Unmarshal(o.Data, &st) != nil {
+			continue
+		}
+		_, recent := s.publisher.head.Settled(id)
+		switch {
+		case st.Phase == status.Accepted:
+			s.await(st, o.Version)
+		case !recent && s.now.Sub(st.Settled) > s.cfg.StatusKeep:
+			s.collect(o.Key, o.Version)
+		}
+	}
+}
+
+func (s *State) collect(key string, version uint64) {
+	s.publisher.sweep.deletes++
+	s.storeDelete(key, version, s.publisherCall(stepCollect, key))
+}
+
+// beginFence updates the head if garbage is to be deleted, and reports
+// whether it did. It runs between two submissions.
+func (s *State) beginFence() bool {
+	p, w := &s.publisher, &s.publisher.sweep
+	if !w.ready {
+		return false
+	}
+	w.ready = false
+	live, ok := s.referenced()
+	if !ok {
+		s.sweepFailed()
+		return false
+	}
+	if len(w.doomed(live)) == 0 || p.headAt == 0 {
+		s.sweepDone(live)
+		return false
+	}
+	w.fencing = true
+	p.head.Epoch = p.lease.Epoch()
+	p.head.Sweep++
+	if s.cfg.faults.unfencedSweep {
+		s.fenced(StoreDone{Version: p.headAt})
+		return true
+	}
+	s.storePut(headKey, mustJSON(p.head), p.headAt, s.publisherCall(stepFence, ""))
+	return true
+}
+
+// referenced returns the keys that the head leads to. It fails when this node
+// stores the set in another form than the publisher before it did.
+func (s *State) referenced() (map[string]bool, bool) {
+	p := &s.publisher
+	if p.head.Version == 0 {
+		return nil, true
+	}
+	e, err := s.heldEncoded()
+	if err != nil || config.ContentName(mustJSON(e.Manifest)) != p.head.Manifest {
+		return nil, false
+	}
+	live := map[string]bool{manifestPrefix + p.head.Manifest: true}
+	for _, name := range e.Manifest.Chunks {
+		live[chunkPrefix+name] = true
+	}
+	return live, true
+}
+
+// doomed returns what two sweeps have found unreferenced at one version.
+func (w *sweep) doomed(live map[string]bool) []string {
+	var keys []string
+	for _, key := range sortedNames(w.garbage) {
+		if v, ok := w.listed[key]; ok && v == w.garbage[key] && !live[key] {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (s *State) fenced(done StoreDone) {
+	p, w := &s.publisher, &s.publisher.sweep
+	if done.Err != StoreOK {
+		s.restartPublisher(s.after(&p.backoff))
+		return
+	}
+	w.fencing = false
+	p.headAt = done.Version
+	live, ok := s.referenced()
+	if !ok {
+		s.sweepFailed()
+		return
+	}
+	for _, key := range w.doomed(live) {
+		s.collect(key, w.listed[key])
+	}
+	s.sweepDone(live)
+}
+
+// sweepDone remembers what is garbage now and ends the sweep once its deletes
+// are done.
+func (s *State) sweepDone(live map[string]bool) {
+	w := &s.publisher.sweep
+	w.garbage = map[string]uint64{}
+	for key, version := range w.listed {
+		if !live[key] {
+			w.garbage[key] = version
+		}
+	}
+	w.listed = nil
+	w.at = s.now.Add(s.cfg.SweepEvery)
+	w.busy = w.deletes > 0
+}
+
+func (s *State) collected() {
+	w := &s.publisher.sweep
+	w.deletes = max(w.deletes-1, 0)
+	w.busy = w.busy && (w.deletes > 0 || w.listed != nil)
+}
--- /dev/null
+++ b/core/publisher_queue.go
@@ -0,0 +1,160 @@
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/status"
+)
+
+// Keys of submissions and their status in the platform.
+const (
+	submissionPrefix = "submission/"
+	statusPrefix     = "status/"
+)
+
+// queued is a submission that waits for its turn.
+type queued struct {
+	key     string
+	version uint64
+	created uint64
+	sub     config.Submission
+	fault   string // why it can't be read
+}
+
+// job is the submission at work.
+type job struct {
+	queued
+	next    *config.Set
+	delta   config.Delta
+	encoded *config.Encoded
+	settled config.Settled
+	head    config.Head
+	parts   map[string][]byte // chunks and the manifest, by key
+	writes  int               // parts not written yet
+}
+
+func (s *State) enqueue(objects []StoreObject) {
+	p := &s.publisher
+	for _, o := range objects {
+		if o.Deleted || p.job != nil && p.job.key == o.Key ||
+			slices.ContainsFunc(p.queue, func(q queued) bool { return q.key == o.Key }) {
+			continue
+		}
+		q := queued{key: o.Key, version: o.Version, created: o.Created}
+		if err := json.Unmarshal(o.Data, &q.sub); err != nil {
+			q.fault = fmt.Sprintf("submission can't be read: %v", err)
+		}
+		q.sub.ID = o.Key[len(submissionPrefix):]
+		p.queue = append(p.queue, q)
+	}
+	slices.SortStableFunc(p.queue, func(a, b queued) int { return cmp.Compare(a.created, b.created) })
+}
+
+// nextJob takes the next submission if none is at work and this node holds
+// the set that the head names. The head is updated for garbage in between.
+func (s *State) nextJob() {
+	p := &s.publisher
+	if !p.active || p.job != nil || p.sweep.fencing || !p.listed || !p.haveHead || s.configVersion() < p.head.Version {
+		return
+	}
+	if s.beginFence() {
+		return
+	}
+	if len(p.queue) == 0 {
+		return
+	}
+	p.job = &job{queued: p.queue[0]}
+	p.queue = p.queue[1:]
+	s.storeGet(statusPrefix+p.job.sub.ID, s.publisherCall(stepSettled, p.job.sub.ID))
+}
+
+// settledRead begins with a submission, unless it is known to be settled: a
+// repeat of one that was settled and removed, or one whose removal failed.
+// The status is read after the head, and an entry leaves the head only when
+// its status is known to be written, so one of the two tells.
+func (s *State) settledRead(done StoreDone) {
+	j := s.publisher.job
+	settled, ok := s.publisher.head.Settled(j.sub.ID)
+	switch {
+	case s.cfg.faults.ignoreSettled:
+		s.check(j)
+	case done.Err == StoreOK:
+		s.recovered(j.sub.ID, done)
+		s.removeJob()
+	case ok:
+		j.settled = settled
+		s.writeStatus(j)
+	default:
+		s.check(j)
+	}
+}
+
+// writeStatus writes what became of the submission at work.
+func (s *State) writeStatus(j *job) {
+	st := s.statusOf(j.settled)
+	s.storePut(statusPrefix+st.ID, mustJSON(st), 0, s.publisherCall(stepStatus, st.ID))
+}
+
+func (s *State) statusOf(settled config.Settled) status.Status {
+	st := status.Status{ID: settled.ID, Phase: status.Accepted, Version: settled.Version, Settled: s.now.UTC()}
+	if settled.Rejected {
+		st.Phase, st.Faults = status.Rejected, settled.Faults
+	}
+	return st
+}
+
+func (s *State) statusWritten(done StoreDone) {
+	s.recordWritten(s.publisher.job.sub.ID, done)
+	s.removeJob()
+}
+
+func (s *State) removeJob() {
+	j := s.publisher.job
+	s.storeDelete(j.key, j.version, s.publisherCall(stepRemove, j.sub.ID))
+}
+
+// recoverStatuses sees to it that each submission that the head names as
+// settled has its status, and takes up those that are not in force yet: a
+// predecessor may have ended between any two writes.
+func (s *State) recoverStatuses() {
+	p := &s.publisher
+	for _, settled := range p.head.Recent {
+		if !p.recorded[settled.ID] {
+			s.storeGet(statusPrefix+settled.ID, s.publisherCall(stepRecover, settled.ID))
+		}
+	}
+}
+
+func (s *State) recovered(id string, done StoreDone) {
+	if done.Err != StoreOK || len(done.Objects) == 0 {
+		if settled, ok := s.publisher.head.Settled(id); ok {
+			s.storePut(statusPrefix+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepRecord, id))
+		}
+		return
+	}
+	s.publisher.recorded[id] = true
+	var st status.Status
+	if json.Unmarshal(done.Objects[0].Data, &st) == nil && st.Phase == status.Accepted {
+		s.await(st, done.Objects[0].Version)
+	}
+}
+
+// recordWritten goes on after the first write of a status. A conflict says
+// that it stands there already.
+func (s *State) recordWritten(id string, done StoreDone) {
+	p := &s.publisher
+	settled, ok := p.head.Settled(id)
+	if done.Err != StoreOK || !ok {
+		s.storeGet(statusPrefix+id, s.publisherCall(stepRecover, id))
+		return
+	}
+	p.recorded[id] = true
+	s.logSettled(settled)
+	if !settled.Rejected {
+		s.await(s.statusOf(settled), done.Version)
+	}
+}
--- /dev/null
+++ b/core/publisher_test.go
@@ -0,0 +1,337 @@
+package core_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+)
+
+// publishMesh starts a mesh of two data centres whose writes are checked.
+func publishMesh(seed uint64, broken func(core.Config) core.Config) (*coretest.Mesh, *publishChecker) {
+	m := coretest.New(seed)
+	c := newPublishChecker(m)
+	m.OnStep = func(*coretest.Node, core.Event) { c.look() }
+	m.OnStore = func(n *coretest.Node, e core.Effect) { c.stored(n, e) }
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		m.Start(name, broken(core.Config{DataCentre: name[:1], Service: "orders", Fanout: 2, SweepEvery: 20 * time.Second}))
+		m.Run(time.Second)
+	}
+	return m, c
+}
+
+func sound(c core.Config) core.Config { return c }
+
+func object(kind config.Kind, name, spec string) config.Object {
+	return config.Object{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
+}
+
+// hand submits, as an operator would.
+func (c *publishChecker) hand(sub config.Submission) {
+	data, err := json.Marshal(sub)
+	if err != nil {
+		panic(err)
+	}
+	c.dirty = true
+	_, _ = c.m.Store.Put(context.Background(), "submission/"+sub.ID, data, 0)
+}
+
+// racingSubmission draws an edit of one of a few objects, good or bad, that
+// was made from the set as it is now.
+func racingSubmission(t *rapid.T, c *publishChecker, id string) config.Submission {
+	name := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name")
+	prefix := rapid.SampledFrom([]string{"/x", "/y", "/z"}).Draw(t, "prefix")
+	service := object(config.KindService, "orders", `{}`)
+	route := object(config.KindRoute, name, fmt.Sprintf(`{ "pathPrefix": %q, "service": "orders" }`, prefix))
+	base := c.model.Objects[route.Key()].Version
+	sub := config.Submission{ID: id, Author: id}
+	switch rapid.IntRange(0, 6).Draw(t, "edit") {
+	case 0: // an edit that loses against any other of the same object
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}, {Object: route, Base: base}}
+	case 1:
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}, {Object: route, AnyBase: true}}
+	case 2:
+		sub.Deletes = []config.Delete{{Key: route.Key(), Base: base}}
+	case 3: // points at nothing
+		route.Spec = json.RawMessage(fmt.Sprintf(`{"pathPrefix":%q,"service":"gone"}`, prefix))
+		sub.Puts = []config.Put{{Object: route, AnyBase: true}}
+	case 4:
+		sub.Deletes = []config.Delete{{Key: service.Key(), AnyBase: true}}
+	case 5:
+		sub.Puts = []config.Put{{Object: object(config.KindService, "gateway", `{"policy":"none"}`), AnyBase: true}}
+	default:
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}}
+	}
+	return sub
+}
+
+// publishHistory lets operators race while publishers crash, pause and lose
+// answers, ends all faults and returns the first broken promise.
+func publishHistory(t *rapid.T, broken func(core.Config) core.Config, prepare func(*coretest.Mesh)) error {
+	m, c := publishMesh(rapid.Uint64().Draw(t, "seed"), broken)
+	prepare(m)
+	names := []string{"a1", "a2", "b1", "b2"}
+	node := rapid.SampledFrom(names)
+	for i := range rapid.IntRange(4, 14).Draw(t, "steps") {
+		switch rapid.IntRange(0, 11).Draw(t, "step") {
+		case 0:
+			m.Restart(node.Draw(t, "restart"))
+		case 1:
+			c.pause(node.Draw(t, "pause"), rapid.SampledFrom([]time.Duration{time.Second, 9 * time.Second}).Draw(t, "for"))
+		case 2:
+			m.Faults.PlatformDown = !m.Faults.PlatformDown
+		case 3:
+			m.Faults.LoseAnswer = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "lose")
+		case 4:
+			m.Faults.PlatformDelay = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, time.Second}).Draw(t, "slow")
+		case 5:
+			m.DropWatches()
+		case 6:
+			if id := fmt.Sprintf("s%d", rapid.IntRange(0, 14).Draw(t, "repeat")); c.subs[id].ID != "" {
+				c.hand(c.subs[id])
+			}
+		case 7:
+			_, _ = m.Store.Put(context.Background(), fmt.Sprintf("submission/u%d", i), []byte(`{"puts":7}`), 0)
+		case 8:
+			c.read()
+		default:
+			c.hand(racingSubmission(t, c, fmt.Sprintf("s%d", i)))
+			c.hand(racingSubmission(t, c, fmt.Sprintf("r%d", i)))
+		}
+		m.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "millis")) * time.Millisecond)
+	}
+	m.Heal()
+	m.Faults.PlatformDelay = 5 * time.Millisecond
+	if c.err == nil && !m.RunUntil(time.Minute, func() bool { return c.err != nil || c.settledAll() }) {
+		c.fail("a minute after the faults ended not all is settled: %+v", c.statuses)
+	}
+	m.Run(80 * time.Second) // four sweeps
+	if c.err == nil {
+		c.garbageGone()
+	}
+	if c.err == nil && !c.linearizable() {
+		c.fail("the submissions have no order that explains their outcomes")
+	}
+	return c.err
+}
+
+// garbageGone checks that nothing is left that the head doesn't lead to.
+func (c *publishChecker) garbageGone() {
+	if c.head.Version == 0 {
+		return
+	}
+	manifests, _, _ := c.m.Store.List(context.Background(), "config/manifest/")
+	chunks, _, _ := c.m.Store.List(context.Background(), "config/chunk/")
+	if len(manifests) != 1 || len(chunks) != 1 {
+		c.fail("%d manifests and %d chunks are left of one each", len(manifests), len(chunks))
+	}
+}
+
+func TestSubmissionsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := publishHistory(t, sound, func(*coretest.Mesh) {}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// scenario is a fixed run: a version, then a bad and two racing submissions,
+// with something done at one of the writes of publishers to the platform.
+func scenario(broken func(core.Config) core.Config, prepare func(*coretest.Mesh, *publishChecker), at int, do func(*publishChecker, *coretest.Node)) error {
+	m, c := publishMesh(7, broken)
+	prepare(m, c)
+	writes := 0
+	c.onStore = func(n *coretest.Node, e core.Effect) {
+		m.Faults.LoseAnswer, m.Faults.FailBefore = 0, 0
+		if publisherWrite(e) {
+			writes++
+			if writes == at {
+				do(c, n)
+			}
+		}
+	}
+	service := config.Put{Object: object(config.KindService, "orders", `{}`), AnyBase: true}
+	route := func(prefix string) config.Put {
+		return config.Put{Object: object(config.KindRoute, "x", fmt.Sprintf(`{"pathPrefix":%q,"service":"orders"}`, prefix))}
+	}
+	c.hand(config.Submission{ID: "s1", Puts: []config.Put{service}})
+	m.Run(200 * time.Millisecond)
+	c.hand(config.Submission{ID: "bad", Puts: []config.Put{{Object: object(config.KindRoute, "y", `{"pathPrefix":"/y","service":"gone"}`)}}})
+	c.hand(config.Submission{ID: "left", Puts: []config.Put{route("/left")}})
+	c.hand(config.Submission{ID: "right", Puts: []config.Put{route("/right")}})
+	if !m.RunUntil(time.Minute, func() bool { return c.err != nil || c.settledAll() }) {
+		c.fail("not all is settled: %+v", c.statuses)
+	}
+	c.hand(c.subs["left"]) // a repeat has no second effect
+	m.Run(70 * time.Second)
+	if c.err == nil && !c.settledAll() {
+		c.fail("the repeat is not settled")
+	}
+	if c.err == nil && !c.linearizable() {
+		c.fail("the submissions have no order that explains their outcomes")
+	}
+	return c.err
+}
+
+// publisherWrite reports whether an effect writes for a publisher.
+func publisherWrite(e core.Effect) bool {
+	switch e := e.(type) {
+	case core.StorePut:
+		return !strings.HasPrefix(e.Key, "lease/")
+	case core.StoreDelete:
+		return true
+	}
+	return false
+}
+
+func untouched(*coretest.Mesh, *publishChecker) {}
+
+// writesOfScenario is above the number of writes that publishers make in a
+// scenario, so each of them is tried.
+const writesOfScenario = 32
+
+func TestPublisherInterruptedAtEachWrite(t *testing.T) {
+	kinds := map[string]func(*publishChecker, *coretest.Node){
+		"crash":       func(c *publishChecker, n *coretest.Node) { c.m.Crash(n.Name) },
+		"restart":     func(c *publishChecker, n *coretest.Node) { c.m.Restart(n.Name) },
+		"pause":       func(c *publishChecker, n *coretest.Node) { c.pause(n.Name, 12*time.Second) },
+		"answer lost": func(c *publishChecker, _ *coretest.Node) { c.m.Faults.LoseAnswer = 1 },
+		"not written": func(c *publishChecker, _ *coretest.Node) { c.m.Faults.FailBefore = 1 },
+		"outage after": func(c *publishChecker, _ *coretest.Node) {
+			c.m.Faults.PlatformDown = true
+			c.m.After(9*time.Second, c.m.Heal)
+		},
+	}
+	for name, do := range kinds {
+		t.Run(name, func(t *testing.T) {
+			for at := range writesOfScenario {
+				if err := scenario(sound, untouched, at, do); err != nil {
+					t.Errorf("at write %d: %v", at, err)
+				}
+			}
+		})
+	}
+}
+
+// TestPublisherChecksCanFail shows for each promise that a deliberate fault
+// turns its check red.
+func TestPublisherChecksCanFail(t *testing.T) {
+	headUnguarded := func(m *coretest.Mesh, _ *publishChecker) {
+		m.Run(10 * time.Second)
+		m.Store.SetFaults(platformtest.Faults{IgnoreBase: func(key string) bool { return strings.HasPrefix(key, "config/head") }})
+	}
+	pause := func(c *publishChecker, n *coretest.Node) { c.pause(n.Name, 12*time.Second) }
+	tests := []struct {
+		name    string
+		broken  func(core.Config) core.Config
+		prepare func(*coretest.Mesh, *publishChecker)
+		do      func(*publishChecker, *coretest.Node)
+		want    string
+	}{
+		{"check off", core.Unchecked, untouched, nil, "the model says"},
+		{"settled submissions ignored", core.IgnoreSettled, untouched, nil, "was settled"},
+		{"no count before InForce", core.Hasty, untouched, pause, "serves by version"},
+		{"update of the head unguarded", twoHolders, headUnguarded, nil, ""},
+		{"epochs not looked at", core.Unfenced, deleteLease, nil, "under epoch"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			do := tt.do
+			if do == nil {
+				do = func(*publishChecker, *coretest.Node) {}
+			}
+			var err error
+			for at := 0; at < writesOfScenario && err == nil; at++ {
+				err = scenario(tt.broken, tt.prepare, at, do)
+			}
+			is.True(err != nil) // the check is red
+			t.Log(err)
+			is.True(err == nil || strings.Contains(err.Error(), tt.want)) // for the right reason
+		})
+	}
+}
+
+// twoHolders lets the publisher in data centre a believe that it holds its
+// leases for an hour, so that one in b takes them beside it.
+func twoHolders(c core.Config) core.Config {
+	if c.DataCentre == "a" {
+		c.LeaseTTL, c.LeaseRenew = time.Hour, 30*time.Minute
+	}
+	return c
+}
+
+// restartSound ends the wrong belief of data centre a.
+func restartSound(m *coretest.Mesh) {
+	for _, name := range []string{"a1", "a2"} {
+		cfg := m.Node(name).Config
+		cfg.LeaseTTL, cfg.LeaseRenew = 0, 0
+		m.Crash(name)
+		m.Start(name, cfg)
+	}
+}
+
+func publishers(m *coretest.Mesh) int {
+	n := 0
+	for _, node := range m.Nodes() {
+		if node.Alive && node.State.Dump().Publisher {
+			n++
+		}
+	}
+	return n
+}
+
+// TestTwoPublishersAtOnce checks that no promise rests on the lease.
+func TestTwoPublishersAtOnce(t *testing.T) {
+	is := is.New(t)
+	both := 0
+	wait := func(m *coretest.Mesh, _ *publishChecker) {
+		m.Run(10 * time.Second)
+		if publishers(m) == 2 {
+			both++
+		}
+		m.After(5*time.Second, func() { restartSound(m) })
+	}
+	for at := range writesOfScenario {
+		is.NoErr(scenario(twoHolders, wait, at, func(c *publishChecker, _ *coretest.Node) { c.m.Faults.LoseAnswer = 1 }))
+	}
+	is.True(both == writesOfScenario) // they were two
+}
+
+// TestDeletedLease checks that publishing goes on after the lease object was
+// deleted and epochs began anew.
+func TestDeletedLease(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(scenario(sound, deleteLease, 0, nil))
+}
+
+// deleteLease publishes under a high epoch, then deletes the lease.
+func deleteLease(m *coretest.Mesh, c *publishChecker) {
+	ctx := context.Background()
+	for range 3 {
+		m.Restart("a1")
+		m.Restart("b1")
+		m.Run(20 * time.Second)
+	}
+	c.hand(config.Submission{ID: "early", Puts: []config.Put{{Object: object(config.KindService, "early", `{}`)}}})
+	m.Run(10 * time.Second)
+	o, err := m.Store.Get(ctx, "lease/publisher")
+	if err != nil {
+		c.fail("lease: %w", err)
+		return
+	}
+	if err := m.Store.Delete(ctx, "lease/publisher", o.Version); err != nil {
+		c.fail("lease: %w", err)
+	}
+	m.Run(15 * time.Second)
+}
--- a/core/root.go
+++ b/core/root.go
@@ -22,14 +22,16 @@
 // root is what a node does while it is the root of its data centre: it
 // watches the head and links with the roots of the other data centres.
 type root struct {
-	listAt   time.Time
-	listing  bool
-	others   map[string]lease.Record // by data centre
-	reports  map[string]message.Report
-	watching bool
-	revision uint64 // the watch goes on from here
-	headRead bool   // the head has been read since this node became root
-	fetch    *fetch
+	listAt     time.Time
+	listing    bool
+	listSent   time.Time               // of the list under way
+	listedFrom time.Time               // when the last list that succeeded was sent
+	others     map[string]lease.Record // by data centre
+	reports    map[string]message.Report
+	watching   bool
+	revision   uint64 // the watch goes on from here
+	headRead   bool   // the head has been read since this node became root
+	fetch      *fetch
 }
 
 // fetch is the read of one version from the platform.
@@ -72,7 +74,7 @@
 		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 	}
 	if !s.root.listing && !s.now.Before(s.root.listAt) {
-		s.root.listing = true
+		s.root.listing, s.root.listSent = true, s.now
 		s.storeList("lease/", storeCall{purpose: forLeaseList})
 	}
 	if s.root.headRead && !s.root.watching {
@@ -115,7 +117,7 @@
 		s.resignRoot("held by " + rec.Holder)
 		return
 	}
-	s.root.others = others
+	s.root.others, s.root.listedFrom = others, s.root.listSent
 	s.linkRoots()
 }
 
@@ -230,11 +232,11 @@
 // objects leaves the same but for a few.
 func (s *State) heldChunks() map[string][]byte {
 	held := map[string][]byte{}
-	_, chunks, err := config.EncodeSet(s.holder.set)
+	e, err := s.heldEncoded()
 	if err != nil {
 		return held
 	}
-	for _, c := range chunks {
+	for _, c := range e.Chunks() {
 		held[c.Name] = c.Data
 	}
 	return held
--- a/core/state.go
+++ b/core/state.go
@@ -37,6 +37,20 @@
 	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
+	SweepEvery     time.Duration // time between collections of garbage in the platform
+	StatusKeep     time.Duration // time for which the status of a settled submission is kept
+
+	faults publisherFaults
+}
+
+// publisherFaults switch rules of the publisher off, for tests that show that
+// their checks can fail.
+type publisherFaults struct {
+	unchecked     bool // the set is not checked before it is published
+	ignoreSettled bool // a submission is settled whatever became of it before
+	unfenced      bool // the epoch of the head is not looked at
+	hasty         bool // in force is written without a count
+	unfencedSweep bool // garbage is deleted without an update of the head
 }
 
 // WithDefaults returns the settings with every zero field filled in.
@@ -57,6 +71,8 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.SweepEvery, 15*time.Minute)
+	setDefault(&c.StatusKeep, 24*time.Hour)
 	return c
 }
 
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -3,6 +3,8 @@
 package status
 
 import (
+	"time"
+
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/message"
 )
@@ -27,6 +29,7 @@
 	Nodes    int               `json:"nodes,omitempty"`   // live nodes counted
 	Applied  int               `json:"applied,omitempty"` // of them, with the version
 	Laggards []message.Laggard `json:"laggards,omitempty"`
+	Settled  time.Time         `json:"settled,omitzero"` // by the publisher's clock
 }
 
 // Count adds reports up: the smallest applied version, the number of nodes
