--- a/core/effect.go
+++ b/core/effect.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -69,32 +71,45 @@
 // ProbeBackend asks the own backend server for its health.
 type ProbeBackend struct{}
 
-// Forward sends an attempt of a call to a backend server's node.
+// Forward sends an attempt of a call to a backend server's node. The data
+// path writes it to one connection, once. Incarnation goes with it, and with a
+// cancel of it, to be handed over as For; so does Key, zero for none.
 type Forward struct {
-	Call    CallID
-	Attempt AttemptID
-	Target  string // ID of the backend server
-	Hop     string // address of its node
-	Local   bool   // it is the node's own
-	Class   admission.Class
-	Budget  time.Duration // time left until the call's deadline
+	Call        CallID
+	Attempt     AttemptID
+	Target      string // ID of the backend server
+	Incarnation endpoint.Incarnation
+	Hop         string // address of its node
+	Local       bool   // it is the node's own
+	Class       admission.Class
+	Budget      time.Duration // time left until the call's deadline
+	Key         idempotency.Key
 }
 
 // Finish ends a call without, or instead of, a backend server's answer.
+// Outcome Ran says that an earlier request with the same Idempotency-Key ran;
+// Status is that of its answer, zero if it is not known.
 type Finish struct {
 	Call    CallID
 	Outcome retry.Outcome
 	NoRoute bool
+	Status  int
 	Reason  string
 }
 
 // Run lets an attempt run at the own backend server.
 type Run struct{ Attempt AttemptID }
 
-// Refuse answers an attempt that did not run and never will.
+// Refuse answers an attempt without running it. Outcome is what the sender is
+// to be told, and what it may conclude: NotRun when no copy of the attempt ran
+// or will, Unknown when another copy of it may have run, or may yet, Ran when
+// an earlier request with the same Idempotency-Key ran; Status is that of the
+// earlier answer, zero if it is not known.
 type Refuse struct {
 	Attempt AttemptID
 	Reason  admission.Reason
+	Outcome retry.Outcome
+	Status  int
 }
 
 // Drained says that nothing is left in flight and the process may end.
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -58,6 +58,16 @@
 	sweep    sweep
 }
 
+// publisherFaults switch rules of the publisher off, for tests that show that
+// their checks can fail.
+type publisherFaults struct {
+	unchecked     bool // the set is not checked before it is published
+	ignoreSettled bool // a submission is settled whatever became of it before
+	unfenced      bool // the epoch of the head is not looked at
+	hasty         bool // in force is written without a count
+	unfencedSweep bool // garbage is deleted without an update of the head
+}
+
 func newPublisher(cfg Config) publisher {
 	return publisher{recorded: map[string]bool{}, lease: lease.New(lease.Config{
 		Holder: cfg.Node, Address: cfg.Peer, TTL: cfg.LeaseTTL, Renew: cfg.LeaseRenew, Margin: cfg.LeaseMargin,
--- a/core/state.go
+++ b/core/state.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -19,6 +20,7 @@
 	Hop         string // own address for requests from other nodes
 	Service     string // of the backend server; empty: none stands beside this node
 	Slots       int
+	StatusSlots int // of Slots, those that run nothing but status checks
 	MaxQueue    int
 	Fanout      int
 	Incarnation endpoint.Incarnation
@@ -37,20 +39,18 @@
 	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
-	SweepEvery     time.Duration // time between collections of garbage in the platform
-	StatusKeep     time.Duration // time for which the status of a settled submission is kept
 
-	faults publisherFaults
-}
+	SweepEvery time.Duration // time between collections of garbage in the platform
+	StatusKeep time.Duration // time for which the status of a settled submission is kept
+	faults     publisherFaults
+
+	QueueMaxWait  time.Duration // none waits longer for a slot
+	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
+	QueueInterval time.Duration
 
-// publisherFaults switch rules of the publisher off, for tests that show that
-// their checks can fail.
-type publisherFaults struct {
-	unchecked     bool // the set is not checked before it is published
-	ignoreSettled bool // a submission is settled whatever became of it before
-	unfenced      bool // the epoch of the head is not looked at
-	hasty         bool // in force is written without a count
-	unfencedSweep bool // garbage is deleted without an update of the head
+	KeyKeep         time.Duration // how long a node holds an Idempotency-Key
+	ClaimKeep       time.Duration // how long a claim stays in the platform
+	ClaimsPerSecond float64       // claims that this node may create
 }
 
 // WithDefaults returns the settings with every zero field filled in.
@@ -73,9 +73,21 @@
 	setDefault(&c.RetryShare, 0.1)
 	setDefault(&c.SweepEvery, 15*time.Minute)
 	setDefault(&c.StatusKeep, 24*time.Hour)
+	setDefault(&c.KeyKeep, 10*time.Minute)
+	setDefault(&c.ClaimKeep, 24*time.Hour)
+	setDefault(&c.ClaimsPerSecond, 5)
 	return c
 }
 
+func (c Config) admission() admission.Config {
+	a := admission.DefaultConfig(c.Slots)
+	setDefault(&c.QueueMaxWait, a.MaxWait)
+	setDefault(&c.QueueTarget, a.Target)
+	setDefault(&c.QueueInterval, a.Interval)
+	a.StatusSlots, a.MaxQueue, a.MaxWait, a.Target, a.Interval = c.StatusSlots, c.MaxQueue, c.QueueMaxWait, c.QueueTarget, c.QueueInterval
+	return a
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
@@ -103,6 +115,7 @@
 	backend   backend
 	platform  platformState
 	requests  requests
+	fault     requestFault
 }
 
 // New returns the State of a node that has just started.
@@ -174,6 +187,7 @@
 	s.rootTick()
 	s.publisherTick()
 	s.backendTick()
+	s.claimTick()
 }
 
 // jitter returns a random time below limit ("full jitter").
@@ -197,6 +211,12 @@
 	return true, ""
 }
 
+// Queued returns the number of attempts that wait for the own backend server.
+func (s *State) Queued() int {
+	_, waiting := s.backend.queue.Load()
+	return waiting
+}
+
 // Dump is the state of a node in a form for people and scripts.
 type Dump struct {
 	Node          string           `json:"node"`
