--- a/internal/capacity/cpu.go
+++ b/internal/capacity/cpu.go
@@ -28,7 +28,7 @@
 		}),
 		measure("encoding of a whole set, by routes", "ns", routes, func(n int) float64 {
 			set := config.NewSet(1, sizes.Objects(n))
-			return timeOf(func() { _, _, _ = config.EncodeSet(set) })
+			return timeOf(func() { _, _ = config.Encode(set) })
 		}),
 		measure("delta applied by a node, by routes", "ns", routes, deltaTime),
 		measure("endpoint entry merged by a node, by endpoints", "ns", tables, func(n int) float64 { return entryTime(n, 0) }),
