Give a relay 8 children instead of 16

Cause: at the target size a relay with 16 children takes 1.4 % of a core and 4.5 kB/s for control, over the limits of 1 % and 3 kB/s; most of both are heartbeats, so they grow with its links.

Change: the default fanout is 8. A data centre of the target (482 nodes) needs three levels below its root with 16 (16 + 256 < 482) and with 8 (8 + 64 + 512), so nothing is lost in depth.

Ruled out: slower heartbeats, which would find a silent host later.

--- a/core/state.go
+++ b/core/state.go
@@ -57,7 +57,7 @@
 func (c Config) WithDefaults() Config {
 	setDefault(&c.Slots, 6)
 	setDefault(&c.MaxQueue, 8*c.Slots)
-	setDefault(&c.Fanout, 16)
+	setDefault(&c.Fanout, 8)
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
