--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"reflect"
+	"testing"
+)
+
+// FuzzDecode reads arbitrary bytes as settings: nothing may panic, every
+// refusal names file, field and reason, and settings without faults are the
+// same after they were written and read again.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Decode("f", data)
+		if err != nil {
+			checkError(t, err)
+			return
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatalf("encode: %v", err)
+		}
+		got, err := Decode("f", again)
+		if err != nil || !reflect.DeepEqual(got, s) {
+			t.Fatalf("%s was read as %+v: %v", again, got, err)
+		}
+	})
+}
+
+func checkError(t *testing.T, err error) {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) || e.File != "f" || len(e.Faults) == 0 {
+		t.Fatalf("refused without faults: %v", err)
+	}
+	for _, fault := range e.Faults {
+		if fault.Field == "" || fault.Reason == "" {
+			t.Fatalf("fault %+v does not name field and reason", fault)
+		}
+	}
+}
