--- a/cmd/agatekeel/commands_test.go
+++ b/cmd/agatekeel/commands_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/status"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
 )
 
 // agatekeel runs one command line in this process.
@@ -199,3 +200,36 @@
 	is.Equal(code, exitOK)
 	is.Equal(stdout, id+" Pending\n") // it was taken and waits
 }
+
+func TestApplyWithTheSameIDSettlesALostAnswer(t *testing.T) {
+	is := is.New(t)
+	m := &mesh{}
+	defer m.close()
+	is.NoErr(m.servePlatform("127.0.0.1:0"))
+	lost := func(op, key string) bool { return op == "put" && strings.HasPrefix(key, "submission/") }
+	down := func(op, key string) bool { return op != "put" && strings.HasPrefix(key, "submission/") }
+	apply := func(args ...string) (int, string, string) {
+		return agatekeel(append([]string{"apply", "--platform", m.platform, "../../examples/recipes"}, args...)...)
+	}
+
+	// The write takes effect, its answer is lost: the client finds it itself.
+	m.store.SetFaults(platformtest.Faults{LoseAnswer: lost})
+	code, stdout, _ := apply("--id", "first")
+	is.Equal(code, exitOK)
+	is.Equal(stdout, "submission first\nfirst Pending\n")
+
+	// No answer settles it: the command says that it does not know, and how to learn.
+	m.store.SetFaults(platformtest.Faults{LoseAnswer: lost, Throttle: down})
+	code, stdout, stderr := apply("--id", "second")
+	is.Equal(code, exitFailed)
+	is.Equal(stdout, "submission second\n")
+	is.True(strings.Contains(stderr, "not known whether the submission was taken"))
+	is.True(strings.Contains(stderr, "run the same command with --id second"))
+	m.store.SetFaults(platformtest.Faults{})
+	code, _, stderr = apply("--id", "second")
+	is.Equal(code, exitOK)
+	is.True(!strings.Contains(stderr, "not known"))
+	code, stdout, _ = agatekeel("status", "--platform", m.platform, "second")
+	is.Equal(code, exitOK)
+	is.Equal(stdout, "second Pending\n")
+}
--- a/cmd/agatekeel/dev.go
+++ b/cmd/agatekeel/dev.go
@@ -43,6 +43,7 @@
 // mesh is what dev has started.
 type mesh struct {
 	platform  string // URL of the platform stand-in
+	store     *platformtest.Store
 	nodes     []*node.Node
 	listeners []*node.Listeners
 	closers   []func()
@@ -107,7 +108,8 @@
 	if err != nil {
 		return fmt.Errorf("--platform-listen: %w", err)
 	}
-	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	m.store = platformtest.NewStore()
+	server := &http.Server{Handler: platformtest.Handler(m.store), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	m.closers = append(m.closers, func() { _ = server.Close() })
 	m.platform = "http://" + l.Addr().String()
--- a/cmd/agatekeel/node_test.go
+++ b/cmd/agatekeel/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 
@@ -36,3 +37,21 @@
 		is.True(strings.Contains(stderr, file+": "+want)) // every fault at once
 	}
 }
+
+func TestFirstSignalDrainsAndSecondEnds(t *testing.T) {
+	is := is.New(t)
+	m := startDev(t)
+	second := make(chan os.Signal, 1)
+	second <- os.Interrupt
+	drain(second, m.nodes[0]) // a second signal is there already: no wait
+	select {
+	case <-m.nodes[0].Drained():
+		is.Fail() // it ended without the time that others need to learn of it
+	default:
+	}
+	drain(nil, m.nodes...)
+	for _, n := range m.nodes {
+		<-n.Drained()
+		is.Equal(n.Dump().Backend.State, "gone")
+	}
+}
