--- a/core/state.go
+++ b/core/state.go
@@ -40,6 +40,10 @@
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
 
+	SweepEvery time.Duration // time between collections of garbage in the platform
+	StatusKeep time.Duration // time for which the status of a settled submission is kept
+	faults     publisherFaults
+
 	QueueMaxWait  time.Duration // none waits longer for a slot
 	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
 	QueueInterval time.Duration
@@ -67,6 +71,8 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.SweepEvery, 15*time.Minute)
+	setDefault(&c.StatusKeep, 24*time.Hour)
 	setDefault(&c.KeyKeep, 10*time.Minute)
 	setDefault(&c.ClaimKeep, 24*time.Hour)
 	setDefault(&c.ClaimsPerSecond, 5)
