--- a/cmd/agatekeel/apply.go
+++ b/cmd/agatekeel/apply.go
@@ -176,30 +176,36 @@
 // follow shows the status, with Wait once it is final.
 func (c *applyCommand) follow(ctx context.Context, client *operator.Client, id string, src source, started time.Time) error {
 	st := status.Status{ID: id, Phase: status.Pending}
-	var waitErr error
 	if c.Wait {
-		if last, err := client.Wait(ctx, id); err != nil {
-			waitErr = fmt.Errorf("not in force when the time was up (last seen: %s); it may still come into force, nothing was "+
+		last, err := client.Wait(ctx, id)
+		if err != nil {
+			return fmt.Errorf("not in force when the time was up (last seen: %s); it may still come into force, nothing was "+
 				"taken back: ask \"agatekeel status %s\": %w", phaseName(last.Phase), id, err)
-		} else {
-			st = last
 		}
+		st = last
 	}
-	if waitErr != nil {
-		return waitErr
+	if st.Phase == status.Rejected {
+		return c.rejected(st, src)
 	}
 	if err := c.showStatus(c.outputOption, st); err != nil {
 		return err
 	}
-	if st.Phase == status.Rejected {
-		return fmt.Errorf("submission %s is rejected, nothing was changed:\n%w", id, src.faultErrors(st.Faults))
-	}
 	if c.Wait && !c.wantsJSON() {
 		c.printf("after %d ms\n", time.Since(started).Milliseconds())
 	}
 	return nil
 }
 
+// rejected tells each fault once, with its file.
+func (c *applyCommand) rejected(st status.Status, src source) error {
+	if c.wantsJSON() {
+		if err := c.json(st); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("submission %s is rejected, nothing was changed:\n%w", st.ID, src.faultErrors(st.Faults))
+}
+
 func phaseName(p status.Phase) string {
 	if p == "" {
 		return "no answer from the platform"
--- a/cmd/agatekeel/status.go
+++ b/cmd/agatekeel/status.go
@@ -86,7 +86,10 @@
 		return c.json(st)
 	}
 	c.printf("%s %s", st.ID, st.Phase)
-	if st.Version > 0 {
+	switch {
+	case st.Phase == status.Rejected:
+		c.printf(" against version %d", st.Version)
+	case st.Version > 0:
 		c.printf(", version %d", st.Version)
 	}
 	if st.Nodes > 0 {
--- a/core/config/fuzz_test.go
+++ b/core/config/fuzz_test.go
@@ -67,15 +67,15 @@
 
 func checkStored(t *testing.T, set *Set) {
 	t.Helper()
-	m, chunks, err := EncodeSet(set)
+	encoded, err := Encode(set)
 	if err != nil {
 		t.Fatalf("encode: %v", err)
 	}
 	data := map[string][]byte{}
-	for _, c := range chunks {
+	for _, c := range encoded.Chunks() {
 		data[c.Name] = c.Data
 	}
-	got, err := DecodeSet(m, data)
+	got, err := DecodeSet(encoded.Manifest, data)
 	if err != nil || got.Hash() != set.Hash() {
 		t.Fatalf("the stored form of %v leads to %v: %v", set.Sorted(), got, err)
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -22,6 +22,7 @@
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
+		SweepEvery: time.Duration(s.Publisher.SweepEvery), StatusKeep: time.Duration(s.Publisher.StatusKeep),
 		RetryShare:   s.Requests.RetryShare,
 		DrainAtLeast: time.Duration(s.Drain.AtLeast), DrainAtMost: time.Duration(s.Drain.AtMost),
 		Incarnation: life, Seed: seed,
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -20,9 +20,10 @@
 		Distribution: settings.Distribution{
 			Favour: "bytes", Fanout: 21, HeartbeatEvery: second(22), MissedHeartbeats: 23, JoinJitter: second(24), WatchWait: second(25),
 		},
-		Lease:    settings.Lease{TTL: second(33), Renew: second(31), Margin: second(32)},
-		Requests: settings.Requests{RetryShare: 0.41},
-		Drain:    settings.Drain{AtLeast: second(51), AtMost: second(52)},
+		Lease:     settings.Lease{TTL: second(33), Renew: second(31), Margin: second(32)},
+		Publisher: settings.Publisher{SweepEvery: second(71), StatusKeep: second(72)},
+		Requests:  settings.Requests{RetryShare: 0.41},
+		Drain:     settings.Drain{AtLeast: second(51), AtMost: second(52)},
 	}
 	life := endpoint.Incarnation{Start: 61, Random: 62}
 	got := CoreConfig(s, "peer", "hop", life, 63)
@@ -31,7 +32,7 @@
 		ProbeEvery: 13 * time.Second, SlowStart: 14 * time.Second, Fanout: 21, HeartbeatEvery: 22 * time.Second, MissedLimit: 23,
 		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
 		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
-		Incarnation: life, Seed: 63,
+		SweepEvery: 71 * time.Second, StatusKeep: 72 * time.Second, Incarnation: life, Seed: 63,
 	}.WithDefaults()
 	is.Equal(got, want)
 }
--- a/node/state.go
+++ b/node/state.go
@@ -7,6 +7,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/internal/build"
 )
 
@@ -14,9 +16,54 @@
 // open around it, and the Go runtime.
 type ProcessState struct {
 	core.Dump
-	Open    OpenState    `json:"open"`
-	Build   build.Info   `json:"build"`
-	Runtime RuntimeState `json:"runtime"`
+	Endpoints []EndpointState `json:"endpoints"`
+	Reports   []ReportState   `json:"reports,omitempty"`
+	Open      OpenState       `json:"open"`
+	Build     build.Info      `json:"build"`
+	Runtime   RuntimeState    `json:"runtime"`
+}
+
+// EndpointState is one backend server as this process knows it.
+type EndpointState struct {
+	ID         string    `json:"id"`
+	Service    string    `json:"service,omitempty"`
+	DataCentre string    `json:"dataCentre"`
+	State      string    `json:"state"`
+	Suspect    bool      `json:"suspect,omitempty"`
+	Slots      int       `json:"slots"`
+	Peer       string    `json:"peer"`
+	Hop        string    `json:"hop"`
+	Started    time.Time `json:"started"` // its incarnation
+	Random     uint32    `json:"random"`
+	Sequence   uint64    `json:"sequence"`
+}
+
+// ReportState is what the root of another data centre said of its nodes.
+type ReportState struct {
+	DataCentre string            `json:"dataCentre"`
+	Nodes      int               `json:"nodes"`
+	Applied    uint64            `json:"applied"` // smallest version of any of them
+	Laggards   []message.Laggard `json:"laggards,omitempty"`
+}
+
+func endpointStates(entries []endpoint.Entry) []EndpointState {
+	out := make([]EndpointState, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, EndpointState{
+			ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, State: e.State.String(), Suspect: e.Suspect, Slots: e.Slots,
+			Peer: e.Peer, Hop: e.Hop, Started: time.UnixMilli(e.Incarnation.Start).UTC(), Random: e.Incarnation.Random,
+			Sequence: e.Sequence,
+		})
+	}
+	return out
+}
+
+func reportStates(reports []message.Report) []ReportState {
+	var out []ReportState
+	for _, r := range reports {
+		out = append(out, ReportState{DataCentre: r.DataCentre, Nodes: r.Nodes, Applied: r.Applied, Laggards: r.Laggards})
+	}
+	return out
 }
 
 // OpenState counts what the process holds open.
@@ -46,6 +93,7 @@
 		Open: OpenState{Links: len(n.open), Calls: len(n.calls), Attempts: len(n.attempts)},
 	}
 	n.mu.Unlock()
+	s.Endpoints, s.Reports = endpointStates(s.Dump.Endpoints), reportStates(s.Dump.Reports)
 	s.Build, s.Runtime = build.Read(), readRuntime()
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	Backend      Backend      `json:"backend,omitzero"`
 	Distribution Distribution `json:"distribution,omitzero"`
 	Lease        Lease        `json:"lease,omitzero"`
+	Publisher    Publisher    `json:"publisher,omitzero"`
 	Requests     Requests     `json:"requests,omitzero"`
 	Drain        Drain        `json:"drain,omitzero"`
 	TLS          TLS          `json:"tls,omitzero"`
@@ -73,6 +74,12 @@
 	Margin Duration `json:"margin,omitempty" validate:"omitempty,min=10ms,max=1m"`
 }
 
+// Publisher holds the times of the publisher's own garbage collection.
+type Publisher struct {
+	SweepEvery Duration `json:"sweepEvery,omitempty" validate:"omitempty,min=10s,max=24h"`
+	StatusKeep Duration `json:"statusKeep,omitempty" validate:"omitempty,min=1m,max=720h"`
+}
+
 // Requests says how callers' requests are treated.
 type Requests struct {
 	RetryShare float64 `json:"retryShare,omitempty" validate:"min=0,max=1"`
