--- /dev/null
+++ b/internal/standin/main.go
@@ -0,0 +1,84 @@
+// Command standin serves what nodes need around them on one machine: the
+// platform stand-in and one sample backend server for each node. It writes a
+// settings file for each node, so that nodes can be run as processes of their
+// own:
+//
+//	go run ./internal/standin -dir DIR &
+//	agatekeel node --settings DIR/recipe-book-derby.json
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+func main() {
+	dir := flag.String("dir", "", "directory for the settings files")
+	platform := flag.String("platform", "127.0.0.1:8082", "address of the platform stand-in")
+	port := flag.Int("port", 9100, "first port of the nodes, which take four each")
+	flag.Parse()
+	if err := run(*dir, *platform, *port); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(dir, platform string, port int) error {
+	l, err := net.Listen("tcp", platform)
+	if err != nil {
+		return fmt.Errorf("platform stand-in: %w", err)
+	}
+	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	centres := []string{"derby", "leicester"}
+	for _, service := range []string{"recipe-book", "orders", "print-room", "scaler"} {
+		for _, dc := range centres {
+			name := service + "-" + dc
+			backend, err := sample.Start(service, name)
+			if err != nil {
+				return err
+			}
+			at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+i) }
+			s := settings.Settings{
+				Node: name, DataCentre: dc, DataCentres: centres, Platform: "http://" + l.Addr().String(),
+				Listen:  settings.Listen{Callers: at(0), Hop: at(1), Peer: at(2), Admin: at(3)},
+				Backend: settings.Backend{Service: service, Address: backend.Address(), Slots: 6, Connections: 130},
+			}
+			port += 4
+			if err := write(filepath.Join(dir, name+".json"), s); err != nil {
+				return err
+			}
+			fmt.Println(name, s.Listen.Callers, s.Listen.Admin)
+		}
+	}
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	<-end
+	return nil
+}
+
+func write(file string, s settings.Settings) error {
+	if err := settings.Check(file, s); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode settings: %w", err)
+	}
+	if err := os.WriteFile(file, append(data, '\n'), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
