Choose a backend server at a cost that does not grow with the fleet

Cause: each choice walked all endpoints of the service, looked each up by its name and built two lists.

A choice draws by index. A queue told by an answer fades within a second; an endpoint that said that it is leaving, or is in a later life, is left out until news of it come; ejection is bounded over the whole group, and longer each time without a success between.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,6 +1,7 @@
 // Package balance chooses the backend server for a request: own data centre
 // first, then the less loaded of two random choices, with slow start and
-// bounded ejection after consecutive failures.
+// bounded ejection after consecutive failures. The cost of a choice does not
+// grow with the number of endpoints.
 package balance
 
 import (
@@ -14,94 +15,126 @@
 type Config struct {
 	DataCentre     string
 	EjectAfter     int           // consecutive failures
-	EjectFor       time.Duration // how long an ejected endpoint is left out
-	MaxEjected     float64       // share of a service that may be ejected at once
+	EjectFor       time.Duration // how long an ejected endpoint is left out at first
+	MaxEjected     float64       // share of a group that may be ejected at once; the rest is tried, failing or not
 	SlowStart      time.Duration // a warming endpoint reaches its full share after this
-	SpillOverAbove float64       // load over slots at which other data centres are taken
+	SpillOverAbove float64       // load over slots at which other data centres are looked at
+	SpillOverGain  float64       // load over slots by which another data centre must be better
+	QueueStale     time.Duration // a queue seen so long ago counts for nothing
+	LeavingFor     time.Duration // how long an endpoint is left out that said it is leaving
 }
 
 // DefaultConfig returns the settings used where none are given.
 func DefaultConfig(dataCentre string) Config {
 	return Config{
 		DataCentre: dataCentre, EjectAfter: 5, EjectFor: 5 * time.Second,
-		MaxEjected: 0.5, SlowStart: 10 * time.Second, SpillOverAbove: 1.5,
+		MaxEjected: 0.5, SlowStart: 10 * time.Second, SpillOverAbove: 1.5, SpillOverGain: 0.5,
+		QueueStale: time.Second, LeavingFor: 5 * time.Second,
 	}
 }
 
-// peer is what the balancer knows about one endpoint.
-type peer struct {
-	inFlight     int
-	queue        int // seen in its last answer
-	failures     int
-	ejectedUntil time.Time
-}
+// slowStartFloor is the share of its traffic that an endpoint gets at the
+// start of its slow start.
+const slowStartFloor = 0.1
 
 // Balancer keeps the load and health seen from this node.
 type Balancer struct {
 	cfg   Config
 	rng   *rand.Rand
-	peers map[string]*peer
+	peers map[string]*Peer
 }
 
 // New returns a Balancer that draws from rng.
 func New(cfg Config, rng *rand.Rand) *Balancer {
-	return &Balancer{cfg: cfg, rng: rng, peers: map[string]*peer{}}
+	return &Balancer{cfg: cfg, rng: rng, peers: map[string]*Peer{}}
+}
+
+// Pick chooses an endpoint of a group, leaving out those in tried unless
+// nothing else is left. It reports false for an empty group.
+func (b *Balancer) Pick(now time.Time, g *Group, tried []string) (*Peer, bool) {
+	g.restore(now)
+	if p := b.pickUntried(now, g, tried); p != nil {
+		return p, true
+	}
+	for _, s := range []*set{&g.local, &g.remote} {
+		if n := len(s.peers); n > 0 { // all are ejected or tried
+			return s.peers[b.rng.IntN(n)], true
+		}
+	}
+	return nil, false
+}
+
+func (b *Balancer) pickUntried(now time.Time, g *Group, tried []string) *Peer {
+	near := b.better(now, &g.local, tried)
+	if near != nil && (g.remote.healthy == 0 || b.load(now, near) < b.cfg.SpillOverAbove) {
+		return near
+	}
+	far := b.better(now, &g.remote, tried)
+	if near == nil || far != nil && b.load(now, far)+b.cfg.SpillOverGain < b.load(now, near) {
+		return far
+	}
+	return near
 }
 
-func (b *Balancer) peer(id string) *peer {
-	p, ok := b.peers[id]
-	if !ok {
-		p = &peer{}
-		b.peers[id] = p
+// better returns the less loaded of two random choices (Mitzenmacher, "The
+// Power of Two Choices in Randomized Load Balancing"). Whatever load one of n
+// endpoints claims, it is looked at by 2/n of the choices at most.
+func (b *Balancer) better(now time.Time, s *set, tried []string) *Peer {
+	first := b.draw(now, s, tried)
+	second := b.draw(now, s, tried)
+	if first == nil || second == nil || b.load(now, second) >= b.load(now, first) {
+		return first
+	}
+	return second
+}
+
+// draw returns a random endpoint in use. A warming one gives its turn to
+// another with a chance that falls as it warms.
+func (b *Balancer) draw(now time.Time, s *set, tried []string) *Peer {
+	p := b.drawAny(s, tried)
+	if p != nil && p.Row.State == endpoint.Warming && b.rng.Float64() > b.ramp(now, p) {
+		return b.drawAny(s, tried)
 	}
 	return p
 }
 
-// Pick chooses one of rows, leaving out those in tried unless nothing else is
-// left. It reports false for no rows.
-func (b *Balancer) Pick(now time.Time, rows []*endpoint.Row, tried []string) (*endpoint.Row, bool) {
-	var local, all []*endpoint.Row
-	for _, r := range rows {
-		if contains(tried, r.ID) || now.Before(b.peer(r.ID).ejectedUntil) {
-			continue
-		}
-		all = append(all, r)
-		if r.DataCentre == b.cfg.DataCentre {
-			local = append(local, r)
-		}
+func (b *Balancer) drawAny(s *set, tried []string) *Peer {
+	if s.healthy == 0 {
+		return nil
 	}
-	switch {
-	case len(local) > 0:
-		best := b.better(local)
-		if len(local) == len(all) || b.load(best) < b.cfg.SpillOverAbove {
-			return best, true
+	i := b.rng.IntN(s.healthy)
+	for range min(s.healthy, len(tried)+1) {
+		if p := s.peers[i]; !contains(tried, p.Row.ID) {
+			return p
+		}
+		if i++; i == s.healthy {
+			i = 0
 		}
-		return b.better(all), true
-	case len(all) > 0:
-		return b.better(all), true
-	case len(rows) > 0:
-		return b.better(rows), true
 	}
-	return nil, false
+	return nil
 }
 
-func (b *Balancer) better(rows []*endpoint.Row) *endpoint.Row {
-	first := rows[b.rng.IntN(len(rows))]
-	second := rows[b.rng.IntN(len(rows))]
-	if b.load(second) < b.load(first) {
-		return second
-	}
-	return first
+// ramp returns the share of its traffic that a warming endpoint gets.
+func (b *Balancer) ramp(now time.Time, p *Peer) float64 {
+	share := float64(now.Sub(p.Row.Since)) / float64(max(b.cfg.SlowStart, 1))
+	return min(max(share, slowStartFloor), 1)
 }
 
-// load returns the requests known to be at an endpoint for each of its slots.
-func (b *Balancer) load(r *endpoint.Row) float64 {
-	p := b.peer(r.ID)
-	return float64(p.inFlight+p.queue+1) / float64(max(r.Slots, 1))
+// load returns the requests known to be at an endpoint for each of its slots:
+// those in flight from here, which it can't lie about, and the queue that its
+// last answer told, which fades with its age.
+func (b *Balancer) load(now time.Time, p *Peer) float64 {
+	known := float64(p.inFlight + 1)
+	if p.queue > 0 {
+		if age := now.Sub(p.queueAt); age < b.cfg.QueueStale {
+			known += float64(p.queue) * (1 - float64(age)/float64(b.cfg.QueueStale))
+		}
+	}
+	return known / float64(max(p.Row.Slots, 1))
 }
 
 // Sent counts a request towards an endpoint.
-func (b *Balancer) Sent(id string) { b.peer(id).inFlight++ }
+func (b *Balancer) Sent(p *Peer) { p.inFlight++ }
 
 // Result says how an attempt ended.
 type Result struct {
@@ -110,22 +143,25 @@
 }
 
 // Done counts the end of a request at an endpoint.
-func (b *Balancer) Done(now time.Time, id string, res Result) {
-	p := b.peer(id)
+func (b *Balancer) Done(now time.Time, p *Peer, res Result) {
 	p.inFlight = max(p.inFlight-1, 0)
 	if res.Queue >= 0 {
-		p.queue = res.Queue
+		p.queue, p.queueAt = res.Queue, now
 	}
 	if !res.Failed {
-		p.failures = 0
+		p.failures, p.ejections = 0, 0
 		return
 	}
 	p.failures++
 	if p.failures >= b.cfg.EjectAfter {
-		p.failures, p.ejectedUntil = 0, now.Add(b.cfg.EjectFor)
+		b.eject(now, p)
 	}
 }
 
+// Leaving leaves an endpoint out that has said that it takes nothing new,
+// until news of it come.
+func (b *Balancer) Leaving(now time.Time, p *Peer) { p.leaveOut(now.Add(b.cfg.LeavingFor)) }
+
 // Forget drops what is known about an endpoint, as when it starts anew.
 func (b *Balancer) Forget(id string) { delete(b.peers, id) }
 
--- a/core/balance/bench_test.go
+++ b/core/balance/bench_test.go
@@ -21,14 +21,29 @@
 func BenchmarkPick(b *testing.B) {
 	now := time.Unix(1000, 0)
 	for _, n := range []int{10, 100, 5300} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			bal := balance.New(balance.DefaultConfig("dc1"), rand.New(rand.NewPCG(1, 1)))
+			group := bal.Group(nil, rows(n))
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := bal.Pick(now, group, nil)
+				bal.Sent(p)
+				bal.Done(now, p, balance.Result{Queue: 0})
+			}
+		})
+	}
+}
+
+// BenchmarkGroup measures what a change of the table costs a service.
+func BenchmarkGroup(b *testing.B) {
+	for _, n := range []int{10, 41, 100, 5300} {
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
 			bal := balance.New(balance.DefaultConfig("dc1"), rand.New(rand.NewPCG(1, 1)))
 			all := rows(n)
+			group := bal.Group(nil, all)
 			b.ReportAllocs()
 			for b.Loop() {
-				r, _ := bal.Pick(now, all, nil)
-				bal.Sent(r.ID)
-				bal.Done(now, r.ID, balance.Result{Queue: 0})
+				group = bal.Group(group, all)
 			}
 		})
 	}
--- /dev/null
+++ b/core/balance/group.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"iter"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/endpoint"
+)
+
+// maxEjectDoublings bounds the growth of the time for which an endpoint that
+// fails again and again is left out.
+const maxEjectDoublings = 3
+
+// Peer is what the balancer knows about one life of an endpoint.
+type Peer struct {
+	Row *endpoint.Row
+
+	life      endpoint.Incarnation
+	group     *Group
+	set       *set
+	index     int // in set
+	inFlight  int
+	queue     int // told by its last answer
+	queueAt   time.Time
+	failures  int // consecutive
+	ejections int // without a success between them
+	outUntil  time.Time
+}
+
+// set holds the peers of one side of a group; those before healthy are in
+// use, the others left out.
+type set struct {
+	peers   []*Peer
+	healthy int
+}
+
+// Group is the endpoints of one service, indexed by whether they are in the
+// own data centre.
+type Group struct {
+	local, remote set
+	restoreAt     time.Time // the earliest outUntil; zero: none is left out
+}
+
+// Group returns the group of rows. What is known of an endpoint is kept from
+// old, which may be nil, if it is still in the same life; old is not used any
+// more afterwards.
+func (b *Balancer) Group(old *Group, rows []*endpoint.Row) *Group {
+	g := &Group{}
+	for _, r := range rows {
+		p, ok := b.peers[r.ID]
+		if !ok || p.life != r.Incarnation {
+			p = &Peer{life: r.Incarnation}
+			b.peers[r.ID] = p
+		}
+		p.Row = r
+		g.add(p, r.DataCentre == b.cfg.DataCentre)
+	}
+	b.forgetGone(old, g)
+	for _, r := range rows { // not All, since leaving out reorders
+		if p := b.peers[r.ID]; !p.outUntil.IsZero() {
+			p.leaveOut(p.outUntil)
+		}
+	}
+	return g
+}
+
+func (g *Group) add(p *Peer, local bool) {
+	s := &g.remote
+	if local {
+		s = &g.local
+	}
+	p.group, p.set, p.index = g, s, len(s.peers)
+	s.peers = append(s.peers, p)
+	s.healthy++
+}
+
+// All returns the endpoints of a group.
+func (g *Group) All() iter.Seq[*Peer] {
+	return func(yield func(*Peer) bool) {
+		for _, s := range []*set{&g.local, &g.remote} {
+			for _, p := range s.peers {
+				if !yield(p) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (g *Group) size() int { return len(g.local.peers) + len(g.remote.peers) }
+
+func (g *Group) leftOut() int { return g.size() - g.local.healthy - g.remote.healthy }
+
+// forgetGone drops the peers of a group that are not in its successor.
+func (b *Balancer) forgetGone(old, g *Group) {
+	if old == nil {
+		return
+	}
+	for p := range old.All() {
+		if p.group != g && b.peers[p.Row.ID] == p {
+			delete(b.peers, p.Row.ID)
+		}
+	}
+}
+
+// eject leaves a failing endpoint out, unless as many are as may be.
+func (b *Balancer) eject(now time.Time, p *Peer) {
+	g := p.group
+	if p.index >= p.set.healthy || float64(g.leftOut()+1) > b.cfg.MaxEjected*float64(g.size()) {
+		return
+	}
+	p.leaveOut(now.Add(b.cfg.EjectFor << min(p.ejections, maxEjectDoublings)))
+	p.ejections++
+	p.failures = b.cfg.EjectAfter - 1 // once back, one more failure is enough
+}
+
+func (p *Peer) leaveOut(until time.Time) {
+	g, s := p.group, p.set
+	p.outUntil = until
+	if g.restoreAt.IsZero() || until.Before(g.restoreAt) {
+		g.restoreAt = until
+	}
+	if p.index < s.healthy {
+		s.healthy--
+		s.swap(p.index, s.healthy)
+	}
+}
+
+func (s *set) swap(i, j int) {
+	s.peers[i], s.peers[j] = s.peers[j], s.peers[i]
+	s.peers[i].index, s.peers[j].index = i, j
+}
+
+// restore takes those back whose time is over.
+func (g *Group) restore(now time.Time) {
+	if g.restoreAt.IsZero() || now.Before(g.restoreAt) {
+		return
+	}
+	g.restoreAt = time.Time{}
+	for _, s := range []*set{&g.local, &g.remote} {
+		for i := s.healthy; i < len(s.peers); i++ {
+			p := s.peers[i]
+			if !now.Before(p.outUntil) {
+				p.outUntil = time.Time{}
+				s.swap(i, s.healthy)
+				s.healthy++
+				continue
+			}
+			if g.restoreAt.IsZero() || p.outUntil.Before(g.restoreAt) {
+				g.restoreAt = p.outUntil
+			}
+		}
+	}
+}
--- a/core/request.go
+++ b/core/request.go
@@ -7,7 +7,6 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/config"
-	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -18,6 +17,7 @@
 // requests holds the calls that entered at this node.
 type requests struct {
 	balancer    *balance.Balancer
+	groups      map[string]*group // by service
 	budget      *retry.Budget
 	calls       map[CallID]*call
 	claims      claims
@@ -25,6 +25,12 @@
 	origin      uint64 // random number of this process, in every attempt ID
 }
 
+// group is the balancer's view of a service, built when the table had digest.
+type group struct {
+	peers  *balance.Group
+	digest uint64
+}
+
 // call is one caller's request on its way. It keeps the route it began with,
 // whatever configuration comes.
 type call struct {
@@ -35,7 +41,7 @@
 	repeats  bool
 	attempts int
 	tried    []string
-	target   string
+	target   *balance.Peer
 	attempt  AttemptID
 	unknown  bool // an earlier attempt may have run
 	key      idempotency.Key
@@ -44,7 +50,7 @@
 
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
-		balancer: b, calls: map[CallID]*call{},
+		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
 		budget: retry.NewBudget(retry.Config{Share: cfg.RetryShare, Reserve: retryReserve}),
 		claims: claims{tokens: claimBurst},
 		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
@@ -104,36 +110,50 @@
 
 // choose returns the backend server for the next attempt of a call: the home
 // of its key if a node is to hold it, else the balancer's choice.
-func (s *State) choose(c *call) (*endpoint.Row, bool) {
-	rows := s.table.Serving(c.route.Service)
-	if c.key.IsZero() || c.claim != nil {
-		return s.requests.balancer.Pick(s.now, rows, c.tried)
+func (s *State) choose(c *call) (*balance.Peer, bool) {
+	g := s.group(c.route.Service)
+	if c.homeKey().IsZero() {
+		return s.requests.balancer.Pick(s.now, g, c.tried)
 	}
-	var home *endpoint.Row
+	var home *balance.Peer
 	best := uint64(0)
-	for _, r := range rows {
-		if w := c.key.Weight(r.ID); !slices.Contains(c.tried, r.ID) && (home == nil || w > best) {
-			home, best = r, w
+	for p := range g.All() {
+		if w := c.key.Weight(p.Row.ID); !slices.Contains(c.tried, p.Row.ID) && (home == nil || w > best) {
+			home, best = p, w
 		}
 	}
 	return home, home != nil
 }
 
+// group returns the endpoints of a service. It is built again only after the
+// table has changed.
+func (s *State) group(service string) *balance.Group {
+	g, ok := s.requests.groups[service]
+	if !ok {
+		g = &group{}
+		s.requests.groups[service] = g
+	}
+	if digest := s.table.Digest(); g.peers == nil || g.digest != digest {
+		g.peers, g.digest = s.requests.balancer.Group(g.peers, s.table.Serving(service)), digest
+	}
+	return g.peers
+}
+
 // forward sends the next attempt of a call.
 func (s *State) forward(id CallID, c *call) {
-	row, ok := s.choose(c)
+	p, ok := s.choose(c)
 	if !ok {
 		s.finish(id, retry.NotRun, "no backend server of service "+c.route.Service+" takes requests")
 		return
 	}
 	c.attempts++
-	c.target, c.tried = row.ID, append(c.tried, row.ID)
+	c.target = p
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
-	s.requests.balancer.Sent(row.ID)
+	s.requests.balancer.Sent(p)
 	s.emit(Forward{
-		Call: id, Attempt: c.attempt, Target: row.ID, Incarnation: row.Incarnation, Hop: row.Hop, Local: row.ID == s.cfg.Node,
-		Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
+		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
+		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
 	})
 }
 
@@ -173,6 +193,9 @@
 		return
 	}
 	s.requests.balancer.Done(s.now, c.target, balance.Result{Failed: e.Failed, Queue: e.Queue})
+	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife {
+		s.requests.balancer.Leaving(s.now, c.target) // the table here is behind
+	}
 	if e.Outcome == retry.Ran {
 		s.endCall(e.Call, c, retry.Ran, e.Status)
 		return
@@ -182,6 +205,7 @@
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
 	}
+	c.tried = append(c.tried, c.target.Row.ID)
 	s.forward(e.Call, c)
 }
 
