Judge backend servers by what their requests show, beside what they tell

Cause: with many entry nodes each has few requests in flight at a backend server, so one that is slow, or that tells a low queue, kept its full share, and one that failed at once was noticed by each entry node after five calls.

Change: failures in a row and answers more than twice as slow as the group's count towards the load, fading within five seconds so that what was left alone is tried again; a refused connection leaves an endpoint out at once; the bound on ejection holds as a group shrinks.

Ruled out: taking all ejected back below a panic threshold. Admission protects those that are left, so the bound itself is the threshold: below it all are tried, failing or not.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -21,6 +21,7 @@
 	SpillOverAbove float64       // load over slots at which other data centres are looked at
 	SpillOverGain  float64       // load over slots by which another data centre must be better
 	QueueStale     time.Duration // a queue seen so long ago counts for nothing
+	SeenStale      time.Duration // so do failures and slow answers
 	LeavingFor     time.Duration // how long an endpoint is left out that said it is leaving
 }
 
@@ -29,7 +30,7 @@
 	return Config{
 		DataCentre: dataCentre, EjectAfter: 5, EjectFor: 5 * time.Second,
 		MaxEjected: 0.5, SlowStart: 10 * time.Second, SpillOverAbove: 1.5, SpillOverGain: 0.5,
-		QueueStale: time.Second, LeavingFor: 5 * time.Second,
+		QueueStale: time.Second, SeenStale: 5 * time.Second, LeavingFor: 5 * time.Second,
 	}
 }
 
@@ -37,6 +38,19 @@
 // start of its slow start.
 const slowStartFloor = 0.1
 
+// tolerated is how much slower than its group an endpoint may answer before it
+// counts against it: answers differ, and few of them are seen.
+const tolerated = 2
+
+// maxSlowness bounds what slow answers count.
+const maxSlowness = 10
+
+// Weights of the past in smoothed times of answers.
+const (
+	peerSmoothing  = 4
+	groupSmoothing = 64
+)
+
 // Balancer keeps the load and health seen from this node.
 type Balancer struct {
 	cfg   Config
@@ -120,17 +134,33 @@
 	return min(max(share, slowStartFloor), 1)
 }
 
-// load returns the requests known to be at an endpoint for each of its slots:
-// those in flight from here, which it can't lie about, and the queue that its
-// last answer told, which fades with its age.
+// load returns what is known to be at an endpoint for each of its slots: the
+// requests in flight from here, which it can't lie about, and the queue that
+// its last answer told. Failures in a row count as a full load each, and
+// answers slower than the group's multiply the load. All that was seen fades
+// with its age, so that an endpoint that was left alone is tried again.
 func (b *Balancer) load(now time.Time, p *Peer) float64 {
+	slots := float64(max(p.Row.Slots, 1))
 	known := float64(p.inFlight + 1)
 	if p.queue > 0 {
-		if age := now.Sub(p.queueAt); age < b.cfg.QueueStale {
-			known += float64(p.queue) * (1 - float64(age)/float64(b.cfg.QueueStale))
-		}
+		known += float64(p.queue) * fade(now.Sub(p.answeredAt), b.cfg.QueueStale)
+	}
+	if p.failures > 0 {
+		known += float64(p.failures) * slots * fade(now.Sub(p.failedAt), b.cfg.SeenStale)
 	}
-	return known / float64(max(p.Row.Slots, 1))
+	if slow := p.slowness(); slow > tolerated {
+		known *= 1 + (slow-1)*fade(now.Sub(p.answeredAt), b.cfg.SeenStale)
+	}
+	return known / slots
+}
+
+// fade returns the weight of what was seen some time ago: one at first, zero
+// once it is stale.
+func fade(age, stale time.Duration) float64 {
+	if age >= stale {
+		return 0
+	}
+	return 1 - float64(age)/float64(stale)
 }
 
 // Sent counts a request towards an endpoint.
@@ -138,29 +168,39 @@
 
 // Result says how an attempt ended.
 type Result struct {
-	Failed bool
-	Queue  int // as the answer told, or -1
+	Failed  bool
+	Refused bool          // Failed, and nothing listens there
+	Queue   int           // as the answer told, or -1
+	Took    time.Duration // of a whole answer, zero for none
 }
 
 // Done counts the end of a request at an endpoint.
 func (b *Balancer) Done(now time.Time, p *Peer, res Result) {
 	p.inFlight = max(p.inFlight-1, 0)
 	if res.Queue >= 0 {
-		p.queue, p.queueAt = res.Queue, now
+		p.queue, p.answeredAt = res.Queue, now
+	}
+	if res.Took > 0 && !res.Failed {
+		p.answeredAt = now
+		p.observe(res.Took)
 	}
 	if !res.Failed {
 		p.failures, p.ejections = 0, 0
 		return
 	}
 	p.failures++
-	if p.failures >= b.cfg.EjectAfter {
+	p.failedAt = now
+	if res.Refused || p.failures >= b.cfg.EjectAfter {
 		b.eject(now, p)
 	}
 }
 
 // Leaving leaves an endpoint out that has said that it takes nothing new,
 // until news of it come.
-func (b *Balancer) Leaving(now time.Time, p *Peer) { p.leaveOut(now.Add(b.cfg.LeavingFor)) }
+func (b *Balancer) Leaving(now time.Time, p *Peer) {
+	p.leaving = true
+	p.leaveOut(now.Add(b.cfg.LeavingFor))
+}
 
 // Forget drops what is known about an endpoint, as when it starts anew.
 func (b *Balancer) Forget(id string) { delete(b.peers, id) }
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,230 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+var now = time.Unix(1000, 0)
+
+func newBalancer() *balance.Balancer {
+	return balance.New(balance.DefaultConfig("dc0"), rand.New(rand.NewPCG(1, 1)))
+}
+
+// local returns n rows of the own data centre.
+func local(n int) []*endpoint.Row {
+	all := rows(n)
+	for _, r := range all {
+		r.DataCentre = "dc0"
+	}
+	return all
+}
+
+// shares picks n times, ends each at once and returns the picks by ID.
+func shares(b *balance.Balancer, g *balance.Group, at time.Time, n int, tried ...string) map[string]int {
+	picks := map[string]int{}
+	for range n {
+		p, ok := b.Pick(at, g, tried)
+		if !ok {
+			continue
+		}
+		picks[p.Row.ID]++
+		b.Sent(p)
+		b.Done(at, p, balance.Result{Queue: -1})
+	}
+	return picks
+}
+
+// peer returns the endpoint of an ID.
+func peer(g *balance.Group, id string) *balance.Peer {
+	for p := range g.All() {
+		if p.Row.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+func fail(b *balance.Balancer, p *balance.Peer, times int) {
+	for range times {
+		b.Sent(p)
+		b.Done(now, p, balance.Result{Failed: true, Queue: -1})
+	}
+}
+
+func TestPickNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	_, ok := b.Pick(now, b.Group(nil, nil), nil)
+	is.True(!ok)
+}
+
+func TestTriedIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(3))
+	is.Equal(shares(b, g, now, 100, "n0000", "n0002"), map[string]int{"n0001": 100})
+	is.Equal(len(shares(b, g, now, 100, "n0000", "n0001", "n0002")), 3) // nothing else is left
+}
+
+func TestOwnDataCentreFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, rows(22)) // two in each data centre
+	picks := shares(b, g, now, 100)
+	is.Equal(picks["n0000"]+picks["n0011"], 100)
+	for _, id := range []string{"n0000", "n0011"} { // both are full, and over
+		for range 12 {
+			b.Sent(peer(g, id))
+		}
+	}
+	picks = shares(b, g, now, 100)
+	is.Equal(picks["n0000"]+picks["n0011"], 0) // spills over
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(10))
+	for i := range 8 {
+		fail(b, peer(g, fmt.Sprintf("n%04d", i)), 20)
+	}
+	picks := shares(b, g, now.Add(4900*time.Millisecond), 10_000)
+	is.Equal(len(picks), 5) // half are left out; the others are tried, failing or not
+	later := now.Add(6 * time.Second)
+	is.Equal(len(shares(b, g, later, 10_000)), 10)
+}
+
+func TestBackFromEjectionOneFailureIsEnough(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(10))
+	p := peer(g, "n0000")
+	fail(b, p, 5)
+	later := now.Add(6 * time.Second)
+	for {
+		if q, _ := b.Pick(later, g, nil); q == p {
+			break
+		}
+	}
+	b.Sent(p)
+	b.Done(later, p, balance.Result{Failed: true, Queue: -1})
+	is.Equal(shares(b, g, later.Add(9*time.Second), 10_000)["n0000"], 0) // and for longer
+}
+
+func TestRefusedConnectionEjectsAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(10))
+	p := peer(g, "n0000")
+	b.Sent(p)
+	b.Done(now, p, balance.Result{Failed: true, Refused: true, Queue: -1})
+	is.Equal(shares(b, g, now, 10_000)["n0000"], 0)
+}
+
+func TestBoundHoldsAsTheGroupShrinks(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	all := local(10)
+	g := b.Group(nil, all)
+	for i := range 5 {
+		fail(b, peer(g, all[i].ID), 5)
+	}
+	g = b.Group(g, all[:6])
+	is.Equal(len(shares(b, g, now.Add(4900*time.Millisecond), 10_000)), 3)
+}
+
+func TestSlowStart(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	all := local(10)
+	all[3].State, all[3].Since = endpoint.Warming, now
+	g := b.Group(nil, all)
+	share := func(after time.Duration) float64 {
+		return float64(shares(b, g, now.Add(after), 20_000)["n0003"]) / 2000
+	}
+	is.True(share(0) < 0.3)
+	is.True(share(5*time.Second) > 0.4 && share(5*time.Second) < 0.8)
+	is.True(share(10*time.Second) > 0.9)
+}
+
+func TestStaleQueueFades(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(2))
+	p := peer(g, "n0000")
+	b.Sent(p)
+	b.Done(now, p, balance.Result{Queue: 40})
+	is.True(shares(b, g, now, 1000)["n0000"] < 400) // only where both draws are it
+	is.True(shares(b, g, now.Add(time.Second), 1000)["n0000"] > 400)
+}
+
+func TestLeavingIsLeftOutUntilNews(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	all := local(3)
+	g := b.Group(nil, all)
+	b.Leaving(now, peer(g, "n0001"))
+	is.Equal(shares(b, g, now, 100)["n0001"], 0)
+	restarted := *all[1]
+	restarted.Incarnation.Start++
+	all[1] = &restarted
+	g = b.Group(g, all)
+	is.True(shares(b, g, now, 100)["n0001"] > 0) // a new life has left nothing
+}
+
+// TestGroupsStayConsistent plays random events and changes of the table, and
+// checks that a choice is always of the group, and an untried one if there is.
+func TestGroupsStayConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, at := newBalancer(), now
+		all := rows(rapid.IntRange(1, 12).Draw(t, "rows"))
+		held := all
+		g := b.Group(nil, held)
+		var open []*balance.Peer
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				held = all[:rapid.IntRange(0, len(all)).Draw(t, "held")]
+				g = b.Group(g, held)
+			case 1, 2:
+				p, ok := b.Pick(at, g, []string{all[0].ID})
+				if ok != (len(held) > 0) {
+					t.Fatalf("picked %v of %d", ok, len(held))
+				}
+				if !ok {
+					continue
+				}
+				if p.Row.ID == all[0].ID && len(held) > 1 && peer(g, all[1].ID) == nil {
+					t.Fatal("picked from outside of the group")
+				}
+				b.Sent(p)
+				open = append(open, p)
+			default:
+				if len(open) > 0 {
+					b.Done(at, open[0], balance.Result{Failed: rapid.Bool().Draw(t, "failed"), Queue: rapid.IntRange(-1, 9).Draw(t, "queue")})
+					open = open[1:]
+				}
+			}
+			n := 0
+			for range g.All() {
+				n++
+			}
+			if n != len(held) {
+				t.Fatalf("group has %d of %d", n, len(held))
+			}
+		}
+	})
+}
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -15,16 +15,39 @@
 type Peer struct {
 	Row *endpoint.Row
 
-	life      endpoint.Incarnation
-	group     *Group
-	set       *set
-	index     int // in set
-	inFlight  int
-	queue     int // told by its last answer
-	queueAt   time.Time
-	failures  int // consecutive
-	ejections int // without a success between them
-	outUntil  time.Time
+	life       endpoint.Incarnation
+	group      *Group
+	set        *set
+	index      int // in set
+	inFlight   int
+	queue      int           // told by its last answer
+	took       time.Duration // smoothed
+	answeredAt time.Time
+	failures   int // consecutive
+	failedAt   time.Time
+	ejections  int  // without a success between them
+	leaving    bool // left out for what it said, whatever the bound
+	outUntil   time.Time
+}
+
+func (p *Peer) observe(took time.Duration) {
+	if p.took == 0 {
+		p.took = took
+	}
+	p.took += (took - p.took) / peerSmoothing
+	if g := p.group; g.took == 0 {
+		g.took = took
+	} else {
+		g.took += (took - g.took) / groupSmoothing
+	}
+}
+
+// slowness returns how many times slower than its group an endpoint answers.
+func (p *Peer) slowness() float64 {
+	if p.group.took == 0 {
+		return 0
+	}
+	return min(float64(p.took)/float64(p.group.took), maxSlowness)
 }
 
 // set holds the peers of one side of a group; those before healthy are in
@@ -38,7 +61,8 @@
 // own data centre.
 type Group struct {
 	local, remote set
-	restoreAt     time.Time // the earliest outUntil; zero: none is left out
+	took          time.Duration // of an answer, smoothed
+	restoreAt     time.Time     // the earliest outUntil; zero: none is left out
 }
 
 // Group returns the group of rows. What is known of an endpoint is kept from
@@ -46,6 +70,9 @@
 // more afterwards.
 func (b *Balancer) Group(old *Group, rows []*endpoint.Row) *Group {
 	g := &Group{}
+	if old != nil {
+		g.took = old.took
+	}
 	for _, r := range rows {
 		p, ok := b.peers[r.ID]
 		if !ok || p.life != r.Incarnation {
@@ -57,8 +84,12 @@
 	}
 	b.forgetGone(old, g)
 	for _, r := range rows { // not All, since leaving out reorders
-		if p := b.peers[r.ID]; !p.outUntil.IsZero() {
+		switch p := b.peers[r.ID]; {
+		case p.outUntil.IsZero():
+		case p.leaving || g.mayEject(b.cfg.MaxEjected):
 			p.leaveOut(p.outUntil)
+		default:
+			p.outUntil = time.Time{} // the group has shrunk
 		}
 	}
 	return g
@@ -89,7 +120,12 @@
 
 func (g *Group) size() int { return len(g.local.peers) + len(g.remote.peers) }
 
-func (g *Group) leftOut() int { return g.size() - g.local.healthy - g.remote.healthy }
+// mayEject reports whether one more may be left out. Below that threshold all
+// that are left are tried, whether they fail or not.
+func (g *Group) mayEject(share float64) bool {
+	out := g.size() - g.local.healthy - g.remote.healthy
+	return float64(out+1) <= share*float64(g.size())
+}
 
 // forgetGone drops the peers of a group that are not in its successor.
 func (b *Balancer) forgetGone(old, g *Group) {
@@ -105,8 +141,7 @@
 
 // eject leaves a failing endpoint out, unless as many are as may be.
 func (b *Balancer) eject(now time.Time, p *Peer) {
-	g := p.group
-	if p.index >= p.set.healthy || float64(g.leftOut()+1) > b.cfg.MaxEjected*float64(g.size()) {
+	if p.index >= p.set.healthy || !p.group.mayEject(b.cfg.MaxEjected) {
 		return
 	}
 	p.leaveOut(now.Add(b.cfg.EjectFor << min(p.ejections, maxEjectDoublings)))
@@ -141,7 +176,7 @@
 		for i := s.healthy; i < len(s.peers); i++ {
 			p := s.peers[i]
 			if !now.Before(p.outUntil) {
-				p.outUntil = time.Time{}
+				p.outUntil, p.leaving = time.Time{}, false
 				s.swap(i, s.healthy)
 				s.healthy++
 				continue
--- a/core/request.go
+++ b/core/request.go
@@ -43,7 +43,8 @@
 	tried    []string
 	target   *balance.Peer
 	attempt  AttemptID
-	unknown  bool // an earlier attempt may have run
+	sent     time.Time // the attempt
+	unknown  bool      // an earlier attempt may have run
 	key      idempotency.Key
 	claim    *claim // nil: the policy wants none
 }
@@ -147,7 +148,7 @@
 		return
 	}
 	c.attempts++
-	c.target = p
+	c.target, c.sent = p, s.now
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
 	s.requests.balancer.Sent(p)
@@ -192,7 +193,9 @@
 	if !ok || c.attempt != e.Attempt {
 		return
 	}
-	s.requests.balancer.Done(s.now, c.target, balance.Result{Failed: e.Failed, Queue: e.Queue})
+	s.requests.balancer.Done(s.now, c.target, balance.Result{
+		Failed: e.Failed, Refused: e.Failed && e.Outcome == retry.NotRun, Queue: e.Queue, Took: c.took(s.now, e),
+	})
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife {
 		s.requests.balancer.Leaving(s.now, c.target) // the table here is behind
 	}
@@ -209,6 +212,14 @@
 	s.forward(e.Call, c)
 }
 
+// took returns the time of an attempt that was answered, zero for another.
+func (c *call) took(now time.Time, e AttemptEnded) time.Duration {
+	if e.Outcome != retry.Ran {
+		return 0
+	}
+	return now.Sub(c.sent)
+}
+
 // tryAgain reports whether a call gets another attempt, and spends the budget
 // for it.
 func (s *State) tryAgain(c *call, e AttemptEnded) bool {
