Bound reruns over eight hops, and let a leave be taken back

Cause: each hop could spend its tenth on running calls again, so eight hops could more than double the runs at the deepest. A backend server that had announced its end stayed out of service until its node was restarted. A node that drains refused callers that had not yet looked at its readiness.

Change: retries after Unknown, which alone may run a call twice, have a budget of a ninth of the share, so that its eighth power stays within the share; no hop needs to know its depth. BackendStays takes a leave back, and so does a probe that finds nobody listening. Callers are carried for DrainAtLeast after a stop. What waits for a slot when a drain begins still runs.

Ruled out: a header that tells the depth: it would have to be carried through by every backend server, and one that does not would amplify. Refusing what waits as a drain begins: it would spend the retry budget of all its senders.

--- a/core/admit.go
+++ b/core/admit.go
@@ -21,6 +21,9 @@
 	forgetKeys      bool // the node forgets idempotency keys
 	takeLostClaims  bool // a claim whose write has an unknown fate counts as held
 	ignoreClaims    bool // a claim held by another request counts as held
+	retryFreely     bool // retries have no budget
+	serveLeaving    bool // a leaving backend server takes new attempts
+	cutDrain        bool // a drain does not wait for what is in flight
 	repeatAll       bool // non-idempotent calls are tried again after an unknown fate
 }
 
@@ -63,7 +66,7 @@
 func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
 	switch {
-	case b.leaving || !b.entry.State.Serves():
+	case (b.leaving || !b.entry.State.Serves()) && !s.fault.serveLeaving:
 		return false, admission.NotServing
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
--- a/core/announce.go
+++ b/core/announce.go
@@ -73,6 +73,7 @@
 	b := &s.backend
 	b.probing = false
 	if b.leaving {
+		s.leavingProbed(e)
 		return
 	}
 	if e.OK {
--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -53,6 +53,7 @@
 	queue   queue
 	order   uint64
 	cut     map[[2]string]bool
+	deaf    map[[2]string]bool
 	watches []*watch
 }
 
@@ -97,7 +98,7 @@
 		Faults: Faults{
 			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
 		},
-		nodes: map[string]*Node{}, cut: map[[2]string]bool{},
+		nodes: map[string]*Node{}, cut: map[[2]string]bool{}, deaf: map[[2]string]bool{},
 	}
 }
 
@@ -158,9 +159,13 @@
 // new ones fail. Nobody is told.
 func (m *Mesh) Cut(a, b string) { m.cut[pair(a, b)] = true }
 
+// Deafen loses the messages of links between two nodes in silence, while
+// requests still pass.
+func (m *Mesh) Deafen(a, b string) { m.deaf[pair(a, b)] = true }
+
 // Heal ends all cuts, pauses and faults. Delays stay.
 func (m *Mesh) Heal() {
-	m.cut = map[[2]string]bool{}
+	m.cut, m.deaf = map[[2]string]bool{}, map[[2]string]bool{}
 	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
 	for _, n := range m.nodes {
 		n.paused = time.Time{}
@@ -322,7 +327,7 @@
 		}
 		p.next = at
 		m.After(at.Sub(m.Now), func() {
-			if !p.closed && !m.cut[pair(n.Name, p.node.Name)] {
+			if between := pair(n.Name, p.node.Name); !p.closed && !m.cut[between] && !m.deaf[between] {
 				m.step(p.node, p.life, core.LinkMessage{Link: p.id, Message: e.Message})
 			}
 		})
--- a/core/coretest/overload.go
+++ b/core/coretest/overload.go
@@ -18,6 +18,7 @@
 	Done(now time.Time, id core.AttemptID, took time.Duration) (run, refused []core.AttemptID)
 	Cancel(now time.Time, id core.AttemptID) (run, refused []core.AttemptID)
 	Tick(now time.Time) (run, refused []core.AttemptID)
+	Leave(now time.Time) // takes nothing new from now on
 }
 
 // reducerDoor is the reducer of a node whose backend server is ready.
@@ -60,6 +61,8 @@
 	return d.step(now, core.Tick{})
 }
 
+func (d reducerDoor) Leave(now time.Time) { d.step(now, core.BackendLeaving{}) }
+
 // fifoDoor is the baseline: an unbounded queue, first come first served, that
 // knows neither classes nor deadlines.
 type fifoDoor struct {
@@ -94,6 +97,8 @@
 
 func (d *fifoDoor) Tick(time.Time) (run, refused []core.AttemptID) { return nil, nil }
 
+func (d *fifoDoor) Leave(time.Time) {}
+
 // Overload is an open-loop load on one backend server.
 type Overload struct {
 	Seed     uint64
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -63,12 +63,13 @@
 	// Serve returns how long a run takes at a backend server; negative: it
 	// never ends.
 	Serve func(node string, c *Call) time.Duration
+	// Nested, if set, may run a call by further calls: it returns true and
+	// calls done once with whether an answer comes.
+	Nested func(node string, c *Call, done func(answers bool)) bool
 	// Answered, if set, is called as a call ends.
 	Answered func(c *Call)
 	// Sent, if set, is called as an attempt leaves its entry node.
 	Sent func(f core.Forward)
-	// Failed, if set, says whether a run's answer is an error.
-	Failed func(node string, c *Call) bool
 	// Queue, if set, replaces the queue that an answer tells.
 	Queue func(node string, told int) int
 
@@ -189,7 +190,7 @@
 	target := t.mesh.nodes[f.Hop]
 	if !target.Alive || t.mesh.cut[pair(n.Name, f.Hop)] {
 		t.mesh.After(t.mesh.random(t.Faults.Delay), func() {
-			t.end(a, core.AttemptEnded{Outcome: retry.NotRun, Failed: true, Reason: "connection refused"})
+			t.end(a, core.AttemptEnded{Outcome: retry.NotRun, Failed: true, Queue: -1, Reason: "connection refused"})
 		})
 		return
 	}
@@ -209,7 +210,7 @@
 		return
 	}
 	if !target.Alive || target.Life != life {
-		t.end(a, core.AttemptEnded{Outcome: retry.Unknown, Failed: true, Reason: "connection reset"})
+		t.end(a, core.AttemptEnded{Outcome: retry.Unknown, Failed: true, Queue: -1, Reason: "connection reset"})
 		return
 	}
 	t.mesh.After(resetAfter, func() { t.watchLife(a, target, life) })
@@ -221,7 +222,7 @@
 	}
 	t.cancel(a)
 	t.mesh.After(cancelGrace, func() {
-		t.end(a, core.AttemptEnded{Outcome: retry.Unknown, Failed: true, Reason: "no answer in time"})
+		t.end(a, core.AttemptEnded{Outcome: retry.Unknown, Failed: true, Queue: -1, Reason: "no answer in time"})
 	})
 }
 
@@ -248,9 +249,6 @@
 	}
 	a.ended = true
 	e.Call, e.Attempt = a.call.ID, a.forward.Attempt
-	if e.Queue == 0 {
-		e.Queue = -1
-	}
 	n := t.mesh.nodes[a.call.Entry]
 	t.mesh.step(n, a.call.Life, e)
 	if e.Outcome == retry.Ran {
@@ -277,22 +275,30 @@
 	a := t.attempts[id]
 	a.call.Runs = append(a.call.Runs, Run{Node: n.Name, Attempt: id, At: t.mesh.Now})
 	life, started := n.Life, t.mesh.Now
-	took := t.Serve(n.Name, a.call)
-	if took < 0 {
+	done := func(answers bool) { t.ran(n, life, a, started, answers) }
+	if t.Nested != nil && t.Nested(n.Name, a.call, done) {
 		return
 	}
-	t.mesh.After(took, func() {
-		t.mesh.step(n, life, core.AttemptDone{Attempt: id, Took: t.mesh.Now.Sub(started), Status: answered})
-		if n.Life != life || !n.Alive {
-			return
-		}
-		failed := t.Failed != nil && t.Failed(n.Name, a.call)
-		queue := n.State.Queued()
-		if t.Queue != nil {
-			queue = t.Queue(n.Name, queue)
-		}
-		t.after(func() {
-			t.end(a, core.AttemptEnded{Outcome: retry.Ran, Failed: failed, Queue: queue, AnswerStarted: true, Status: answered})
-		})
-	})
+	if took := t.Serve(n.Name, a.call); took >= 0 {
+		t.mesh.After(took, func() { done(true) })
+	}
+}
+
+// ran ends a run. Without an answer the entry node sees a broken connection.
+func (t *Traffic) ran(n *Node, life int, a *attempt, started time.Time, answers bool) {
+	done := core.AttemptDone{Attempt: a.forward.Attempt, Took: t.mesh.Now.Sub(started), Status: answered, Cut: !answers}
+	t.mesh.step(n, life, done)
+	if n.Life != life || !n.Alive {
+		return
+	}
+	if !answers {
+		t.after(func() { t.end(a, core.AttemptEnded{Outcome: retry.Unknown, Queue: -1, Reason: "connection broken"}) })
+		return
+	}
+	queue := n.State.Queued()
+	if t.Queue != nil {
+		queue = t.Queue(n.Name, queue)
+	}
+	e := core.AttemptEnded{Outcome: retry.Ran, Queue: queue, AnswerStarted: true, Status: answered}
+	t.after(func() { t.end(a, e) })
 }
--- a/core/drain.go
+++ b/core/drain.go
@@ -6,7 +6,9 @@
 )
 
 // stop drains and ends the process; beginDrain only takes the backend server
-// out of service.
+// out of service. What waits for a slot when a drain begins still runs: it was
+// admitted, and waits for QueueMaxWait at most. What comes later is refused as
+// not run, so that senders that have not heard of it move on at once.
 func (s *State) stop() {
 	if s.backend.stopping {
 		return
@@ -14,6 +16,7 @@
 	s.backend.stopping = true
 	s.log(notice.NodeStopping)
 	s.beginDrain()
+	s.backend.stopSince = s.now
 }
 
 func (s *State) beginDrain() {
@@ -24,6 +27,37 @@
 	s.announce(endpoint.Draining)
 }
 
+// endLeaving takes the backend server back into service, by way of a probe and
+// slow start, unless the process is to end.
+func (s *State) endLeaving() {
+	if s.backend.stopping || !s.backend.leaving {
+		return
+	}
+	s.backend.leaving, s.backend.misses = false, 0
+	s.announce(endpoint.Failed)
+}
+
+// leavingProbed looks at the probe of a backend server that is leaving. Once
+// nothing listens any more, what answers next is another process.
+func (s *State) leavingProbed(e BackendProbed) {
+	if e.Refused {
+		s.endLeaving()
+	}
+}
+
+// accepts reports whether a call that arrives is carried, and if not, why. For
+// DrainAtLeast after a stop it still is: callers learn of it from readiness,
+// which is looked at from time to time only.
+func (s *State) accepts() (bool, string) {
+	ok, why := s.Ready()
+	if !ok && s.backend.stopping && s.holdsConfig() && s.now.Sub(s.backend.stopSince) < s.cfg.DrainAtLeast {
+		return true, ""
+	}
+	return ok, why
+}
+
+func (s *State) holdsConfig() bool { return s.configVersion() != 0 && s.member.current }
+
 func (s *State) drainTick() {
 	b := &s.backend
 	if !b.stopping || b.drained {
@@ -31,7 +65,7 @@
 	}
 	running, waiting := b.queue.Load()
 	since := s.now.Sub(b.stopSince)
-	idle := running == 0 && waiting == 0 && len(s.requests.calls) == 0
+	idle := running == 0 && waiting == 0 && len(s.requests.calls) == 0 || s.fault.cutDrain
 	if since < s.cfg.DrainAtLeast || !idle && since < s.cfg.DrainAtMost {
 		return
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -89,9 +89,14 @@
 	Refused bool
 }
 
-// BackendLeaving says that the backend server announced its end itself.
+// BackendLeaving says that the backend server announced its end itself, or
+// that an operator takes it out of service.
 type BackendLeaving struct{}
 
+// BackendStays takes BackendLeaving back. It is also how a backend server that
+// was started anew between two probes says that it is there.
+type BackendStays struct{}
+
 // Stop asks the node to drain and end.
 type Stop struct{}
 
@@ -159,6 +164,7 @@
 func (LinkMessage) isEvent()      {}
 func (BackendProbed) isEvent()    {}
 func (BackendLeaving) isEvent()   {}
+func (BackendStays) isEvent()     {}
 func (Stop) isEvent()             {}
 func (CallArrived) isEvent()      {}
 func (AttemptEnded) isEvent()     {}
--- a/core/request.go
+++ b/core/request.go
@@ -70,7 +70,7 @@
 }
 
 func (s *State) callArrived(e CallArrived) {
-	if ok, why := s.Ready(); !ok {
+	if ok, why := s.accepts(); !ok {
 		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why})
 		return
 	}
@@ -230,7 +230,10 @@
 	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing {
 		return false // only a home that is leaving hands its keys on
 	}
-	return c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
+	if c.attempts >= c.route.Policy.MaxAttempts || !s.now.Before(c.deadline) {
+		return false
+	}
+	return s.fault.retryFreely || s.requests.budget.Take(e.Outcome)
 }
 
 // callLeft ends a call whose caller is gone.
--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -16,6 +16,9 @@
 	VouchForCopies  RequestFault = "a copy is refused as not run"
 	ForgetUnknown   RequestFault = "not run is said after an unknown fate"
 	RepeatAll       RequestFault = "non-idempotent calls are repeated"
+	RetryFreely     RequestFault = "retries have no budget"
+	ServeLeaving    RequestFault = "a leaving backend server takes new attempts"
+	CutDrain        RequestFault = "a drain does not wait for what is in flight"
 	ForgetKeys      RequestFault = "a node forgets idempotency keys"
 	TakeLostClaims  RequestFault = "a claim of unknown fate counts as held"
 	IgnoreClaims    RequestFault = "a claim of another counts as held"
@@ -26,7 +29,8 @@
 	s.fault = requestFault{
 		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreLife: f == IgnoreLife,
 		vouchForCopies: f == VouchForCopies, forgetUnknown: f == ForgetUnknown, repeatAll: f == RepeatAll,
-		forgetKeys: f == ForgetKeys, takeLostClaims: f == TakeLostClaims, ignoreClaims: f == IgnoreClaims,
+		retryFreely: f == RetryFreely, serveLeaving: f == ServeLeaving, cutDrain: f == CutDrain,
+		forgetKeys:  f == ForgetKeys, takeLostClaims: f == TakeLostClaims, ignoreClaims: f == IgnoreClaims,
 	}
 }
 
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -22,29 +22,54 @@
 	return names[o]
 }
 
+// MaxDepth is the number of calls, one caused by the other, for which the
+// reruns of all hops together stay within Config.Share.
+const MaxDepth = 8
+
 // Config holds the settings of a Budget.
 type Config struct {
 	Share   float64 // retries for each call
 	Reserve float64 // retries allowed when there are few calls
 }
 
+// rerunShare is the share of each hop in the reruns of MaxDepth hops and the
+// one that a caller enters by: (1 + share/9)^8 is below 1 + share.
+const rerunShare = 1.0 / (MaxDepth + 1)
+
 // Budget allows retries as a share of calls (a token bucket filled by calls,
-// not by time).
+// not by time). Retries after Unknown may run a call twice, and all that it
+// causes at the hops below; each hop multiplies those of the hops below it.
+// They have a budget of their own, so small that its power over all hops stays
+// within the share. No hop needs to know how deep it is.
 type Budget struct {
 	cfg    Config
 	tokens float64
+	reruns float64
 }
 
 // NewBudget returns a Budget with a full reserve.
-func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.Reserve} }
+func NewBudget(cfg Config) *Budget {
+	return &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.rerunReserve()}
+}
+
+func (c Config) rerunReserve() float64 { return max(c.Reserve*rerunShare, 1) }
 
 // Call counts a call, which earns a share of a retry.
-func (b *Budget) Call() { b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Reserve) }
+func (b *Budget) Call() {
+	b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Reserve)
+	b.reruns = min(b.reruns+b.cfg.Share*rerunShare, b.cfg.rerunReserve())
+}
 
-// Take spends one retry if the budget has one.
-func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+// Take spends one retry if the budget has one. After says how the attempt
+// before it ended.
+func (b *Budget) Take(after Outcome) bool {
+	switch {
+	case b.tokens < 1:
+		return false
+	case after == Unknown && b.reruns < 1:
 		return false
+	case after == Unknown:
+		b.reruns--
 	}
 	b.tokens--
 	return true
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,53 @@
+package retry_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+func TestAllowed(t *testing.T) {
+	tests := []struct {
+		outcome                   retry.Outcome
+		idempotent, answerStarted bool
+		want                      bool
+	}{
+		{retry.Ran, true, false, false},
+		{retry.NotRun, false, false, true},
+		{retry.Unknown, true, false, true},
+		{retry.Unknown, true, true, false},
+		{retry.Unknown, false, false, false},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal(retry.Allowed(tt.outcome, tt.idempotent, tt.answerStarted), tt.want)
+	}
+}
+
+// TestBudgetIsAShare lets every call ask for a retry.
+func TestBudgetIsAShare(t *testing.T) {
+	const calls = 100_000
+	tests := []struct {
+		after retry.Outcome
+		limit float64 // of retries over calls
+	}{
+		{retry.NotRun, 0.1},
+		{retry.Unknown, math.Pow(1.1, 1.0/retry.MaxDepth) - 1},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		b := retry.NewBudget(retry.Config{Share: 0.1, Reserve: 10})
+		taken := 0
+		for range calls {
+			b.Call()
+			if b.Take(tt.after) {
+				taken++
+			}
+		}
+		is.True(float64(taken) <= tt.limit*calls+10)
+		is.True(float64(taken) >= 0.9*tt.limit*calls)
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -150,6 +150,8 @@
 		s.backendProbed(e)
 	case BackendLeaving:
 		s.beginDrain()
+	case BackendStays:
+		s.endLeaving()
 	case Stop:
 		s.stop()
 	case CallArrived:
