--- a/core/state.go
+++ b/core/state.go
@@ -40,6 +40,10 @@
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
 
+	SweepEvery time.Duration // time between collections of garbage in the platform
+	StatusKeep time.Duration // time for which the status of a settled submission is kept
+	faults     publisherFaults
+
 	QueueMaxWait  time.Duration // none waits longer for a slot
 	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
 	QueueInterval time.Duration
@@ -67,6 +71,8 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.SweepEvery, 15*time.Minute)
+	setDefault(&c.StatusKeep, 24*time.Hour)
 	setDefault(&c.KeyKeep, 10*time.Minute)
 	setDefault(&c.ClaimKeep, 24*time.Hour)
 	setDefault(&c.ClaimsPerSecond, 5)
@@ -232,6 +238,8 @@
 	Backend       DumpBackend      `json:"backend"`
 	Calls         int              `json:"calls"`
 	RetryTokens   float64          `json:"retryTokens"`
+
+	DumpRoles
 }
 
 // DumpLink is one link of a Dump.
@@ -267,6 +275,7 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
 	}
--- /dev/null
+++ b/internal/capacity/main.go
@@ -0,0 +1,82 @@
+// Command capacity measures slopes on this machine and writes
+// docs/CAPACITY.md from them. Memory of a real node is measured in a process
+// of its own for each size:
+//
+//	for n in 100 1000 5300; do go run ./internal/capacity/resident -endpoints $n > docs/measurements/resident-$n.json; done
+//	go run ./internal/capacity
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	docs := flag.String("docs", "docs", "directory of the page")
+	flag.Parse()
+	r, err := measureAll()
+	if err != nil {
+		return err
+	}
+	if r.Resident, err = readResident(*docs); err != nil {
+		return err
+	}
+	if err := drawMesh(filepath.Join(*docs, "plots", "control-bytes.svg"), r.Mesh); err != nil {
+		return err
+	}
+	return writePage(filepath.Join(*docs, "CAPACITY.md"), r)
+}
+
+func measureAll() (*Results, error) {
+	r := &Results{}
+	r.add(stateSlopes()...)
+	r.add(cpuSlopes()...)
+	r.add(wireSlopes()...)
+	for _, paced := range []func() (Slope, error){linkSlope, platformSlope, tickSlope} {
+		s, err := paced()
+		if err != nil {
+			return nil, err
+		}
+		r.add(s)
+	}
+	for _, n := range []int{20, 100, 300} {
+		r.Mesh = append(r.Mesh, runMesh(n))
+	}
+	return r, nil
+}
+
+// readResident reads what runs of real nodes have printed.
+func readResident(docs string) ([]sizes.Resident, error) {
+	files, err := filepath.Glob(filepath.Join(docs, "measurements", "resident-*.json"))
+	if err != nil {
+		return nil, fmt.Errorf("find measurements: %w", err)
+	}
+	var out []sizes.Resident
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return nil, fmt.Errorf("read measurement: %w", err)
+		}
+		var r sizes.Resident
+		if err := json.Unmarshal(data, &r); err != nil {
+			return nil, fmt.Errorf("read measurement %s: %w", f, err)
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b sizes.Resident) int { return cmp.Compare(a.Endpoints, b.Endpoints) })
+	return out, nil
+}
