--- a/core/balance/view.go
+++ b/core/balance/view.go
@@ -19,7 +19,7 @@
 func (b *Balancer) Views() []View {
 	out := make([]View, 0, len(b.peers))
 	for id, p := range b.peers {
-		out = append(out, View{ID: id, InFlight: p.inFlight, Queue: p.queue, Failures: p.failures, EjectedUntil: p.ejectedUntil})
+		out = append(out, View{ID: id, InFlight: p.inFlight, Queue: p.queue, Failures: p.failures, EjectedUntil: p.outUntil})
 	}
 	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/core/dump.go
+++ b/core/dump.go
@@ -89,7 +89,7 @@
 	for _, id := range ids[:min(len(ids), dumpedCalls)] {
 		c := s.requests.calls[id]
 		d.Requests = append(d.Requests, DumpCall{
-			Call: id, Method: c.method, Route: c.route.Name, Target: c.target, Attempts: c.attempts, Deadline: c.deadline,
+			Call: id, Method: c.method, Route: c.route.Name, Target: c.targetID(), Attempts: c.attempts, Deadline: c.deadline,
 		})
 	}
 	return d
--- a/core/request.go
+++ b/core/request.go
@@ -236,6 +236,14 @@
 	return s.fault.retryFreely || s.requests.budget.Take(e.Outcome)
 }
 
+// targetID returns the backend server of the last attempt, empty for none.
+func (c *call) targetID() string {
+	if c.target == nil {
+		return ""
+	}
+	return c.target.Row.ID
+}
+
 // callLeft ends a call whose caller is gone.
 func (s *State) callLeft(id CallID) {
 	c, ok := s.requests.calls[id]
--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -30,7 +30,7 @@
 		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreLife: f == IgnoreLife,
 		vouchForCopies: f == VouchForCopies, forgetUnknown: f == ForgetUnknown, repeatAll: f == RepeatAll,
 		retryFreely: f == RetryFreely, serveLeaving: f == ServeLeaving, cutDrain: f == CutDrain,
-		forgetKeys:  f == ForgetKeys, takeLostClaims: f == TakeLostClaims, ignoreClaims: f == IgnoreClaims,
+		forgetKeys: f == ForgetKeys, takeLostClaims: f == TakeLostClaims, ignoreClaims: f == IgnoreClaims,
 	}
 }
 
