Let requests speak against a health endpoint that misleads

Cause: three failed probes took a backend server out of service even while its requests were answered; the balancer's slow start was twice as long as the node's; the bounds of queue, keys and claims could not be set.

Change: a failed probe does not count while a whole answer that is no server error came since the probe before it; a refused connection always counts. One setting gives the slow start of both. Settings for what requests are bounded by, and metrics for the two refusals of keys.

--- a/core/admit.go
+++ b/core/admit.go
@@ -92,6 +92,17 @@
 	s.refuseAttempt(id, reason, retry.NotRun)
 }
 
+// firstServerError is the lowest HTTP status by which a backend server says
+// that the fault is its own.
+const firstServerError = 500
+
+// servedLately reports whether requests have shown since the last probe but
+// one that the backend server works: a health endpoint that says otherwise is
+// behind, or misleads.
+func (s *State) servedLately() bool {
+	return !s.backend.servedAt.IsZero() && s.now.Sub(s.backend.servedAt) < s.cfg.ProbeEvery
+}
+
 // endOf returns what a repeat of an attempt's key is told from now on.
 func endOf(e AttemptDone) idempotency.End {
 	switch {
@@ -118,6 +129,9 @@
 	b := &s.backend
 	b.memory.End(e.Attempt, admission.Started)
 	b.keys.End(e.Attempt, endOf(e))
+	if !e.Cut && e.Status != 0 && e.Status < firstServerError {
+		b.servedAt = s.now
+	}
 	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
 	for _, w := range dropped {
 		s.dropWaiting(w.ID, admission.TooLate)
--- a/core/announce.go
+++ b/core/announce.go
@@ -25,6 +25,7 @@
 	leaving   bool
 	stopSince time.Time
 	drained   bool
+	servedAt  time.Time // last whole answer that was no error
 	queue     *admission.Queue
 	memory    *admission.Memory
 	keys      *idempotency.Memory
@@ -84,6 +85,10 @@
 		}
 		return
 	}
+	if !e.Refused && s.servedLately() {
+		b.misses = 0
+		return
+	}
 	b.misses++
 	if b.entry.State.Serves() && (e.Refused || b.misses >= failedProbes) {
 		s.announce(endpoint.Failed)
--- a/core/requests_depth_test.go
+++ b/core/requests_depth_test.go
@@ -89,6 +89,7 @@
 // and at all eight, and compares the runs with those of a mesh that retries
 // every failure up to three times.
 func TestNoAmplificationEightDeep(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	tests := []struct {
 		name string
--- a/core/requests_fleet_test.go
+++ b/core/requests_fleet_test.go
@@ -65,6 +65,7 @@
 // capacity, of which one or some misbehave, through few and through many entry
 // nodes: with the node's balancer, in turn, and at random.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1_700_000_000, 0)
 	pickers := []struct {
 		name string
--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -123,6 +123,7 @@
 
 // TestRollingRestartFailsNoRequest restarts all nodes one by one under load.
 func TestRollingRestartFailsNoRequest(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	bad := rollingRestart(t, "")
 	if len(bad) > 0 {
@@ -231,3 +232,29 @@
 	run, _ = door.Done(now, id(1), time.Millisecond)
 	is.Equal(run, []core.AttemptID{id(2)})
 }
+
+// TestHealthIsOneInputBesideRequests lets the health endpoint fail while
+// requests are answered, and afterwards without any.
+func TestHealthIsOneInputBesideRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := servingState(now, 1)
+	id := core.AttemptID{Origin: 1}
+	probe := func(status int) {
+		now = now.Add(time.Second)
+		id.Number++
+		if status != 0 {
+			s.Reduce(now, core.AttemptArrived{Attempt: id, Budget: time.Second})
+			s.Reduce(now, core.AttemptDone{Attempt: id, Took: time.Millisecond, Status: status})
+		}
+		s.Reduce(now, core.BackendProbed{OK: false})
+	}
+	for range 10 {
+		probe(200)
+	}
+	is.Equal(s.Dump().Backend.State, "warming") // as it was: requests show that it works
+	for range 3 {
+		probe(500)
+	}
+	is.Equal(s.Dump().Backend.State, "failed")
+}
--- a/core/requests_overload_test.go
+++ b/core/requests_overload_test.go
@@ -36,6 +36,7 @@
 // TestOverload plays 0.1 to 4 times the capacity of a backend server against
 // its node's reducer, and against an unbounded queue in order of arrival.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	start := time.Unix(1_700_000_000, 0)
 	var results []coretest.Result
@@ -66,6 +67,7 @@
 // long as the other requests: waiting for any slot would be several times
 // their own time, so one slot runs nothing else.
 func TestShortStatusChecksWithASlotOfTheirOwn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	start := time.Unix(1_700_000_000, 0)
 	var unloaded, peak float64
--- a/core/state.go
+++ b/core/state.go
@@ -79,6 +79,12 @@
 	return c
 }
 
+func (c Config) balance() balance.Config {
+	b := balance.DefaultConfig(c.DataCentre)
+	b.SlowStart = c.SlowStart
+	return b
+}
+
 func (c Config) admission() admission.Config {
 	a := admission.DefaultConfig(c.Slots)
 	setDefault(&c.QueueMaxWait, a.MaxWait)
@@ -132,7 +138,7 @@
 	s.holder = newHolder()
 	s.publisher = newPublisher(cfg)
 	s.backend = newBackend(cfg)
-	s.requests = newRequests(cfg, balance.New(balance.DefaultConfig(cfg.DataCentre), rng))
+	s.requests = newRequests(cfg, balance.New(cfg.balance(), rng))
 	return s
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -16,7 +16,7 @@
 func CoreConfig(s settings.Settings, peer, hop string, life endpoint.Incarnation, seed uint64) core.Config {
 	cfg := core.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
-		Service: s.Backend.Service, Slots: s.Backend.Slots, MaxQueue: s.Backend.Queue,
+		Service: s.Backend.Service, Slots: s.Backend.Slots, StatusSlots: s.Backend.StatusSlots, MaxQueue: s.Backend.Queue,
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
 		Fanout:         s.Distribution.Fanout,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
@@ -24,6 +24,9 @@
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
 		SweepEvery: time.Duration(s.Publisher.SweepEvery), StatusKeep: time.Duration(s.Publisher.StatusKeep),
 		RetryShare:   s.Requests.RetryShare,
+		QueueMaxWait: time.Duration(s.Requests.QueueMaxWait), QueueTarget: time.Duration(s.Requests.QueueTarget),
+		QueueInterval: time.Duration(s.Requests.QueueInterval), KeyKeep: time.Duration(s.Requests.KeyKeep),
+		ClaimKeep: time.Duration(s.Requests.ClaimKeep), ClaimsPerSecond: s.Requests.ClaimsPerSecond,
 		DrainAtLeast: time.Duration(s.Drain.AtLeast), DrainAtMost: time.Duration(s.Drain.AtMost),
 		Incarnation: life, Seed: seed,
 	}
--- a/node/observe.go
+++ b/node/observe.go
@@ -29,6 +29,7 @@
 var reasonNames = map[admission.Reason]string{
 	admission.QueueFull: "queue-full", admission.TooLate: "too-late", admission.NotServing: "not-serving",
 	admission.Cancelled: "cancelled", admission.SeenBefore: "seen-before", admission.EarlierLife: "earlier-life",
+	admission.KeyUsed: "key-used", admission.KeysFull: "keys-full",
 	otherReason: "other",
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,7 @@
 	Service     string   `json:"service,omitempty" validate:"max=128"`
 	Address     string   `json:"address,omitempty" validate:"required_with=Service,omitempty,ipport"`
 	Slots       int      `json:"slots,omitempty" validate:"min=0,max=10000"`
+	StatusSlots int      `json:"statusSlots,omitempty" validate:"min=0,max=10000"`
 	Queue       int      `json:"queue,omitempty" validate:"min=0,max=100000"`
 	Connections int      `json:"connections,omitempty" validate:"min=0,max=100000"`
 	HealthPath  string   `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
@@ -82,7 +83,13 @@
 
 // Requests says how callers' requests are treated.
 type Requests struct {
-	RetryShare float64 `json:"retryShare,omitempty" validate:"min=0,max=1"`
+	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
+	QueueMaxWait    Duration `json:"queueMaxWait,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	QueueTarget     Duration `json:"queueTarget,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	QueueInterval   Duration `json:"queueInterval,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
+	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=10m,max=720h"`
+	ClaimsPerSecond float64  `json:"claimsPerSecond,omitempty" validate:"min=0,max=100"`
 }
 
 // Drain bounds the time from a request to end until the process ends.
