Limit a node's calls to the platform, the urgent ones first

Each node has a token bucket for its calls: 100 a second for a root or the publisher, one in two seconds for others. Calls beyond it wait: leases go first, then the publisher's, then reads, garbage last. After a call refused for its rate all but leases pause, with a bound that doubles and full jitter; reads that failed are spaced in the same way. Claims keep their own rate.

Only a call without any answer counts as an outage now; conflicts and refusals show that the platform can be reached.

--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -476,6 +476,8 @@
 		done.Err = core.StoreTooLarge
 	case errors.Is(err, platform.ErrCompacted):
 		done.Err = core.StoreCompacted
+	case errors.Is(err, platform.ErrThrottled):
+		done.Err = core.StoreThrottled
 	default:
 		done.Err = core.StoreFailed
 	}
--- /dev/null
+++ b/core/limit.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"math"
+	"time"
+)
+
+// Rates of a node's calls to the platform. At the target size of 11 data
+// centres the roots and the publisher stay under 1,100 calls a second, which
+// leaves room for nodes that join; the publisher alone writes more than its
+// lease.
+const (
+	rootCallsPerSecond = 100
+	rootCallBurst      = 200
+	nodeCallsPerSecond = 0.5
+	nodeCallBurst      = 4
+)
+
+// callClass orders the calls that wait for the limit.
+type callClass uint8
+
+const (
+	classLease   callClass = iota // a lease that isn't renewed in time is lost
+	classPublish                  // changes of configuration
+	classRead                     // everything else
+	classGarbage                  // collection
+	callClasses
+)
+
+// callLimit holds back platform calls beyond a rate (a token bucket) and all
+// but those for leases for a while after the platform refused one.
+type callLimit struct {
+	tokens  float64
+	filled  time.Time
+	resume  time.Time // nothing but leases before, after a refusal
+	backoff backoff
+	waiting [callClasses][]Effect
+}
+
+func (c storeCall) class() callClass {
+	switch c.purpose {
+	case forRootLeaseWrite, forPublisherLease:
+		return classLease
+	case forPublisher:
+		if c.step == stepGarbage || c.step == stepCollect {
+			return classGarbage
+		}
+		return classPublish
+	}
+	return classRead
+}
+
+// limited reports whether a call counts here; claims have a rate of their own.
+func (c storeCall) limited() bool {
+	switch c.purpose {
+	case forClaimWrite, forClaimRead, forClaimEnd, forClaimSweep:
+		return false
+	}
+	return true
+}
+
+// callPlatform emits a call now or when the limit allows it.
+func (s *State) callPlatform(c storeCall, e Effect) {
+	if !c.limited() {
+		s.emit(e)
+		return
+	}
+	l := &s.platform.limit
+	l.waiting[c.class()] = append(l.waiting[c.class()], e)
+	s.releaseCalls()
+}
+
+// releaseCalls emits the calls that wait, the most urgent first, as far as
+// the limit goes.
+func (s *State) releaseCalls() {
+	l := &s.platform.limit
+	rate, burst := float64(nodeCallsPerSecond), float64(nodeCallBurst)
+	if s.member.phase == phaseRoot || s.publisher.active {
+		rate, burst = rootCallsPerSecond, rootCallBurst
+	}
+	l.tokens = math.Min(burst, l.tokens+rate*max(s.now.Sub(l.filled), 0).Seconds())
+	l.filled = s.now
+	for class := range l.waiting {
+		for len(l.waiting[class]) > 0 && l.tokens >= 1 {
+			if callClass(class) != classLease && s.now.Before(l.resume) {
+				return
+			}
+			l.tokens--
+			s.emit(l.waiting[class][0])
+			l.waiting[class] = l.waiting[class][1:]
+		}
+	}
+}
+
+// platformAnswered adapts the limit to how a call ended.
+func (s *State) platformAnswered(done StoreDone) {
+	l := &s.platform.limit
+	switch done.Err {
+	case StoreThrottled:
+		l.resume = s.after(&l.backoff)
+	case StoreOK:
+		l.backoff.succeeded()
+	}
+}
--- /dev/null
+++ b/core/limit_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var limitStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// callsOf counts the platform calls among effects by key or prefix.
+func callsOf(effects []Effect) map[string]int {
+	calls := map[string]int{}
+	for _, e := range effects {
+		switch e := e.(type) {
+		case StoreGet:
+			calls[e.Key]++
+		case StorePut:
+			calls[e.Key]++
+		}
+	}
+	return calls
+}
+
+func TestUrgentCallsPassThoseThatWait(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Node: "a", DataCentre: "a"})
+	s.now = limitStart
+	s.setPhase(phaseRoot)
+	for range rootCallBurst + 50 {
+		s.storeGet("read", storeCall{purpose: forChunk})
+	}
+	is.Equal(callsOf(s.effects)["read"], rootCallBurst)
+	s.storePut("garbage", nil, 0, storeCall{purpose: forPublisher, step: stepCollect})
+	s.storePut("publish", nil, 0, storeCall{purpose: forPublisher, step: stepChunk})
+	s.storePut("lease", nil, 0, storeCall{purpose: forRootLeaseWrite})
+	s.storePut("claim", nil, 0, storeCall{purpose: forClaimWrite})
+	is.Equal(callsOf(s.effects)["lease"], 0)
+	is.Equal(callsOf(s.effects)["claim"], 1) // claims have a rate of their own
+
+	s.effects = nil
+	s.now = s.now.Add(30 * time.Millisecond) // room for three calls
+	s.releaseCalls()
+	is.Equal(callsOf(s.effects), map[string]int{"lease": 1, "publish": 1, "read": 1})
+
+	s.effects = nil
+	s.now = s.now.Add(time.Second)
+	s.releaseCalls()
+	is.Equal(callsOf(s.effects), map[string]int{"read": 49, "garbage": 1}) // garbage last
+}
+
+func TestRefusedCallsMakeAPause(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Node: "a", DataCentre: "a"})
+	s.now = limitStart
+	s.setPhase(phaseRoot)
+	calls := 0
+	for at := limitStart; at.Before(limitStart.Add(time.Minute)); at = at.Add(50 * time.Millisecond) {
+		s.now, s.effects = at, nil
+		if len(s.platform.limit.waiting[classRead]) == 0 {
+			s.storeGet("read", storeCall{purpose: forChunk})
+		}
+		s.releaseCalls()
+		for range callsOf(s.effects)["read"] {
+			calls++
+			s.platformAnswered(StoreDone{Err: StoreThrottled})
+		}
+	}
+	is.True(calls > 10) // it is tried again and again,
+	is.True(calls < 90) // a minute of waits of 2 s on average, after some shorter ones
+	s.storePut("lease", nil, 0, storeCall{purpose: forRootLeaseWrite})
+	is.Equal(callsOf(s.effects)["lease"], 1) // leases don't wait for the end of the pause
+}
--- a/core/root.go
+++ b/core/root.go
@@ -152,6 +152,7 @@
 		s.storeListLater(headKey, storeCall{purpose: forHeadRead})
 		return
 	}
+	s.platform.backoff.succeeded()
 	s.root.revision = done.Revision
 	s.root.headRead = true
 	if len(done.Objects) == 0 {
--- a/core/store.go
+++ b/core/store.go
@@ -41,7 +41,9 @@
 // platformState tells outages in the log once, not for each call.
 type platformState struct {
 	down    bool
+	backoff backoff // of reads that are tried again
 	retries []laterList
+	limit   callLimit
 }
 
 type laterList struct {
@@ -50,10 +52,6 @@
 	call   storeCall
 }
 
-// storeRetryAfter is the upper bound of the random wait before a failed read
-// is tried again.
-const storeRetryAfter = 2 * time.Second
-
 func (s *State) nextCall(c storeCall) StoreCallID {
 	s.lastCall++
 	s.calls[s.lastCall] = c
@@ -61,28 +59,28 @@
 }
 
 func (s *State) storeGet(key string, c storeCall) {
-	s.emit(StoreGet{Call: s.nextCall(c), Key: key})
+	s.callPlatform(c, StoreGet{Call: s.nextCall(c), Key: key})
 }
 
 func (s *State) storeList(prefix string, c storeCall) {
-	s.emit(StoreList{Call: s.nextCall(c), Prefix: prefix})
+	s.callPlatform(c, StoreList{Call: s.nextCall(c), Prefix: prefix})
 }
 
 func (s *State) storePut(key string, data []byte, base uint64, c storeCall) {
-	s.emit(StorePut{Call: s.nextCall(c), Key: key, Data: data, Base: base})
+	s.callPlatform(c, StorePut{Call: s.nextCall(c), Key: key, Data: data, Base: base})
 }
 
 func (s *State) storeDelete(key string, base uint64, c storeCall) {
-	s.emit(StoreDelete{Call: s.nextCall(c), Key: key, Base: base})
+	s.callPlatform(c, StoreDelete{Call: s.nextCall(c), Key: key, Base: base})
 }
 
 func (s *State) storeWatch(prefix string, after uint64, wait time.Duration, c storeCall) {
-	s.emit(StoreWatch{Call: s.nextCall(c), Prefix: prefix, After: after, Wait: wait})
+	s.callPlatform(c, StoreWatch{Call: s.nextCall(c), Prefix: prefix, After: after, Wait: wait})
 }
 
-// storeListLater lists after a random wait.
+// storeListLater lists after a random wait, which grows while calls fail.
 func (s *State) storeListLater(prefix string, c storeCall) {
-	s.platform.retries = append(s.platform.retries, laterList{at: s.now.Add(s.jitter(storeRetryAfter)), prefix: prefix, call: c})
+	s.platform.retries = append(s.platform.retries, laterList{at: s.after(&s.platform.backoff), prefix: prefix, call: c})
 }
 
 func (s *State) storeTick() {
@@ -95,10 +93,11 @@
 		s.storeList(r.prefix, r.call)
 	}
 	s.platform.retries = later
+	s.releaseCalls()
 }
 
 func (s *State) platformFailed(done StoreDone) {
-	if s.platform.down || done.Err == StoreNotFound || done.Err == StoreConflict {
+	if s.platform.down || done.Err != StoreFailed {
 		return
 	}
 	s.platform.down = true
@@ -111,7 +110,8 @@
 		return
 	}
 	delete(s.calls, done.Call)
-	if done.Err == StoreOK && s.platform.down {
+	s.platformAnswered(done)
+	if done.Err != StoreFailed && s.platform.down {
 		s.platform.down = false
 		s.log(notice.PlatformReachable)
 	}
