Let the work for a change grow with the change

Diff compares without sorting and hashing everything.

A change of a policy compiles the whole set, as it may reach any object, and so does a delta with faults, so that the list of faults is always the same. TestWorkByDelta compares everything made by a delta with what the whole set gives, for drawn edits.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -46,6 +46,7 @@
 	Methods    []string
 	Service    string
 	Policy     *Policy
+	inherits   bool // Policy is the service's
 }
 
 // Snapshot is one version in compiled form. It is not changed after Compile.
@@ -107,10 +108,6 @@
 // MaxSetBytes bounds the specs of a set: every node holds all of them.
 const MaxSetBytes = 8 << 20
 
-// CompileDelta is Compile for a set that a delta leads to from one that was
-// compiled before.
-func CompileDelta(_ *Snapshot, _, next *Set, _ Delta) (*Snapshot, []Fault) { return Compile(next) }
-
 // Compile checks a whole set and returns what proxies route by, or every
 // fault found, ordered by object.
 func Compile(set *Set) (*Snapshot, []Fault) {
@@ -118,9 +115,7 @@
 		Version: set.Version, routes: map[string][]*Route{},
 		policies: map[string]*Policy{}, services: map[string]*Policy{},
 	}}
-	if len(set.Objects) > MaxObjects {
-		c.fault(Key{}, "", "the set has %d objects, at most %d are allowed", len(set.Objects), MaxObjects)
-	}
+	c.size()
 	keys := sortedKeys(set.Objects)
 	c.common(keys)
 	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route} {
@@ -139,11 +134,18 @@
 	c.faults = append(c.faults, Fault{Object: k, Field: field, Reason: fmt.Sprintf(format, args...)})
 }
 
+func (c *compiler) size() {
+	if len(c.set.Objects) > MaxObjects {
+		c.fault(Key{}, "", "the set has %d objects, at most %d are allowed", len(c.set.Objects), MaxObjects)
+	}
+	if c.set.bytes > MaxSetBytes {
+		c.fault(Key{}, "", "the set has %d bytes, at most %d are allowed", c.set.bytes, MaxSetBytes)
+	}
+}
+
 func (c *compiler) common(keys []Key) {
-	total := 0
 	for _, k := range keys {
 		o := c.set.Objects[k]
-		total += len(o.Spec)
 		switch {
 		case !k.Kind.known():
 			c.fault(k, "kind", "unknown kind %q", k.Kind)
@@ -156,9 +158,6 @@
 			c.fault(k, "spec", "has %d bytes, at most %d are allowed", len(o.Spec), MaxObjectBytes)
 		}
 	}
-	if total > MaxSetBytes {
-		c.fault(Key{}, "", "the set has %d bytes, at most %d are allowed", total, MaxSetBytes)
-	}
 }
 
 func (c *compiler) decode(k Key, into any) bool {
@@ -293,7 +292,8 @@
 		policy = c.resolve(k, spec.Policy)
 	}
 	c.snapshot.routes[spec.PathPrefix] = append(c.snapshot.routes[spec.PathPrefix], &Route{
-		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service, Policy: policy,
+		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service,
+		Policy: policy, inherits: spec.Policy == "",
 	})
 }
 
--- /dev/null
+++ b/core/config/compile_delta.go
@@ -0,0 +1,140 @@
+package config
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// smallDelta is the share of a set, as a divisor, up to which a delta is
+// compiled on its own.
+const smallDelta = 8
+
+// CompileDelta is Compile for a set that a delta leads to from one that was
+// compiled before. For a small change of routes and services it decodes only
+// what changed. Its result is that of Compile; faults are always Compile's.
+func CompileDelta(prev *Snapshot, held, next *Set, d Delta) (*Snapshot, []Fault) {
+	if prev.Version != held.Version || prev.routes == nil || !d.compilesAlone(len(held.Objects)) {
+		return Compile(next)
+	}
+	c := &compiler{set: next, snapshot: &Snapshot{
+		Version: next.Version, routes: maps.Clone(prev.routes), policies: prev.policies, services: prev.services,
+	}}
+	c.size()
+	c.common(d.keys())
+	c.removeOld(held, d)
+	c.changeServices(d)
+	c.addRoutes(d)
+	if len(c.faults) > 0 {
+		return Compile(next)
+	}
+	return c.snapshot, nil
+}
+
+// compilesAlone reports whether a delta is small and changes no policy: those
+// may reach any other object.
+func (d Delta) compilesAlone(objects int) bool {
+	if (len(d.Puts)+len(d.Deletes))*smallDelta > objects {
+		return false
+	}
+	for _, k := range d.keys() {
+		if k.Kind == KindPolicy {
+			return false
+		}
+	}
+	return true
+}
+
+// keys returns the keys of what a delta puts; those that it deletes come last.
+func (d Delta) keys() []Key {
+	keys := make([]Key, 0, len(d.Puts)+len(d.Deletes))
+	for _, o := range d.Puts {
+		keys = append(keys, o.Key())
+	}
+	return append(keys, d.Deletes...)
+}
+
+// removeOld takes the routes out that the delta replaces or deletes.
+func (c *compiler) removeOld(held *Set, d Delta) {
+	for _, k := range d.keys() {
+		old, ok := held.Objects[k]
+		if !ok || k.Kind != KindRoute {
+			continue
+		}
+		var spec RouteSpec
+		_ = json.Unmarshal(old.Spec, &spec) // it was compiled before
+		rest := slices.DeleteFunc(slices.Clone(c.snapshot.routes[spec.PathPrefix]), func(r *Route) bool { return r.Name == k.Name })
+		if len(rest) == 0 {
+			delete(c.snapshot.routes, spec.PathPrefix)
+			continue
+		}
+		c.snapshot.routes[spec.PathPrefix] = rest
+	}
+}
+
+// changeServices compiles changed services and gives their policies to the
+// routes that take them over. A route may be left that points at nothing.
+func (c *compiler) changeServices(d Delta) {
+	changed := map[string]bool{}
+	for _, k := range d.keys() {
+		if k.Kind == KindService {
+			changed[k.Name] = true
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	c.snapshot.services = maps.Clone(c.snapshot.services)
+	for name := range changed {
+		delete(c.snapshot.services, name)
+		if k := (Key{KindService, name}); c.has(k) {
+			c.service(k)
+		}
+	}
+	for prefix, routes := range c.snapshot.routes {
+		if slices.ContainsFunc(routes, func(r *Route) bool { return changed[r.Service] }) {
+			c.snapshot.routes[prefix] = c.relink(routes, changed)
+		}
+	}
+}
+
+// relink returns routes with the policies of changed services.
+func (c *compiler) relink(routes []*Route, changed map[string]bool) []*Route {
+	out := slices.Clone(routes)
+	for i, r := range out {
+		if !changed[r.Service] {
+			continue
+		}
+		if !c.has(Key{KindService, r.Service}) {
+			c.fault(Key{KindRoute, r.Name}, "service", "service %q does not exist", r.Service)
+		}
+		if r.inherits {
+			linked := *r
+			linked.Policy = c.snapshot.services[r.Service]
+			out[i] = &linked
+		}
+	}
+	return out
+}
+
+func (c *compiler) has(k Key) bool {
+	_, ok := c.set.Objects[k]
+	return ok
+}
+
+// addRoutes compiles the routes that a delta puts and keeps those of one
+// prefix in the order of their names.
+func (c *compiler) addRoutes(d Delta) {
+	for _, o := range d.Puts {
+		var spec RouteSpec
+		if o.Kind != KindRoute || json.Unmarshal(o.Spec, &spec) != nil {
+			c.route(o.Key()) // finds the fault, if it is a route
+			continue
+		}
+		c.snapshot.routes[spec.PathPrefix] = slices.Clone(c.snapshot.routes[spec.PathPrefix])
+		c.route(o.Key())
+		routes := c.snapshot.routes[spec.PathPrefix]
+		slices.SortFunc(routes, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
+	}
+}
--- /dev/null
+++ b/core/config/delta_test.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// drawEdit draws an edit of a few objects, good or bad.
+func drawEdit(t *rapid.T, set *Set) Submission {
+	sub := Submission{ID: "s", Author: "ann"}
+	seen := map[Key]bool{}
+	for range rapid.IntRange(1, 3).Draw(t, "edits") {
+		kind := rapid.SampledFrom([]Kind{KindRoute, KindRoute, KindService, KindPolicy}).Draw(t, "kind")
+		k := Key{kind, rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")}
+		_, exists := set.Objects[k]
+		if seen[k] {
+			continue
+		}
+		seen[k] = true
+		if exists && rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+			sub.Deletes = append(sub.Deletes, Delete{Key: k, AnyBase: true})
+			continue
+		}
+		sub.Puts = append(sub.Puts, Put{Object: object(k.Kind, k.Name, drawSpec(t, kind)), AnyBase: true})
+	}
+	return sub
+}
+
+func drawSpec(t *rapid.T, kind Kind) string {
+	name := rapid.SampledFrom([]string{"a", "b", "c", "d", "fixed"})
+	switch kind {
+	case KindPolicy:
+		return fmt.Sprintf(`{"timeoutMillis":%d}`, rapid.IntRange(1, 5).Draw(t, "timeout"))
+	case KindService:
+		return fmt.Sprintf(`{ "policy" : %q }`, rapid.SampledFrom([]string{"", "a", "fixed"}).Draw(t, "policy"))
+	}
+	methods := rapid.SampledFrom([]string{`["GET"]`, `["POST"]`, `[]`}).Draw(t, "methods")
+	policy := rapid.SampledFrom([]string{"", "", "a"}).Draw(t, "policy")
+	return fmt.Sprintf(`{"pathPrefix":"/%s","methods":%s,"service":%q,"policy":%q}`, name.Draw(t, "prefix"), methods, name.Draw(t, "service"), policy)
+}
+
+// filled returns a set that is large against an edit.
+func filled(version uint64) *Set {
+	objects := []Object{
+		object(KindPolicy, "fixed", `{"timeoutMillis":9}`), object(KindPolicy, "a", `{}`),
+		object(KindService, "fixed", `{"policy":"fixed"}`), object(KindService, "a", `{}`), object(KindService, "b", `{}`),
+	}
+	for i := range 40 {
+		objects = append(objects, object(KindRoute, fmt.Sprintf("r%d", i), fmt.Sprintf(`{"pathPrefix":"/r%d","service":"fixed"}`, i)))
+	}
+	return NewSet(version, objects)
+}
+
+// TestWorkByDelta makes edit after edit and compares all that is derived from
+// a delta with what is derived from the whole set.
+func TestWorkByDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := filled(1)
+		snapshot, _ := Compile(set)
+		encoded, err := Encode(set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "submissions") {
+			next, delta, faults := MergeDelta(set, drawEdit(t, set))
+			if len(faults) > 0 {
+				continue
+			}
+			want, wantFaults := Compile(next)
+			got, gotFaults := CompileDelta(snapshot, set, next, delta)
+			if !reflect.DeepEqual(gotFaults, wantFaults) || !reflect.DeepEqual(got, want) {
+				t.Fatalf("delta %+v compiles to %+v %v, the whole set to %+v %v", delta, got, gotFaults, want, wantFaults)
+			}
+			if len(wantFaults) > 0 {
+				continue
+			}
+			if d := Diff(set, next); !reflect.DeepEqual(d, delta) {
+				t.Fatalf("diff is %+v, merged was %+v", d, delta)
+			}
+			encoded = checkStored(t, encoded, set, next, delta)
+			set, snapshot = next, got
+		}
+	})
+}
+
+// checkStored compares the stored form made by a delta with that of the whole
+// set, and reads it back.
+func checkStored(t *rapid.T, held *Encoded, set, next *Set, delta Delta) *Encoded {
+	got, err := held.Next(next, delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := Encode(next)
+	if err != nil || !reflect.DeepEqual(got.Manifest, want.Manifest) {
+		t.Fatalf("delta is stored as %+v, the whole set as %+v (%v)", got.Manifest, want.Manifest, err)
+	}
+	read, readDelta, err := held.Decode(set, want.Manifest, chunksOf(want))
+	if err != nil || read.Hash() != next.Hash() || read.Version != next.Version {
+		t.Fatalf("read back %+v: %v", read, err)
+	}
+	if len(readDelta.Puts) != len(delta.Puts) || len(readDelta.Deletes) != len(delta.Deletes) {
+		t.Fatalf("read back as %+v, was %+v", readDelta, delta)
+	}
+	return got
+}
+
+func TestNumberOfChunksFollowsTheSize(t *testing.T) {
+	is := is.New(t)
+	set := filled(1)
+	encoded, err := Encode(set)
+	is.NoErr(err)
+	is.Equal(len(encoded.Manifest.Chunks), 1)
+	big := Submission{ID: "s"}
+	for i := range 300 {
+		big.Puts = append(big.Puts, Put{Object: object(KindRoute, fmt.Sprintf("big%d", i),
+			fmt.Sprintf(`{"pathPrefix":"/%d/%s","service":"fixed"}`, i, strings.Repeat("x", 300)))})
+	}
+	next, delta, faults := MergeDelta(set, big)
+	is.Equal(len(faults), 0)
+	grown, err := encoded.Next(next, delta)
+	is.NoErr(err)
+	is.Equal(len(grown.Manifest.Chunks), 4)
+	got, _, err := encoded.Decode(set, grown.Manifest, chunksOf(grown))
+	is.NoErr(err)
+	is.Equal(got.Hash(), next.Hash())
+}
+
+// TestSpecsAreCanonical checks that a set hashes the same before it was stored
+// and after, however the operator wrote it.
+func TestSpecsAreCanonical(t *testing.T) {
+	is := is.New(t)
+	var sub Submission
+	is.NoErr(json.Unmarshal([]byte(`{"id":"s","puts":[{"object":{"kind":"Route","name":"a","spec":{ "pathPrefix": "/<a>&", "service":"fixed" }}}]}`), &sub))
+	next, _, faults := MergeDelta(filled(1), sub)
+	is.Equal(len(faults), 0)
+	e, err := Encode(next)
+	is.NoErr(err)
+	got, err := DecodeSet(e.Manifest, chunksOf(e))
+	is.NoErr(err) // the hash matches
+	is.Equal(got.Hash(), next.Hash())
+}
+
+func TestLimitsOfASubmission(t *testing.T) {
+	is := is.New(t)
+	_, faults := Merge(filled(1), Submission{ID: "s", Author: strings.Repeat("x", MaxAuthorBytes+1)})
+	is.Equal(faults[0].Field, "author")
+
+	spec := fmt.Sprintf(`{"policy":%q}`, strings.Repeat("x", MaxObjectBytes-100))
+	var objects []Object
+	for i := range MaxSetBytes/MaxObjectBytes + 2 {
+		objects = append(objects, object(KindService, fmt.Sprintf("s%d", i), spec))
+	}
+	_, faults = Compile(NewSet(1, objects))
+	is.True(strings.Contains(faults[0].Reason, "the set has"))
+}
--- a/core/config/encoded.go
+++ b/core/config/encoded.go
@@ -13,12 +13,12 @@
 type Encoded struct {
 	Manifest Manifest
 	buckets  []bucket
-	size     int // of the objects, as bucketCount counts
 }
 
 // bucket is the part of a set that one chunk holds.
 type bucket struct {
 	keys []Key // sorted
+	size int   // of the objects, as bucketCount counts
 	data []byte
 }
 
@@ -37,7 +37,7 @@
 	for _, o := range s.Objects {
 		size += storedSize(o)
 	}
-	e := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}, size: size}
+	e := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}}
 	e.buckets = make([]bucket, bucketCount(size))
 	e.Manifest.Chunks = make([]string, len(e.buckets))
 	for _, k := range sortedKeys(s.Objects) {
@@ -55,10 +55,29 @@
 // Next returns the stored form of the set that a delta leads to. Its cost
 // grows with the chunks that the delta touches.
 func (e *Encoded) Next(s *Set, d Delta) (*Encoded, error) {
-	next := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}, size: e.size}
+	next := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}}
 	next.buckets = slices.Clone(e.buckets)
 	next.Manifest.Chunks = slices.Clone(e.Manifest.Chunks)
-	touched := map[int]map[Key]bool{} // whether a key is in the next set
+	for i, keys := range e.touched(d) {
+		next.buckets[i].retouch(keys)
+		if err := next.fill(i, s); err != nil {
+			return nil, err
+		}
+	}
+	size := 0
+	for _, b := range next.buckets {
+		size += b.size
+	}
+	if bucketCount(size) != len(next.buckets) {
+		return Encode(s)
+	}
+	return next, nil
+}
+
+// touched returns the keys of a delta by bucket, with whether they are in the
+// next set.
+func (e *Encoded) touched(d Delta) map[int]map[Key]bool {
+	touched := map[int]map[Key]bool{}
 	mark := func(k Key, in bool) {
 		i := e.bucketOf(k)
 		if touched[i] == nil {
@@ -72,43 +91,68 @@
 	for _, k := range d.Deletes {
 		mark(k, false)
 	}
-	for i, keys := range touched {
-		next.size += next.retouch(i, keys, s)
-	}
-	if bucketCount(next.size) != len(next.buckets) {
-		return Encode(s)
-	}
-	for i := range touched {
-		if err := next.fill(i, s); err != nil {
-			return nil, err
-		}
-	}
-	return next, nil
+	return touched
 }
 
-// retouch gives a bucket its new keys and returns by how much the bucket
-// grew.
-func (e *Encoded) retouch(i int, keys map[Key]bool, s *Set) int {
-	var old []Object
-	_ = json.Unmarshal(e.buckets[i].data, &old) // written by fill
-	grown := 0
-	out := make([]Key, 0, len(old)+len(keys))
-	for _, o := range old {
-		if _, ok := keys[o.Key()]; ok {
-			grown -= storedSize(o)
-			continue
+// retouch gives a bucket its new keys.
+func (b *bucket) retouch(keys map[Key]bool) {
+	out := make([]Key, 0, len(b.keys)+len(keys))
+	for _, k := range b.keys {
+		if _, changed := keys[k]; !changed {
+			out = append(out, k)
 		}
-		out = append(out, o.Key())
 	}
 	for k, in := range keys {
 		if in {
-			grown += storedSize(s.Objects[k])
 			out = append(out, k)
 		}
 	}
 	slices.SortFunc(out, Key.Compare)
-	e.buckets[i].keys = out
-	return grown
+	b.keys = out
+}
+
+// Decode returns the set that a manifest leads to and the delta from the held
+// set, whose stored form this is. Chunks that both have in common are not
+// looked at.
+func (e *Encoded) Decode(held *Set, m Manifest, chunks map[string][]byte) (*Set, Delta, error) {
+	if len(m.Chunks) != len(e.buckets) || held.hash != e.Manifest.Hash {
+		set, err := DecodeSet(m, chunks)
+		if err != nil {
+			return nil, Delta{}, err
+		}
+		return set, Diff(held, set), nil
+	}
+	d := Delta{From: held.Version, To: m.Version, Hash: m.Hash}
+	for i, name := range m.Chunks {
+		if name == e.Manifest.Chunks[i] {
+			continue
+		}
+		objects, err := decodeChunk(m.Version, name, chunks)
+		if err != nil {
+			return nil, Delta{}, err
+		}
+		d.changes(held, e.buckets[i].keys, objects)
+	}
+	slices.SortFunc(d.Puts, func(a, b Object) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(d.Deletes, Key.Compare)
+	set, err := held.Apply(d)
+	return set, d, err
+}
+
+// changes adds what turns the objects of some keys into others.
+func (d *Delta) changes(held *Set, keys []Key, objects []Object) {
+	in := make(map[Key]bool, len(objects))
+	for _, o := range objects {
+		in[o.Key()] = true
+		if old, ok := held.Objects[o.Key()]; !ok || !sameObject(old, o) {
+			d.Puts = append(d.Puts, o)
+		}
+	}
+	for _, k := range keys {
+		if !in[k] {
+			d.Deletes = append(d.Deletes, k)
+		}
+	}
 }
 
 func (e *Encoded) bucketOf(k Key) int {
@@ -118,8 +162,10 @@
 // fill encodes the objects of one bucket.
 func (e *Encoded) fill(i int, s *Set) error {
 	objects := make([]Object, 0, len(e.buckets[i].keys))
+	e.buckets[i].size = 0
 	for _, k := range e.buckets[i].keys {
 		objects = append(objects, s.Objects[k])
+		e.buckets[i].size += storedSize(s.Objects[k])
 	}
 	data, err := json.Marshal(objects)
 	if err != nil {
--- a/core/config/set.go
+++ b/core/config/set.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -14,6 +16,7 @@
 	Version uint64
 	Objects map[Key]Object
 	hash    uint64
+	bytes   int // of the specs
 }
 
 // NewSet returns the set of objects at a version.
@@ -41,20 +44,23 @@
 func (s *Set) put(o Object) {
 	if old, ok := s.Objects[o.Key()]; ok {
 		s.hash -= objectHash(old)
+		s.bytes -= len(old.Spec)
 	}
 	s.Objects[o.Key()] = o
 	s.hash += objectHash(o)
+	s.bytes += len(o.Spec)
 }
 
 func (s *Set) remove(k Key) {
 	if old, ok := s.Objects[k]; ok {
 		s.hash -= objectHash(old)
+		s.bytes -= len(old.Spec)
 		delete(s.Objects, k)
 	}
 }
 
 func (s *Set) clone(version uint64) *Set {
-	return &Set{Version: version, Objects: maps.Clone(s.Objects), hash: s.hash}
+	return &Set{Version: version, Objects: maps.Clone(s.Objects), hash: s.hash, bytes: s.bytes}
 }
 
 func objectHash(o Object) uint64 {
@@ -82,21 +88,25 @@
 // Diff returns the delta from one set to a later one.
 func Diff(from, to *Set) Delta {
 	d := Delta{From: from.Version, To: to.Version, Hash: to.hash}
-	for _, k := range sortedKeys(to.Objects) {
-		o := to.Objects[k]
-		old, ok := from.Objects[k]
-		if !ok || objectHash(old) != objectHash(o) {
+	for k, o := range to.Objects {
+		if old, ok := from.Objects[k]; !ok || !sameObject(old, o) {
 			d.Puts = append(d.Puts, o)
 		}
 	}
-	for _, k := range sortedKeys(from.Objects) {
+	for k := range from.Objects {
 		if _, ok := to.Objects[k]; !ok {
 			d.Deletes = append(d.Deletes, k)
 		}
 	}
+	slices.SortFunc(d.Puts, func(a, b Object) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(d.Deletes, Key.Compare)
 	return d
 }
 
+func sameObject(a, b Object) bool {
+	return a.Version == b.Version && a.Author == b.Author && bytes.Equal(a.Spec, b.Spec)
+}
+
 // Apply returns the set that a delta leads to. The receiver stays as it was.
 // It fails when the delta starts from another version or ends in another
 // hash.
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -71,16 +71,9 @@
 func DecodeSet(m Manifest, chunks map[string][]byte) (*Set, error) {
 	s := NewSet(m.Version, nil)
 	for _, name := range m.Chunks {
-		data, ok := chunks[name]
-		if !ok {
-			return nil, fmt.Errorf("version %d: chunk %s is missing", m.Version, name)
-		}
-		if ContentName(data) != name {
-			return nil, fmt.Errorf("version %d: chunk %s: %w", m.Version, name, ErrHash)
-		}
-		var objs []Object
-		if err := json.Unmarshal(data, &objs); err != nil {
-			return nil, fmt.Errorf("version %d: chunk %s: %w", m.Version, name, err)
+		objs, err := decodeChunk(m.Version, name, chunks)
+		if err != nil {
+			return nil, err
 		}
 		for _, o := range objs {
 			s.put(o)
@@ -91,3 +84,18 @@
 	}
 	return s, nil
 }
+
+func decodeChunk(version uint64, name string, chunks map[string][]byte) ([]Object, error) {
+	data, ok := chunks[name]
+	if !ok {
+		return nil, fmt.Errorf("version %d: chunk %s is missing", version, name)
+	}
+	if ContentName(data) != name {
+		return nil, fmt.Errorf("version %d: chunk %s: %w", version, name, ErrHash)
+	}
+	var objs []Object
+	if err := json.Unmarshal(data, &objs); err != nil {
+		return nil, fmt.Errorf("version %d: chunk %s: %w", version, name, err)
+	}
+	return objs, nil
+}
--- a/core/root.go
+++ b/core/root.go
@@ -272,10 +272,18 @@
 		return
 	}
 	s.root.fetch = nil
-	set, err := config.DecodeSet(f.manifest, f.chunks)
+	if f.manifest.Version <= s.configVersion() {
+		return // it has come another way in the meantime
+	}
+	held, err := s.heldEncoded()
+	if err != nil {
+		s.refuse(err.Error())
+		return
+	}
+	set, delta, err := held.Decode(s.holder.set, f.manifest, f.chunks)
 	if err != nil {
 		s.refuse(err.Error())
 		return
 	}
-	s.take(set)
+	s.adopt(set, delta)
 }
