--- a/core/state.go
+++ b/core/state.go
@@ -57,7 +57,7 @@
 func (c Config) WithDefaults() Config {
 	setDefault(&c.Slots, 6)
 	setDefault(&c.MaxQueue, 8*c.Slots)
-	setDefault(&c.Fanout, 16)
+	setDefault(&c.Fanout, 8)
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
@@ -236,6 +236,8 @@
 	Backend       DumpBackend      `json:"backend"`
 	Calls         int              `json:"calls"`
 	RetryTokens   float64          `json:"retryTokens"`
+
+	DumpRoles
 }
 
 // DumpLink is one link of a Dump.
@@ -271,6 +273,7 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
 	}
