--- a/core/config/delta_test.go
+++ b/core/config/delta_test.go
@@ -83,15 +83,15 @@
 			if d := Diff(set, next); !reflect.DeepEqual(d, delta) {
 				t.Fatalf("diff is %+v, merged was %+v", d, delta)
 			}
-			encoded = checkStored(t, encoded, set, next, delta)
+			encoded = checkDeltaStored(t, encoded, set, next, delta)
 			set, snapshot = next, got
 		}
 	})
 }
 
-// checkStored compares the stored form made by a delta with that of the whole
+// checkDeltaStored compares the stored form made by a delta with that of the whole
 // set, and reads it back.
-func checkStored(t *rapid.T, held *Encoded, set, next *Set, delta Delta) *Encoded {
+func checkDeltaStored(t *rapid.T, held *Encoded, set, next *Set, delta Delta) *Encoded {
 	got, err := held.Next(next, delta)
 	if err != nil {
 		t.Fatal(err)
