--- a/cmd/agatekeel/dev_test.go
+++ b/cmd/agatekeel/dev_test.go
@@ -11,10 +11,17 @@
 
 // startDev runs dev on free ports until the test ends.
 func startDev(t *testing.T) *mesh {
+	t.Helper()
+	return startDevAt(t, "../../examples/recipes")
+}
+
+// startDevAt does the same with other objects.
+func startDevAt(t *testing.T, objects string) *mesh {
 	t.Helper()
 	ready, done := make(chan *mesh, 1), make(chan error, 1)
 	end := make(chan struct{})
 	dev := newDev(io.Discard)
+	dev.Objects = objects
 	dev.ready = func(m *mesh) {
 		ready <- m
 		<-end
--- a/cmd/agatekeel/dump.go
+++ b/cmd/agatekeel/dump.go
@@ -9,7 +9,7 @@
 // dumpCommand prints a process's state.
 type dumpCommand struct {
 	console
-	Admin  string `long:"admin" default:"127.0.0.1:8081" description:"admin address of the process"`
+	Admin  string `long:"admin" env:"AGATEKEEL_ADMIN" default:"127.0.0.1:8081" description:"admin address of the process"`
 	Output string `short:"o" long:"output" choice:"json" default:"json" description:"form of the result"`
 }
 
--- /dev/null
+++ b/cmd/agatekeel/pages_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// pages returns the pages of the repository by path. Tests that call it run
+// in the root of the repository from then on.
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	t.Chdir("../..")
+	out := map[string]string{}
+	for _, pattern := range []string{"*.md", "examples/*.md", "docs/*.md", "docs/*/*.md"} {
+		files, err := filepath.Glob(pattern)
+		is.New(t).NoErr(err)
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			is.New(t).NoErr(err)
+			out[file] = string(text)
+		}
+	}
+	return out
+}
+
+// commandLine is a line of a code block that calls the binary.
+var commandLine = regexp.MustCompile(`(?m)^ {4,}(?:go run \./cmd/agatekeel|agatekeel) ([a-z].*)$`)
+
+// placeholder is a word that a reader is to replace.
+var placeholder = regexp.MustCompile(`\b[A-Z]{2,}\b`)
+
+func TestCommandsOnPages(t *testing.T) {
+	found := 0
+	all := pages(t)
+	m := startDevAt(t, "examples/recipes")
+	t.Setenv("AGATEKEEL_PLATFORM", m.platform)
+	t.Setenv("AGATEKEEL_ADMIN", m.listeners[0].Admin.Addr().String())
+	for file, text := range all {
+		for _, line := range commandLine.FindAllStringSubmatch(text, -1) {
+			found++
+			t.Run(file+": "+line[1], func(t *testing.T) {
+				is := is.New(t)
+				args := strings.Fields(line[1])
+				is.NoErr(parseOnly(args))
+				if placeholder.MatchString(line[1]) || !runsByItself(args) {
+					return
+				}
+				code, _, stderr := agatekeel(args...)
+				is.Equal(stderr, "")
+				is.Equal(code, exitOK)
+			})
+		}
+	}
+	is.New(t).True(found > 10)
+}
+
+// runsByItself reports whether a command ends by itself and needs nothing but
+// what is in the repository and a mesh.
+func runsByItself(args []string) bool {
+	switch args[0] {
+	case "dev", "load":
+		return false
+	case "node":
+		return strings.Contains(strings.Join(args, " "), "--check-settings")
+	}
+	for _, arg := range args {
+		if strings.HasSuffix(arg, ".json") && !strings.HasPrefix(arg, "examples/") {
+			return false // made by the reader
+		}
+		if strings.HasPrefix(arg, "127.0.0.1:") {
+			return false // the address of another process
+		}
+	}
+	return true
+}
+
+// link is a link of a page to a file.
+var link = regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+
+func TestLinksOfPagesLeadSomewhere(t *testing.T) {
+	for file, text := range pages(t) {
+		for _, l := range link.FindAllStringSubmatch(text, -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(file), l[1])); err != nil {
+				t.Errorf("%s: link to %s: %v", file, l[1], err)
+			}
+		}
+	}
+}
+
+var (
+	testName = regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z]+)`")
+	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Za-z]+)\(`)
+)
+
+func TestPromisesNameTestsThatExist(t *testing.T) {
+	is := is.New(t)
+	text := pages(t)[filepath.Join("docs", "PROMISES.md")]
+	exist := map[string]bool{}
+	err := filepath.WalkDir(".", func(file string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(file, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(file)
+		for _, f := range testFunc.FindAllStringSubmatch(string(source), -1) {
+			exist[f[1]] = true
+		}
+		return err
+	})
+	is.NoErr(err)
+	names := testName.FindAllStringSubmatch(text, -1)
+	is.True(len(names) > 0)
+	for _, name := range names {
+		if !exist[name[1]] {
+			t.Errorf("docs/PROMISES.md names %s, which does not exist", name[1])
+		}
+	}
+}
