--- a/node/admin.go
+++ b/node/admin.go
@@ -11,6 +11,7 @@
 
 // admin serves health, metrics and the state dump.
 func admin(n *Node, r metrics.Registry) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c *gin.Context) {
--- a/node/config.go
+++ b/node/config.go
@@ -16,14 +16,17 @@
 func CoreConfig(s settings.Settings, peer, hop string, life endpoint.Incarnation, seed uint64) core.Config {
 	cfg := core.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
-		Service: s.Backend.Service, Slots: s.Backend.Slots, MaxQueue: s.Backend.Queue,
+		Service: s.Backend.Service, Slots: s.Backend.Slots, StatusSlots: s.Backend.StatusSlots,
+		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
+		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
 		Fanout:         s.Distribution.Fanout,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
 		SweepEvery: time.Duration(s.Publisher.SweepEvery), StatusKeep: time.Duration(s.Publisher.StatusKeep),
-		RetryShare:   s.Requests.RetryShare,
+		RetryShare: s.Requests.RetryShare, KeyKeep: time.Duration(s.Requests.KeyKeep),
+		ClaimKeep: time.Duration(s.Requests.ClaimKeep), ClaimsPerSecond: s.Requests.ClaimsPerSecond,
 		DrainAtLeast: time.Duration(s.Drain.AtLeast), DrainAtMost: time.Duration(s.Drain.AtMost),
 		Incarnation: life, Seed: seed,
 	}
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -16,19 +16,24 @@
 	second := func(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Second) }
 	s := settings.Settings{
 		Node: "n", DataCentre: "derby", Seeds: []string{"10.0.0.1:1"},
-		Backend: settings.Backend{Service: "orders", Slots: 11, Queue: 12, ProbeEvery: second(13), SlowStart: second(14)},
+		Backend: settings.Backend{
+			Service: "orders", Slots: 11, StatusSlots: 10, ProbeEvery: second(13), SlowStart: second(14),
+			Queue: settings.Queue{Length: 12, MaxWait: second(15), Target: second(16), Interval: second(17)},
+		},
 		Distribution: settings.Distribution{
 			Favour: "bytes", Fanout: 21, HeartbeatEvery: second(22), MissedHeartbeats: 23, JoinJitter: second(24), WatchWait: second(25),
 		},
 		Lease:     settings.Lease{TTL: second(33), Renew: second(31), Margin: second(32)},
 		Publisher: settings.Publisher{SweepEvery: second(71), StatusKeep: second(72)},
-		Requests:  settings.Requests{RetryShare: 0.41},
+		Requests:  settings.Requests{RetryShare: 0.41, KeyKeep: second(42), ClaimKeep: second(43), ClaimsPerSecond: 44},
 		Drain:     settings.Drain{AtLeast: second(51), AtMost: second(52)},
 	}
 	life := endpoint.Incarnation{Start: 61, Random: 62}
 	got := CoreConfig(s, "peer", "hop", life, 63)
 	want := core.Config{
-		Node: "n", DataCentre: "derby", Peer: "peer", Hop: "hop", Service: "orders", Slots: 11, MaxQueue: 12,
+		Node: "n", DataCentre: "derby", Peer: "peer", Hop: "hop", Service: "orders", Slots: 11, MaxQueue: 12, StatusSlots: 10,
+		QueueMaxWait: 15 * time.Second, QueueTarget: 16 * time.Second, QueueInterval: 17 * time.Second,
+		KeyKeep: 42 * time.Second, ClaimKeep: 43 * time.Second, ClaimsPerSecond: 44,
 		ProbeEvery: 13 * time.Second, SlowStart: 14 * time.Second, Fanout: 21, HeartbeatEvery: 22 * time.Second, MissedLimit: 23,
 		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
 		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
--- a/settings/check.go
+++ b/settings/check.go
@@ -36,6 +36,9 @@
 	if s.Drain.AtMost > 0 && s.Drain.AtLeast > s.Drain.AtMost {
 		fault("drain.atLeast", "is over drain.atMost")
 	}
+	if s.Backend.Slots > 0 && s.Backend.StatusSlots >= s.Backend.Slots {
+		fault("backend.statusSlots", "leaves none of backend.slots to other requests")
+	}
 	if s.Backend.Address != "" && s.Backend.Service == "" {
 		fault("backend.service", "is missing, but backend.address is set")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,13 +50,22 @@
 	Service     string   `json:"service,omitempty" validate:"max=128"`
 	Address     string   `json:"address,omitempty" validate:"required_with=Service,omitempty,ipport"`
 	Slots       int      `json:"slots,omitempty" validate:"min=0,max=10000"`
-	Queue       int      `json:"queue,omitempty" validate:"min=0,max=100000"`
+	StatusSlots int      `json:"statusSlots,omitempty" validate:"min=0,max=10000"`
+	Queue       Queue    `json:"queue,omitzero"`
 	Connections int      `json:"connections,omitempty" validate:"min=0,max=100000"`
 	HealthPath  string   `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
 	ProbeEvery  Duration `json:"probeEvery,omitempty" validate:"omitempty,min=50ms,max=1m"`
 	SlowStart   Duration `json:"slowStart,omitempty" validate:"omitempty,min=1ms,max=10m"`
 }
 
+// Queue bounds the attempts that wait for a slot.
+type Queue struct {
+	Length   int      `json:"length,omitempty" validate:"min=0,max=100000"`
+	MaxWait  Duration `json:"maxWait,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	Target   Duration `json:"target,omitempty" validate:"omitempty,min=1ms,max=5m"`
+	Interval Duration `json:"interval,omitempty" validate:"omitempty,min=1ms,max=5m"`
+}
+
 // Distribution says how configuration is spread.
 type Distribution struct {
 	Favour           string   `json:"favour,omitempty" validate:"omitempty,oneof=convergence bytes"`
@@ -82,7 +91,10 @@
 
 // Requests says how callers' requests are treated.
 type Requests struct {
-	RetryShare float64 `json:"retryShare,omitempty" validate:"min=0,max=1"`
+	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
+	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
+	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=1m,max=720h"`
+	ClaimsPerSecond float64  `json:"claimsPerSecond,omitempty" validate:"min=0,max=1000"`
 }
 
 // Drain bounds the time from a request to end until the process ends.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,6 +53,7 @@
 		{"lease", `"renew": "2s"`, `"renew": "5s"`, []string{"lease.renew: with lease.margin is not below lease.ttl"}},
 		{"half of TLS", `"lease"`, `"tls": {"key": "k"}, "lease"`, []string{"tls.certificate: is missing", "tls.ca: is missing"}},
 		{"drain", `"lease"`, `"drain": {"atLeast": "9s", "atMost": "2s"}, "lease"`, []string{"drain.atLeast: is over drain.atMost"}},
+		{"status slots", `"slots": 6`, `"slots": 6, "statusSlots": 6`, []string{"backend.statusSlots: leaves none"}},
 		{"no service", `"service": "orders", `, ``, []string{"backend.service: is missing, but"}},
 		{"no URL", `http://10.0.0.1:8082`, `platform`, []string{`platform: "platform" is not a URL`}},
 		{"cut", `"renew": "2s", "margin": "1s"}` + "\n}", ``, []string{"(whole file): is no JSON near line"}},
