--- a/core/link.go
+++ b/core/link.go
@@ -35,6 +35,8 @@
 	sent   time.Time
 	report message.Report // of a child or another root
 	config uint64         // version that the other end is known to hold
+	behind time.Time      // since when a child has reported less than is held here
+	named  bool           // a child that is reported as a laggard for it
 }
 
 func (s *State) dial(address string, role linkRole) LinkID {
--- a/core/lost.go
+++ b/core/lost.go
@@ -10,6 +10,10 @@
 // it may serve callers while it looks for another parent.
 const rejoinGrace = 8 * time.Second
 
+// laggardAfter is how long a child may be behind before it is named. Shorter
+// delays are the ordinary way of a change down the tree.
+const laggardAfter = 2 * time.Second
+
 // lostChild is a child that has left, with all that was below it.
 type lostChild struct {
 	applied uint64
@@ -32,15 +36,38 @@
 		}
 	}
 	settled := s.now.Sub(s.member.since) >= rejoinGrace
-	if forgotten || settled && !s.member.settled {
+	if s.childrenBehind() || forgotten || settled && !s.member.settled {
 		s.member.settled = settled
 		s.member.reported = message.Report{} // what was greeted with is outdated
 		s.report()
 	}
 }
 
-// countLost adds to a report what may be live outside of the tree: children
-// that left, and the members of a data centre whose root is new.
+// childrenBehind notes which children are behind and reports whether other
+// ones are to be named than before. One that names nodes itself is not: they
+// are the ones that wait.
+func (s *State) childrenBehind() bool {
+	changed := false
+	for _, l := range s.links {
+		if l.role != roleChild {
+			continue
+		}
+		switch {
+		case l.report.Applied >= s.configVersion() || len(l.report.Laggards) > 0:
+			l.behind = time.Time{}
+		case l.behind.IsZero():
+			l.behind = s.now
+		}
+		named := !l.behind.IsZero() && s.now.Sub(l.behind) >= laggardAfter
+		changed = changed || named != l.named
+		l.named = named
+	}
+	return changed
+}
+
+// countLost adds to a report who is behind: children that do not follow, those
+// that left and may be live outside of the tree, and the members of a data
+// centre whose root is new.
 func (s *State) countLost(r *message.Report) {
 	name := func(l message.Laggard) {
 		r.Applied = min(r.Applied, l.Applied)
@@ -48,6 +75,11 @@
 			r.Laggards = append(r.Laggards, l)
 		}
 	}
+	for _, id := range s.children() {
+		if l := s.links[id]; l.named {
+			name(message.Laggard{Node: l.node, Applied: l.report.Applied, Reason: "has not confirmed the version sent to it"})
+		}
+	}
 	for _, node := range sortedNames(s.member.lost) {
 		name(message.Laggard{Node: node, Applied: s.member.lost[node].applied, Reason: "has left the tree, may be joining again"})
 	}
--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -14,6 +14,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
 )
 
@@ -336,3 +337,90 @@
 	}
 	m.Run(15 * time.Second)
 }
+
+// TestSweepIsFenced plays a publisher that wrote the parts of a version, was
+// paused, and updates the head as another one collects these parts. Its update
+// has to fail, or the head would lead to nothing.
+func TestSweepIsFenced(t *testing.T) {
+	tests := []struct {
+		name   string
+		broken func(core.Config) core.Config
+		lost   bool
+	}{
+		{"sound", sound, false},
+		{"without the update of the head", core.UnfencedSweep, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			m, c := publishMesh(5, tt.broken)
+			c.hand(config.Submission{ID: "s1", Puts: []config.Put{{Object: object(config.KindService, "orders", `{}`)}}})
+			is.True(m.RunUntil(20*time.Second, func() bool { return c.settledAll() && len(c.settled) == 1 }))
+			head, err := m.Store.Get(ctx, "config/head")
+			is.NoErr(err)
+
+			next, _, _ := config.MergeDelta(c.model, config.Submission{ID: "s2", Puts: []config.Put{{Object: object(config.KindService, "paused", `{}`)}}})
+			e, err := config.Encode(next)
+			is.NoErr(err)
+			manifest, err := json.Marshal(e.Manifest)
+			is.NoErr(err)
+			part := "config/chunk/" + e.Chunks()[0].Name
+			_, err = m.Store.Put(ctx, part, e.Chunks()[0].Data, 0)
+			is.NoErr(err)
+			_, err = m.Store.Put(ctx, "config/manifest/"+config.ContentName(manifest), manifest, 0)
+			is.NoErr(err)
+
+			update, collected := fmt.Errorf("not tried"), false
+			c.onStore = func(_ *coretest.Node, e core.Effect) {
+				if d, ok := e.(core.StoreDelete); ok && d.Key == part && !collected {
+					collected = true
+					_, update = m.Store.Put(ctx, "config/head", head.Data, head.Version)
+				}
+			}
+			m.Run(2 * time.Minute)
+			is.True(collected) // parts that nothing leads to are garbage
+			is.Equal(update == nil, tt.lost)
+		})
+	}
+}
+
+// TestLaggardsAreNamed checks what operators read while a version is on its
+// way.
+func TestLaggardsAreNamed(t *testing.T) {
+	is := is.New(t)
+	m, c := publishMesh(9, sound)
+	m.Run(10 * time.Second)
+	root, member := "b1", "b2"
+	if m.Node(root).State.Dump().Phase != "root" {
+		root, member = member, root
+	}
+	c.pause(member, 30*time.Second)
+	c.hand(config.Submission{ID: "s1", Puts: []config.Put{{Object: object(config.KindService, "orders", `{}`)}}})
+	names := map[string]string{}
+	statusWrites := 0
+	c.onStore = func(_ *coretest.Node, e core.Effect) {
+		if p, ok := e.(core.StorePut); ok && p.Key == "status/s1" {
+			statusWrites++
+		}
+	}
+	m.RunUntil(40*time.Second, func() bool {
+		for _, l := range c.statuses["s1"].Laggards {
+			names[l.Node] = l.Reason
+		}
+		return c.statuses["s1"].Phase == status.InForce
+	})
+	is.NoErr(c.err)
+	is.Equal(c.statuses["s1"].Phase, status.InForce)
+	is.True(names[member] != "") // by name, with a reason
+	is.True(statusWrites < 15)
+
+	m.Crash(root)
+	m.Crash(member)
+	c.hand(config.Submission{ID: "s2", Puts: []config.Put{{Object: object(config.KindService, "gone", `{}`)}}})
+	m.Run(time.Minute)
+	st := c.statuses["s2"]
+	is.Equal(st.Phase, status.Accepted) // a data centre that is gone or parted is not in force
+	is.Equal(st.Laggards[0].Node, "data centre b")
+	is.Equal(st.Applied, 2)
+}
