Make the operator's client exact about what was taken

Submit spaces its tries and says that a submission was not taken when no write was sent whose fate is unknown; IDs that can't be part of a key are refused; Current reads again when the set was replaced and collected while it was read; Wait no longer spins when watches fail at once.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"regexp"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
@@ -30,42 +32,70 @@
 	// ErrUnknownFate says that the platform gave no answer; the submission
 	// may have been taken. Submitting it again under the same ID is safe.
 	ErrUnknownFate = fmt.Errorf("it is not known whether the submission was taken")
+	// ErrNotTaken says that the submission was certainly not taken.
+	ErrNotTaken = fmt.Errorf("the submission was not taken")
+	// ErrInvalidID says that a submission ID can't be part of a key.
+	ErrInvalidID = fmt.Errorf("an ID has 1 to 128 letters, digits, '.', '_' and '-'")
 )
 
+var validID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
+
 // Client talks to the platform for one operator.
 type Client struct{ store platform.Store }
 
 // New returns a Client.
 func New(store platform.Store) *Client { return &Client{store: store} }
 
-// submitTries bounds the calls by which a lost answer is settled.
-const submitTries = 5
+// Bounds of the tries by which a lost answer is settled.
+const (
+	submitTries   = 6
+	submitBackoff = 100 * time.Millisecond // bound of the first wait, doubled with each try
+)
 
 // Submit hands a submission in. Submitting it again under the same ID has no
 // second effect.
 func (c *Client) Submit(ctx context.Context, sub config.Submission) error {
-	data, err := json.Marshal(sub)
+	data, err := encodeSubmission(sub)
 	if err != nil {
-		return fmt.Errorf("encode submission %s: %w", sub.ID, err)
+		return err
 	}
-	if len(data) > platform.MaxValueBytes {
-		return fmt.Errorf("submission %s has %d bytes, at most %d are allowed: split it", sub.ID, len(data), platform.MaxValueBytes)
-	}
-	for range submitTries {
+	sent := false // a write was sent whose fate is unknown
+	for try := range submitTries {
 		if _, err = c.Status(ctx, sub.ID); err == nil {
 			return nil // it is there: an earlier answer was lost
 		}
-		if !errors.Is(err, ErrNoSubmission) {
-			continue
+		if errors.Is(err, ErrNoSubmission) {
+			_, err = c.store.Put(ctx, submissionPrefix+sub.ID, data, 0)
+			if err == nil || errors.Is(err, platform.ErrConflict) {
+				return nil
+			}
+			sent = sent || !errors.Is(err, platform.ErrThrottled)
 		}
-		_, err = c.store.Put(ctx, submissionPrefix+sub.ID, data, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return nil
+		sleep(ctx, rand.N(submitBackoff<<try))
+		if ctx.Err() != nil {
+			break
 		}
 	}
+	if !sent {
+		return fmt.Errorf("submission %s: %w: %w", sub.ID, ErrNotTaken, err)
+	}
 	return fmt.Errorf("submission %s: %w: %w", sub.ID, ErrUnknownFate, err)
 }
 
+func encodeSubmission(sub config.Submission) ([]byte, error) {
+	if !validID.MatchString(sub.ID) {
+		return nil, fmt.Errorf("submission ID %q: %w", sub.ID, ErrInvalidID)
+	}
+	data, err := json.Marshal(sub)
+	if err != nil {
+		return nil, fmt.Errorf("encode submission %s: %w", sub.ID, err)
+	}
+	if len(data) > platform.MaxValueBytes {
+		return nil, fmt.Errorf("submission %s has %d bytes, at most %d are allowed: split it", sub.ID, len(data), platform.MaxValueBytes)
+	}
+	return data, nil
+}
+
 // Status returns how far a submission has come.
 func (c *Client) Status(ctx context.Context, id string) (status.Status, error) {
 	// The submission is read first: it is removed only after its status was
@@ -108,11 +138,12 @@
 		if ctx.Err() != nil {
 			return last, fmt.Errorf("wait for %s: %w", id, ctx.Err())
 		}
+		if err == nil && listErr == nil {
+			_, _, err = c.store.Watch(ctx, statusPrefix+id, revision, waitEvery)
+		}
 		if err != nil || listErr != nil {
 			sleep(ctx, waitEvery/10)
-			continue
 		}
-		_, _, _ = c.store.Watch(ctx, statusPrefix+id, revision, waitEvery)
 	}
 }
 
@@ -123,8 +154,22 @@
 	}
 }
 
+// currentTries bounds the reads of a set that is replaced, and its parts
+// collected, while it is read.
+const currentTries = 5
+
 // Current returns the set that is published.
 func (c *Client) Current(ctx context.Context) (*config.Set, error) {
+	for try := 1; ; try++ {
+		set, err := c.readCurrent(ctx)
+		if !errors.Is(err, platform.ErrNotFound) || try == currentTries {
+			return set, err
+		}
+	}
+}
+
+func (c *Client) readCurrent(ctx context.Context) (*config.Set, error) {
+	var h config.Head
 	o, err := c.store.Get(ctx, headKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return config.NewSet(0, nil), nil
@@ -132,18 +177,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("read head: %w", err)
 	}
-	var h config.Head
 	if err := json.Unmarshal(o.Data, &h); err != nil {
 		return nil, fmt.Errorf("read head: %w", err)
 	}
 	if h.Version == 0 {
 		return config.NewSet(0, nil), nil
 	}
+	var m config.Manifest
 	o, err = c.store.Get(ctx, manifestPrefix+h.Manifest)
 	if err != nil {
 		return nil, fmt.Errorf("read manifest of version %d: %w", h.Version, err)
 	}
-	var m config.Manifest
 	if err := json.Unmarshal(o.Data, &m); err != nil {
 		return nil, fmt.Errorf("read manifest of version %d: %w", h.Version, err)
 	}
