--- a/operator/operator.go
+++ b/operator/operator.go
@@ -59,12 +59,13 @@
 	if err != nil {
 		return err
 	}
-	sent := false // a write was sent whose fate is unknown
+	absent, sent := false, false // a read has found nothing; a write of unknown fate was sent
 	for try := range submitTries {
 		if _, err = c.Status(ctx, sub.ID); err == nil {
 			return nil // it is there: an earlier answer was lost
 		}
 		if errors.Is(err, ErrNoSubmission) {
+			absent = true
 			_, err = c.store.Put(ctx, submissionPrefix+sub.ID, data, 0)
 			if err == nil || errors.Is(err, platform.ErrConflict) {
 				return nil
@@ -76,7 +77,7 @@
 			break
 		}
 	}
-	if !sent {
+	if absent && !sent {
 		return fmt.Errorf("submission %s: %w: %w", sub.ID, ErrNotTaken, err)
 	}
 	return fmt.Errorf("submission %s: %w: %w", sub.ID, ErrUnknownFate, err)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -53,7 +53,7 @@
 		sub    config.Submission
 		want   error
 	}{
-		{"platform down", platformtest.Faults{Down: true}, config.Submission{ID: "s"}, operator.ErrNotTaken}, // nothing was sent: the first read failed
+		{"platform down", platformtest.Faults{Down: true}, config.Submission{ID: "s"}, operator.ErrUnknownFate}, // an earlier try may have been taken
 		{"rate refused", platformtest.Faults{Throttle: put}, config.Submission{ID: "s"}, operator.ErrNotTaken},
 		{"every answer lost", platformtest.Faults{LoseAnswer: always}, config.Submission{ID: "s"}, nil},
 		{"no ID", platformtest.Faults{}, config.Submission{}, operator.ErrInvalidID},
