Name object and field when an operator's JSON has the wrong form

Cause: an unknown field or wrong type was told in the library's words, with Go type names, under the field "spec" or without the object. Change: such faults carry the field itself and what it must be; files name the object, or its place in the array. The test that held the library's words now holds the field's path.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -168,7 +169,7 @@
 		return false
 	}
 	if err := strictDecode(spec, into); err != nil {
-		c.fault(k, "spec", "%v", err)
+		c.fault(k, cmp.Or(err.field, "spec"), "%s", err.reason)
 		return false
 	}
 	return true
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -38,7 +38,9 @@
 		{"unknown kind", object("Gateway", "x", `{}`), `Gateway/x: kind: unknown kind "Gateway"`},
 		{"bad name", object(KindService, "Orders!", `{}`), "Service/Orders!: name: must be of lower case"},
 		{"no spec", Object{Kind: KindService, Name: "x"}, "Service/x: spec: is missing"},
-		{"unknown field", object(KindService, "x", `{"polcy":"base"}`), `Service/x: spec: json: unknown field "polcy"`},
+		{"unknown field", object(KindService, "x", `{"polcy":"base"}`), `Service/x: polcy: unknown field`},
+		{"wrong type", object(KindPolicy, "x", `{"timeoutMillis":"5"}`), "Policy/x: timeoutMillis: is a JSON string, must be a whole number"},
+		{"spec of another type", object(KindPolicy, "x", `[]`), "Policy/x: spec: is a JSON array, must be an object"},
 		{"missing service", object(KindRoute, "x", `{"pathPrefix":"/x","service":"gone"}`), `Route/x: service: service "gone" does not exist`},
 		{"missing policy", object(KindService, "x", `{"policy":"gone"}`), `Service/x: policy: policy "gone" does not exist`},
 		{"bad prefix", object(KindRoute, "x", `{"pathPrefix":"x","service":"orders"}`), `Route/x: pathPrefix: "x" does not start`},
@@ -148,3 +150,20 @@
 	_, err = DecodeSet(m, data)
 	is.True(err != nil) // content that doesn't match its name is refused
 }
+
+func TestDecodeObjectsNamesTheObject(t *testing.T) {
+	tests := []struct{ name, input, want string }{
+		{"unknown field", `{"kind":"Service","name":"a","colour":1,"spec":{}}`, "Service/a: colour: unknown field"},
+		{"in an array", `[{"kind":"Service","name":"a","spec":{}},{"kind":"Route","name":3}]`, "object 2 of the array: name: is a JSON number, must be a string"},
+		{"no object", `7`, "is a JSON number, must be an object"},
+		{"cut", `{"kind":"Serv`, "read objects at byte"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := DecodeObjects(strings.NewReader(tt.input))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), tt.want)) // the reason names object and field
+		})
+	}
+}
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -163,32 +163,38 @@
 }
 
 func decodeOneOrMany(raw json.RawMessage) ([]Object, error) {
-	if trimmed := bytes.TrimSpace(raw); len(trimmed) > 0 && trimmed[0] == '[' {
-		var many []Object
-		err := strictDecode(raw, &many)
+	if trimmed := bytes.TrimSpace(raw); len(trimmed) == 0 || trimmed[0] != '[' {
+		o, err := decodeObject(raw)
+		return []Object{o}, err
+	}
+	var elements []json.RawMessage
+	if err := json.Unmarshal(raw, &elements); err != nil {
+		return nil, fmt.Errorf("read array of objects: %w", err)
+	}
+	out := make([]Object, 0, len(elements))
+	for i, element := range elements {
+		o, err := decodeObject(element)
 		if err != nil {
-			return nil, fmt.Errorf("read array of objects: %w", err)
+			return nil, fmt.Errorf("object %d of the array: %w", i+1, err)
 		}
-		return many, nil
-	}
-	var one Object
-	if err := strictDecode(raw, &one); err != nil {
-		return nil, fmt.Errorf("read object: %w", err)
+		out = append(out, o)
 	}
-	return []Object{one}, nil
+	return out, nil
 }
 
-// strictDecode decodes JSON and refuses unknown fields and trailing data.
-func strictDecode(raw []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return err
+// decodeObject reads one object. Its error names the object as far as it can
+// be told.
+func decodeObject(raw json.RawMessage) (Object, error) {
+	var o Object
+	err := strictDecode(raw, &o)
+	if err == nil {
+		return o, nil
 	}
-	if dec.More() {
-		return fmt.Errorf("data after the JSON value at byte %d", dec.InputOffset())
+	var named Key
+	if json.Unmarshal(raw, &named) == nil && named != (Key{}) {
+		return Object{}, fmt.Errorf("%s: %w", named, err)
 	}
-	return nil
+	return Object{}, err
 }
 
 // sortedKeys returns the keys of objects in their canonical order.
--- /dev/null
+++ b/core/config/strict.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// formError is a fault of the form of JSON, with the path of its field.
+type formError struct{ field, reason string }
+
+// Error implements error.
+func (e *formError) Error() string {
+	if e.field == "" {
+		return e.reason
+	}
+	return e.field + ": " + e.reason
+}
+
+// strictDecode decodes JSON and refuses unknown fields and trailing data. It
+// returns nil or what is wrong.
+func strictDecode(raw []byte, into any) *formError {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return newFormError(err)
+	}
+	if dec.More() {
+		return &formError{reason: fmt.Sprintf("has data after the JSON value at byte %d", dec.InputOffset())}
+	}
+	return nil
+}
+
+// unknownFieldPrefix begins the library's error for an unknown field, which
+// has no type of its own.
+const unknownFieldPrefix = "json: unknown field "
+
+func newFormError(err error) *formError {
+	var wrong *json.UnmarshalTypeError
+	switch name, unknown := strings.CutPrefix(err.Error(), unknownFieldPrefix); {
+	case unknown:
+		return &formError{field: strings.Trim(name, `"`), reason: "unknown field"}
+	case errors.As(err, &wrong):
+		return &formError{field: wrong.Field, reason: fmt.Sprintf("is a JSON %s, must be %s", wrong.Value, jsonType(wrong.Type))}
+	}
+	return &formError{reason: "is no JSON: " + err.Error()}
+}
+
+func jsonType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	}
+	return "a whole number"
+}
