--- a/core/admit.go
+++ b/core/admit.go
@@ -21,6 +21,9 @@
 	forgetKeys      bool // the node forgets idempotency keys
 	takeLostClaims  bool // a claim whose write has an unknown fate counts as held
 	ignoreClaims    bool // a claim held by another request counts as held
+	retryFreely     bool // retries have no budget
+	serveLeaving    bool // a leaving backend server takes new attempts
+	cutDrain        bool // a drain does not wait for what is in flight
 	repeatAll       bool // non-idempotent calls are tried again after an unknown fate
 }
 
@@ -63,7 +66,7 @@
 func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
 	switch {
-	case b.leaving || !b.entry.State.Serves():
+	case (b.leaving || !b.entry.State.Serves()) && !s.fault.serveLeaving:
 		return false, admission.NotServing
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
@@ -89,6 +92,17 @@
 	s.refuseAttempt(id, reason, retry.NotRun)
 }
 
+// firstServerError is the lowest HTTP status by which a backend server says
+// that the fault is its own.
+const firstServerError = 500
+
+// servedLately reports whether requests have shown since the last probe but
+// one that the backend server works: a health endpoint that says otherwise is
+// behind, or misleads.
+func (s *State) servedLately() bool {
+	return !s.backend.servedAt.IsZero() && s.now.Sub(s.backend.servedAt) < s.cfg.ProbeEvery
+}
+
 // endOf returns what a repeat of an attempt's key is told from now on.
 func endOf(e AttemptDone) idempotency.End {
 	switch {
@@ -115,6 +129,9 @@
 	b := &s.backend
 	b.memory.End(e.Attempt, admission.Started)
 	b.keys.End(e.Attempt, endOf(e))
+	if !e.Cut && e.Status != 0 && e.Status < firstServerError {
+		b.servedAt = s.now
+	}
 	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
 	for _, w := range dropped {
 		s.dropWaiting(w.ID, admission.TooLate)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,7 +93,7 @@
 type Requests struct {
 	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
 	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
-	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=1m,max=720h"`
+	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=10m,max=720h"`
 	ClaimsPerSecond float64  `json:"claimsPerSecond,omitempty" validate:"min=0,max=1000"`
 }
 
