--- a/core/admit.go
+++ b/core/admit.go
@@ -70,3 +70,10 @@
 		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.Cancelled})
 	}
 }
+
+// Waiting returns the number of attempts at the own backend server that have
+// no slot yet.
+func (s *State) Waiting() int {
+	_, waiting := s.backend.queue.Load()
+	return waiting
+}
--- a/core/event.go
+++ b/core/event.go
@@ -112,6 +112,7 @@
 	Failed        bool // counts against the endpoint's health
 	Queue         int  // waiting there, as the answer told; -1: not told
 	AnswerStarted bool // part of the answer was passed on
+	BodyGone      bool // the request body can't be sent again
 	Reason        string
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -115,6 +115,7 @@
 		return
 	}
 	c.unknown = c.unknown || e.Outcome == retry.Unknown
+	c.repeats = c.repeats && !e.BodyGone
 	again := retry.Allowed(e.Outcome, c.route.Policy.IsIdempotent(c.method), e.AnswerStarted) &&
 		c.repeats && c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
 	if !again {
--- a/internal/sample/backend.go
+++ b/internal/sample/backend.go
@@ -1,77 +1,127 @@
 // Package sample is a backend server for demonstrations and tests: it answers
-// as the sample services would and records what ran.
+// as the sample services would, records what ran and shows faults on request.
 package sample
 
 import (
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// Headers of requests and answers.
+const (
+	// HeaderID is the ID that a caller gives a request; the answer repeats it.
+	HeaderID = "Request-Id"
+	// HeaderChecksum is the CRC-32 of an answer's body, in hexadecimal.
+	HeaderChecksum = "Body-Checksum"
+)
+
+// Paths that are not recorded as requests.
+const (
+	HealthPath = "/healthz"
+	LoadPath   = "/loadz"
+)
+
 // Backend is one sample backend server.
 type Backend struct {
 	Service string
 	Name    string
-	server  *http.Server
 	address string
-	healthy atomic.Bool
+	runs    *Runs
 	ran     atomic.Int64
+	fault   atomic.Pointer[func(*http.Request) Fault]
+	health  atomic.Pointer[Health]
+
+	mu      sync.Mutex // guards all below
+	server  *http.Server
+	release chan struct{} // closed to end all that hangs
+}
+
+// Health is what the health and load endpoints tell, true or not.
+type Health struct {
+	Unhealthy bool
+	Load      int
 }
 
 // Start returns a Backend that listens on a free port of loopback.
 func Start(service, name string) (*Backend, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("sample backend server %s: %w", name, err)
+	b := &Backend{Service: service, Name: name, runs: NewRuns()}
+	b.SetHealth(Health{})
+	b.SetFault(nil)
+	if err := b.listen("127.0.0.1:0"); err != nil {
+		return nil, err
 	}
-	b := &Backend{Service: service, Name: name, address: l.Addr().String()}
-	b.healthy.Store(true)
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = b.server.Serve(l) }()
 	return b, nil
 }
 
+func (b *Backend) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("sample backend server %s: %w", b.Name, err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.address, b.release = l.Addr().String(), make(chan struct{})
+	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), ReadHeaderTimeout: 10 * time.Second}
+	server := b.server
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
 // Address returns where the backend server listens.
 func (b *Backend) Address() string { return b.address }
 
 // Ran returns the number of requests that ran.
 func (b *Backend) Ran() int64 { return b.ran.Load() }
 
-// Close ends the backend server at once.
-func (b *Backend) Close() { _ = b.server.Close() }
+// Record lets the backend server record its runs in r, which others may share.
+// It is called before the first request.
+func (b *Backend) Record(r *Runs) { b.runs = r }
 
-// ServeHTTP implements http.Handler.
-func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/healthz" {
-		if !b.healthy.Load() {
-			http.Error(w, "unhealthy", http.StatusServiceUnavailable)
-		}
-		return
+// Runs returns the record of what ran.
+func (b *Backend) Runs() *Runs { return b.runs }
+
+// SetFault lets f choose the fault of each request; nil: none.
+func (b *Backend) SetFault(f func(*http.Request) Fault) {
+	if f == nil {
+		f = func(*http.Request) Fault { return Fault{} }
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	b.fault.Store(&f)
+}
+
+// SetHealth sets what the health and load endpoints tell.
+func (b *Backend) SetHealth(h Health) { b.health.Store(&h) }
+
+// Close ends the backend server at once, as a crash does: requests in flight
+// are cut and new connections are refused.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.release:
 		return
+	default:
 	}
-	n := b.ran.Add(1)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer{
-		Service: b.Service, BackendServer: b.Name, Method: r.Method, Path: r.URL.Path,
-		Item: r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], Bytes: len(body), Run: n,
-	})
+	close(b.release)
+	_ = b.server.Close()
+}
+
+// Restart starts a closed backend server again at the same address.
+func (b *Backend) Restart() error { return b.listen(b.address) }
+
+// Release ends all that hangs.
+func (b *Backend) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.release)
+	b.release = make(chan struct{})
 }
 
-type answer struct {
-	Service       string `json:"service"`
-	BackendServer string `json:"backendServer"`
-	Method        string `json:"method"`
-	Path          string `json:"path"`
-	Item          string `json:"item"`
-	Bytes         int    `json:"bytes"`
-	Run           int64  `json:"run"`
+func (b *Backend) released() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.release
 }
--- /dev/null
+++ b/internal/sample/runs.go
@@ -0,0 +1,48 @@
+package sample
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one run of a request.
+type Run struct {
+	BackendServer string
+	Method        string
+	URI           string
+	Host          string
+	Header        http.Header
+	Body          uint32 // CRC-32 of the request's body
+	At            time.Time
+}
+
+// keptRuns bounds the request IDs that are recorded.
+const keptRuns = 1 << 16
+
+// Runs records what ran, by the ID that the caller gave.
+type Runs struct {
+	mu   sync.Mutex
+	byID map[string][]Run
+}
+
+// NewRuns returns an empty record.
+func NewRuns() *Runs { return &Runs{byID: map[string][]Run{}} }
+
+func (r *Runs) add(id string, run Run) {
+	if id == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.byID[id]; known || len(r.byID) < keptRuns {
+		r.byID[id] = append(r.byID[id], run)
+	}
+}
+
+// Of returns the runs of a request.
+func (r *Runs) Of(id string) []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.byID[id]...)
+}
--- a/node/module.go
+++ b/node/module.go
@@ -145,13 +145,13 @@
 func run(p runParams) {
 	transport := peer.NewTransport(peer.Config{}, p.Node)
 	servers := []*http.Server{
-		{Handler: p.Proxy.Callers()}, {Handler: p.Proxy.Hops()}, {Handler: admin(p.Node, p.Registry)},
+		proxy.NewServer(p.Proxy.Callers()), proxy.NewServer(p.Proxy.Hops()),
+		{Handler: admin(p.Node, p.Registry), ReadHeaderTimeout: 10 * time.Second},
 	}
 	listeners := []net.Listener{p.Listeners.Callers, p.Listeners.Hop, p.Listeners.Admin}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			for i, s := range servers {
-				s.ReadHeaderTimeout = 10 * time.Second
 				go func() { _ = s.Serve(listeners[i]) }()
 			}
 			go func() { _ = transport.Serve(p.Listeners.Peer) }()
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core"
@@ -60,6 +61,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	drained chan struct{}
+	waiting atomic.Int64 // attempts at the own backend server without a slot
 
 	mu           sync.Mutex // guards all below
 	state        *core.State
@@ -127,6 +129,7 @@
 	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
 		n.carryOut(effect)
 	}
+	n.waiting.Store(int64(n.state.Waiting()))
 }
 
 // Dump returns the state for display.
@@ -230,6 +233,32 @@
 	delete(n.attempts, id)
 }
 
+// AttemptOpen implements proxy.Decider.
+func (n *Node) AttemptOpen(id core.AttemptID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, open := n.attempts[id]
+	return open
+}
+
+// CancelAttempt implements proxy.Decider.
+func (n *Node) CancelAttempt(id core.AttemptID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	refused := false
+	for _, effect := range n.state.Reduce(n.clock.Now(), core.AttemptCancelled{Attempt: id}) {
+		if r, ok := effect.(core.Refuse); ok && r.Attempt == id {
+			refused = true
+		}
+		n.carryOut(effect)
+	}
+	n.waiting.Store(int64(n.state.Waiting()))
+	return refused
+}
+
+// Waiting implements proxy.Decider.
+func (n *Node) Waiting() int { return int(n.waiting.Load()) }
+
 func (n *Node) probe() {
 	ok, refused := n.prober.Probe(n.ctx)
 	n.Step(core.BackendProbed{OK: ok, Refused: refused})
--- /dev/null
+++ b/proxy/answer.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+var copyBufs = sync.Pool{New: func() any { return new([copyBufBytes]byte) }}
+
+// answerError says on which side an answer was cut.
+type answerError struct {
+	caller bool // the side that receives it
+	err    error
+}
+
+func (e *answerError) Error() string {
+	if e.caller {
+		return fmt.Sprintf("answer can't be passed on: %v", e.err)
+	}
+	return fmt.Sprintf("answer was cut: %v", e.err)
+}
+
+func (e *answerError) Unwrap() error { return e.err }
+
+// limitUpload bounds the time that a request body may take, so that a caller
+// who sends slowly, or no more, holds nothing for longer. The server itself
+// reads what is left of a body before it sends an answer.
+func limitUpload(w http.ResponseWriter, r *http.Request, d time.Duration) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d))
+	}
+}
+
+// passOn sends the answer of the next hop to w. An answer without a declared
+// length is flushed as it comes; one that may be held up by a slow receiver
+// has until the request's deadline.
+func passOn(w http.ResponseWriter, resp *http.Response) error {
+	h := w.Header()
+	copyHeader(h, resp.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // else the server guesses one
+	}
+	for k := range resp.Trailer {
+		h.Add("Trailer", k)
+	}
+	if resp.ContentLength < 0 || resp.ContentLength > bufferedAnswerBytes {
+		if deadline, ok := resp.Request.Context().Deadline(); ok {
+			_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	if err := copyBody(w, resp); err != nil {
+		return err
+	}
+	for k, vs := range resp.Trailer {
+		if !strings.HasPrefix(k, headerPrefix) {
+			h[k] = vs
+		}
+	}
+	return nil
+}
+
+// cutOff ends the caller's connection amid an answer. What came of it is sent
+// first: a client that has seen nothing at all might send its request again.
+func cutOff(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func copyBody(w http.ResponseWriter, resp *http.Response) error {
+	buf := copyBufs.Get().(*[copyBufBytes]byte)
+	defer copyBufs.Put(buf)
+	flusher, _ := w.(http.Flusher)
+	for {
+		n, err := resp.Body.Read(buf[:])
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return &answerError{caller: true, err: err}
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return &answerError{err: err}
+		}
+		if resp.ContentLength < 0 && flusher != nil {
+			flusher.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// attempt sends one attempt and passes its answer on. It reports whether the
+// call goes on.
+func (c *call) attempt(f core.Forward) bool {
+	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
+	defer cancel()
+	limitUpload(c.w, c.r, f.Budget+hopGrace)
+	resp, err := c.send(ctx, f)
+	if err == nil {
+		c.answer(resp, f)
+		return true
+	}
+	if c.r.Context().Err() != nil {
+		c.abandon(f)
+		return false
+	}
+	if err := c.body.failure(); err != nil {
+		c.abandon(f)
+		c.bodyFailed(err)
+		return false
+	}
+	failed := c.settle(f, asAttemptError(err))
+	c.proxy.core.Step(core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
+		BodyGone: !c.body.repeatable(), Reason: failed.Error(),
+	})
+	return true
+}
+
+// answer passes an answer on and ends the call.
+func (c *call) answer(resp *http.Response, f core.Forward) {
+	defer func() { _ = resp.Body.Close() }()
+	ended := core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueOf(resp),
+		Failed: resp.StatusCode >= http.StatusInternalServerError,
+	}
+	err := passOn(c.w, resp)
+	var cut *answerError
+	if err != nil {
+		cut = err.(*answerError)
+		ended.Failed, ended.Reason = !cut.caller && c.r.Context().Err() == nil, cut.Error()
+	}
+	c.over = true
+	c.proxy.core.Step(ended)
+	if cut != nil && !c.proxy.broken.cutEndsCleanly {
+		cutOff(c.w)
+	}
+}
+
+// queueOf returns the number of attempts waiting where an answer came from,
+// or -1 when it does not tell.
+func queueOf(resp *http.Response) int {
+	if q, err := strconv.Atoi(resp.Header.Get(headerQueue)); err == nil {
+		return q
+	}
+	return -1
+}
+
+// send sends an attempt to the backend server's node, or straight to the own
+// backend server.
+func (c *call) send(ctx context.Context, f core.Forward) (*http.Response, error) {
+	h := hopHeader{attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1}
+	if f.Local {
+		return c.proxy.runLocal(ctx, c.r, c.body.open(), c.body.declared(), h)
+	}
+	return c.sendHop(ctx, f, h)
+}
+
+func (c *call) sendHop(ctx context.Context, f core.Forward, h hopHeader) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	out := outgoing(ctx, c.r, f.Hop, c.body.open(), c.body.declared())
+	h.write(out.Header)
+	watch := c.proxy.watchSilence(f, cancel)
+	resp, err := c.proxy.roundTrip(c.proxy.hop, out)
+	watch.stop()
+	if err != nil {
+		defer cancel(nil)
+		return nil, hopError(ctx, f, err)
+	}
+	if told := resp.Header.Get(HeaderOutcome); told != "" {
+		defer cancel(nil)
+		defer func() { _ = resp.Body.Close() }()
+		return nil, toldError(f, told, resp)
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { cancel(nil) }}
+	return resp, nil
+}
+
+// hopError returns why a hop gave no answer.
+func hopError(ctx context.Context, f core.Forward, err error) *attemptError {
+	if silent, ok := context.Cause(ctx).(*attemptError); ok {
+		return silent
+	}
+	failed := asAttemptError(err)
+	return &attemptError{outcome: failed.outcome, err: fmt.Errorf("node %s: %w", f.Target, failed.err)}
+}
+
+// toldError returns what the receiving node says about an attempt.
+func toldError(f core.Forward, told string, resp *http.Response) *attemptError {
+	err := fmt.Errorf("node %s: %s", f.Target, resp.Header.Get(HeaderReason))
+	if told == retry.NotRun.String() {
+		return refusedBy(err)
+	}
+	return &attemptError{outcome: retry.Unknown, told: true, err: err}
+}
--- /dev/null
+++ b/proxy/basic_test.go
@@ -0,0 +1,97 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/internal/sample"
+)
+
+// get asks node i for a path and returns the answer with its body read.
+func (m *mesh) do(i int, method, path, body string, header ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, "http://"+m.nodes[i].callers+path, strings.NewReader(body))
+	m.must(err)
+	for j := 0; j+1 < len(header); j += 2 {
+		req.Header.Set(header[j], header[j+1])
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+func TestCallReachesTheBackendServerUnchanged(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	id := m.id()
+	resp, _, err := m.do(0, "POST", "/a%2Fb//c%20d?q=%2F&r", "flour", sample.HeaderID, id,
+		"Agatekeel-Attempt", "1-1", "Agatekeel-Outcome", "not-run", "Connection", "X-Own", "X-Own", "mine", "X-Kept", "yes")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(resp.Header.Get(sample.HeaderID), id)
+	runs := m.runs.Of(id)
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].URI, "/a%2Fb//c%20d?q=%2F&r")
+	is.Equal(runs[0].Host, m.nodes[0].callers)
+	is.Equal(runs[0].Header.Get("X-Kept"), "yes")
+	is.Equal(runs[0].Header.Get("X-Own"), "") // named by Connection
+	for k := range runs[0].Header {
+		if strings.HasPrefix(k, "Agatekeel-") {
+			is.True(k == "Agatekeel-Depth" || k == "Agatekeel-Timeout-Millis")
+		}
+	}
+	for k := range resp.Header {
+		is.True(!strings.HasPrefix(k, "Agatekeel-")) // nothing internal on an answer
+	}
+}
+
+func TestRefusalsAtTheEntry(t *testing.T) {
+	m := newMesh(t, nil, "", "orders")
+	big := strings.Repeat("x", 128<<10)
+	for _, tc := range []struct {
+		name, method string
+		header       []string
+		status       int
+	}{
+		{"upgrade", "GET", []string{"Connection", "Upgrade", "Upgrade", "websocket"}, http.StatusNotImplemented},
+		{"bad timeout", "GET", []string{"Agatekeel-Timeout-Millis", "soon"}, http.StatusBadRequest},
+		{"nested too deep", "GET", []string{"Agatekeel-Depth", "16"}, http.StatusLoopDetected},
+		{"header too large", "GET", []string{"X-Big", big}, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			id := m.id()
+			resp, body, err := m.do(0, tc.method, "/", "", append(tc.header, sample.HeaderID, id)...)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.True(body != "") // says why
+			if tc.status != http.StatusRequestHeaderFieldsTooLarge {
+				is.Equal(resp.Header.Get("Agatekeel-Outcome"), "not-run")
+			}
+			is.Equal(len(m.runs.Of(id)), 0)
+		})
+	}
+}
+
+func TestSilentConnectionIsFoundAndLaterCallsUseNewOnes(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	_, _, err := m.do(0, "GET", "/", "")
+	is.NoErr(err)
+	m.nodes[1].hopWrap.silence()
+	for i := range 3 {
+		id := m.id()
+		resp, _, err := m.do(0, "POST", "/once", fmt.Sprint(i), sample.HeaderID, id)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK) // never received over the silent one, so sent again
+		is.Equal(len(m.runs.Of(id)), 1)
+	}
+}
--- /dev/null
+++ b/proxy/body.go
@@ -0,0 +1,147 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+var (
+	errBodyTooLarge = fmt.Errorf("request body is over the limit")
+	errBodyGone     = fmt.Errorf("beginning of the request body is not kept any more")
+	errBodyClosed   = fmt.Errorf("request body was closed")
+)
+
+// requestBody is the body of a caller's request. It is read as it is sent;
+// its beginning is kept, within a bound, so that it can be sent again.
+type requestBody struct {
+	length int64 // as declared, -1: not declared
+	limit  int64
+
+	mu   sync.Mutex // guards all below
+	src  io.Reader
+	kept []byte
+	read int64 // from src
+	gone bool  // more was read than is kept
+	err  error // with which src ended
+}
+
+// newRequestBody returns the body of r, or nil when it has none.
+func newRequestBody(r *http.Request, limit int64) *requestBody {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	b := &requestBody{length: r.ContentLength, limit: limit, src: r.Body}
+	if b.length > 0 && b.length <= keptBodyBytes {
+		b.kept = make([]byte, 0, b.length)
+	}
+	return b
+}
+
+// open returns a reader from the beginning, or nil when there is no body.
+func (b *requestBody) open() io.ReadCloser {
+	if b == nil {
+		return nil
+	}
+	return &bodyReader{body: b}
+}
+
+// declared returns the length for a request's ContentLength.
+func (b *requestBody) declared() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.length
+}
+
+// repeatable reports whether the body can be sent from its beginning.
+func (b *requestBody) repeatable() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.gone && (b.err == nil || b.err == io.EOF)
+}
+
+// failure returns the error with which the caller's side ended, if any.
+func (b *requestBody) failure() error {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == io.EOF {
+		return nil
+	}
+	return b.err
+}
+
+// readAt reads at an offset: what is kept from memory, what follows from the
+// caller.
+func (b *requestBody) readAt(off int64, p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case off < b.read && b.gone:
+		return 0, errBodyGone
+	case off < b.read:
+		return copy(p, b.kept[off:]), nil
+	case b.err != nil:
+		return 0, b.err
+	}
+	n, err := b.src.Read(p)
+	b.keep(p[:n])
+	b.err = err
+	if b.read > b.limit {
+		b.err = errBodyTooLarge
+		return 0, b.err
+	}
+	return n, err
+}
+
+func (b *requestBody) keep(p []byte) {
+	b.read += int64(len(p))
+	if b.gone {
+		return
+	}
+	if b.read > keptBodyBytes {
+		b.gone, b.kept = true, nil
+		return
+	}
+	b.kept = append(b.kept, p...)
+}
+
+// bodyReader reads a requestBody for one attempt. The transport may go on to
+// read it after the attempt has ended, until it is closed.
+type bodyReader struct {
+	body *requestBody
+
+	mu     sync.Mutex // guards all below
+	off    int64
+	closed bool
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	r.mu.Lock()
+	off, closed := r.off, r.closed
+	r.mu.Unlock()
+	if closed {
+		return 0, errBodyClosed
+	}
+	n, err := r.body.readAt(off, p)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.off += int64(n)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (r *bodyReader) Close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	return nil
+}
--- /dev/null
+++ b/proxy/conn.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+var errSealed = fmt.Errorf("connection is sealed after a failed request")
+
+// trackedConn counts writes, so that a failed request can be told from one of
+// which nothing was written.
+type trackedConn struct {
+	net.Conn
+	writes atomic.Int64
+	sealed atomic.Bool
+}
+
+// Write implements net.Conn. The count is raised before the seal is looked
+// at, so that after seal no write goes out that seal did not see.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	if c.sealed.Load() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(b)
+}
+
+// seal ends all writing and returns the number of writes begun before.
+func (c *trackedConn) seal() int64 {
+	c.sealed.Store(true)
+	n := c.writes.Load()
+	_ = c.Close()
+	return n
+}
+
+func newTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost: connections, MaxIdleConnsPerHost: maxIdleToHost, IdleConnTimeout: clientIdleTimeout,
+		DisableCompression: true,
+	}
+}
+
+// roundTrip sends one request. When it fails, its attemptError says NotRun
+// only if not one byte of the request was written.
+func (p *Proxy) roundTrip(t *http.Transport, out *http.Request) (*http.Response, error) {
+	var conn *trackedConn
+	var before int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, _ = info.Conn.(*trackedConn)
+		before = conn.writes.Load()
+	}}
+	if !p.broken.transportReplays {
+		preventReplay(out)
+	}
+	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(out.Context(), trace)))
+	if err == nil {
+		return resp, nil
+	}
+	if conn == nil || conn.seal() == before {
+		return nil, &attemptError{outcome: retry.NotRun, err: err}
+	}
+	return nil, &attemptError{outcome: retry.Unknown, err: err}
+}
--- /dev/null
+++ b/proxy/entry.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// call is one caller's request at its entry node.
+type call struct {
+	proxy *Proxy
+	id    core.CallID
+	w     http.ResponseWriter
+	r     *http.Request
+	body  *requestBody
+	depth int  // calls of the mesh that led to it
+	over  bool // the reducer knows that it has ended
+}
+
+// rejection is a request that is refused before the reducer sees it.
+type rejection struct {
+	status int
+	reason string
+}
+
+// serveCaller carries one caller's request.
+func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	defer func() { p.calls.UpdateSince(started) }()
+	c := &call{proxy: p, w: w, r: r}
+	arrived, rejected := c.read()
+	if rejected != nil {
+		p.fail(w, rejected.status, retry.NotRun, rejected.reason)
+		return
+	}
+	c.run(arrived)
+}
+
+// read checks what the caller sent and turns it into an event.
+func (c *call) read() (core.CallArrived, *rejection) {
+	p, r := c.proxy, c.r
+	switch {
+	case r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect:
+		return core.CallArrived{}, &rejection{http.StatusNotImplemented, "connections can't be upgraded or tunnelled"}
+	case r.ContentLength > p.cfg.MaxBodyBytes:
+		return core.CallArrived{}, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf(
+			"request body has %d bytes, at most %d are allowed", r.ContentLength, p.cfg.MaxBodyBytes)}
+	}
+	budget, err := parseTimeout(r.Header.Get(HeaderTimeout))
+	if err != nil {
+		return core.CallArrived{}, &rejection{http.StatusBadRequest, err.Error()}
+	}
+	c.depth = callerDepth(r)
+	if c.depth >= p.cfg.MaxDepth {
+		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
+			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
+	}
+	c.id = core.CallID(p.lastCall.Add(1))
+	c.body = newRequestBody(r, p.cfg.MaxBodyBytes)
+	return core.CallArrived{
+		Call: c.id, Method: r.Method, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
+		Budget: budget, Repeats: true, Upstream: c.depth > 0,
+	}, nil
+}
+
+// callerDepth returns the depth that a backend server on this host passed on.
+// From elsewhere the header means nothing.
+func callerDepth(r *http.Request) int {
+	s := r.Header.Get(HeaderDepth)
+	if s == "" || !fromOwnHost(r) {
+		return 0
+	}
+	depth, err := parseDepth(s)
+	if err != nil {
+		return 0
+	}
+	return depth
+}
+
+func fromOwnHost(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	if ip.IsLoopback() {
+		return true
+	}
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	return ok && ip.Equal(local.IP)
+}
+
+// run takes the call through the reducer until it is over or the caller is
+// gone. However it ends, the reducer hears of it.
+func (c *call) run(arrived core.CallArrived) {
+	p := c.proxy
+	effects := p.core.OpenCall(c.id)
+	defer p.core.CloseCall(c.id)
+	defer func() {
+		if !c.over {
+			p.core.Step(core.CallLeft{Call: c.id})
+		}
+	}()
+	p.core.Step(arrived)
+	for !c.over {
+		select {
+		case e := <-effects:
+			if !c.carryOut(e) {
+				return
+			}
+		case <-c.r.Context().Done():
+			return
+		}
+	}
+}
+
+// carryOut carries one effect out and reports whether the call goes on.
+func (c *call) carryOut(e core.Effect) bool {
+	switch e := e.(type) {
+	case core.Finish:
+		c.over = true
+		status := statusOf(e.Outcome)
+		if e.NoRoute {
+			status = http.StatusNotFound
+		}
+		c.proxy.fail(c.w, status, e.Outcome, e.Reason)
+	case core.Forward:
+		return c.attempt(e)
+	}
+	return true
+}
+
+// bodyFailed answers when the caller's own body ended an attempt.
+func (c *call) bodyFailed(err error) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		c.proxy.fail(c.w, http.StatusRequestEntityTooLarge, retry.Unknown, fmt.Sprintf(
+			"request body has more than %d bytes", c.proxy.cfg.MaxBodyBytes))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.proxy.fail(c.w, http.StatusRequestTimeout, retry.Unknown, "request body did not come in time")
+	default:
+		panic(http.ErrAbortHandler) // the caller cut its request
+	}
+}
--- /dev/null
+++ b/proxy/export_test.go
@@ -0,0 +1,14 @@
+package proxy
+
+// Breaks are the faults that a test may put in.
+type Breaks struct {
+	UnknownAsNotRun, CutEndsCleanly, AttemptsUnnamed, TransportReplays, ResendsUnknown bool
+}
+
+// Break puts faults in.
+func (p *Proxy) Break(b Breaks) {
+	p.broken = breaks{
+		unknownAsNotRun: b.UnknownAsNotRun, cutEndsCleanly: b.CutEndsCleanly, attemptsUnnamed: b.AttemptsUnnamed,
+		transportReplays: b.TransportReplays, resendsUnknown: b.ResendsUnknown,
+	}
+}
--- /dev/null
+++ b/proxy/harness_test.go
@@ -0,0 +1,219 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/status"
+	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/node"
+	"github.com/agatekeel/agatekeel/operator"
+	"github.com/agatekeel/agatekeel/peer"
+	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// testDeadline bounds every wait for a condition.
+const testDeadline = 20 * time.Second
+
+// meshNode is one node of a test, with the backend server beside it.
+type meshNode struct {
+	name     string
+	node     *node.Node
+	proxy    *proxy.Proxy
+	backend  *sample.Backend // nil: none stands beside it
+	callers  string
+	hop      string
+	hopWrap  *listener
+	closers  []func()
+	stopped  bool
+	backends string // address given to the proxy
+}
+
+// mesh is a platform stand-in and nodes with sample backend servers, all in
+// this process, over real sockets.
+type mesh struct {
+	t      testing.TB
+	store  *platformtest.Store
+	nodes  []*meshNode
+	runs   *sample.Runs
+	client *http.Client
+	ids    atomic.Uint64
+	tweak  func(*core.Config, *proxy.Config)
+}
+
+// newMesh starts nodes; those of an empty service have no backend server.
+func newMesh(t testing.TB, tweak func(*core.Config, *proxy.Config), services ...string) *mesh {
+	m := &mesh{
+		t: t, store: platformtest.NewStore(), runs: sample.NewRuns(), tweak: tweak,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, Timeout: testDeadline},
+	}
+	t.Cleanup(m.close)
+	for i, service := range services {
+		m.start(fmt.Sprintf("n%d", i), service, uint64(i+1))
+	}
+	m.apply(
+		config.Object{Kind: config.KindPolicy, Name: "once", Spec: []byte(`{"idempotent":false,"timeoutMillis":3000}`)},
+		config.Object{Kind: config.KindPolicy, Name: "brief", Spec: []byte(`{"timeoutMillis":200,"maxAttempts":2}`)},
+		config.Object{Kind: config.KindPolicy, Name: "checks", Spec: []byte(`{"priority":"status","timeoutMillis":10000}`)},
+		config.Object{Kind: config.KindService, Name: "orders", Spec: []byte(`{}`)},
+		config.Object{Kind: config.KindRoute, Name: "orders", Spec: []byte(`{"pathPrefix":"/","service":"orders"}`)},
+		config.Object{Kind: config.KindRoute, Name: "once", Spec: []byte(`{"pathPrefix":"/once","service":"orders","policy":"once"}`)},
+		config.Object{Kind: config.KindRoute, Name: "brief", Spec: []byte(`{"pathPrefix":"/brief","service":"orders","policy":"brief"}`)},
+		config.Object{Kind: config.KindRoute, Name: "checks", Spec: []byte(`{"pathPrefix":"/checks","service":"orders","policy":"checks"}`)},
+	)
+	m.settled()
+	return m
+}
+
+func (m *mesh) must(err error) {
+	m.t.Helper()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// listen returns a listener on a free port of loopback.
+func (m *mesh) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	m.must(err)
+	return l
+}
+
+// start starts a node with a backend server of a service beside it.
+func (m *mesh) start(name, service string, seed uint64) *meshNode {
+	mn := &meshNode{name: name}
+	if service != "" {
+		b, err := sample.Start(service, name)
+		m.must(err)
+		b.Record(m.runs)
+		mn.backend, mn.backends = b, b.Address()
+		mn.closers = append(mn.closers, b.Close)
+	}
+	callers, peers := m.listen(), m.listen()
+	mn.hopWrap = &listener{Listener: m.listen()}
+	mn.callers, mn.hop = callers.Addr().String(), mn.hopWrap.Addr().String()
+	cc := core.Config{
+		Node: name, DataCentre: "derby", Peer: peers.Addr().String(), Hop: mn.hop, Service: service,
+		Incarnation: endpoint.Incarnation{Start: time.Now().UnixMilli(), Random: uint32(seed)}, Seed: seed,
+		TickEvery: 5 * time.Millisecond, JoinJitter: 10 * time.Millisecond, ProbeEvery: 50 * time.Millisecond,
+		SlowStart: 10 * time.Millisecond, DrainAtLeast: 300 * time.Millisecond,
+	}
+	pc := proxy.Config{Backend: mn.backends, Connections: 130}
+	if m.tweak != nil {
+		m.tweak(&cc, &pc)
+	}
+	cc = cc.WithDefaults()
+	mn.node = node.New(cc, node.SystemClock{}, m.store, &prober{address: mn.backends}, eventlog.Nop())
+	mn.proxy = proxy.New(pc, mn.node, metrics.NewRegistry())
+	transport := peer.NewTransport(peer.Config{}, mn.node)
+	callerServer, hopServer := proxy.NewServer(mn.proxy.Callers()), proxy.NewServer(mn.proxy.Hops())
+	go func() { _ = callerServer.Serve(callers) }()
+	go func() { _ = hopServer.Serve(mn.hopWrap) }()
+	go func() { _ = transport.Serve(peers) }()
+	mn.node.Start(transport, cc.TickEvery)
+	mn.closers = append(mn.closers, mn.proxy.Close, transport.Stop, mn.node.Stop,
+		func() { _ = hopServer.Close() }, func() { _ = callerServer.Close() })
+	m.nodes = append(m.nodes, mn)
+	return mn
+}
+
+// end stops the node's process, in order or as a crash does.
+func (mn *meshNode) end() {
+	if mn.stopped {
+		return
+	}
+	mn.stopped = true
+	for i := len(mn.closers) - 1; i >= 0; i-- {
+		mn.closers[i]()
+	}
+}
+
+func (m *mesh) close() {
+	m.client.CloseIdleConnections()
+	for _, n := range m.nodes {
+		n.end()
+	}
+}
+
+// apply submits objects and waits until they are in force.
+func (m *mesh) apply(objects ...config.Object) {
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	c := operator.New(m.store)
+	m.must(c.Submit(ctx, operator.Edit(fmt.Sprintf("s%d", m.ids.Add(1)), "test", config.NewSet(0, nil), objects)))
+	m.eventually("the configuration is in force", func() bool {
+		st, err := c.Status(ctx, fmt.Sprintf("s%d", m.ids.Load()))
+		m.must(err)
+		if st.Phase == status.Rejected {
+			m.t.Fatal(st.Faults)
+		}
+		return st.Phase == status.InForce
+	})
+}
+
+// settled waits until every node knows every backend server as ready.
+func (m *mesh) settled() {
+	m.eventually("every node knows every backend server", func() bool {
+		want := 0
+		for _, n := range m.nodes {
+			if n.backend != nil && !n.stopped {
+				want++
+			}
+		}
+		for _, n := range m.nodes {
+			if n.stopped {
+				continue
+			}
+			d, ready := n.node.Dump(), 0
+			for _, e := range d.Endpoints {
+				if e.State == endpoint.Ready && e.Service != "" {
+					ready++
+				}
+			}
+			if !d.Ready || ready != want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// eventually waits for a condition.
+func (m *mesh) eventually(what string, ok func() bool) {
+	m.t.Helper()
+	deadline := time.Now().Add(testDeadline)
+	for !ok() {
+		if time.Now().After(deadline) {
+			m.t.Fatalf("not within %v: %s", testDeadline, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// id returns a fresh request ID.
+func (m *mesh) id() string { return fmt.Sprintf("r%d", m.ids.Add(1)) }
+
+// prober asks a sample backend server for its health.
+type prober struct{ address string }
+
+// Probe implements node.Prober.
+func (p *prober) Probe(ctx context.Context) (ok, refused bool) {
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return false, true
+	}
+	_ = conn.Close()
+	return true, false
+}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -1,6 +1,3 @@
-// Package proxy carries callers' requests: from a caller to the entry node,
-// from there to the node beside a backend server, and from there to the
-// backend server. Every decision is the reducer's; this package moves bytes.
 package proxy
 
 import (
@@ -14,32 +11,41 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 )
 
-// Headers between nodes, and towards callers.
+// Headers between nodes, callers and backend servers. Those that a caller or
+// a backend server sends are dropped, but for HeaderTimeout, and HeaderDepth
+// from the own host.
 const (
-	HeaderOutcome = "Agatekeel-Outcome" // not-run or unknown, on refusals and failures
+	// HeaderOutcome is on refusals and failures: not-run or unknown.
+	HeaderOutcome = "Agatekeel-Outcome"
 	HeaderReason  = "Agatekeel-Reason"
+	// HeaderTimeout is the time that a caller allows for a call, and what is
+	// left of it when the request reaches the backend server.
+	HeaderTimeout = "Agatekeel-Timeout-Millis"
+	// HeaderDepth counts the calls of the mesh that led to a request. A
+	// backend server passes it on in the calls that it makes.
+	HeaderDepth = "Agatekeel-Depth"
+
+	headerPrefix  = "Agatekeel-"
 	headerAttempt = "Agatekeel-Attempt"
 	headerClass   = "Agatekeel-Class"
 	headerBudget  = "Agatekeel-Budget-Micros"
 	headerQueue   = "Agatekeel-Queue"
+	headerQuery   = "Agatekeel-Query" // asks about an attempt
+	headerCancel  = "Agatekeel-Cancel"
 )
 
-// MaxBodyBytes bounds a request body.
-const MaxBodyBytes = 1 << 20
-
 // hopByHop are the headers that belong to one connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // copyHeader adds the end-to-end headers of src to dst.
 func copyHeader(dst, src http.Header) {
 	for k, vs := range src {
-		if strings.HasPrefix(k, "Agatekeel-") {
-			continue
+		if !strings.HasPrefix(k, headerPrefix) {
+			dst[k] = vs[:len(vs):len(vs)]
 		}
-		dst[k] = append(dst[k], vs...)
 	}
 	for _, v := range src["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
@@ -47,7 +53,7 @@
 		}
 	}
 	for _, k := range hopByHop {
-		dst.Del(k)
+		delete(dst, k)
 	}
 }
 
@@ -70,12 +76,14 @@
 	attempt core.AttemptID
 	class   admission.Class
 	budget  time.Duration
+	depth   int
 }
 
 func (h hopHeader) write(to http.Header) {
-	to.Set(headerAttempt, formatAttempt(h.attempt))
-	to.Set(headerClass, strconv.Itoa(int(h.class)))
-	to.Set(headerBudget, strconv.FormatInt(h.budget.Microseconds(), 10))
+	to[headerAttempt] = []string{formatAttempt(h.attempt)}
+	to[headerClass] = []string{strconv.Itoa(int(h.class))}
+	to[headerBudget] = []string{strconv.FormatInt(h.budget.Microseconds(), 10)}
+	to[HeaderDepth] = []string{strconv.Itoa(h.depth)}
 }
 
 func readHopHeader(from http.Header) (hopHeader, error) {
@@ -91,5 +99,34 @@
 	if err != nil {
 		return hopHeader{}, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
 	}
-	return hopHeader{attempt: id, class: admission.Class(class), budget: time.Duration(micros) * time.Microsecond}, nil
+	depth, err := parseDepth(from.Get(HeaderDepth))
+	if err != nil {
+		return hopHeader{}, err
+	}
+	return hopHeader{
+		attempt: id, class: admission.Class(class), budget: time.Duration(micros) * time.Microsecond, depth: depth,
+	}, nil
+}
+
+func parseDepth(s string) (int, error) {
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 16)
+	if err != nil {
+		return 0, fmt.Errorf("header %s: %q is not a number", HeaderDepth, s)
+	}
+	return int(n), nil
+}
+
+// parseTimeout returns what a caller allows, or zero when it does not say.
+func parseTimeout(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	millis, err := strconv.ParseUint(s, 10, 32)
+	if err != nil || millis == 0 {
+		return 0, fmt.Errorf("header %s: %q is not a positive number of milliseconds", HeaderTimeout, s)
+	}
+	return time.Duration(millis) * time.Millisecond, nil
 }
--- /dev/null
+++ b/proxy/history_test.go
@@ -0,0 +1,369 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// request is one call of a history, and how it ended for the caller.
+type request struct {
+	id, method, path string
+	entry            int
+	body             []byte
+	once             bool // it may run at most once
+	leaves           bool // the caller goes when the backend server has it
+
+	started, ended time.Time
+	status         int
+	outcome        string // Agatekeel-Outcome
+	answerID       string
+	checksum       string
+	answer         []byte
+	err            error // of the exchange, or amid the answer
+}
+
+// draw returns the next request of a seeded history.
+func draw(rng *rand.Rand, m *mesh, id string) *request {
+	q := &request{id: id, entry: rng.IntN(len(m.nodes)), method: "GET", path: "/"}
+	if rng.IntN(2) == 0 {
+		q.method = "POST"
+		q.body = bytes.Repeat([]byte{byte('a' + rng.IntN(26))}, []int{0, 10, 1000, 100 << 10}[rng.IntN(4)])
+	}
+	q.path = []string{"/", "/once", "/brief", "/checks"}[rng.IntN(4)]
+	q.once = q.method == "POST" || q.path == "/once"
+	q.path += fmt.Sprintf("?answerBytes=%d", []int{0, 3000, 100 << 10}[rng.IntN(3)])
+	if rng.IntN(2) == 0 {
+		q.path += "&chunked=true"
+	}
+	q.leaves = rng.IntN(10) == 0
+	return q
+}
+
+// faultOf returns a seeded fault for a request: what hangs does so on paths
+// with a short timeout.
+func faultOf(seed uint64) func(*http.Request) sample.Fault {
+	return func(r *http.Request) sample.Fault {
+		id := crc32.ChecksumIEEE([]byte(r.Header.Get(sample.HeaderID)))
+		rng := rand.New(rand.NewPCG(seed, uint64(id)))
+		switch rng.IntN(12) {
+		case 0:
+			return sample.Fault{Shed: true}
+		case 1:
+			return sample.Fault{Drop: true}
+		case 2:
+			return sample.Fault{Cut: true}
+		case 3:
+			return sample.Fault{HangBefore: strings.HasPrefix(r.URL.Path, "/brief")}
+		case 4:
+			return sample.Fault{HangAfter: strings.HasPrefix(r.URL.Path, "/brief")}
+		case 5:
+			return sample.Fault{Delay: 5 * time.Millisecond}
+		}
+		return sample.Fault{}
+	}
+}
+
+// send carries a request out.
+func (m *mesh) send(q *request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// The body is of a type that the client can't rewind: it must not send a
+	// request again by itself.
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+m.nodes[q.entry].callers+q.path,
+		io.MultiReader(bytes.NewReader(q.body)))
+	m.must(err)
+	req.ContentLength, req.TransferEncoding = int64(len(q.body)), []string{"identity"}
+	req.Header.Set(sample.HeaderID, q.id)
+	if q.leaves {
+		go func() {
+			for ctx.Err() == nil && len(m.runs.Of(q.id)) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+	}
+	q.started = time.Now()
+	defer func() { q.ended = time.Now() }()
+	resp, err := m.client.Do(req)
+	if err != nil {
+		q.err = err
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	q.status, q.outcome = resp.StatusCode, resp.Header.Get(proxy.HeaderOutcome)
+	q.answerID, q.checksum = resp.Header.Get(sample.HeaderID), resp.Header.Get(sample.HeaderChecksum)
+	q.answer, q.err = io.ReadAll(resp.Body)
+}
+
+// history lets callers send count requests each, all at once, with disturb
+// called before each step of the first.
+func (m *mesh) history(seed uint64, callers, count int, disturb func(step int)) []*request {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []*request
+	for i := range callers {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		wg.Go(func() {
+			for step := range count {
+				if i == 0 && disturb != nil {
+					disturb(step)
+				}
+				mu.Lock()
+				q := draw(rng, m, fmt.Sprintf("c%d-%d", i, step))
+				all = append(all, q)
+				mu.Unlock()
+				m.send(q)
+			}
+		})
+	}
+	wg.Wait()
+	m.quiet()
+	return all
+}
+
+// quiet waits until nothing is under way: what may yet run has run.
+func (m *mesh) quiet() {
+	for _, n := range m.nodes {
+		if n.backend != nil && !n.stopped {
+			n.backend.Release()
+		}
+	}
+	var busy string
+	m.t.Cleanup(func() {
+		if m.t.Failed() {
+			m.t.Log(busy)
+		}
+	})
+	m.eventually("nothing is under way", func() bool {
+		for _, n := range m.nodes {
+			if d := n.node.Dump(); !n.stopped && (d.Calls > 0 || d.Backend.Running > 0 || d.Backend.Waiting > 0) {
+				busy = fmt.Sprintf("%s: %d calls, %d running, %d waiting", n.name, d.Calls, d.Backend.Running, d.Backend.Waiting)
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// violation is one broken promise.
+type violation string
+
+// The promises that a history is checked for.
+const (
+	ranTwice     violation = "a request that may run once ran more often"
+	notRunFalse  violation = "a request told as not-run ran"
+	noRun        violation = "a request that was answered never ran"
+	wrongAnswer  violation = "an answer is not that of its request"
+	notWhole     violation = "an answer that ended cleanly is not whole"
+	wrongBody    violation = "a request ran with another body"
+	noOutcome    violation = "a failure does not say what became of the request"
+	notPorcupine violation = "no order of calls and runs explains the outcomes"
+)
+
+// violations returns the promises that a history breaks.
+func violations(all []*request, runs *sample.Runs) []violation {
+	var out []violation
+	add := func(v violation, broken bool) {
+		if broken && !slices.Contains(out, v) {
+			out = append(out, v)
+		}
+	}
+	for _, q := range all {
+		ran := runs.Of(q.id)
+		add(ranTwice, q.once && len(ran) > 1)
+		add(notRunFalse, q.outcome == "not-run" && len(ran) > 0)
+		for _, r := range ran {
+			add(wrongBody, r.Body != crc32.ChecksumIEEE(q.body))
+		}
+		if q.err != nil || q.leaves && q.status == 0 {
+			continue
+		}
+		if q.status != http.StatusOK {
+			add(noOutcome, q.outcome == "" && !strings.Contains(string(q.answer), "shedding load"))
+			continue
+		}
+		add(noRun, len(ran) == 0)
+		add(wrongAnswer, q.answerID != q.id)
+		add(notWhole, q.checksum != strconv.FormatUint(uint64(crc32.ChecksumIEEE(q.answer)), 16))
+	}
+	add(notPorcupine, !porcupine.CheckOperations(callModel, operations(all, runs)))
+	return out
+}
+
+// operation is a call as the caller saw it or one run of it.
+type operation struct {
+	id   string
+	run  bool
+	once bool
+}
+
+// callState is what has become of one request.
+type callState struct {
+	runs   int
+	notRun bool // told, so it may never run
+}
+
+// callModel says which outcomes may be told in which order: the calls and
+// runs of one request, at points of time between their starts and ends.
+var callModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byID := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			id := o.Input.(operation).id
+			byID[id] = append(byID[id], o)
+		}
+		var out [][]porcupine.Operation
+		for _, part := range byID {
+			out = append(out, part)
+		}
+		return out
+	},
+	Init: func() any { return callState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in := state.(callState), input.(operation)
+		if in.run {
+			s.runs++
+			return !s.notRun && (!in.once || s.runs == 1), s
+		}
+		switch output.(string) {
+		case "ran":
+			return s.runs > 0, s
+		case "not-run":
+			s.notRun = true
+			return s.runs == 0, s
+		}
+		return true, s // unknown: it may have run, or may yet
+	},
+}
+
+func operations(all []*request, runs *sample.Runs) []porcupine.Operation {
+	var out []porcupine.Operation
+	for i, q := range all {
+		told := q.outcome
+		if q.err == nil && q.status == http.StatusOK {
+			told = "ran"
+		}
+		out = append(out, porcupine.Operation{
+			ClientId: i, Input: operation{id: q.id, once: q.once}, Output: told,
+			Call: q.started.UnixNano(), Return: q.ended.UnixNano(),
+		})
+		for _, r := range runs.Of(q.id) {
+			at := r.At.UnixNano()
+			out = append(out, porcupine.Operation{
+				ClientId: i, Input: operation{id: q.id, run: true, once: q.once}, Output: "", Call: at, Return: at,
+			})
+		}
+	}
+	return out
+}
+
+// disturbances of the mesh amid a history.
+func (m *mesh) disturb(step int) {
+	switch step % 12 {
+	case 3:
+		for _, n := range m.nodes {
+			n.hopWrap.silence()
+		}
+	case 6:
+		m.nodes[1].backend.Close()
+	case 9:
+		m.must(m.nodes[1].backend.Restart())
+	}
+}
+
+func TestHistoriesKeepThePromises(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, nil, "", "orders", "orders")
+			for _, n := range m.nodes[1:] {
+				n.backend.SetFault(faultOf(seed))
+			}
+			all := m.history(seed, 12, 24, m.disturb)
+			is.Equal(violations(all, m.runs), nil)
+			answered := 0
+			for _, q := range all {
+				if q.status == http.StatusOK && q.err == nil {
+					answered++
+				}
+			}
+			is.True(answered > len(all)/3) // the history is not one of refusals alone
+		})
+	}
+}
+
+func TestHistoryChecksCanFail(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		breaks proxy.Breaks
+		want   violation
+	}{
+		{"unknown told as not-run", proxy.Breaks{UnknownAsNotRun: true}, notRunFalse},
+		{"the model sees it too", proxy.Breaks{UnknownAsNotRun: true}, notPorcupine},
+		{"sent again after unknown", proxy.Breaks{ResendsUnknown: true}, ranTwice},
+		{"cut answer ended cleanly", proxy.Breaks{CutEndsCleanly: true}, notWhole},
+		{"replayed by the transport", proxy.Breaks{TransportReplays: true}, ranTwice},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := newMesh(t, nil, "", "orders", "orders")
+			for _, n := range m.nodes {
+				n.proxy.Break(tc.breaks)
+			}
+			for _, n := range m.nodes[1:] {
+				n.backend.SetFault(faultOf(1))
+			}
+			got := violations(m.history(1, 12, 24, nil), m.runs)
+			if !slices.Contains(got, tc.want) {
+				t.Fatalf("the check did not see: %s (saw %v)", tc.want, got)
+			}
+		})
+	}
+}
+
+func TestSameAttemptRunsOnce(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprint("broken ", broken), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, nil, "orders")
+			m.nodes[0].proxy.Break(proxy.Breaks{AttemptsUnnamed: broken})
+			id := m.id()
+			for i := range 2 {
+				req, err := http.NewRequest("POST", "http://"+m.nodes[0].hop+"/", strings.NewReader("x"))
+				is.NoErr(err)
+				for k, v := range map[string]string{
+					"Agatekeel-Attempt": "7-1", "Agatekeel-Class": "1", "Agatekeel-Budget-Micros": "5000000", sample.HeaderID: id,
+				} {
+					req.Header.Set(k, v)
+				}
+				resp, err := m.client.Do(req)
+				is.NoErr(err)
+				_ = resp.Body.Close()
+				if i == 1 && !broken {
+					is.Equal(resp.Header.Get(proxy.HeaderOutcome), "unknown") // the first copy may have run
+				}
+			}
+			want := 1
+			if broken {
+				want = 2
+			}
+			is.Equal(len(m.runs.Of(id)), want)
+		})
+	}
+}
--- /dev/null
+++ b/proxy/hop.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// serveHop carries an attempt from another node to the own backend server, or
+// answers a question about one.
+func (p *Proxy) serveHop(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerCancel) != "" || r.Header.Get(headerQuery) != "" {
+		p.serveQuery(w, r)
+		return
+	}
+	h, err := readHopHeader(r.Header)
+	if err != nil {
+		p.fail(w, http.StatusBadRequest, retry.NotRun, err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), h.budget)
+	defer cancel()
+	limitUpload(w, r, h.budget)
+	body, length := r.Body, r.ContentLength
+	if length == 0 {
+		body = nil
+	}
+	resp, err := p.runLocal(ctx, r, body, length, h)
+	if err != nil {
+		failed := asAttemptError(err)
+		p.fail(w, statusOf(failed.outcome), failed.outcome, failed.Error())
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	w.Header()[headerQueue] = []string{strconv.Itoa(p.core.Waiting())}
+	if err := passOn(w, resp); err != nil && !p.broken.cutEndsCleanly {
+		cutOff(w)
+	}
+}
--- /dev/null
+++ b/proxy/silence_test.go
@@ -0,0 +1,98 @@
+package proxy_test
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// listener accepts connections that a test can let go silent.
+type listener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s := &silentConn{Conn: c, closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, s)
+	return s, nil
+}
+
+// silence lets all connections accepted so far go silent: what comes is not
+// seen, what is written is lost, and neither end is told.
+func (l *listener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.silent.Store(true)
+	}
+	l.conns = nil
+}
+
+// silentConn is a connection that may go silent. Deadlines still hold.
+type silentConn struct {
+	net.Conn
+	silent   atomic.Bool
+	once     sync.Once
+	closed   chan struct{}
+	deadline atomic.Pointer[time.Time]
+}
+
+// Read implements net.Conn. Of a silent connection neither data nor the end
+// is seen.
+func (c *silentConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if !c.silent.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err != nil {
+			return 0, c.wait()
+		}
+	}
+}
+
+// wait waits for the deadline or the own end.
+func (c *silentConn) wait() error {
+	for {
+		if d := c.deadline.Load(); d != nil && !d.IsZero() && !time.Now().Before(*d) {
+			return os.ErrDeadlineExceeded
+		}
+		select {
+		case <-c.closed:
+			return net.ErrClosed
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *silentConn) SetReadDeadline(t time.Time) error {
+	c.deadline.Store(&t)
+	return c.Conn.SetReadDeadline(t)
+}
