--- a/core/admit.go
+++ b/core/admit.go
@@ -3,52 +3,121 @@
 import (
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/retry"
 )
 
 // rememberedAttempts bounds the attempt IDs kept to refuse a late copy.
 const rememberedAttempts = 16 << 10
 
+// requestFault turns single safeguards off. Tests set it to show that their
+// checks notice; it is zero otherwise.
+type requestFault struct {
+	forgetCancelled bool // a cancelled attempt is not remembered
+	forgetSeen      bool // an attempt that was seen before runs again
+	ignoreLife      bool // a node answers for its earlier lives
+	vouchForCopies  bool // a copy is refused as not run, whatever the first one did
+	forgetUnknown   bool // a call may end as not run after an attempt of unknown fate
+	forgetKeys      bool // the node forgets idempotency keys
+	takeLostClaims  bool // a claim whose write has an unknown fate counts as held
+	ignoreClaims    bool // a claim held by another request counts as held
+	repeatAll       bool // non-idempotent calls are tried again after an unknown fate
+}
+
 func (s *State) attemptArrived(e AttemptArrived) {
 	b := &s.backend
-	if _, seen := b.attempts[e.Attempt]; seen {
-		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.SeenBefore})
+	if s.forEarlierLife(e.For) {
+		s.refuseAttempt(e.Attempt, admission.EarlierLife, retry.Unknown)
+		return
+	}
+	switch fate := b.memory.Fate(e.Attempt); {
+	case fate == admission.Fresh, s.fault.forgetSeen && fate != admission.Open:
+	case fate == admission.Refused, s.fault.vouchForCopies:
+		s.refuseAttempt(e.Attempt, admission.SeenBefore, retry.NotRun)
+		return
+	default:
+		s.refuseAttempt(e.Attempt, admission.SeenBefore, retry.Unknown)
 		return
 	}
-	s.remember(e.Attempt)
-	if b.leaving || !b.entry.State.Serves() {
-		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.NotServing})
+	if first, used := b.keys.First(e.Key); used && !s.fault.forgetKeys {
+		b.memory.Add(e.Attempt, admission.Refused)
+		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.KeyUsed, Outcome: first.Outcome, Status: first.Status})
 		return
 	}
-	run, reason := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
-	switch {
-	case reason != admission.Admitted:
-		s.emit(Refuse{Attempt: e.Attempt, Reason: reason})
-	case run:
-		b.attempts[e.Attempt] = true
+	run, reason := s.admit(e)
+	if reason != admission.Admitted {
+		b.memory.Add(e.Attempt, admission.Refused)
+		s.refuseAttempt(e.Attempt, reason, retry.NotRun)
+		return
+	}
+	b.memory.Add(e.Attempt, admission.Open)
+	if !e.Key.IsZero() {
+		b.keys.Begin(s.now, e.Key, e.Attempt)
+	}
+	if run {
 		s.emit(Run{Attempt: e.Attempt})
-	default:
-		b.attempts[e.Attempt] = true
 	}
 }
 
-// remember keeps an attempt ID so that a copy that comes late is refused.
-func (s *State) remember(id AttemptID) {
+// admit decides about an attempt that came for the first time.
+func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
-	b.attempts[id] = false
-	b.remembered = append(b.remembered, id)
-	for len(b.remembered) > rememberedAttempts && !b.attempts[b.remembered[0]] {
-		delete(b.attempts, b.remembered[0])
-		b.remembered = b.remembered[1:]
+	switch {
+	case b.leaving || !b.entry.State.Serves():
+		return false, admission.NotServing
+	case !e.Key.IsZero() && b.keys.Full():
+		return false, admission.KeysFull
 	}
+	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	for _, w := range d.Pushed {
+		s.dropWaiting(w.ID, admission.QueueFull)
+	}
+	return d.Run, d.Reason
+}
+
+// admitTick refuses what has waited too long while no run ended.
+func (s *State) admitTick() {
+	for _, w := range s.backend.queue.Expire(s.now) {
+		s.dropWaiting(w.ID, admission.TooLate)
+	}
+}
+
+// dropWaiting refuses an attempt that waited.
+func (s *State) dropWaiting(id AttemptID, reason admission.Reason) {
+	s.backend.memory.End(id, admission.Refused)
+	s.backend.keys.End(id, idempotency.End{Outcome: retry.NotRun})
+	s.refuseAttempt(id, reason, retry.NotRun)
+}
+
+// endOf returns what a repeat of an attempt's key is told from now on.
+func endOf(e AttemptDone) idempotency.End {
+	switch {
+	case e.Refused:
+		return idempotency.End{Outcome: retry.NotRun}
+	case e.Cut:
+		return idempotency.End{Outcome: retry.Unknown}
+	}
+	return idempotency.End{Outcome: retry.Ran, Status: e.Status}
+}
+
+// forEarlierLife reports whether a message was meant for a process that was
+// at this address before. What that one ran is not known here, so nothing can
+// be said of an attempt sent to it.
+func (s *State) forEarlierLife(meant endpoint.Incarnation) bool {
+	return meant != endpoint.Incarnation{} && meant != s.cfg.Incarnation && !s.fault.ignoreLife
+}
+
+func (s *State) refuseAttempt(id AttemptID, reason admission.Reason, o retry.Outcome) {
+	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
 
 func (s *State) attemptDone(e AttemptDone) {
 	b := &s.backend
-	b.attempts[e.Attempt] = false
-	start, dropped := b.queue.Done(s.now, e.Took)
+	b.memory.End(e.Attempt, admission.Started)
+	b.keys.End(e.Attempt, endOf(e))
+	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
 	for _, w := range dropped {
-		b.attempts[w.ID] = false
-		s.emit(Refuse{Attempt: w.ID, Reason: admission.TooLate})
+		s.dropWaiting(w.ID, admission.TooLate)
 	}
 	for _, w := range start {
 		s.emit(Run{Attempt: w.ID})
@@ -60,15 +129,25 @@
 
 func (s *State) attemptCancelled(e AttemptCancelled) {
 	b := &s.backend
-	if _, seen := b.attempts[e.Attempt]; !seen {
-		s.remember(e.Attempt) // the attempt itself may come yet: it is refused then
-		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.Cancelled})
+	if s.forEarlierLife(e.For) {
 		return
 	}
-	if b.queue.Cancel(e.Attempt) {
-		b.attempts[e.Attempt] = false
-		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.Cancelled})
+	switch b.memory.Fate(e.Attempt) {
+	case admission.Fresh:
+		if !s.fault.forgetCancelled {
+			b.memory.Add(e.Attempt, admission.Refused) // the attempt itself may come yet
+		}
+	case admission.Refused:
+	case admission.Open:
+		if !b.queue.Cancel(e.Attempt) {
+			return // it runs
+		}
+		s.dropWaiting(e.Attempt, admission.Cancelled)
+		return
+	default:
+		return
 	}
+	s.refuseAttempt(e.Attempt, admission.Cancelled, retry.NotRun)
 }
 
 // Waiting returns the number of attempts at the own backend server that have
--- a/core/announce.go
+++ b/core/announce.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -15,18 +16,18 @@
 
 // backend is the own backend server: its announcement and its admission.
 type backend struct {
-	entry      endpoint.Entry
-	probeAt    time.Time
-	probing    bool
-	misses     int
-	readyAt    time.Time // end of slow start
-	stopping   bool
-	leaving    bool
-	stopSince  time.Time
-	drained    bool
-	queue      *admission.Queue
-	attempts   map[AttemptID]bool // true while it waits or runs
-	remembered []AttemptID        // oldest first
+	entry     endpoint.Entry
+	probeAt   time.Time
+	probing   bool
+	misses    int
+	readyAt   time.Time // end of slow start
+	stopping  bool
+	leaving   bool
+	stopSince time.Time
+	drained   bool
+	queue     *admission.Queue
+	memory    *admission.Memory
+	keys      *idempotency.Memory
 }
 
 func newBackend(cfg Config) backend {
@@ -35,8 +36,9 @@
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
 		},
-		queue:    admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
-		attempts: map[AttemptID]bool{},
+		queue:  admission.New(cfg.admission()),
+		memory: admission.NewMemory(rememberedAttempts),
+		keys:   idempotency.NewMemory(idempotency.Config{Keep: cfg.KeyKeep, MaxKeys: maxKeys}),
 	}
 }
 
@@ -61,6 +63,9 @@
 	if b.entry.State == endpoint.Warming && !s.now.Before(b.readyAt) {
 		s.announce(endpoint.Ready)
 	}
+	s.admitTick()
+	b.memory.Age()
+	b.keys.Expire(s.now)
 	s.drainTick()
 }
 
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -113,17 +115,25 @@
 	Queue         int  // waiting there, as the answer told; -1: not told
 	AnswerStarted bool // part of the answer was passed on
 	BodyGone      bool // the request body can't be sent again
+	Status        int  // HTTP status of an answer, zero: not known
 	Reason        string
 }
 
 // CallLeft says that the caller is gone or fully answered.
 type CallLeft struct{ Call CallID }
 
-// AttemptArrived is an attempt that reached the backend server's node.
+// AttemptArrived is an attempt that reached the backend server's node. Run or
+// Refuse follows, at once or later. For says which life of the node it was
+// sent to (Forward.Incarnation); zero: the sender does not tell. A copy of an
+// attempt that is still open at this node may be answered by the data path
+// itself, as unknown. Key is that of the Forward; an attempt whose key was
+// used before is refused with the outcome of the first.
 type AttemptArrived struct {
 	Attempt AttemptID
 	Class   admission.Class
 	Budget  time.Duration // time left until the call's deadline
+	For     endpoint.Incarnation
+	Key     idempotency.Key
 }
 
 // AttemptDone says that an attempt that ran has ended.
@@ -131,11 +141,17 @@
 	Attempt AttemptID
 	Took    time.Duration
 	Refused bool // the backend server's address refused the connection
+	Cut     bool // no whole answer came: what the backend server did is not known
+	Status  int  // HTTP status of the answer, zero: not known
 }
 
 // AttemptCancelled asks that an attempt not run. It is answered by Refuse
-// when that is certain.
-type AttemptCancelled struct{ Attempt AttemptID }
+// when that is certain, and by nothing otherwise. For is as in AttemptArrived:
+// a node can't vouch for what an earlier life of it did.
+type AttemptCancelled struct {
+	Attempt AttemptID
+	For     endpoint.Incarnation
+}
 
 func (Tick) isEvent()             {}
 func (StoreDone) isEvent()        {}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
@@ -242,13 +243,13 @@
 }
 
 // CancelAttempt implements proxy.Decider.
-func (n *Node) CancelAttempt(id core.AttemptID) bool {
+func (n *Node) CancelAttempt(e core.AttemptCancelled) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	refused := false
-	for _, effect := range n.state.Reduce(n.clock.Now(), core.AttemptCancelled{Attempt: id}) {
-		if r, ok := effect.(core.Refuse); ok && r.Attempt == id {
-			refused = true
+	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+		if r, ok := effect.(core.Refuse); ok && r.Attempt == e.Attempt {
+			refused = r.Outcome == retry.NotRun
 		}
 		n.carryOut(effect)
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -33,8 +33,12 @@
 	failed := c.settle(f, asAttemptError(err))
 	c.proxy.core.Step(core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
-		BodyGone: !c.body.repeatable(), Reason: failed.Error(),
+		Status: failed.status, BodyGone: !c.body.repeatable(), Reason: failed.reason,
 	})
+	if failed.outcome == retry.Ran {
+		c.over = true
+		c.proxy.tellFirst(c.w, failed.status, failed.Error())
+	}
 	return true
 }
 
@@ -43,6 +47,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	ended := core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueOf(resp),
+		Status: resp.StatusCode,
 		Failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
 	err := passOn(c.w, resp)
@@ -70,7 +75,9 @@
 // send sends an attempt to the backend server's node, or straight to the own
 // backend server.
 func (c *call) send(ctx context.Context, f core.Forward) (*http.Response, error) {
-	h := hopHeader{attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1}
+	h := hopHeader{
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
+	}
 	if f.Local {
 		return c.proxy.runLocal(ctx, c.r, c.body.open(), c.body.declared(), h)
 	}
@@ -93,7 +100,7 @@
 		defer func() { _ = resp.Body.Close() }()
 		return nil, toldError(f, told, resp)
 	}
-	resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { cancel(nil) }}
+	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(bool) { cancel(nil) }}
 	return resp, nil
 }
 
@@ -103,14 +110,19 @@
 		return silent
 	}
 	failed := asAttemptError(err)
-	return &attemptError{outcome: failed.outcome, err: fmt.Errorf("node %s: %w", f.Target, failed.err)}
+	return &attemptError{outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err)}
 }
 
 // toldError returns what the receiving node says about an attempt.
 func toldError(f core.Forward, told string, resp *http.Response) *attemptError {
-	err := fmt.Errorf("node %s: %s", f.Target, resp.Header.Get(HeaderReason))
-	if told == retry.NotRun.String() {
-		return refusedBy(err)
+	e := &attemptError{outcome: retry.Unknown, told: true, reason: resp.Header.Get(HeaderReason)}
+	e.err = fmt.Errorf("node %s: %s", f.Target, e.reason)
+	switch told {
+	case retry.NotRun.String():
+		e.outcome, e.healthy = retry.NotRun, true
+	case retry.Ran.String():
+		e.outcome, e.healthy = retry.Ran, true
+		e.status, _ = strconv.Atoi(resp.Header.Get(HeaderFirstStatus))
 	}
-	return &attemptError{outcome: retry.Unknown, told: true, err: err}
+	return e
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -124,6 +124,10 @@
 	switch e := e.(type) {
 	case core.Finish:
 		c.over = true
+		if e.Outcome == retry.Ran {
+			c.proxy.tellFirst(c.w, e.Status, e.Reason)
+			return true
+		}
 		status := statusOf(e.Outcome)
 		if e.NoRoute {
 			status = http.StatusNotFound
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -9,15 +9,21 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 )
 
 // Headers between nodes, callers and backend servers. Those that a caller or
 // a backend server sends are dropped, but for HeaderTimeout, and HeaderDepth
 // from the own host.
 const (
-	// HeaderOutcome is on refusals and failures: not-run or unknown.
+	// HeaderOutcome is on refusals and failures: not-run or unknown, or ran
+	// for a repeat of a request that ran.
 	HeaderOutcome = "Agatekeel-Outcome"
 	HeaderReason  = "Agatekeel-Reason"
+	// HeaderFirstStatus is the status of the answer that the first request
+	// with the same Idempotency-Key got.
+	HeaderFirstStatus = "Agatekeel-First-Status"
 	// HeaderTimeout is the time that a caller allows for a call, and what is
 	// left of it when the request reaches the backend server.
 	HeaderTimeout = "Agatekeel-Timeout-Millis"
@@ -32,6 +38,8 @@
 	headerQueue   = "Agatekeel-Queue"
 	headerQuery   = "Agatekeel-Query" // asks about an attempt
 	headerCancel  = "Agatekeel-Cancel"
+	headerFor     = "Agatekeel-For" // life of the node that an attempt is sent to
+	headerKey     = "Agatekeel-Key"
 )
 
 // hopByHop are the headers that belong to one connection.
@@ -77,6 +85,8 @@
 	class   admission.Class
 	budget  time.Duration
 	depth   int
+	meant   endpoint.Incarnation // zero: not told
+	key     idempotency.Key      // zero: none
 }
 
 func (h hopHeader) write(to http.Header) {
@@ -84,28 +94,57 @@
 	to[headerClass] = []string{strconv.Itoa(int(h.class))}
 	to[headerBudget] = []string{strconv.FormatInt(h.budget.Microseconds(), 10)}
 	to[HeaderDepth] = []string{strconv.Itoa(h.depth)}
+	to[headerFor] = []string{formatLife(h.meant)}
+	if !h.key.IsZero() {
+		to[headerKey] = []string{h.key.String()}
+	}
 }
 
-func readHopHeader(from http.Header) (hopHeader, error) {
-	id, err := parseAttempt(from.Get(headerAttempt))
-	if err != nil {
-		return hopHeader{}, err
+func readHopHeader(from http.Header) (h hopHeader, err error) {
+	if h.attempt, err = parseAttempt(from.Get(headerAttempt)); err != nil {
+		return h, err
 	}
 	class, err := strconv.ParseUint(from.Get(headerClass), 10, 8)
 	if err != nil || admission.Class(class) > admission.Batch {
-		return hopHeader{}, fmt.Errorf("header %s: %q is not a class", headerClass, from.Get(headerClass))
+		return h, fmt.Errorf("header %s: %q is not a class", headerClass, from.Get(headerClass))
 	}
+	h.class = admission.Class(class)
 	micros, err := strconv.ParseInt(from.Get(headerBudget), 10, 64)
 	if err != nil {
-		return hopHeader{}, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
+		return h, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
 	}
-	depth, err := parseDepth(from.Get(HeaderDepth))
-	if err != nil {
-		return hopHeader{}, err
+	h.budget = time.Duration(micros) * time.Microsecond
+	if h.depth, err = parseDepth(from.Get(HeaderDepth)); err != nil {
+		return h, err
+	}
+	if h.meant, err = parseLife(from.Get(headerFor)); err != nil {
+		return h, err
+	}
+	if s := from.Get(headerKey); s != "" {
+		ok := false
+		if h.key, ok = idempotency.ParseKey(s); !ok {
+			return h, fmt.Errorf("header %s: %q is not a key", headerKey, s)
+		}
+	}
+	return h, nil
+}
+
+func formatLife(i endpoint.Incarnation) string {
+	return strconv.FormatInt(i.Start, 16) + "-" + strconv.FormatUint(uint64(i.Random), 16)
+}
+
+// parseLife reads what formatLife wrote; empty is the zero Incarnation.
+func parseLife(s string) (endpoint.Incarnation, error) {
+	if s == "" {
+		return endpoint.Incarnation{}, nil
+	}
+	start, random, ok := strings.Cut(s, "-")
+	t, err := strconv.ParseInt(start, 16, 64)
+	r, err2 := strconv.ParseUint(random, 16, 32)
+	if !ok || err != nil || err2 != nil {
+		return endpoint.Incarnation{}, fmt.Errorf("header %s: %q is not the life of a node", headerFor, s)
 	}
-	return hopHeader{
-		attempt: id, class: admission.Class(class), budget: time.Duration(micros) * time.Microsecond, depth: depth,
-	}, nil
+	return endpoint.Incarnation{Start: t, Random: uint32(r)}, nil
 }
 
 func parseDepth(s string) (int, error) {
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -30,6 +30,10 @@
 	resp, err := p.runLocal(ctx, r, body, length, h)
 	if err != nil {
 		failed := asAttemptError(err)
+		if failed.outcome == retry.Ran {
+			p.tellFirst(w, failed.status, failed.reason)
+			return
+		}
 		p.fail(w, statusOf(failed.outcome), failed.outcome, failed.Error())
 		return
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -23,11 +23,11 @@
 	}
 	effects, fresh := p.core.OpenAttempt(h.attempt)
 	if !fresh {
-		return nil, refusal(admission.SeenBefore)
+		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
 	}
 	deadline, _ := ctx.Deadline()
-	p.core.Step(core.AttemptArrived{Attempt: h.attempt, Class: h.class, Budget: h.budget})
-	if err := p.admitted(ctx, effects, h.attempt); err != nil {
+	p.core.Step(core.AttemptArrived{Attempt: h.attempt, Class: h.class, Budget: h.budget, For: h.meant, Key: h.key})
+	if err := p.admitted(ctx, effects, h); err != nil {
 		p.core.CloseAttempt(h.attempt)
 		return nil, err
 	}
@@ -36,21 +36,30 @@
 	out.Header[HeaderDepth] = []string{strconv.Itoa(h.depth)}
 	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
 	resp, err := p.roundTrip(p.backend, out)
-	done := func(refused bool) {
-		p.core.Step(core.AttemptDone{Attempt: h.attempt, Took: time.Since(started), Refused: refused})
+	done := core.AttemptDone{Attempt: h.attempt}
+	end := func() {
+		done.Took = time.Since(started)
+		p.core.Step(done)
 		p.core.CloseAttempt(h.attempt)
 	}
 	if err != nil {
-		done(errors.Is(err, syscall.ECONNREFUSED))
+		done.Refused, done.Cut = errors.Is(err, syscall.ECONNREFUSED), true
+		end()
 		failed := asAttemptError(err)
-		return nil, &attemptError{outcome: failed.outcome, told: true, err: fmt.Errorf("backend server: %w", failed.err)}
+		return nil, &attemptError{
+			outcome: failed.outcome, told: true, reason: failed.Error(), err: fmt.Errorf("backend server: %w", failed.err),
+		}
 	}
-	resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { done(false) }}
+	done.Status = resp.StatusCode
+	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(whole bool) {
+		done.Cut = !whole
+		end()
+	}}
 	return resp, nil
 }
 
 // admitted waits until the attempt runs, is refused or is cancelled.
-func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, id core.AttemptID) error {
+func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, h hopHeader) error {
 	cancelled := ctx.Done()
 	for {
 		select {
@@ -59,37 +68,28 @@
 			case core.Run:
 				return nil
 			case core.Refuse:
-				return refusal(e.Reason)
+				return refusal(e)
 			}
 		case <-cancelled:
 			cancelled = nil // asked once; Run or Refuse follows
-			p.core.Step(core.AttemptCancelled{Attempt: id})
+			p.core.Step(core.AttemptCancelled{Attempt: h.attempt, For: h.meant})
 		}
 	}
 }
 
-// refusal returns the error of an attempt that admission refused. A second
-// copy of an attempt proves nothing about the first, which may have run.
-func refusal(reason admission.Reason) *attemptError {
-	err := fmt.Errorf("%s", reason)
-	if reason == admission.SeenBefore {
-		return &attemptError{outcome: retry.Unknown, told: true, err: err}
-	}
-	return refusedBy(err)
-}
-
-// countedBody tells once when the answer's body has ended or is closed. It is
-// told at the end already, so that a slow receiver holds no slot.
+// countedBody tells once when the answer's body has ended or is closed, and
+// whether it came whole. It is told at the end already, so that a slow receiver
+// holds no slot.
 type countedBody struct {
 	io.ReadCloser
-	done func()
+	done func(whole bool)
 }
 
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.end()
+		b.end(err == io.EOF)
 	}
 	return n, err
 }
@@ -97,13 +97,13 @@
 // Close implements io.Closer.
 func (b *countedBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.end()
+	b.end(false)
 	return err
 }
 
-func (b *countedBody) end() {
+func (b *countedBody) end(whole bool) {
 	if b.done != nil {
-		b.done()
+		b.done(whole)
 		b.done = nil
 	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,9 +28,9 @@
 	CloseAttempt(core.AttemptID)
 	// AttemptOpen reports whether an attempt is between the two.
 	AttemptOpen(core.AttemptID) bool
-	// CancelAttempt steps core.AttemptCancelled in and reports whether the
-	// attempt was refused, so that it has not run and never will.
-	CancelAttempt(core.AttemptID) bool
+	// CancelAttempt steps an event in and reports whether the attempt was
+	// refused, so that it has not run and never will.
+	CancelAttempt(core.AttemptCancelled) bool
 	// Waiting returns the number of attempts that wait for a slot.
 	Waiting() int
 }
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -47,7 +47,7 @@
 	defer cancel()
 	req := (&http.Request{
 		Method: http.MethodDelete, URL: &url.URL{Scheme: "http", Host: f.Hop, Path: "/"},
-		Header: http.Header{header: {formatAttempt(f.Attempt)}},
+		Header: http.Header{header: {formatAttempt(f.Attempt)}, headerFor: {formatLife(f.Incarnation)}},
 	}).WithContext(ctx)
 	resp, err := p.query.RoundTrip(req)
 	if err != nil {
@@ -69,11 +69,16 @@
 		p.fail(w, http.StatusBadRequest, retry.Unknown, err.Error())
 		return
 	}
+	meant, err := parseLife(r.Header.Get(headerFor))
+	if err != nil {
+		p.fail(w, http.StatusBadRequest, retry.Unknown, err.Error())
+		return
+	}
 	fate := retry.Unknown.String()
 	switch {
 	case !cancel && p.core.AttemptOpen(id):
 		fate = fateOpen
-	case p.core.CancelAttempt(id):
+	case p.core.CancelAttempt(core.AttemptCancelled{Attempt: id, For: meant}):
 		fate = retry.NotRun.String()
 	}
 	w.Header().Set(HeaderOutcome, fate)
