--- a/cmd/agatekeel/commands.go
+++ b/cmd/agatekeel/commands.go
@@ -47,6 +47,12 @@
 			"Prints the whole state of a process as JSON: configuration, place in the tree, links, leases, backend " +
 				"servers, queues and memory.\n\n" +
 				"Example: agatekeel dump --admin 127.0.0.1:8081", &dumpCommand{console: c}},
+		{"load", "send requests at a fixed rate and measure latency",
+			"Sends requests at a fixed rate, whatever the answers do, and prints percentiles of the latency by class " +
+				"and target, counted from the moment at which each request was due. Exit code 1 says that more than " +
+				"--max-error-share of them were not answered well.\n\n" +
+				"Example: agatekeel load --rate 500 --request 'GET /recipe-book/recipes/1' --request 'orders=POST /orders {}'",
+			&loadCommand{console: c}},
 		{"version", "show the version of this binary",
 			"Prints the version of this binary, its revision and the Go release that built it.\n\n" +
 				"Example: agatekeel version -o json", &versionCommand{console: c}},
--- /dev/null
+++ b/cmd/agatekeel/load.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/agatekeel/agatekeel/load"
+)
+
+// loadCommand sends requests at a fixed rate.
+type loadCommand struct {
+	console
+	outputOption
+	Targets  []string      `long:"target" default:"http://127.0.0.1:8080" description:"base URL; given more than once, they are taken in turn and reported apart"`
+	Requests []string      `long:"request" default:"GET /recipe-book/recipes/1" description:"[CLASS=]METHOD PATH [BODY]; may be given more than once"`
+	Rate     float64       `long:"rate" default:"100" description:"requests a second over all targets"`
+	Duration time.Duration `long:"duration" default:"10s" description:"time that is measured, at most 10m with the warm-up"`
+	WarmUp   time.Duration `long:"warm-up" default:"2s" description:"time before that"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"bound on one request"`
+	InFlight int           `long:"in-flight" default:"256" description:"requests at a time; those due beyond wait, and their wait counts"`
+	MaxError float64       `long:"max-error-share" default:"0" description:"exit with 1 when a larger share is not answered well"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	cfg := load.Config{
+		Targets: c.Targets, Rate: c.Rate, Duration: c.Duration, WarmUp: c.WarmUp, Timeout: c.Timeout, InFlight: c.InFlight,
+	}
+	for _, s := range c.Requests {
+		r, err := load.ParseRequest(s)
+		if err != nil {
+			return usageError("%v", err)
+		}
+		cfg.Requests = append(cfg.Requests, r)
+	}
+	if err := cfg.Check(); err != nil {
+		return usageError("%v", err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	if c.wantsJSON() {
+		err = c.json(report)
+	} else {
+		err = report.WriteText(c.out)
+	}
+	if err != nil {
+		return err
+	}
+	if report.Requests == 0 || report.ErrorShare > c.MaxError {
+		return fmt.Errorf("load: a share of %.4f of %d requests was not answered well, at most %.4f is allowed",
+			report.ErrorShare, report.Requests, c.MaxError)
+	}
+	return nil
+}
