Send requests without a body through no copy buffer

Cause: the body that keeps the transport from repeating a request was copied by a fresh 32 KiB buffer. Change: it writes itself.

--- a/proxy/replay.go
+++ b/proxy/replay.go
@@ -12,6 +12,9 @@
 // Read implements io.Reader.
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 
+// WriteTo implements io.WriterTo, for which the transport needs no buffer.
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
 
