Read short request bodies first, and let no deadline outlast a body

A body of up to 64 KiB with a declared length is read before the call is decided about: a slow caller holds no slot, the server notices a caller that leaves while its request waits, and the request goes out in one write.

--- a/internal/sample/serve.go
+++ b/internal/sample/serve.go
@@ -98,6 +98,10 @@
 // it, chunked=true leaves its length out.
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, a answer, cut bool) {
 	q := r.URL.Query()
+	if status, err := strconv.Atoi(q.Get("status")); err == nil && status >= 200 && status <= 599 {
+		w.WriteHeader(status)
+		return
+	}
 	if n, err := strconv.Atoi(q.Get("answerBytes")); err == nil {
 		a.Padding = strings.Repeat("x", min(max(n, 0), MaxAnswerBytes))
 	}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"time"
 )
 
 var copyBufs = sync.Pool{New: func() any { return new([copyBufBytes]byte) }}
@@ -26,15 +25,6 @@
 
 func (e *answerError) Unwrap() error { return e.err }
 
-// limitUpload bounds the time that a request body may take, so that a caller
-// who sends slowly, or no more, holds nothing for longer. The server itself
-// reads what is left of a body before it sends an answer.
-func limitUpload(w http.ResponseWriter, r *http.Request, d time.Duration) {
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d))
-	}
-}
-
 // passOn sends the answer of the next hop to w. An answer without a declared
 // length is flushed as it comes; one that may be held up by a slow receiver
 // has until the request's deadline.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -10,25 +10,24 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// attempt sends one attempt and passes its answer on. It reports whether the
-// call goes on.
-func (c *call) attempt(f core.Forward) bool {
+// attempt sends one attempt and passes its answer on, or says how it failed.
+func (c *call) attempt(f core.Forward) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
 	defer cancel()
-	limitUpload(c.w, c.r, f.Budget+hopGrace)
+	c.body.limitUpload(f.Budget + hopGrace)
 	resp, err := c.send(ctx, f)
 	if err == nil {
 		c.answer(resp, f)
-		return true
+		return
 	}
 	if c.r.Context().Err() != nil {
 		c.abandon(f)
-		return false
+		return
 	}
 	if err := c.body.failure(); err != nil {
 		c.abandon(f)
 		c.bodyFailed(err)
-		return false
+		return
 	}
 	failed := c.settle(f, asAttemptError(err))
 	c.proxy.core.Step(core.AttemptEnded{
@@ -39,7 +38,6 @@
 		c.over = true
 		c.proxy.tellFirst(c.w, failed.status, failed.Error())
 	}
-	return true
 }
 
 // answer passes an answer on and ends the call.
@@ -79,14 +77,14 @@
 		attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
 	}
 	if f.Local {
-		return c.proxy.runLocal(ctx, c.r, c.body.open(), c.body.declared(), h)
+		return c.proxy.runLocal(ctx, c.r, c.body, h)
 	}
 	return c.sendHop(ctx, f, h)
 }
 
 func (c *call) sendHop(ctx context.Context, f core.Forward, h hopHeader) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	out := outgoing(ctx, c.r, f.Hop, c.body.open(), c.body.declared())
+	out := outgoing(ctx, c.r, f.Hop, c.body)
 	h.write(out.Header)
 	watch := c.proxy.watchSilence(f, cancel)
 	resp, err := c.proxy.roundTrip(c.proxy.hop, out)
--- a/proxy/basic_test.go
+++ b/proxy/basic_test.go
@@ -95,3 +95,37 @@
 		is.Equal(len(m.runs.Of(id)), 1)
 	}
 }
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	m := newMesh(t, nil, "", "orders")
+	for _, path := range []string{"/x?status=404", "/x?status=204", "/x?status=304", "/x?status=500", "/x", "/x?chunked=true"} {
+		for _, method := range []string{"GET", "HEAD", "POST", "DELETE"} {
+			t.Run(method+path, func(t *testing.T) {
+				is := is.New(t)
+				resp, body, err := m.do(0, method, path, "")
+				is.NoErr(err)
+				req, err := http.NewRequest(method, "http://"+m.nodes[1].backend.Address()+path, nil)
+				is.NoErr(err)
+				direct, err := m.client.Do(req)
+				is.NoErr(err)
+				defer func() { _ = direct.Body.Close() }()
+				want, err := io.ReadAll(direct.Body)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, direct.StatusCode)
+				is.Equal(withoutRun(body), withoutRun(string(want)))
+				for _, h := range []http.Header{resp.Header, direct.Header} {
+					h.Del("Date")
+					h.Del(sample.HeaderChecksum)
+				}
+				is.Equal(resp.Header, direct.Header)
+				is.Equal(resp.ContentLength < 0, direct.ContentLength < 0)
+			})
+		}
+	}
+}
+
+// withoutRun cuts the count of runs off an answer.
+func withoutRun(s string) string {
+	before, _, _ := strings.Cut(s, `"run":`)
+	return before
+}
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 var (
@@ -13,11 +15,14 @@
 	errBodyClosed   = fmt.Errorf("request body was closed")
 )
 
-// requestBody is the body of a caller's request. It is read as it is sent;
-// its beginning is kept, within a bound, so that it can be sent again.
+// requestBody is the body of a request. A short one is read before anything
+// else happens, so that a slow caller holds no slot. A longer one is read as it
+// is sent; its beginning is kept, within a bound, so that it can be sent again.
 type requestBody struct {
-	length int64 // as declared, -1: not declared
+	length int64  // as declared, -1: not declared
+	short  []byte // the whole body, when src is nil
 	limit  int64
+	conn   *http.ResponseController
 
 	mu   sync.Mutex // guards all below
 	src  io.Reader
@@ -27,22 +32,51 @@
 	err  error // with which src ended
 }
 
-// newRequestBody returns the body of r, or nil when it has none.
-func newRequestBody(r *http.Request, limit int64) *requestBody {
+// newRequestBody returns the body of r, or nil when it has none. It fails when
+// a short body does not come whole.
+func newRequestBody(w http.ResponseWriter, r *http.Request, limit int64) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return nil
+		return nil, nil
+	}
+	b := &requestBody{length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
+	if b.length < 0 || b.length > keptBodyBytes {
+		b.src = r.Body
+		return b, nil
 	}
-	b := &requestBody{length: r.ContentLength, limit: limit, src: r.Body}
-	if b.length > 0 && b.length <= keptBodyBytes {
-		b.kept = make([]byte, 0, b.length)
+	_ = b.conn.SetReadDeadline(time.Now().Add(shortBodyTimeout))
+	b.short = make([]byte, b.length)
+	if _, err := io.ReadFull(r.Body, b.short); err != nil {
+		return nil, fmt.Errorf("request body did not come whole: %w", err)
 	}
-	return b
+	b.unlimit()
+	return b, nil
 }
 
+// limitUpload bounds the time that the rest of the body may take, so that a
+// caller who sends slowly, or no more, holds nothing for longer. The
+// transport and the server both wait for a body that is being read.
+func (b *requestBody) limitUpload(d time.Duration) {
+	if b == nil || b.src == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		_ = b.conn.SetReadDeadline(time.Now().Add(d))
+	}
+}
+
+// unlimit ends that bound. After the body the server reads ahead to see the
+// caller leave; a deadline that passes there would end the connection.
+func (b *requestBody) unlimit() { _ = b.conn.SetReadDeadline(time.Time{}) }
+
 // open returns a reader from the beginning, or nil when there is no body.
 func (b *requestBody) open() io.ReadCloser {
-	if b == nil {
+	switch {
+	case b == nil:
 		return nil
+	case b.src == nil:
+		return io.NopCloser(bytes.NewReader(b.short))
 	}
 	return &bodyReader{body: b}
 }
@@ -57,7 +91,7 @@
 
 // repeatable reports whether the body can be sent from its beginning.
 func (b *requestBody) repeatable() bool {
-	if b == nil {
+	if b == nil || b.src == nil {
 		return true
 	}
 	b.mu.Lock()
@@ -67,7 +101,7 @@
 
 // failure returns the error with which the caller's side ended, if any.
 func (b *requestBody) failure() error {
-	if b == nil {
+	if b == nil || b.src == nil {
 		return nil
 	}
 	b.mu.Lock()
@@ -94,6 +128,9 @@
 	n, err := b.src.Read(p)
 	b.keep(p[:n])
 	b.err = err
+	if err == io.EOF {
+		b.unlimit()
+	}
 	if b.read > b.limit {
 		b.err = errBodyTooLarge
 		return 0, b.err
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -60,8 +60,10 @@
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
 	}
+	if c.body, err = newRequestBody(c.w, r, p.cfg.MaxBodyBytes); err != nil {
+		return core.CallArrived{}, &rejection{http.StatusRequestTimeout, err.Error()}
+	}
 	c.id = core.CallID(p.lastCall.Add(1))
-	c.body = newRequestBody(r, p.cfg.MaxBodyBytes)
 	return core.CallArrived{
 		Call: c.id, Method: r.Method, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
 		Budget: budget, Repeats: true, Upstream: c.depth > 0,
@@ -110,23 +112,21 @@
 	for !c.over {
 		select {
 		case e := <-effects:
-			if !c.carryOut(e) {
-				return
-			}
+			c.carryOut(e)
 		case <-c.r.Context().Done():
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// carryOut carries one effect out and reports whether the call goes on.
-func (c *call) carryOut(e core.Effect) bool {
+// carryOut carries one effect out.
+func (c *call) carryOut(e core.Effect) {
 	switch e := e.(type) {
 	case core.Finish:
 		c.over = true
 		if e.Outcome == retry.Ran {
 			c.proxy.tellFirst(c.w, e.Status, e.Reason)
-			return true
+			return
 		}
 		status := statusOf(e.Outcome)
 		if e.NoRoute {
@@ -134,13 +134,14 @@
 		}
 		c.proxy.fail(c.w, status, e.Outcome, e.Reason)
 	case core.Forward:
-		return c.attempt(e)
+		c.attempt(e)
 	}
-	return true
 }
 
-// bodyFailed answers when the caller's own body ended an attempt.
+// bodyFailed ends the call when the caller's own body ended an attempt.
 func (c *call) bodyFailed(err error) {
+	c.over = true
+	c.proxy.core.Step(core.CallLeft{Call: c.id})
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errBodyTooLarge):
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -110,7 +110,7 @@
 		TickEvery: 5 * time.Millisecond, JoinJitter: 10 * time.Millisecond, ProbeEvery: 50 * time.Millisecond,
 		SlowStart: 10 * time.Millisecond, DrainAtLeast: 300 * time.Millisecond,
 	}
-	pc := proxy.Config{Backend: mn.backends, Connections: 130}
+	pc := proxy.Config{Backend: mn.backends, Connections: 130, SilenceAfter: 100 * time.Millisecond}
 	if m.tweak != nil {
 		m.tweak(&cc, &pc)
 	}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -20,14 +20,15 @@
 		p.fail(w, http.StatusBadRequest, retry.NotRun, err.Error())
 		return
 	}
+	body, err := newRequestBody(w, r, p.cfg.MaxBodyBytes)
+	if err != nil {
+		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), h.budget)
 	defer cancel()
-	limitUpload(w, r, h.budget)
-	body, length := r.Body, r.ContentLength
-	if length == 0 {
-		body = nil
-	}
-	resp, err := p.runLocal(ctx, r, body, length, h)
+	body.limitUpload(h.budget)
+	resp, err := p.runLocal(ctx, r, body, h)
 	if err != nil {
 		failed := asAttemptError(err)
 		if failed.outcome == retry.Ran {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -17,6 +17,7 @@
 // closed by the client side first, so that no request meets a closing one.
 const (
 	readHeaderTimeout = 10 * time.Second
+	shortBodyTimeout  = 10 * time.Second
 	maxTransfer       = config.MaxTimeout + 10*time.Second // of one request or answer
 	serverIdleTimeout = 180 * time.Second
 	clientIdleTimeout = 60 * time.Second
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -17,7 +17,7 @@
 
 // runLocal waits for admission, then sends the request to the own backend
 // server. The attempt counts as running until the answer has been read whole.
-func (p *Proxy) runLocal(ctx context.Context, r *http.Request, body io.ReadCloser, length int64, h hopHeader) (*http.Response, error) {
+func (p *Proxy) runLocal(ctx context.Context, r *http.Request, body *requestBody, h hopHeader) (*http.Response, error) {
 	if p.broken.attemptsUnnamed {
 		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
 	}
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	started := time.Now()
-	out := outgoing(ctx, r, p.cfg.Backend, body, length)
+	out := outgoing(ctx, r, p.cfg.Backend, body)
 	out.Header[HeaderDepth] = []string{strconv.Itoa(h.depth)}
 	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
 	resp, err := p.roundTrip(p.backend, out)
--- a/proxy/outgoing.go
+++ b/proxy/outgoing.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 )
 
 // outgoing returns the request as it is sent to the next hop. Method, path,
 // query, host and end-to-end headers are the caller's.
-func outgoing(ctx context.Context, r *http.Request, host string, body io.ReadCloser, length int64) *http.Request {
+func outgoing(ctx context.Context, r *http.Request, host string, body *requestBody) *http.Request {
 	out := &http.Request{
 		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{
 			Scheme: "http", Host: host, Path: r.URL.Path, RawPath: r.URL.RawPath,
 			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
-		Header: make(http.Header, len(r.Header)+4), Body: body, ContentLength: length, Trailer: r.Trailer,
+		Header: make(http.Header, len(r.Header)+4), Body: body.open(), ContentLength: body.declared(), Trailer: r.Trailer,
 	}
 	copyHeader(out.Header, r.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -105,11 +105,15 @@
 // Hops serves the listener for other nodes.
 func (p *Proxy) Hops() http.Handler { return engine(p.serveHop) }
 
-// engine lets gin serve every path by one handler.
+// engine lets gin serve every path by one handler. WriteHeaderNow keeps gin
+// from adding a page of its own to an answer 404 without a body.
 func engine(h func(http.ResponseWriter, *http.Request)) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
-	e.NoRoute(func(c *gin.Context) { h(c.Writer, c.Request) })
+	e.NoRoute(func(c *gin.Context) {
+		h(c.Writer, c.Request)
+		c.Writer.WriteHeaderNow()
+	})
 	return e
 }
 
