--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -31,6 +31,7 @@
 type meshNode struct {
 	name     string
 	node     *node.Node
+	arrivals *arrivals
 	proxy    *proxy.Proxy
 	backend  *sample.Backend // nil: none stands beside it
 	callers  string
@@ -116,7 +117,8 @@
 	}
 	cc = cc.WithDefaults()
 	mn.node = node.New(cc, node.SystemClock{}, m.store, &prober{address: mn.backends}, eventlog.Nop())
-	mn.proxy = proxy.New(pc, mn.node, metrics.NewRegistry())
+	mn.arrivals = &arrivals{Node: mn.node}
+	mn.proxy = proxy.New(pc, mn.arrivals, metrics.NewRegistry())
 	transport := peer.NewTransport(peer.Config{}, mn.node)
 	callerServer, hopServer := proxy.NewServer(mn.proxy.Callers()), proxy.NewServer(mn.proxy.Hops())
 	go func() { _ = callerServer.Serve(callers) }()
--- a/proxy/history_test.go
+++ b/proxy/history_test.go
@@ -25,7 +25,7 @@
 // request is one call of a history, and how it ended for the caller.
 type request struct {
 	id, method, path string
-	entry            int
+	entry            string // address
 	body             []byte
 	once             bool // it may run at most once
 	leaves           bool // the caller goes when the backend server has it
@@ -40,8 +40,8 @@
 }
 
 // draw returns the next request of a seeded history.
-func draw(rng *rand.Rand, m *mesh, id string) *request {
-	q := &request{id: id, entry: rng.IntN(len(m.nodes)), method: "GET", path: "/"}
+func draw(rng *rand.Rand, entries []string, id string) *request {
+	q := &request{id: id, entry: entries[rng.IntN(len(entries))], method: "GET", path: "/"}
 	if rng.IntN(2) == 0 {
 		q.method = "POST"
 		q.body = bytes.Repeat([]byte{byte('a' + rng.IntN(26))}, []int{0, 10, 1000, 100 << 10}[rng.IntN(4)])
@@ -86,7 +86,7 @@
 	defer cancel()
 	// The body is of a type that the client can't rewind: it must not send a
 	// request again by itself.
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+m.nodes[q.entry].callers+q.path,
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+q.entry+q.path,
 		io.MultiReader(bytes.NewReader(q.body)))
 	m.must(err)
 	req.ContentLength, req.TransferEncoding = int64(len(q.body)), []string{"identity"}
@@ -118,6 +118,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var all []*request
+	entries := m.entries()
 	for i := range callers {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
 		wg.Go(func() {
@@ -126,7 +127,7 @@
 					disturb(step)
 				}
 				mu.Lock()
-				q := draw(rng, m, fmt.Sprintf("c%d-%d", i, step))
+				q := draw(rng, entries, fmt.Sprintf("c%d-%d", i, step))
 				all = append(all, q)
 				mu.Unlock()
 				m.send(q)
@@ -138,6 +139,15 @@
 	return all
 }
 
+// entries returns the addresses of all nodes for callers.
+func (m *mesh) entries() []string {
+	var out []string
+	for _, n := range m.nodes {
+		out = append(out, n.callers)
+	}
+	return out
+}
+
 // quiet waits until nothing is under way: what may yet run has run.
 func (m *mesh) quiet() {
 	for _, n := range m.nodes {
--- /dev/null
+++ b/proxy/leaving_test.go
@@ -0,0 +1,153 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/load"
+	"github.com/agatekeel/agatekeel/node"
+)
+
+// arrivals is a node that notes when the last attempt reached it.
+type arrivals struct {
+	*node.Node
+	last  atomic.Int64 // Unix nanoseconds
+	count atomic.Int64
+}
+
+// Step implements proxy.Decider.
+func (a *arrivals) Step(e core.Event) {
+	if _, ok := e.(core.AttemptArrived); ok {
+		a.last.Store(time.Now().UnixNano())
+		a.count.Add(1)
+	}
+	a.Node.Step(e)
+}
+
+// callers lets n callers send requests by node 0 until the returned function
+// is called, which returns all of them.
+func (m *mesh) callers(n int) func() []*request {
+	var wg sync.WaitGroup
+	var stop atomic.Bool
+	all := make([][]*request, n)
+	entry := m.entries()[:1]
+	for i := range n {
+		rng := rand.New(rand.NewPCG(7, uint64(i)))
+		wg.Go(func() {
+			for step := 0; !stop.Load(); step++ {
+				q := draw(rng, entry, fmt.Sprintf("c%d-%d", i, step))
+				q.leaves = false
+				all[i] = append(all[i], q)
+				m.send(q)
+			}
+		})
+	}
+	return func() []*request {
+		stop.Store(true)
+		wg.Wait()
+		m.quiet()
+		var out []*request
+		for _, qs := range all {
+			out = append(out, qs...)
+		}
+		return out
+	}
+}
+
+func slowly(*http.Request) sample.Fault { return sample.Fault{Delay: 2 * time.Millisecond} }
+
+func failures(all []*request) []string {
+	var out []string
+	for _, q := range all {
+		if q.err != nil || q.status != http.StatusOK {
+			out = append(out, fmt.Sprintf("%s %s %s: status %d, outcome %q, error %v: %s", q.id, q.method, q.path, q.status, q.outcome, q.err, q.answer))
+		}
+	}
+	return out
+}
+
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders", "orders", "orders")
+	for _, n := range m.nodes[1:] {
+		n.backend.SetFault(slowly)
+	}
+	stop := m.callers(8)
+	for i, n := range m.nodes[1:] {
+		n.node.Step(core.Stop{})
+		<-n.node.Drained()
+		n.end()
+		m.start(n.name, "orders", uint64(100+i)).backend.SetFault(slowly)
+		m.settled()
+	}
+	all := stop()
+	is.Equal(failures(all), nil)
+	is.Equal(violations(all, m.runs), nil)
+	is.True(len(all) > 100)
+}
+
+// Cutting a node off without draining must show in the same check.
+func TestRestartCheckCanFail(t *testing.T) {
+	m := newMesh(t, nil, "", "orders", "orders")
+	m.nodes[1].backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
+	stop := m.callers(8)
+	m.eventually("requests are under way", func() bool { return m.nodes[1].node.Dump().Backend.Running > 0 })
+	m.nodes[1].end()
+	if all := stop(); len(failures(all)) == 0 {
+		t.Fatal("a node ended amid requests, and none of them failed")
+	}
+}
+
+// BenchmarkLeaving measures the time until the last new request reaches a
+// node whose backend server drains, and one whose backend server crashed.
+// Run it with -benchtime 1x.
+func BenchmarkLeaving(b *testing.B) {
+	for _, how := range []string{"drain", "crash"} {
+		b.Run(how, func(b *testing.B) {
+			for range b.N {
+				leaving(b, how == "crash")
+			}
+		})
+	}
+}
+
+func leaving(b *testing.B, crash bool) {
+	m := newMesh(b, manySlots, "", "orders", "orders", "orders")
+	reports := make(chan *load.Report, 1)
+	go func() {
+		report, err := load.Run(context.Background(), load.Config{
+			Targets: []string{"http://" + m.nodes[0].callers}, Rate: 2000, Duration: 3 * time.Second,
+			Timeout: 10 * time.Second, InFlight: 256,
+			Requests: []load.Request{{Class: "get", Method: "GET", Path: "/x"}, {Class: "post", Method: "POST", Path: "/x", Body: []byte("x")}},
+		})
+		if err != nil {
+			b.Error(err)
+		}
+		reports <- report
+	}()
+	time.Sleep(time.Second)
+	n := m.nodes[1]
+	began, before := time.Now(), n.arrivals.count.Load()
+	if crash {
+		n.backend.Close()
+	} else {
+		n.node.Step(core.Stop{})
+	}
+	report := <-reports
+	last := time.Duration(max(n.arrivals.last.Load()-began.UnixNano(), 0))
+	b.ReportMetric(float64(last.Microseconds())/1000, "last-ms")
+	b.ReportMetric(float64(n.arrivals.count.Load()-before), "arrived-after")
+	b.ReportMetric(report.ErrorShare*float64(report.Requests), "failed")
+	b.ReportMetric(float64(report.Requests), "requests")
+	b.ReportMetric(0, "ns/op")
+}
--- /dev/null
+++ b/proxy/path_test.go
@@ -0,0 +1,202 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// crashAt ends the backend server beside a node.
+func crashAt(name string, m *mesh) {
+	for _, n := range m.nodes {
+		if n.name == name {
+			n.backend.Close()
+		}
+	}
+}
+
+// A body that was not read beyond what is kept is sent again after a refusal;
+// one that was is not, and the refusal is told.
+func TestBodyIsRepeatedAfterARefusal(t *testing.T) {
+	for _, size := range []int{0, 100, 64 << 10, 1 << 20} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.ProbeEvery = time.Hour }, "", "orders", "orders")
+			crashAt("n1", m) // its node still counts it as serving
+			body := bytes.Repeat([]byte("b"), size)
+			for range 8 {
+				q := &request{id: m.id(), entry: m.nodes[0].callers, method: "POST", path: "/", body: body, once: true}
+				m.send(q)
+				is.NoErr(q.err)
+				runs := m.runs.Of(q.id)
+				if q.status == http.StatusOK {
+					is.Equal(len(runs), 1)
+					continue
+				}
+				is.True(size > 64<<10) // a short body is always sent again
+				is.Equal(q.outcome, "not-run")
+				is.Equal(len(runs), 0)
+			}
+		})
+	}
+}
+
+func TestLargeBodiesStreamBothWays(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	id := m.id()
+	pr, pw := io.Pipe()
+	go func() {
+		for range 64 {
+			_, _ = pw.Write(bytes.Repeat([]byte("u"), 64<<10))
+		}
+		_ = pw.Close()
+	}()
+	req, err := http.NewRequest("POST", "http://"+m.nodes[0].callers+"/?chunked=true&answerBytes=4000000", pr)
+	is.NoErr(err)
+	req.Header.Set(sample.HeaderID, id)
+	resp, err := m.client.Do(req)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.ContentLength, int64(-1))
+	data, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.True(len(data) > 4000000)
+	is.True(bytes.Contains(data, []byte(`"bytes":4194304`)))
+	is.Equal(len(m.runs.Of(id)), 1)
+}
+
+func TestBodyOverTheLimitIsRefused(t *testing.T) {
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.MaxBodyBytes = 100 << 10 }, "", "orders")
+	for _, declared := range []bool{true, false} {
+		t.Run(fmt.Sprint("declared ", declared), func(t *testing.T) {
+			is := is.New(t)
+			id := m.id()
+			var body io.Reader = bytes.NewReader(make([]byte, 200<<10))
+			if !declared {
+				body = io.MultiReader(body)
+			}
+			req, err := http.NewRequest("POST", "http://"+m.nodes[0].callers+"/", body)
+			is.NoErr(err)
+			req.Header.Set(sample.HeaderID, id)
+			resp, err := m.client.Do(req)
+			is.NoErr(err)
+			_ = resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+			is.Equal(len(m.runs.Of(id)), 0)
+		})
+	}
+}
+
+func TestDeadlineIsCarriedToTheBackendServer(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	id := m.id()
+	_, _, err := m.do(0, "GET", "/", "", "Agatekeel-Timeout-Millis", "1500", sample.HeaderID, id)
+	is.NoErr(err)
+	left, err := strconv.Atoi(m.runs.Of(id)[0].Header.Get(proxy.HeaderTimeout))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 1500+100)
+}
+
+// What waits for a slot past its deadline is told as not-run, and does not run.
+func TestDeadlineInTheQueueIsNotRun(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.Slots = 1 }, "", "orders")
+	m.nodes[1].backend.SetFault(func(r *http.Request) sample.Fault {
+		return sample.Fault{HangAfter: r.URL.Path == "/once"}
+	})
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		_, _, _ = m.do(0, "POST", "/once", "x")
+	}()
+	m.eventually("the slot is taken", func() bool { return m.nodes[1].node.Dump().Backend.Running == 1 })
+	id := m.id()
+	resp, _, err := m.do(0, "POST", "/", "x", "Agatekeel-Timeout-Millis", "50", sample.HeaderID, id)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(proxy.HeaderOutcome), "not-run")
+	m.quiet()
+	<-stop
+	is.Equal(len(m.runs.Of(id)), 0)
+}
+
+func TestCallerWhoLeavesFreesSlotAndQueue(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.Slots = 1 }, "", "orders")
+	m.nodes[1].backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
+	ctx, leave := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+m.nodes[0].callers+"/once", strings.NewReader("x"))
+			m.must(err)
+			if resp, err := m.client.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	m.eventually("one runs and two wait", func() bool {
+		d := m.nodes[1].node.Dump()
+		return d.Backend.Running == 1 && d.Backend.Waiting == 2
+	})
+	leave()
+	wg.Wait()
+	m.eventually("slot and queue are free", func() bool {
+		d := m.nodes[1].node.Dump()
+		return d.Backend.Running == 0 && d.Backend.Waiting == 0
+	})
+	is.Equal(m.nodes[1].backend.Ran(), int64(1)) // those that waited were dropped unrun
+}
+
+// Beyond the limit of connections to a backend server, requests wait for one
+// of them, and are told as not-run when they get none in time.
+func TestConnectionsToTheBackendServerAreLimited(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, func(c *core.Config, p *proxy.Config) { c.Slots, p.Connections = 100, 2 }, "", "orders")
+	m.nodes[1].backend.SetFault(func(r *http.Request) sample.Fault {
+		return sample.Fault{HangAfter: r.URL.Path == "/once"}
+	})
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { _, _, _ = m.do(0, "POST", "/once", "x") })
+	}
+	m.eventually("both connections are taken", func() bool { return m.nodes[1].backend.Ran() == 2 })
+	id := m.id()
+	resp, _, err := m.do(0, "POST", "/", "x", "Agatekeel-Timeout-Millis", "50", sample.HeaderID, id)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(proxy.HeaderOutcome), "not-run")
+	m.nodes[1].backend.Release()
+	wg.Wait()
+	resp, _, err = m.do(0, "POST", "/", "x", sample.HeaderID, id)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(m.runs.Of(id)), 1)
+}
+
+// A backend server that passes the depth header on is told as upstream, and
+// the depth grows by one with each call.
+func TestDepthOfCallsIsCarried(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	for depth, want := range map[string]string{"": "1", "3": "4", "junk": "1"} {
+		id := m.id()
+		_, _, err := m.do(0, "GET", "/", "", proxy.HeaderDepth, depth, sample.HeaderID, id)
+		is.NoErr(err)
+		is.Equal(m.runs.Of(id)[0].Header.Get(proxy.HeaderDepth), want)
+	}
+}
