--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,7 +15,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
 	defer cancel()
 	c.body.limitUpload(f.Budget + hopGrace)
-	resp, err := c.send(ctx, f)
+	resp, err := c.send(ctx, cancel, f)
 	if err == nil {
 		c.answer(resp, f)
 		return
@@ -71,46 +71,39 @@
 }
 
 // send sends an attempt to the backend server's node, or straight to the own
-// backend server.
-func (c *call) send(ctx context.Context, f core.Forward) (*http.Response, error) {
+// backend server. cancel ends ctx.
+func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	h := hopHeader{
 		attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
 	}
 	if f.Local {
 		return c.proxy.runLocal(ctx, c.r, c.body, h)
 	}
-	return c.sendHop(ctx, f, h)
+	return c.sendHop(ctx, cancel, f, h)
 }
 
-func (c *call) sendHop(ctx context.Context, f core.Forward, h hopHeader) (*http.Response, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	out := outgoing(ctx, c.r, f.Hop, c.body)
+func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
+	out := outgoing(c.r, f.Hop, c.body)
 	h.write(out.Header)
 	watch := c.proxy.watchSilence(f, cancel)
-	resp, err := c.proxy.roundTrip(c.proxy.hop, out)
-	watch.stop()
-	if err != nil {
-		defer cancel(nil)
-		return nil, hopError(ctx, f, err)
+	resp, err := c.proxy.roundTrip(ctx, c.proxy.hop, out)
+	silent := watch.stop()
+	switch {
+	case err != nil && silent != nil:
+		return nil, silent
+	case err != nil:
+		failed := asAttemptError(err)
+		return nil, &attemptError{
+			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
+		}
 	}
 	if told := resp.Header.Get(HeaderOutcome); told != "" {
-		defer cancel(nil)
 		defer func() { _ = resp.Body.Close() }()
 		return nil, toldError(f, told, resp)
 	}
-	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(bool) { cancel(nil) }}
 	return resp, nil
 }
 
-// hopError returns why a hop gave no answer.
-func hopError(ctx context.Context, f core.Forward, err error) *attemptError {
-	if silent, ok := context.Cause(ctx).(*attemptError); ok {
-		return silent
-	}
-	failed := asAttemptError(err)
-	return &attemptError{outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err)}
-}
-
 // toldError returns what the receiving node says about an attempt.
 func toldError(f core.Forward, told string, resp *http.Response) *attemptError {
 	e := &attemptError{outcome: retry.Unknown, told: true, reason: resp.Header.Get(HeaderReason)}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -56,7 +56,7 @@
 
 // roundTrip sends one request. When it fails, its attemptError says NotRun
 // only if not one byte of the request was written.
-func (p *Proxy) roundTrip(t *http.Transport, out *http.Request) (*http.Response, error) {
+func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request) (*http.Response, error) {
 	var conn *trackedConn
 	var before int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -66,7 +66,7 @@
 	if !p.broken.transportReplays {
 		preventReplay(out)
 	}
-	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(out.Context(), trace)))
+	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return resp, nil
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -32,10 +32,10 @@
 		return nil, err
 	}
 	started := time.Now()
-	out := outgoing(ctx, r, p.cfg.Backend, body)
+	out := outgoing(r, p.cfg.Backend, body)
 	out.Header[HeaderDepth] = []string{strconv.Itoa(h.depth)}
 	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
-	resp, err := p.roundTrip(p.backend, out)
+	resp, err := p.roundTrip(ctx, p.backend, out)
 	done := core.AttemptDone{Attempt: h.attempt}
 	end := func() {
 		done.Took = time.Since(started)
--- a/proxy/outgoing.go
+++ b/proxy/outgoing.go
@@ -1,14 +1,13 @@
 package proxy
 
 import (
-	"context"
 	"net/http"
 	"net/url"
 )
 
 // outgoing returns the request as it is sent to the next hop. Method, path,
 // query, host and end-to-end headers are the caller's.
-func outgoing(ctx context.Context, r *http.Request, host string, body *requestBody) *http.Request {
+func outgoing(r *http.Request, host string, body *requestBody) *http.Request {
 	out := &http.Request{
 		Method: r.Method, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{
@@ -21,5 +20,5 @@
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = []string{""} // else the transport adds its own
 	}
-	return out.WithContext(ctx)
+	return out
 }
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -91,19 +91,20 @@
 type silenceWatch struct {
 	proxy   *Proxy
 	forward core.Forward
-	cancel  context.CancelCauseFunc
+	cancel  context.CancelFunc // ends the attempt
 
 	mu      sync.Mutex // guards all below
 	timer   *time.Timer
-	ended   bool // the answer is there, or the attempt failed
-	unknown int  // questions in a row to which the attempt was neither open nor refused
+	ended   bool          // the answer is there, or the attempt failed
+	found   *attemptError // why it was ended
+	unknown int           // questions in a row to which the attempt was neither open nor refused
 }
 
 // lostAnswers is the number of such questions after which an answer counts as
 // lost; one may cross with the answer.
 const lostAnswers = 2
 
-func (p *Proxy) watchSilence(f core.Forward, cancel context.CancelCauseFunc) *silenceWatch {
+func (p *Proxy) watchSilence(f core.Forward, cancel context.CancelFunc) *silenceWatch {
 	s := &silenceWatch{proxy: p, forward: f, cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,11 +112,13 @@
 	return s
 }
 
-func (s *silenceWatch) stop() {
+// stop ends the watch and returns why it ended the attempt, if it did.
+func (s *silenceWatch) stop() *attemptError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
 	s.timer.Stop()
+	return s.found
 }
 
 // check asks once, and again later unless the matter is settled.
@@ -147,7 +150,7 @@
 // give ends the attempt. Idle connections may be silent as well, so none of
 // them is used again.
 func (s *silenceWatch) give(e *attemptError) {
-	s.ended = true
-	s.cancel(e)
+	s.ended, s.found = true, e
+	s.cancel()
 	s.proxy.hop.CloseIdleConnections()
 }
