--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -53,6 +53,7 @@
 	queue   queue
 	order   uint64
 	cut     map[[2]string]bool
+	deaf    map[[2]string]bool
 	watches []*watch
 }
 
@@ -67,6 +68,7 @@
 
 	mesh   *Mesh
 	paused time.Time
+	held   []func() // what came during a pause, in order
 	links  map[core.LinkID]*end
 	last   core.LinkID
 }
@@ -97,7 +99,7 @@
 		Faults: Faults{
 			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
 		},
-		nodes: map[string]*Node{}, cut: map[[2]string]bool{},
+		nodes: map[string]*Node{}, cut: map[[2]string]bool{}, deaf: map[[2]string]bool{},
 	}
 }
 
@@ -152,18 +154,39 @@
 }
 
 // Pause stops a node for a time; what comes for it is handed over afterwards.
-func (m *Mesh) Pause(name string, d time.Duration) { m.nodes[name].paused = m.Now.Add(d) }
+func (m *Mesh) Pause(name string, d time.Duration) {
+	n := m.nodes[name]
+	n.paused = m.Now.Add(d)
+	m.After(d, func() { m.wake(n) })
+}
+
+// wake hands over what came during a pause that is over.
+func (m *Mesh) wake(n *Node) {
+	if m.Now.Before(n.paused) {
+		return
+	}
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
 
 // Cut silences all traffic between two nodes: open links lose what is sent,
 // new ones fail. Nobody is told.
 func (m *Mesh) Cut(a, b string) { m.cut[pair(a, b)] = true }
 
+// Deafen loses the messages of links between two nodes in silence, while
+// requests still pass.
+func (m *Mesh) Deafen(a, b string) { m.deaf[pair(a, b)] = true }
+
 // Heal ends all cuts, pauses and faults. Delays stay.
 func (m *Mesh) Heal() {
-	m.cut = map[[2]string]bool{}
+	m.cut, m.deaf = map[[2]string]bool{}, map[[2]string]bool{}
 	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
-	for _, n := range m.nodes {
+	for _, n := range m.Nodes() {
 		n.paused = time.Time{}
+		m.wake(n)
 	}
 }
 
@@ -228,7 +251,7 @@
 		return
 	}
 	if m.Now.Before(n.paused) {
-		m.After(n.paused.Sub(m.Now), func() { m.step(n, life, e) })
+		n.held = append(n.held, func() { m.step(n, life, e) })
 		return
 	}
 	effects := slices.Clone(n.State.Reduce(m.Now, e))
@@ -322,7 +345,7 @@
 		}
 		p.next = at
 		m.After(at.Sub(m.Now), func() {
-			if !p.closed && !m.cut[pair(n.Name, p.node.Name)] {
+			if between := pair(n.Name, p.node.Name); !p.closed && !m.cut[between] && !m.deaf[between] {
 				m.step(p.node, p.life, core.LinkMessage{Link: p.id, Message: e.Message})
 			}
 		})
@@ -458,6 +481,8 @@
 		done.Err = core.StoreTooLarge
 	case errors.Is(err, platform.ErrCompacted):
 		done.Err = core.StoreCompacted
+	case errors.Is(err, platform.ErrThrottled):
+		done.Err = core.StoreThrottled
 	default:
 		done.Err = core.StoreFailed
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -7,7 +7,6 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/config"
-	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -18,13 +17,21 @@
 // requests holds the calls that entered at this node.
 type requests struct {
 	balancer    *balance.Balancer
+	groups      map[string]*group // by service
 	budget      *retry.Budget
 	calls       map[CallID]*call
+	free        []*call // to be used again
 	claims      claims
 	lastAttempt uint64
 	origin      uint64 // random number of this process, in every attempt ID
 }
 
+// group is the balancer's view of a service, built when the table had digest.
+type group struct {
+	peers  *balance.Group
+	digest uint64
+}
+
 // call is one caller's request on its way. It keeps the route it began with,
 // whatever configuration comes.
 type call struct {
@@ -35,16 +42,17 @@
 	repeats  bool
 	attempts int
 	tried    []string
-	target   string
+	target   *balance.Peer
 	attempt  AttemptID
-	unknown  bool // an earlier attempt may have run
+	sent     time.Time // the attempt
+	unknown  bool      // an earlier attempt may have run
 	key      idempotency.Key
 	claim    *claim // nil: the policy wants none
 }
 
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
-		balancer: b, calls: map[CallID]*call{},
+		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
 		budget: retry.NewBudget(retry.Config{Share: cfg.RetryShare, Reserve: retryReserve}),
 		claims: claims{tokens: claimBurst},
 		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
@@ -63,7 +71,7 @@
 }
 
 func (s *State) callArrived(e CallArrived) {
-	if ok, why := s.Ready(); !ok {
+	if ok, why := s.accepts(); !ok {
 		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why})
 		return
 	}
@@ -77,9 +85,10 @@
 		budget = min(budget, e.Budget)
 	}
 	s.requests.budget.Call()
-	c := &call{
+	c := s.newCall()
+	*c = call{
 		method: e.Method, route: route, class: classOf(route.Policy.Priority),
-		deadline: s.now.Add(budget), repeats: e.Repeats,
+		deadline: s.now.Add(budget), repeats: e.Repeats, tried: c.tried[:0],
 	}
 	s.requests.calls[e.Call] = c
 	scope := keyScope(e, route.Policy)
@@ -93,6 +102,19 @@
 	s.forward(e.Call, c)
 }
 
+// maxFreeCalls bounds the memory kept for calls to come.
+const maxFreeCalls = 1024
+
+func (s *State) newCall() *call {
+	free := s.requests.free
+	if len(free) == 0 {
+		return &call{}
+	}
+	c := free[len(free)-1]
+	s.requests.free = free[:len(free)-1]
+	return c
+}
+
 // keyScope returns where repeats of a call are recognized. A call that may
 // run more than once needs no key.
 func keyScope(e CallArrived, p *config.Policy) config.KeyScope {
@@ -104,36 +126,50 @@
 
 // choose returns the backend server for the next attempt of a call: the home
 // of its key if a node is to hold it, else the balancer's choice.
-func (s *State) choose(c *call) (*endpoint.Row, bool) {
-	rows := s.table.Serving(c.route.Service)
-	if c.key.IsZero() || c.claim != nil {
-		return s.requests.balancer.Pick(s.now, rows, c.tried)
+func (s *State) choose(c *call) (*balance.Peer, bool) {
+	g := s.group(c.route.Service)
+	if c.homeKey().IsZero() {
+		return s.requests.balancer.Pick(s.now, g, c.tried)
 	}
-	var home *endpoint.Row
+	var home *balance.Peer
 	best := uint64(0)
-	for _, r := range rows {
-		if w := c.key.Weight(r.ID); !slices.Contains(c.tried, r.ID) && (home == nil || w > best) {
-			home, best = r, w
+	for p := range g.All() {
+		if w := c.key.Weight(p.Row.ID); !slices.Contains(c.tried, p.Row.ID) && (home == nil || w > best) {
+			home, best = p, w
 		}
 	}
 	return home, home != nil
 }
 
+// group returns the endpoints of a service. It is built again only after the
+// table has changed.
+func (s *State) group(service string) *balance.Group {
+	g, ok := s.requests.groups[service]
+	if !ok {
+		g = &group{}
+		s.requests.groups[service] = g
+	}
+	if digest := s.table.Digest(); g.peers == nil || g.digest != digest {
+		g.peers, g.digest = s.requests.balancer.Group(g.peers, s.table.Serving(service)), digest
+	}
+	return g.peers
+}
+
 // forward sends the next attempt of a call.
 func (s *State) forward(id CallID, c *call) {
-	row, ok := s.choose(c)
+	p, ok := s.choose(c)
 	if !ok {
 		s.finish(id, retry.NotRun, "no backend server of service "+c.route.Service+" takes requests")
 		return
 	}
 	c.attempts++
-	c.target, c.tried = row.ID, append(c.tried, row.ID)
+	c.target, c.sent = p, s.now
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
-	s.requests.balancer.Sent(row.ID)
+	s.requests.balancer.Sent(p)
 	s.emit(Forward{
-		Call: id, Attempt: c.attempt, Target: row.ID, Incarnation: row.Incarnation, Hop: row.Hop, Local: row.ID == s.cfg.Node,
-		Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
+		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
+		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
 	})
 }
 
@@ -165,6 +201,9 @@
 	if c.claim != nil {
 		s.endClaim(id, c, o, status)
 	}
+	if len(s.requests.free) < maxFreeCalls {
+		s.requests.free = append(s.requests.free, c)
+	}
 }
 
 func (s *State) attemptEnded(e AttemptEnded) {
@@ -172,7 +211,12 @@
 	if !ok || c.attempt != e.Attempt {
 		return
 	}
-	s.requests.balancer.Done(s.now, c.target, balance.Result{Failed: e.Failed, Queue: e.Queue})
+	s.requests.balancer.Done(s.now, c.target, balance.Result{
+		Failed: e.Failed, Refused: e.Failed && e.Outcome == retry.NotRun, Queue: e.Queue, Took: c.took(s.now, e),
+	})
+	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife {
+		s.requests.balancer.Leaving(s.now, c.target) // the table here is behind
+	}
 	if e.Outcome == retry.Ran {
 		s.endCall(e.Call, c, retry.Ran, e.Status)
 		return
@@ -183,9 +227,18 @@
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
 	}
+	c.tried = append(c.tried, c.target.Row.ID)
 	s.forward(e.Call, c)
 }
 
+// took returns the time of an attempt that was answered, zero for another.
+func (c *call) took(now time.Time, e AttemptEnded) time.Duration {
+	if e.Outcome != retry.Ran {
+		return 0
+	}
+	return now.Sub(c.sent)
+}
+
 // tryAgain reports whether a call gets another attempt, and spends the budget
 // for it.
 func (s *State) tryAgain(c *call, e AttemptEnded) bool {
@@ -196,7 +249,18 @@
 	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing {
 		return false // only a home that is leaving hands its keys on
 	}
-	return c.attempts < c.route.Policy.MaxAttempts && s.now.Before(c.deadline) && s.requests.budget.Take()
+	if c.attempts >= c.route.Policy.MaxAttempts || !s.now.Before(c.deadline) {
+		return false
+	}
+	return s.fault.retryFreely || s.requests.budget.Take(e.Outcome)
+}
+
+// targetID returns the backend server of the last attempt, empty for none.
+func (c *call) targetID() string {
+	if c.target == nil {
+		return ""
+	}
+	return c.target.Row.ID
 }
 
 // callLeft ends a call whose caller is gone.
--- a/core/state.go
+++ b/core/state.go
@@ -40,6 +40,10 @@
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
 
+	SweepEvery time.Duration // time between collections of garbage in the platform
+	StatusKeep time.Duration // time for which the status of a settled submission is kept
+	faults     publisherFaults
+
 	QueueMaxWait  time.Duration // none waits longer for a slot
 	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
 	QueueInterval time.Duration
@@ -53,7 +57,7 @@
 func (c Config) WithDefaults() Config {
 	setDefault(&c.Slots, 6)
 	setDefault(&c.MaxQueue, 8*c.Slots)
-	setDefault(&c.Fanout, 16)
+	setDefault(&c.Fanout, 8)
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
@@ -67,12 +71,20 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.SweepEvery, 15*time.Minute)
+	setDefault(&c.StatusKeep, 24*time.Hour)
 	setDefault(&c.KeyKeep, 10*time.Minute)
 	setDefault(&c.ClaimKeep, 24*time.Hour)
 	setDefault(&c.ClaimsPerSecond, 5)
 	return c
 }
 
+func (c Config) balance() balance.Config {
+	b := balance.DefaultConfig(c.DataCentre)
+	b.SlowStart = c.SlowStart
+	return b
+}
+
 func (c Config) admission() admission.Config {
 	a := admission.DefaultConfig(c.Slots)
 	setDefault(&c.QueueMaxWait, a.MaxWait)
@@ -126,7 +138,7 @@
 	s.holder = newHolder()
 	s.publisher = newPublisher(cfg)
 	s.backend = newBackend(cfg)
-	s.requests = newRequests(cfg, balance.New(balance.DefaultConfig(cfg.DataCentre), rng))
+	s.requests = newRequests(cfg, balance.New(cfg.balance(), rng))
 	return s
 }
 
@@ -150,6 +162,8 @@
 		s.backendProbed(e)
 	case BackendLeaving:
 		s.beginDrain()
+	case BackendStays:
+		s.endLeaving()
 	case Stop:
 		s.stop()
 	case CallArrived:
@@ -230,6 +244,8 @@
 	Backend       DumpBackend      `json:"backend"`
 	Calls         int              `json:"calls"`
 	RetryTokens   float64          `json:"retryTokens"`
+
+	DumpRoles
 }
 
 // DumpLink is one link of a Dump.
@@ -265,6 +281,7 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
 	}
--- a/node/admin.go
+++ b/node/admin.go
@@ -11,6 +11,7 @@
 
 // admin serves health, metrics and the state dump.
 func admin(n *Node, r metrics.Registry) http.Handler {
+	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
 	e.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c *gin.Context) {
@@ -22,9 +23,10 @@
 	})
 	e.GET("/metrics", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
+		updateGauges(r, n.ProcessState())
 		metrics.WriteJSONOnce(r, c.Writer)
 	})
-	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.Dump()) })
+	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.ProcessState()) })
 	e.POST("/drain", func(c *gin.Context) {
 		n.Step(core.BackendLeaving{})
 		c.String(http.StatusAccepted, "draining\n")
--- a/node/node.go
+++ b/node/node.go
@@ -8,11 +8,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
+	"github.com/agatekeel/agatekeel/internal/build"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/platform"
 )
@@ -70,6 +73,7 @@
 	lastAccepted core.LinkID
 	calls        map[core.CallID]chan core.Effect
 	attempts     map[core.AttemptID]chan core.Effect
+	observer     *observer
 }
 
 // New returns a Node that is not running yet.
@@ -80,13 +84,15 @@
 		drained: make(chan struct{}), state: core.New(cfg),
 		open: map[core.LinkID]*peer.Link{}, lastAccepted: 1,
 		calls: map[core.CallID]chan core.Effect{}, attempts: map[core.AttemptID]chan core.Effect{},
+		observer: newObserver(metrics.NewRegistry(), log, clock),
 	}
 }
 
 // Start begins to run. links carries what the node says to others.
 func (n *Node) Start(links Links, tickEvery time.Duration) {
 	n.links = links
-	n.log.Write(notice.NodeStarted)
+	info := build.Read()
+	n.log.Write(notice.NodeStarted, core.Attr{Key: "version", Value: info.Version}, core.Attr{Key: "revision", Value: info.Revision})
 	ticks, stop := n.clock.Tick(tickEvery)
 	n.wg.Add(1)
 	go func() {
@@ -126,11 +132,17 @@
 	n.step(e)
 }
 
-func (n *Node) step(e core.Event) {
-	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+// step returns the effects that it carried out, valid until the next step. The
+// caller holds mu.
+func (n *Node) step(e core.Event) []core.Effect {
+	n.observer.event(e)
+	effects := n.state.Reduce(n.clock.Now(), e)
+	for _, effect := range effects {
+		n.observer.effect(effect)
 		n.carryOut(effect)
 	}
 	n.waiting.Store(int64(n.state.Waiting()))
+	return effects
 }
 
 // Dump returns the state for display.
@@ -173,6 +185,7 @@
 	case core.Log:
 		n.log.Write(e.Code, e.Attrs...)
 	case core.Drained:
+		n.log.Write(notice.NodeDrained)
 		close(n.drained)
 	default:
 		n.run(func() { n.callStore(effect) })
@@ -213,6 +226,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.calls, id)
+	n.observer.left(id)
 }
 
 // OpenAttempt implements proxy.Decider.
@@ -246,15 +260,12 @@
 func (n *Node) CancelAttempt(e core.AttemptCancelled) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	refused := false
-	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+	for _, effect := range n.step(e) {
 		if r, ok := effect.(core.Refuse); ok && r.Attempt == e.Attempt {
-			refused = r.Outcome == retry.NotRun
+			return r.Outcome == retry.NotRun
 		}
-		n.carryOut(effect)
 	}
-	n.waiting.Store(int64(n.state.Waiting()))
-	return refused
+	return false
 }
 
 // Waiting implements proxy.Decider.
@@ -290,6 +301,9 @@
 
 // Received implements peer.Handler.
 func (n *Node) Received(link any, m message.Message) {
+	if n.refused(link.(core.LinkID), m) {
+		return
+	}
 	n.Step(core.LinkMessage{Link: link.(core.LinkID), Message: m})
 }
 
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -39,11 +39,16 @@
 	return n
 }
 
-func newTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+// dialTCP is the DialFunc in the clear.
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func newTransport(dial DialFunc, connections int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -139,9 +139,8 @@
 	is := is.New(t)
 	m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.Slots = 1 }, "", "orders")
 	m.nodes[1].backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
-	ctx, leave := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for range 3 {
+	send := func(ctx context.Context) {
 		wg.Go(func() {
 			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+m.nodes[0].callers+"/once", strings.NewReader("x"))
 			m.must(err)
@@ -150,17 +149,25 @@
 			}
 		})
 	}
-	m.eventually("one runs and two wait", func() bool {
-		d := m.nodes[1].node.Dump()
-		return d.Backend.Running == 1 && d.Backend.Waiting == 2
-	})
-	leave()
+	load := func(running, waiting int) func() bool {
+		return func() bool {
+			d := m.nodes[1].node.Dump()
+			return d.Backend.Running == running && d.Backend.Waiting == waiting
+		}
+	}
+	first, leaveFirst := context.WithCancel(context.Background())
+	send(first)
+	m.eventually("one runs", load(1, 0))
+	rest, leaveRest := context.WithCancel(context.Background())
+	send(rest)
+	send(rest)
+	m.eventually("two wait", load(1, 2))
+	leaveRest()
+	m.eventually("the queue is free", load(1, 0))
+	leaveFirst()
+	m.eventually("the slot is free", load(0, 0))
 	wg.Wait()
-	m.eventually("slot and queue are free", func() bool {
-		d := m.nodes[1].node.Dump()
-		return d.Backend.Running == 0 && d.Backend.Waiting == 0
-	})
-	is.Equal(m.nodes[1].backend.Ran(), int64(1)) // those that waited were dropped unrun
+	is.Equal(m.nodes[1].backend.Ran(), int64(1)) // those that left while they waited did not run
 }
 
 // Beyond the limit of connections to a backend server, requests wait for one
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -5,6 +5,8 @@
 package proxy
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -42,12 +44,21 @@
 	MaxBodyBytes int64         // of a request
 	MaxDepth     int           // calls that backend servers of the mesh make for one another
 	SilenceAfter time.Duration // without an answer, the receiving node is asked about the attempt
+
+	// HopDial opens connections to other nodes; nil: TCP in the clear.
+	HopDial DialFunc
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 func (c Config) withDefaults() Config {
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if c.HopDial == nil {
+		c.HopDial = dialTCP
+	}
 	if c.MaxDepth == 0 {
 		c.MaxDepth = DefaultMaxDepth
 	}
@@ -84,9 +95,9 @@
 	cfg = cfg.withDefaults()
 	return &Proxy{
 		cfg: cfg, core: d,
-		backend: newTransport(cfg.Connections),
-		hop:     newTransport(0),
-		query:   newTransport(0),
+		backend: newTransport(dialTCP, cfg.Connections),
+		hop:     newTransport(cfg.HopDial, 0),
+		query:   newTransport(cfg.HopDial, 0),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
