--- a/core/admit.go
+++ b/core/admit.go
@@ -166,3 +166,10 @@
 	}
 	s.refuseAttempt(e.Attempt, admission.Cancelled, retry.NotRun)
 }
+
+// Waiting returns the number of attempts at the own backend server that have
+// no slot yet.
+func (s *State) Waiting() int {
+	_, waiting := s.backend.queue.Load()
+	return waiting
+}
