--- /dev/null
+++ b/core/balance/example_test.go
@@ -0,0 +1,33 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+)
+
+// A caller that keeps its own list of endpoints chooses one for each request
+// and says how it ended.
+func Example() {
+	now := time.Unix(1_700_000_000, 0)
+	b := balance.New(balance.DefaultConfig("north"), rand.New(rand.NewPCG(1, 2)))
+	rows := []*endpoint.Row{
+		{Entry: endpoint.Entry{ID: "orders-1", DataCentre: "north", Slots: 6, State: endpoint.Ready}},
+		{Entry: endpoint.Entry{ID: "orders-2", DataCentre: "north", Slots: 6, State: endpoint.Ready}},
+		{Entry: endpoint.Entry{ID: "orders-3", DataCentre: "south", Slots: 6, State: endpoint.Ready}},
+	}
+	group := b.Group(nil, rows) // again, with the old group, whenever rows change
+
+	first, _ := b.Pick(now, group, nil)
+	b.Sent(first)
+	b.Done(now, first, balance.Result{Failed: true, Refused: true, Queue: -1})
+
+	second, _ := b.Pick(now, group, []string{first.Row.ID})
+	b.Sent(second)
+	b.Done(now, second, balance.Result{Queue: 0, Took: 20 * time.Millisecond})
+	fmt.Println(first.Row.DataCentre, second.Row.DataCentre, first != second)
+	// Output: north north true
+}
--- /dev/null
+++ b/core/idempotency/example_test.go
@@ -0,0 +1,33 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// A server holds each key to one run and tells a repeat how the first ended.
+func Example() {
+	now := time.Unix(1_700_000_000, 0)
+	m := idempotency.NewMemory(idempotency.Config{Keep: time.Minute, MaxKeys: 1000})
+	key := idempotency.KeyOf("orders", "basket-17")
+	attempt := admission.ID{Origin: 1, Number: 1}
+
+	m.Begin(now, key, attempt)
+	first, used := m.First(key)
+	fmt.Println(used, first.Outcome)
+	m.End(attempt, idempotency.End{Outcome: retry.Ran, Status: 201})
+	first, used = m.First(key)
+	fmt.Println(used, first.Outcome, first.Status)
+
+	m.Expire(now.Add(time.Minute))
+	_, used = m.First(key)
+	fmt.Println(used)
+	// Output:
+	// true unknown
+	// true ran 201
+	// false
+}
--- /dev/null
+++ b/core/idempotency/idempotency_test.go
@@ -0,0 +1,76 @@
+package idempotency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+func TestParseKey(t *testing.T) {
+	is := is.New(t)
+	k := idempotency.KeyOf("orders", "1")
+	got, ok := idempotency.ParseKey(k.String())
+	is.True(ok)
+	is.Equal(got, k)
+	for _, bad := range []string{"", "zz", k.String() + "0", "g" + k.String()[1:]} {
+		_, ok := idempotency.ParseKey(bad)
+		is.True(!ok)
+	}
+	is.True(k != idempotency.KeyOf("order", "s1")) // the parts are kept apart
+}
+
+// TestHomeMovesOnlyItsOwnKeys takes one of ten homes away.
+func TestHomeMovesOnlyItsOwnKeys(t *testing.T) {
+	is := is.New(t)
+	home := func(k idempotency.Key, homes int) (best int) {
+		for i := range homes {
+			if k.Weight(fmt.Sprint("home", i)) > k.Weight(fmt.Sprint("home", best)) {
+				best = i
+			}
+		}
+		return best
+	}
+	held := make([]int, 10)
+	for i := range 10_000 {
+		k := idempotency.KeyOf("orders", fmt.Sprint(i))
+		before, after := home(k, 10), home(k, 9)
+		held[before]++
+		is.True(before == 9 || after == before)
+	}
+	for _, n := range held {
+		is.True(n > 800 && n < 1200) // keys spread evenly
+	}
+}
+
+func TestMemory(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := idempotency.NewMemory(idempotency.Config{Keep: time.Minute, MaxKeys: 2})
+	key, other := idempotency.KeyOf("s", "1"), idempotency.KeyOf("s", "2")
+	a, b := admission.ID{Number: 1}, admission.ID{Number: 2}
+
+	m.Begin(now, key, a)
+	m.End(a, idempotency.End{Outcome: retry.NotRun})
+	_, used := m.First(key)
+	is.True(!used) // what did not run gives its key free
+
+	later := now.Add(30 * time.Second)
+	m.Begin(later, key, b)
+	m.End(b, idempotency.End{Outcome: retry.Unknown})
+	m.Expire(now.Add(time.Minute)) // the time of the first hold
+	_, used = m.First(key)
+	is.True(used)
+
+	m.Begin(later, other, a)
+	is.True(m.Full())
+	m.Expire(later.Add(time.Hour))
+	_, used = m.First(other)
+	is.True(used) // under way, whatever the time
+	is.Equal(m.Len(), 1)
+}
--- /dev/null
+++ b/core/retry/example_test.go
@@ -0,0 +1,25 @@
+package retry_test
+
+import (
+	"fmt"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// A client asks two questions before it tries again: whether it may, and
+// whether the budget allows it.
+func Example() {
+	budget := retry.NewBudget(retry.Config{Share: 0.1, Reserve: 10})
+	budget.Call()
+
+	again := func(o retry.Outcome, idempotent bool) bool {
+		return retry.Allowed(o, idempotent, false) && budget.Take(o)
+	}
+	fmt.Println("order, not run:", again(retry.NotRun, false))
+	fmt.Println("order, unknown:", again(retry.Unknown, false))
+	fmt.Println("lookup, unknown:", again(retry.Unknown, true))
+	// Output:
+	// order, not run: true
+	// order, unknown: false
+	// lookup, unknown: true
+}
