Play hang, silence and restart at the same address, and keep more reruns in reserve

Cause: a node that died took more calls in flight along than the reserve of one rerun could send again; hang and silence had no run of their own.

Change: a quarter of the retry reserve may be reruns at once. The fake mesh knows a backend server that hangs and a host that is silent.

--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -64,6 +64,7 @@
 	Config  core.Config
 	Alive   bool
 	Backend bool // the backend server answers probes
+	Hung    bool // the backend server accepts, and answers nothing
 	Life    int  // counts starts
 
 	mesh   *Mesh
@@ -276,7 +277,7 @@
 		}
 	case core.ProbeBackend:
 		life := n.Life
-		m.After(time.Millisecond, func() { m.step(n, life, core.BackendProbed{OK: n.Backend, Refused: !n.Backend}) })
+		m.After(time.Millisecond, func() { m.step(n, life, core.BackendProbed{OK: n.Backend && !n.Hung, Refused: !n.Backend}) })
 	case core.StoreGet, core.StoreList, core.StorePut, core.StoreDelete, core.StoreWatch:
 		life := n.Life
 		m.After(m.random(m.Faults.PlatformDelay), func() { m.callStore(n, life, effect) })
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -72,6 +72,9 @@
 	Sent func(f core.Forward)
 	// Queue, if set, replaces the queue that an answer tells.
 	Queue func(node string, told int) int
+	// Silent names a node whose requests, and the answers to them, are lost
+	// without a word.
+	Silent string
 
 	Calls []*Call
 
@@ -194,7 +197,9 @@
 		})
 		return
 	}
-	t.after(func() { t.arrive(a) })
+	if f.Hop != t.Silent {
+		t.after(func() { t.arrive(a) })
+	}
 	life := target.Life
 	t.mesh.After(f.Budget, func() { t.timeout(a) })
 	t.watchLife(a, target, life)
@@ -244,7 +249,8 @@
 
 // end tells an entry node how an attempt ended, the first time.
 func (t *Traffic) end(a *attempt, e core.AttemptEnded) {
-	if a.ended {
+	lost := a.forward.Hop == t.Silent && !a.forward.Local && e.Outcome != retry.Unknown
+	if a.ended || lost {
 		return
 	}
 	a.ended = true
@@ -279,9 +285,11 @@
 	if t.Nested != nil && t.Nested(n.Name, a.call, done) {
 		return
 	}
-	if took := t.Serve(n.Name, a.call); took >= 0 {
+	if took := t.Serve(n.Name, a.call); took >= 0 && !n.Hung {
 		t.mesh.After(took, func() { done(true) })
+		return
 	}
+	t.mesh.After(a.forward.Budget, func() { done(false) }) // the node gives up at the deadline
 }
 
 // ran ends a run. Without an answer the entry node sees a broken connection.
--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -39,13 +39,17 @@
 
 // look reads every node's readiness twice a second, as a load balancer does.
 func (s *steadyMesh) look() {
+	s.readReady()
+	s.After(500*time.Millisecond, s.look)
+}
+
+func (s *steadyMesh) readReady() {
 	s.ready = nil
 	for _, n := range s.Nodes() {
-		if ok, _ := n.State.Ready(); ok && n.Alive {
+		if ok, _ := n.State.Ready(); ok && n.Alive && n.Name != s.traffic.Silent {
 			s.ready = append(s.ready, n.Name)
 		}
 	}
-	s.After(500*time.Millisecond, s.look)
 }
 
 func (s *steadyMesh) load() {
@@ -77,6 +81,13 @@
 	return bad
 }
 
+// deafen loses all that links carry to and from a node.
+func (s *steadyMesh) deafen(node string) {
+	for _, n := range s.Nodes() {
+		s.Deafen(node, n.Name)
+	}
+}
+
 // failedSince counts the failed calls that came after a time into nodes that
 // live.
 func (s *steadyMesh) failedSince(at time.Time) (n int) {
@@ -145,22 +156,27 @@
 	}{
 		{name: "stop of the node", leave: func(s *steadyMesh) { s.Step("a2", core.Stop{}) }, limit: 3 * time.Second},
 		{name: "the backend server's own word", leave: func(s *steadyMesh) { s.Step("a2", core.BackendLeaving{}) }, limit: 3 * time.Second},
+		{name: "hang of the backend server", leave: func(s *steadyMesh) { s.Node("a2").Hung = true }, limit: 4 * time.Second},
+		{
+			name: "silence of the host", limit: 5 * time.Second,
+			leave: func(s *steadyMesh) {
+				s.deafen("a2")
+				s.traffic.Silent = "a2"
+				s.readReady()
+			},
+		},
 		{name: "crash of the host", leave: func(s *steadyMesh) { s.Crash("a2") }, limit: 3 * time.Second},
 		{
 			name: "own word, and the links that would tell it are silent", limit: 3 * time.Second,
 			leave: func(s *steadyMesh) {
-				for _, n := range s.Nodes() {
-					s.Deafen("a2", n.Name)
-				}
+				s.deafen("a2")
 				s.Step("a2", core.BackendLeaving{})
 			},
 		},
 		{
 			name: "the same, and it goes on serving", limit: 3 * time.Second, fault: core.ServeLeaving, red: true,
 			leave: func(s *steadyMesh) {
-				for _, n := range s.Nodes() {
-					s.Deafen("a2", n.Name)
-				}
+				s.deafen("a2")
 				s.Step("a2", core.BackendLeaving{})
 			},
 		},
@@ -187,6 +203,20 @@
 	}
 }
 
+// TestRestartAtTheSameAddress lets a host crash and come back at once, while
+// other nodes still send what was meant for its earlier life.
+func TestRestartAtTheSameAddress(t *testing.T) {
+	is := is.New(t)
+	s := newSteadyMesh(t, 2, 20*time.Millisecond)
+	s.Run(2 * time.Second)
+	left := s.Now
+	s.Restart("a2")
+	s.Run(30 * time.Second)
+	t.Logf("%d failed, %d of them came later", len(s.failed()), s.failedSince(left))
+	is.NoErr(checkTruth(s.traffic.Calls))
+	is.True(s.Now.Sub(s.lastRun("a2")) < time.Second) // its new life serves
+}
+
 // TestBackendComesBack covers the ways back into service after a leave.
 func TestBackendComesBack(t *testing.T) {
 	tests := []struct {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -52,7 +52,11 @@
 	return &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.rerunReserve()}
 }
 
-func (c Config) rerunReserve() float64 { return max(c.Reserve*rerunShare, 1) }
+// rerunReserveShare is the part of the reserve that reruns may spend at once: a
+// few calls in flight to one node that dies.
+const rerunReserveShare = 0.25
+
+func (c Config) rerunReserve() float64 { return max(c.Reserve*rerunReserveShare, 1) }
 
 // Call counts a call, which earns a share of a retry.
 func (b *Budget) Call() {
