Leave alone a backend server of which nothing is heard

Cause: requests in flight to a hung or silent backend server counted as a few requests, and of few endpoints both candidates were often the same one, so it went on being chosen until the first deadline.

Change: the time that requests in flight have waited since anything was heard multiplies the load, once it is five times an answer of the group; the two candidates are never the same.

Tests changed: the check of the rolling restart had its long calls on one method that is sent again, so that a drain that cuts them off could go unseen; they are now of both. The checks of the bound on ejection let failures fade before the ejection ends, since a failing endpoint in use is no longer chosen beside better ones.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -42,6 +42,10 @@
 // counts against it: answers differ, and few of them are seen.
 const tolerated = 2
 
+// silenceTolerated is the same for requests in flight: runs differ more than
+// their average does.
+const silenceTolerated = 5
+
 // maxSlowness bounds what slow answers count.
 const maxSlowness = 10
 
@@ -94,31 +98,31 @@
 // Power of Two Choices in Randomized Load Balancing"). Whatever load one of n
 // endpoints claims, it is looked at by 2/n of the choices at most.
 func (b *Balancer) better(now time.Time, s *set, tried []string) *Peer {
-	first := b.draw(now, s, tried)
-	second := b.draw(now, s, tried)
+	first := b.draw(now, s, tried, nil)
+	second := b.draw(now, s, tried, first)
 	if first == nil || second == nil || b.load(now, second) >= b.load(now, first) {
 		return first
 	}
 	return second
 }
 
-// draw returns a random endpoint in use. A warming one gives its turn to
-// another with a chance that falls as it warms.
-func (b *Balancer) draw(now time.Time, s *set, tried []string) *Peer {
-	p := b.drawAny(s, tried)
+// draw returns a random endpoint in use, not the one that is excluded. A
+// warming one gives its turn to another with a chance that falls as it warms.
+func (b *Balancer) draw(now time.Time, s *set, tried []string, except *Peer) *Peer {
+	p := b.drawAny(s, tried, except)
 	if p != nil && p.Row.State == endpoint.Warming && b.rng.Float64() > b.ramp(now, p) {
-		return b.drawAny(s, tried)
+		return b.drawAny(s, tried, except)
 	}
 	return p
 }
 
-func (b *Balancer) drawAny(s *set, tried []string) *Peer {
+func (b *Balancer) drawAny(s *set, tried []string, except *Peer) *Peer {
 	if s.healthy == 0 {
 		return nil
 	}
 	i := b.rng.IntN(s.healthy)
-	for range min(s.healthy, len(tried)+1) {
-		if p := s.peers[i]; !contains(tried, p.Row.ID) {
+	for range min(s.healthy, len(tried)+2) {
+		if p := s.peers[i]; p != except && !contains(tried, p.Row.ID) {
 			return p
 		}
 		if i++; i == s.healthy {
@@ -148,10 +152,23 @@
 	if p.failures > 0 {
 		known += float64(p.failures) * slots * fade(now.Sub(p.failedAt), b.cfg.SeenStale)
 	}
-	if slow := p.slowness(); slow > tolerated {
-		known *= 1 + (slow-1)*fade(now.Sub(p.answeredAt), b.cfg.SeenStale)
+	return known * b.delay(now, p) / slots
+}
+
+// delay returns how many times longer than at the others of its group a
+// request takes at an endpoint: as its answers showed, or as those in flight
+// have waited since anything was heard.
+func (b *Balancer) delay(now time.Time, p *Peer) float64 {
+	slow := 1.0
+	if seen := p.slowness(p.took); seen > tolerated {
+		slow += (seen - 1) * fade(now.Sub(p.answeredAt), b.cfg.SeenStale)
 	}
-	return known / slots
+	if p.inFlight > 0 {
+		if waits := p.slowness(now.Sub(p.quietSince)); waits > silenceTolerated {
+			slow = max(slow, waits)
+		}
+	}
+	return slow
 }
 
 // fade returns the weight of what was seen some time ago: one at first, zero
@@ -164,7 +181,12 @@
 }
 
 // Sent counts a request towards an endpoint.
-func (b *Balancer) Sent(p *Peer) { p.inFlight++ }
+func (b *Balancer) Sent(now time.Time, p *Peer) {
+	if p.inFlight == 0 {
+		p.quietSince = now
+	}
+	p.inFlight++
+}
 
 // Result says how an attempt ended.
 type Result struct {
@@ -177,6 +199,7 @@
 // Done counts the end of a request at an endpoint.
 func (b *Balancer) Done(now time.Time, p *Peer, res Result) {
 	p.inFlight = max(p.inFlight-1, 0)
+	p.quietSince = now
 	if res.Queue >= 0 {
 		p.queue, p.answeredAt = res.Queue, now
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -22,6 +22,14 @@
 	return balance.New(balance.DefaultConfig("dc0"), rand.New(rand.NewPCG(1, 1)))
 }
 
+// newForgetful returns a Balancer for which failures no longer count by the
+// time that an ejection ends, so that all in use are chosen alike.
+func newForgetful() *balance.Balancer {
+	cfg := balance.DefaultConfig("dc0")
+	cfg.SeenStale = time.Second
+	return balance.New(cfg, rand.New(rand.NewPCG(1, 1)))
+}
+
 // local returns n rows of the own data centre.
 func local(n int) []*endpoint.Row {
 	all := rows(n)
@@ -40,7 +48,7 @@
 			continue
 		}
 		picks[p.Row.ID]++
-		b.Sent(p)
+		b.Sent(now, p)
 		b.Done(at, p, balance.Result{Queue: -1})
 	}
 	return picks
@@ -58,7 +66,7 @@
 
 func fail(b *balance.Balancer, p *balance.Peer, times int) {
 	for range times {
-		b.Sent(p)
+		b.Sent(now, p)
 		b.Done(now, p, balance.Result{Failed: true, Queue: -1})
 	}
 }
@@ -86,7 +94,7 @@
 	is.Equal(picks["n0000"]+picks["n0011"], 100)
 	for _, id := range []string{"n0000", "n0011"} { // both are full, and over
 		for range 12 {
-			b.Sent(peer(g, id))
+			b.Sent(now, peer(g, id))
 		}
 	}
 	picks = shares(b, g, now, 100)
@@ -95,7 +103,7 @@
 
 func TestEjectionIsBounded(t *testing.T) {
 	is := is.New(t)
-	b := newBalancer()
+	b := newForgetful()
 	g := b.Group(nil, local(10))
 	for i := range 8 {
 		fail(b, peer(g, fmt.Sprintf("n%04d", i)), 20)
@@ -118,7 +126,7 @@
 			break
 		}
 	}
-	b.Sent(p)
+	b.Sent(now, p)
 	b.Done(later, p, balance.Result{Failed: true, Queue: -1})
 	is.Equal(shares(b, g, later.Add(9*time.Second), 10_000)["n0000"], 0) // and for longer
 }
@@ -128,14 +136,14 @@
 	b := newBalancer()
 	g := b.Group(nil, local(10))
 	p := peer(g, "n0000")
-	b.Sent(p)
+	b.Sent(now, p)
 	b.Done(now, p, balance.Result{Failed: true, Refused: true, Queue: -1})
 	is.Equal(shares(b, g, now, 10_000)["n0000"], 0)
 }
 
 func TestBoundHoldsAsTheGroupShrinks(t *testing.T) {
 	is := is.New(t)
-	b := newBalancer()
+	b := newForgetful()
 	all := local(10)
 	g := b.Group(nil, all)
 	for i := range 5 {
@@ -164,7 +172,7 @@
 	b := newBalancer()
 	g := b.Group(nil, local(2))
 	p := peer(g, "n0000")
-	b.Sent(p)
+	b.Sent(now, p)
 	b.Done(now, p, balance.Result{Queue: 40})
 	is.True(shares(b, g, now, 1000)["n0000"] < 400) // only where both draws are it
 	is.True(shares(b, g, now.Add(time.Second), 1000)["n0000"] > 400)
@@ -210,7 +218,7 @@
 				if p.Row.ID == all[0].ID && len(held) > 1 && peer(g, all[1].ID) == nil {
 					t.Fatal("picked from outside of the group")
 				}
-				b.Sent(p)
+				b.Sent(now, p)
 				open = append(open, p)
 			default:
 				if len(open) > 0 {
@@ -228,3 +236,18 @@
 		}
 	})
 }
+
+// TestHungIsLeftAlone sends requests to one that never answers.
+func TestHungIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(3))
+	shares(b, g, now, 10)
+	for id := range map[string]bool{"n0000": true, "n0002": true} {
+		b.Sent(now, peer(g, id))
+		b.Done(now, peer(g, id), balance.Result{Queue: 0, Took: 20 * time.Millisecond})
+	}
+	hung := peer(g, "n0001")
+	b.Sent(now, hung)
+	is.Equal(shares(b, g, now.Add(200*time.Millisecond), 1000)["n0001"], 0)
+}
--- a/core/balance/bench_test.go
+++ b/core/balance/bench_test.go
@@ -27,7 +27,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				p, _ := bal.Pick(now, group, nil)
-				bal.Sent(p)
+				bal.Sent(now, p)
 				bal.Done(now, p, balance.Result{Queue: 0})
 			}
 		})
--- a/core/balance/example_test.go
+++ b/core/balance/example_test.go
@@ -22,11 +22,11 @@
 	group := b.Group(nil, rows) // again, with the old group, whenever rows change
 
 	first, _ := b.Pick(now, group, nil)
-	b.Sent(first)
+	b.Sent(now, first)
 	b.Done(now, first, balance.Result{Failed: true, Refused: true, Queue: -1})
 
 	second, _ := b.Pick(now, group, []string{first.Row.ID})
-	b.Sent(second)
+	b.Sent(now, second)
 	b.Done(now, second, balance.Result{Queue: 0, Took: 20 * time.Millisecond})
 	fmt.Println(first.Row.DataCentre, second.Row.DataCentre, first != second)
 	// Output: north north true
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -23,7 +23,8 @@
 	queue      int           // told by its last answer
 	took       time.Duration // smoothed
 	answeredAt time.Time
-	failures   int // consecutive
+	quietSince time.Time // with requests in flight, nothing was heard since
+	failures   int       // consecutive
 	failedAt   time.Time
 	ejections  int  // without a success between them
 	leaving    bool // left out for what it said, whatever the bound
@@ -42,12 +43,12 @@
 	}
 }
 
-// slowness returns how many times slower than its group an endpoint answers.
-func (p *Peer) slowness() float64 {
+// slowness returns how many times longer than an answer of the group a time is.
+func (p *Peer) slowness(took time.Duration) float64 {
 	if p.group.took == 0 {
 		return 0
 	}
-	return min(float64(p.took)/float64(p.group.took), maxSlowness)
+	return min(float64(took)/float64(p.group.took), maxSlowness)
 }
 
 // set holds the peers of one side of a group; those before healthy are in
--- a/core/coretest/fleet.go
+++ b/core/coretest/fleet.go
@@ -48,7 +48,7 @@
 	if !ok {
 		return -1
 	}
-	p.b.Sent(peer)
+	p.b.Sent(now, peer)
 	var i int
 	_, _ = fmt.Sscanf(peer.Row.ID, "n%d", &i)
 	p.peers[i] = append(p.peers[i], peer)
--- a/core/request.go
+++ b/core/request.go
@@ -166,7 +166,7 @@
 	c.target, c.sent = p, s.now
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
-	s.requests.balancer.Sent(p)
+	s.requests.balancer.Sent(s.now, p)
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
 		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -110,7 +110,7 @@
 	s := newSteadyMesh(t, 1, 20*time.Millisecond)
 	quick := s.traffic.Serve
 	s.traffic.Serve = func(node string, c *coretest.Call) time.Duration {
-		if c.ID%200 == 0 {
+		if c.ID%199 == 0 { // of both methods
 			return 2500 * time.Millisecond // longer than any drain lasts at least
 		}
 		return quick(node, c)
