--- a/node/admin.go
+++ b/node/admin.go
@@ -31,5 +31,9 @@
 		n.Step(core.BackendLeaving{})
 		c.String(http.StatusAccepted, "draining\n")
 	})
+	e.DELETE("/drain", func(c *gin.Context) {
+		n.Step(core.BackendStays{})
+		c.String(http.StatusAccepted, "back in service once it is healthy\n")
+	})
 	return e
 }
--- a/node/admin_test.go
+++ b/node/admin_test.go
@@ -77,6 +77,26 @@
 	is.Equal(len(s["leases"].([]any)), 2)
 }
 
+func TestAdminTakesTheBackendServerOutOfServiceAndBack(t *testing.T) {
+	is := is.New(t)
+	n, r := newTestNode()
+	h := admin(n, r)
+	send := func(method string) int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(method, "/drain", nil))
+		return w.Code
+	}
+	n.Step(core.BackendProbed{OK: true})
+	is.Equal(n.Dump().Backend.State, "warming")
+	is.Equal(send(http.MethodPost), http.StatusAccepted)
+	is.Equal(n.Dump().Backend.State, "draining")
+	n.Step(core.BackendProbed{OK: true})
+	is.Equal(n.Dump().Backend.State, "draining") // health does not take it back
+	is.Equal(send(http.MethodDelete), http.StatusAccepted)
+	n.Step(core.BackendProbed{OK: true})
+	is.Equal(n.Dump().Backend.State, "warming")
+}
+
 // registered returns the names of all metrics of a node.
 func registered(t *testing.T) []string {
 	t.Helper()
