Tell of a dialled node without a right certificate, and bound the depth of settings

Cause: tried by hand, a node with TLS in a mesh without it waited with nothing in its log at the default level; values in settings could nest without a bound.

--- a/peer/identity.go
+++ b/peer/identity.go
@@ -30,10 +30,10 @@
 }
 
 // NewCredentials returns the two ends' credentials for a Config. refused is
-// told of each connection that is turned away, with its address.
+// told of each connection that either end turns away, with the other's address.
 func NewCredentials(c *security.Credentials, refused func(address string, reason error)) (server, client credentials.TransportCredentials) {
-	server = reporting{TransportCredentials: credentials.NewTLS(c.Server(alpn)), refused: refused}
-	return server, credentials.NewTLS(c.Client(alpn))
+	return reporting{TransportCredentials: credentials.NewTLS(c.Server(alpn)), refused: refused},
+		reporting{TransportCredentials: credentials.NewTLS(c.Client(alpn)), refused: refused}
 }
 
 // alpn is the protocol that gRPC speaks.
@@ -54,6 +54,15 @@
 	return secured, info, err
 }
 
+// ClientHandshake implements credentials.TransportCredentials.
+func (r reporting) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	secured, info, err := r.TransportCredentials.ClientHandshake(ctx, authority, conn)
+	if err != nil {
+		r.refused(conn.RemoteAddr().String(), err)
+	}
+	return secured, info, err
+}
+
 // Clone implements credentials.TransportCredentials.
 func (r reporting) Clone() credentials.TransportCredentials {
 	return reporting{TransportCredentials: r.TransportCredentials.Clone(), refused: r.refused}
--- a/peer/secure_test.go
+++ b/peer/secure_test.go
@@ -54,7 +54,11 @@
 	c, err := security.Load(a.Write(t.TempDir(), node), silent{})
 	is.New(t).NoErr(err)
 	cfg := peer.Config{Metrics: r}
-	cfg.Server, cfg.Client = peer.NewCredentials(c, func(_ string, reason error) { refused <- reason.Error() })
+	cfg.Server, cfg.Client = peer.NewCredentials(c, func(_ string, reason error) {
+		if refused != nil {
+			refused <- reason.Error()
+		}
+	})
 	tr := peer.NewTransport(cfg, e)
 	t.Cleanup(tr.Stop)
 	return tr
@@ -117,3 +121,13 @@
 		})
 	}
 }
+
+func TestNodeTellsOfAServerWithoutARightCertificate(t *testing.T) {
+	is := is.New(t)
+	plain := peer.NewTransport(peer.Config{}, newEnd())
+	t.Cleanup(plain.Stop)
+	refused := make(chan string, 8)
+	client := transport(t, securitytest.New(t, "ca"), "a", newEnd(), refused, nil)
+	is.True(client.Dial(context.Background(), serve(t, plain), func(*peer.Link) any { return nil }) != nil)
+	is.True(<-refused != "") // the dialler tells why
+}
--- a/settings/inspect.go
+++ b/settings/inspect.go
@@ -16,8 +16,12 @@
 type inspector struct {
 	dec    *json.Decoder
 	faults []Fault
+	depth  int
 }
 
+// maxDepth bounds how deep values may stand in one another. Settings need 2.
+const maxDepth = 32
+
 // inspect returns the faults of the form of settings; an error says that the
 // data is no JSON value.
 func inspect(data []byte) ([]Fault, error) {
@@ -46,6 +50,10 @@
 // value reads one JSON value that is to be decoded into a type. A nil type
 // takes anything.
 func (in *inspector) value(path string, t reflect.Type) error {
+	if in.depth++; in.depth > maxDepth {
+		return fmt.Errorf("values stand over %d deep in one another", maxDepth)
+	}
+	defer func() { in.depth-- }()
 	token, err := in.dec.Token()
 	if err != nil {
 		return noEOF(err)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -59,6 +59,7 @@
 		{"cut", `"renew": "2s", "margin": "1s"}` + "\n}", ``, []string{"(whole file): is no JSON near line"}},
 		{"two values", "\n}", "\n} {}", []string{"(whole file): has data after the JSON value"}},
 		{"an array", valid, `[]`, []string{"(whole file): is an array, must be an object"}},
+		{"deep", valid, strings.Repeat(`{"listen":`, 1_000_000), []string{"(whole file): is no JSON near line 1: values stand over 32 deep"}},
 		{"empty", valid, ``, []string{"(whole file): is no JSON near line 1: unexpected EOF"}},
 	}
 	for _, tt := range tests {
