--- a/cmd/agatekeel/apply.go
+++ b/cmd/agatekeel/apply.go
@@ -149,7 +149,7 @@
 	if err := c.showChanges(c.outputOption, changesOf(current, sub)); err != nil {
 		return err
 	}
-	if faults := checkSubmission(current, sub); len(faults) > 0 {
+	if faults := operator.Check(current, sub); len(faults) > 0 {
 		return src.faultErrors(faults)
 	}
 	c.notef("no faults; nothing was submitted\n")
--- a/cmd/agatekeel/check.go
+++ b/cmd/agatekeel/check.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	faults := checkSubmission(config.NewSet(0, nil), offline(src))
+	faults := operator.Check(config.NewSet(0, nil), offline(src))
 	if c.wantsJSON() {
 		if err := c.json(checkResult{Objects: len(src.objects), Faults: append([]config.Fault{}, faults...)}); err != nil {
 			return err
@@ -51,13 +51,3 @@
 	}
 	return operator.Edit("check", "", config.NewSet(0, nil), objects)
 }
-
-// checkSubmission returns the faults that the publisher would find.
-func checkSubmission(current *config.Set, sub config.Submission) []config.Fault {
-	next, faults := config.Merge(current, sub)
-	if len(faults) > 0 {
-		return faults
-	}
-	_, faults = config.Compile(next)
-	return faults
-}
--- a/cmd/agatekeel/commands_test.go
+++ b/cmd/agatekeel/commands_test.go
@@ -118,7 +118,8 @@
 	edited := write(t, "edited.json", strings.Replace(got, "20000", "15000", 1))
 	code, stdout, _ := agatekeel("diff", edited)
 	is.Equal(code, exitOK)
-	is.True(strings.Contains(stdout, "~ Policy/printing"))
+	is.True(strings.Contains(stdout, "~ Policy/printing\n    - {"))
+	is.Equal(strings.Count(stdout, "\n"), 4) // one line for each form, however it is written
 	is.True(strings.Contains(stdout, "1 changes against version 1"))
 	code, stdout, stderr = agatekeel("apply", "--wait", "--author", "ann", edited)
 	is.Equal(stderr, "")
--- a/cmd/agatekeel/diff.go
+++ b/cmd/agatekeel/diff.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/operator"
 )
 
 // diffCommand shows what apply would change.
@@ -42,43 +43,14 @@
 	return c.showChanges(c.outputOption, changesOf(current, sub))
 }
 
-// change is one difference between what is published and an edit.
-type change struct {
-	Object config.Key      `json:"object"`
-	Old    json.RawMessage `json:"old,omitempty"` // not there: the object is added
-	New    json.RawMessage `json:"new,omitempty"` // not there: the object is deleted
-}
-
 // changes is the JSON form of a diff.
 type changes struct {
-	Version uint64   `json:"version"` // that the edit is compared with
-	Changes []change `json:"changes"`
+	Version uint64            `json:"version"` // that the edit is compared with
+	Changes []operator.Change `json:"changes"`
 }
 
-// changesOf returns what a submission would change, in order of the keys of
-// its puts, then of its deletes.
 func changesOf(current *config.Set, sub config.Submission) changes {
-	out := changes{Version: current.Version, Changes: []change{}}
-	for _, p := range sub.Puts {
-		old, exists := current.Objects[p.Object.Key()]
-		if exists && bytes.Equal(compact(old.Spec), compact(p.Object.Spec)) {
-			continue
-		}
-		out.Changes = append(out.Changes, change{Object: p.Object.Key(), Old: old.Spec, New: p.Object.Spec})
-	}
-	for _, d := range sub.Deletes {
-		out.Changes = append(out.Changes, change{Object: d.Key, Old: current.Objects[d.Key].Spec})
-	}
-	return out
-}
-
-// compact returns JSON without white space, or what was given if it is none.
-func compact(raw json.RawMessage) []byte {
-	var b bytes.Buffer
-	if json.Compact(&b, raw) != nil {
-		return raw
-	}
-	return b.Bytes()
+	return changes{Version: current.Version, Changes: operator.Changes(current, sub)}
 }
 
 func (c console) showChanges(o outputOption, ch changes) error {
@@ -88,13 +60,22 @@
 	for _, one := range ch.Changes {
 		switch {
 		case one.Old == nil:
-			c.printf("+ %s\n    + %s\n", one.Object, compact(one.New))
+			c.printf("+ %s\n    + %s\n", one.Object, oneLine(one.New))
 		case one.New == nil:
-			c.printf("- %s\n    - %s\n", one.Object, compact(one.Old))
+			c.printf("- %s\n    - %s\n", one.Object, oneLine(one.Old))
 		default:
-			c.printf("~ %s\n    - %s\n    + %s\n", one.Object, compact(one.Old), compact(one.New))
+			c.printf("~ %s\n    - %s\n    + %s\n", one.Object, oneLine(one.Old), oneLine(one.New))
 		}
 	}
 	c.printf("%d changes against version %d\n", len(ch.Changes), ch.Version)
 	return nil
 }
+
+// oneLine returns JSON without white space, or what was given if it is none.
+func oneLine(raw json.RawMessage) []byte {
+	var b bytes.Buffer
+	if json.Compact(&b, raw) != nil {
+		return raw
+	}
+	return b.Bytes()
+}
