--- a/cmd/agatekeel/apply.go
+++ b/cmd/agatekeel/apply.go
@@ -20,8 +20,11 @@
 	Platform string `long:"platform" env:"AGATEKEEL_PLATFORM" default:"http://127.0.0.1:8082" description:"URL of the platform"`
 }
 
-// readTimeout bounds a command that only reads.
-const readTimeout = 10 * time.Second
+// Bounds of what commands do.
+const (
+	readTimeout   = 10 * time.Second // a command that only reads
+	submitTimeout = 20 * time.Second // reading what is published and submitting
+)
 
 func (o platformOption) store() (platform.Store, error) {
 	store, err := platform.NewClient(o.Platform)
@@ -77,7 +80,7 @@
 	outputOption
 	editOption
 	Wait    bool          `long:"wait" description:"wait until in force or rejected"`
-	Timeout time.Duration `long:"timeout" default:"30s" description:"bound of the whole command; what was submitted stands when it passes"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"how long --wait waits; what was submitted stands when it passes"`
 	DryRun  bool          `long:"dry-run" description:"show the changes and check the result; submit nothing"`
 	Author  string        `long:"author" description:"name kept with the changed objects (default: user name)"`
 	ID      string        `long:"id" description:"submission ID; give that of an earlier try to settle a lost answer"`
@@ -96,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
 	sub, current, err := c.submission(ctx, client, src)
 	if err != nil {
@@ -113,7 +116,7 @@
 	if err := client.Submit(ctx, sub); err != nil {
 		return lostAnswer(sub.ID, err)
 	}
-	return c.follow(ctx, client, sub.ID, src, started)
+	return c.follow(client, sub.ID, src, started)
 }
 
 func (c *applyCommand) source() (source, error) {
@@ -174,9 +177,11 @@
 }
 
 // follow shows the status, with Wait once it is final.
-func (c *applyCommand) follow(ctx context.Context, client *operator.Client, id string, src source, started time.Time) error {
+func (c *applyCommand) follow(client *operator.Client, id string, src source, started time.Time) error {
 	st := status.Status{ID: id, Phase: status.Pending}
 	if c.Wait {
+		ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+		defer cancel()
 		last, err := client.Wait(ctx, id)
 		if err != nil {
 			return fmt.Errorf("not in force when the time was up (last seen: %s); it may still come into force, nothing was "+
--- a/cmd/agatekeel/commands.go
+++ b/cmd/agatekeel/commands.go
@@ -38,7 +38,8 @@
 				"Example: agatekeel get -o json Service/orders", &getCommand{console: c}},
 		{"status", "show what became of submissions",
 			"Shows how far a submission has come: Pending, Rejected with every fault, Accepted with a version, or " +
-				"InForce when every live node runs it. Without an ID it lists the latest.\n\n" +
+				"InForce when every live node runs it. Without an ID it lists the latest. The exit code tells whether " +
+				"it could be read, not the phase.\n\n" +
 				"Example: agatekeel status", &statusCommand{console: c}},
 		{"diff", "show what apply would change",
 			"Shows what applying the files would add (+), change (~) or, with --prune, delete (-). Nothing is sent.\n\n" +
--- a/node/observe.go
+++ b/node/observe.go
@@ -51,8 +51,11 @@
 	classes     map[core.CallID]string
 	accepted    map[string]time.Time // submissions by ID, until in force
 
-	loggedAt                             time.Time
-	notRun, unknown, noRoute, attemptsNo int
+	loggedAt time.Time // refusals; the counts are those since
+	notRun   int
+	unknown  int
+	noRoute  int
+	refused  int // attempts at the own backend server
 }
 
 func newObserver(r metrics.Registry, log *eventlog.Logger, clock Clock) *observer {
@@ -135,7 +138,7 @@
 }
 
 func (o *observer) attemptRefused(e core.Refuse) {
-	o.attemptsNo++
+	o.refused++
 	c, ok := o.refusals[e.Reason]
 	if !ok {
 		c = o.refusals[otherReason]
@@ -179,11 +182,11 @@
 		return
 	}
 	o.loggedAt = now
-	if o.notRun+o.unknown+o.noRoute+o.attemptsNo == 0 {
+	if o.notRun+o.unknown+o.noRoute+o.refused == 0 {
 		return
 	}
 	o.log.Write(notice.RequestsRefused,
 		core.Attr{Key: "notRun", Value: o.notRun}, core.Attr{Key: "unknown", Value: o.unknown},
-		core.Attr{Key: "noRoute", Value: o.noRoute}, core.Attr{Key: "attempts", Value: o.attemptsNo})
-	o.notRun, o.unknown, o.noRoute, o.attemptsNo = 0, 0, 0, 0
+		core.Attr{Key: "noRoute", Value: o.noRoute}, core.Attr{Key: "attempts", Value: o.refused})
+	o.notRun, o.unknown, o.noRoute, o.refused = 0, 0, 0, 0
 }
