--- a/core/dump.go
+++ b/core/dump.go
@@ -47,6 +47,7 @@
 type DumpPlatform struct {
 	Down    bool `json:"down"`
 	Retries int  `json:"retries"` // reads that wait to be tried again
+	Held    int  `json:"held"`    // calls held back by this node's own rate
 }
 
 // DumpCall is one caller's request under way.
@@ -63,6 +64,8 @@
 type DumpAttempts struct {
 	Remembered int `json:"remembered"` // IDs of which a late copy would be refused
 	Origins    int `json:"origins"`    // processes that sent them
+	Keys       int `json:"keys"`       // idempotency keys held here
+	Claims     int `json:"claims"`     // calls whose claim in the platform is being made
 }
 
 // dumpedCalls bounds the requests of a Dump.
@@ -79,6 +82,10 @@
 		Settings: s.cfg,
 	}
 	d.Attempts.Remembered, d.Attempts.Origins = s.backend.memory.Len()
+	for _, waiting := range s.platform.limit.waiting {
+		d.Platform.Held += len(waiting)
+	}
+	d.Attempts.Keys, d.Attempts.Claims = s.backend.keys.Len(), len(s.requests.claims.waiting)
 	if f := s.root.fetch; f != nil {
 		d.Fetching = f.head.Version
 	}
