Measure the latency that two nodes add, and plot it against load

Cause: the page had no figure for the target of 0.43 ms.

Change: internal/capacity runs an entry node and a node with a backend server and measures both paths in one open loop at four rates.

--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -38,6 +38,9 @@
 	if err := drawMesh(filepath.Join(*docs, "plots", "control-bytes.svg"), r.Mesh); err != nil {
 		return err
 	}
+	if err := drawLatency(filepath.Join(*docs, "plots", "latency.svg"), r.Latency); err != nil {
+		return err
+	}
 	return writePage(filepath.Join(*docs, "CAPACITY.md"), r)
 }
 
@@ -57,7 +60,9 @@
 		r.Mesh = append(r.Mesh, runMesh(n))
 	}
 	r.Losses = runLosses()
-	return r, nil
+	var err error
+	r.Latency, err = runLatency()
+	return r, err
 }
 
 // readResident reads what runs of real nodes have printed.
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -24,8 +24,9 @@
 		"num": num, "bytes": formatBytes, "percent": percent, "roles": r.roles, "slope": func(name string) Slope { return r.byName[name] },
 		"at": r.at, "verdict": verdict, "target": func() Deployment { return deployments()[2] }, "points": formatPoints,
 		"ms": func(ns float64) string { return num(ns / 1e6) }, "us": func(ns float64) string { return num(ns / 1e3) },
-		"mul":   func(a, b float64) float64 { return a * b },
-		"float": func(n int) float64 { return float64(n) },
+		"mul":    func(a, b float64) float64 { return a * b },
+		"micros": func(us int64) float64 { return float64(us) },
+		"float":  func(n int) float64 { return float64(n) },
 		"limits": func(role Role) string {
 			return fmt.Sprintf("core %s, memory %s, bytes %s",
 				verdict(role.Core, limitCore), verdict(role.Memory, limitMemory), verdict(role.Bytes, limitBytes))
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -45,6 +45,7 @@
 	Slopes   []Slope
 	Mesh     []traffic
 	Losses   []loss
+	Latency  []latency
 	Resident []sizes.Resident
 	byName   map[string]Slope
 }
