Try again free of budget after the first news of a leave

Keyed calls went on trying a home that had said that it was leaving.

Change: a retry costs no budget if its target was in use when the attempt was sent and is left out now; each target gives such news once. A key's home that is leaving is passed over.

Proof: TestFirstNewsOfALeaveCostsNoRetryBudget sends 60 requests at once; it fails without the change.

--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -31,6 +31,12 @@
 	outUntil   time.Time
 }
 
+// LeftOut reports whether an endpoint is left out of the choice for now.
+func (p *Peer) LeftOut() bool { return !p.outUntil.IsZero() }
+
+// IsLeaving reports whether it is left out because it said that it is leaving.
+func (p *Peer) IsLeaving() bool { return p.leaving }
+
 func (p *Peer) observe(took time.Duration) {
 	if p.took == 0 {
 		p.took = took
--- a/core/request.go
+++ b/core/request.go
@@ -46,6 +46,7 @@
 	attempt  AttemptID
 	sent     time.Time // the attempt
 	unknown  bool      // an earlier attempt may have run
+	leftOut  bool      // the target was left out of the choice already, and there was no other
 	key      idempotency.Key
 	claim    *claim // nil: the policy wants none
 }
@@ -134,7 +135,10 @@
 	var home *balance.Peer
 	best := uint64(0)
 	for p := range g.All() {
-		if w := c.key.Weight(p.Row.ID); !slices.Contains(c.tried, p.Row.ID) && (home == nil || w > best) {
+		if p.IsLeaving() || slices.Contains(c.tried, p.Row.ID) {
+			continue
+		}
+		if w := c.key.Weight(p.Row.ID); home == nil || w > best {
 			home, best = p, w
 		}
 	}
@@ -163,7 +167,7 @@
 		return
 	}
 	c.attempts++
-	c.target, c.sent = p, s.now
+	c.target, c.sent, c.leftOut = p, s.now, p.LeftOut()
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
 	s.requests.balancer.Sent(s.now, p)
@@ -251,7 +255,7 @@
 	if c.attempts >= c.route.Policy.MaxAttempts || !s.now.Before(c.deadline) {
 		return false
 	}
-	return s.fault.retryFreely || s.requests.budget.Take(e.Outcome)
+	return s.fault.retryFreely || c.isNews(e) || s.requests.budget.Take(e.Outcome)
 }
 
 // targetID returns the backend server of the last attempt, empty for none.
@@ -262,6 +266,13 @@
 	return c.target.Row.ID
 }
 
+// isNews reports whether an attempt ended by the first news that its target
+// takes no requests. To try again after it costs no budget: the target is left
+// out from now on, so there are no more of these than were on their way.
+func (c *call) isNews(e AttemptEnded) bool {
+	return e.Outcome == retry.NotRun && !c.leftOut && c.target.LeftOut()
+}
+
 // callLeft ends a call whose caller is gone.
 func (s *State) callLeft(id CallID) {
 	c, ok := s.requests.calls[id]
--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -165,6 +165,14 @@
 				s.readReady()
 			},
 		},
+		{
+			name: "crash of a third of the hosts", limit: 3 * time.Second,
+			leave: func(s *steadyMesh) {
+				s.Crash("a2")
+				s.Crash("b3")
+				s.readReady()
+			},
+		},
 		{name: "crash of the host", leave: func(s *steadyMesh) { s.Crash("a2") }, limit: 3 * time.Second},
 		{
 			name: "own word, and the links that would tell it are silent", limit: 3 * time.Second,
@@ -288,3 +296,27 @@
 	}
 	is.Equal(s.Dump().Backend.State, "failed")
 }
+
+// TestFirstNewsOfALeaveCostsNoRetryBudget sends more requests at once than the
+// budget has retries, before any answer tells that a backend server leaves.
+func TestFirstNewsOfALeaveCostsNoRetryBudget(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(4, 3, 3)
+	submitRoute(t, m, "s1", "/orders")
+	m.Run(20 * time.Second)
+	tr := coretest.NewTraffic(m)
+	for _, n := range m.Nodes() {
+		m.Deafen("a2", n.Name)
+	}
+	m.Step("a2", core.BackendLeaving{})
+	for range 60 {
+		tr.Call("a1", core.CallArrived{Method: "POST", Path: "/orders/1", Repeats: true})
+	}
+	m.Run(2 * time.Second)
+	refused := 0
+	for _, c := range tr.Calls {
+		is.Equal(c.Outcome, retry.Ran)
+		refused += c.Forwards - 1
+	}
+	is.True(refused > 10) // more than the budget's reserve
+}
