--- a/core/request.go
+++ b/core/request.go
@@ -222,6 +222,7 @@
 		return
 	}
 	c.unknown = c.unknown || e.Outcome == retry.Unknown
+	c.repeats = c.repeats && !e.BodyGone
 	if !s.tryAgain(c, e) {
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
--- a/node/module.go
+++ b/node/module.go
@@ -159,12 +159,11 @@
 		hop = tls.NewListener(hop, p.Credentials.Server(alpnHTTP))
 	}
 	servers := []server{
-		{"callers", p.Listeners.Callers, &http.Server{Handler: p.Proxy.Callers()}},
-		{"hop", hop, &http.Server{Handler: p.Proxy.Hops()}},
-		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry)}},
+		{"callers", p.Listeners.Callers, proxy.NewServer(p.Proxy.Callers())},
+		{"hop", hop, proxy.NewServer(p.Proxy.Hops())},
+		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range servers {
-		s.http.ReadHeaderTimeout = headerTimeout
 		s.http.ErrorLog = p.Log.Std(notice.ListenerFault, core.Attr{Key: "listener", Value: s.name})
 	}
 	return servers
