--- a/node/config.go
+++ b/node/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/proxy"
 	"github.com/agatekeel/agatekeel/settings"
 )
 
@@ -33,6 +34,15 @@
 	return cfg.WithDefaults()
 }
 
+// ProxyConfig returns the settings of a Proxy in the clear.
+func ProxyConfig(s settings.Settings) proxy.Config {
+	return proxy.Config{
+		Backend: s.Backend.Address, Connections: s.Backend.Connections,
+		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
+		SilenceAfter: time.Duration(s.Requests.SilenceAfter),
+	}
+}
+
 // newCoreConfig names this life of the node by its start and a random number:
 // hosts keep nothing, so no counter could.
 func newCoreConfig(s settings.Settings, l *Listeners) core.Config {
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -41,3 +41,17 @@
 	}.WithDefaults()
 	is.Equal(got, want)
 }
+
+func TestProxyConfigTakesEveryTunable(t *testing.T) {
+	is := is.New(t)
+	got := ProxyConfig(settings.Settings{
+		Backend:  settings.Backend{Address: "a", Connections: 130},
+		Requests: settings.Requests{MaxBodyBytes: 1, MaxDepth: 2, SilenceAfter: settings.Duration(time.Second)},
+	})
+	is.Equal(got.HopDial == nil, true)
+	is.Equal(got.Backend, "a")
+	is.Equal(got.Connections, 130)
+	is.Equal(got.MaxBodyBytes, int64(1))
+	is.Equal(got.MaxDepth, 2)
+	is.Equal(got.SilenceAfter, time.Second)
+}
--- a/node/module.go
+++ b/node/module.go
@@ -50,7 +50,7 @@
 func newRegistry() metrics.Registry { return metrics.NewRegistry() }
 
 func newProxy(s settings.Settings, d proxy.Decider, r metrics.Registry, c *security.Credentials) *proxy.Proxy {
-	cfg := proxy.Config{Backend: s.Backend.Address, Connections: s.Backend.Connections}
+	cfg := ProxyConfig(s)
 	if c != nil {
 		cfg.HopDial = hopDialer(c).DialContext
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,6 +91,9 @@
 
 // Requests says how callers' requests are treated.
 type Requests struct {
+	MaxBodyBytes    int      `json:"maxBodyBytes,omitempty" validate:"min=0,max=1073741824"`
+	MaxDepth        int      `json:"maxDepth,omitempty" validate:"min=0,max=64"`
+	SilenceAfter    Duration `json:"silenceAfter,omitempty" validate:"omitempty,min=10ms,max=1m"`
 	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
 	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
 	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=10m,max=720h"`
