--- a/core/announce.go
+++ b/core/announce.go
@@ -5,7 +5,6 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
-	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -95,45 +94,3 @@
 	s.table.Merge(s.now, b.entry)
 	s.spread(0, []endpoint.Entry{b.entry})
 }
-
-// spread tells entries to all neighbours but the one they came from.
-func (s *State) spread(from LinkID, entries []endpoint.Entry) {
-	for _, id := range sortedLinks(s.links) {
-		if l := s.links[id]; id != from && l.open && l.role != roleNew {
-			s.send(id, message.Endpoints{Entries: entries})
-		}
-	}
-}
-
-func (s *State) endpointsReceived(from LinkID, _ *link, entries []endpoint.Entry) {
-	var news []endpoint.Entry
-	for _, e := range entries {
-		if e.ID == s.cfg.Node {
-			s.refute(e)
-			continue
-		}
-		old, known := s.table.Get(e.ID)
-		if s.table.Merge(s.now, e) {
-			if known && old.Incarnation != e.Incarnation {
-				s.requests.balancer.Forget(e.ID)
-			}
-			news = append(news, e)
-		}
-	}
-	if len(news) > 0 {
-		s.spread(from, news)
-	}
-}
-
-// refute answers news of the own entry that it did not write itself.
-func (s *State) refute(e endpoint.Entry) {
-	b := &s.backend
-	if e.Compare(b.entry) <= 0 {
-		return
-	}
-	if c := e.Incarnation.Compare(b.entry.Incarnation); c > 0 {
-		return // a later life of this ID: this process is the one that is out of date
-	}
-	b.entry.Sequence = e.Sequence
-	s.announce(b.entry.State)
-}
--- /dev/null
+++ b/core/endpoint/table.go
@@ -0,0 +1,240 @@
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxBuckets is the number of buckets over which a table keeps digests.
+const MaxBuckets = 256
+
+// entryDigestRatio is the size of an encoded entry over that of a digest.
+const entryDigestRatio = 8
+
+// Row is an entry with what this process knows about it.
+type Row struct {
+	Entry
+	Since time.Time // when this process first saw the entry's state
+	Doubt time.Time // when this process first saw it suspected
+}
+
+// Table holds the newest entry of each backend server. Of two entries with
+// one address the later incarnation ends the other.
+type Table struct {
+	rows      map[string]*Row
+	byService map[string][]*Row // serving only, in order of ID
+	byAddress map[string]string // ID that has the address now
+	live      map[string]int    // live entries by data centre
+	digests   [MaxBuckets]uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		rows: map[string]*Row{}, byService: map[string][]*Row{},
+		byAddress: map[string]string{}, live: map[string]int{},
+	}
+}
+
+// Merge takes an entry if it is newer than the one held, and reports whether
+// it was taken.
+func (t *Table) Merge(now time.Time, e Entry) bool {
+	row, ok := t.rows[e.ID]
+	if ok && e.Compare(row.Entry) <= 0 {
+		return false
+	}
+	if !ok {
+		row = &Row{}
+		t.rows[e.ID] = row
+	} else {
+		t.unindex(row)
+	}
+	if !ok || row.State != e.State || row.Incarnation != e.Incarnation {
+		row.Since = now
+	}
+	if e.Suspect && !row.Suspect {
+		row.Doubt = now
+	}
+	row.Entry = e
+	t.index(row)
+	t.settleAddress(now, row, "peer "+e.Peer, e.Peer)
+	t.settleAddress(now, row, "hop "+e.Hop, e.Hop)
+	return true
+}
+
+// settleAddress ends the older of two entries with one address.
+func (t *Table) settleAddress(now time.Time, r *Row, key, address string) {
+	if address == "" || r.State == Gone {
+		return
+	}
+	other, ok := t.rows[t.byAddress[key]]
+	switch {
+	case !ok || other.ID == r.ID || other.State == Gone || other.Peer != r.Peer && other.Hop != r.Hop:
+		t.byAddress[key] = r.ID
+	case other.Incarnation.Compare(r.Incarnation) < 0:
+		t.byAddress[key] = r.ID
+		t.Merge(now, other.Removed())
+	default:
+		t.Merge(now, r.Removed())
+	}
+}
+
+func (t *Table) index(r *Row) {
+	if r.State != Gone {
+		t.digests[bucketOf(r.ID)] += r.hash()
+	}
+	if r.Live() {
+		t.live[r.DataCentre]++
+	}
+	if !r.Serves() {
+		return
+	}
+	rows := t.byService[r.Service]
+	i, _ := slices.BinarySearchFunc(rows, r.ID, func(x *Row, id string) int { return cmp.Compare(x.ID, id) })
+	t.byService[r.Service] = slices.Insert(rows, i, r)
+}
+
+func (t *Table) unindex(r *Row) {
+	if r.State != Gone {
+		t.digests[bucketOf(r.ID)] -= r.hash()
+	}
+	if r.Live() {
+		t.live[r.DataCentre]--
+	}
+	rows := t.byService[r.Service]
+	if i := slices.Index(rows, r); i >= 0 {
+		t.byService[r.Service] = slices.Delete(rows, i, i+1)
+	}
+}
+
+// Collect forgets entries that have been gone since before a time.
+func (t *Table) Collect(before time.Time) {
+	for id, r := range t.rows {
+		if r.State == Gone && r.Since.Before(before) {
+			delete(t.rows, id)
+		}
+	}
+}
+
+// Get returns the row of a backend server.
+func (t *Table) Get(id string) (Row, bool) {
+	if r, ok := t.rows[id]; ok {
+		return *r, true
+	}
+	return Row{}, false
+}
+
+// Serving returns the rows of a service that take new requests. The slice
+// belongs to the table and is valid until the next Merge.
+func (t *Table) Serving(service string) []*Row { return t.byService[service] }
+
+// Rows returns all rows in order of ID.
+func (t *Table) Rows() []Row {
+	out := make([]Row, 0, len(t.rows))
+	for _, r := range t.rows {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Entries returns all entries in order of ID.
+func (t *Table) Entries() []Entry {
+	rows := t.Rows()
+	out := make([]Entry, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, r.Entry)
+	}
+	return out
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Live returns the number of live entries of a data centre.
+func (t *Table) Live(dataCentre string) int { return t.live[dataCentre] }
+
+// DataCentres returns the names of the data centres with live entries.
+func (t *Table) DataCentres() []string {
+	var out []string
+	for dc, n := range t.live {
+		if n > 0 {
+			out = append(out, dc)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Digest returns a hash over all entries that are not gone, equal for equal
+// tables. Gone entries are left out, since each process forgets them at a
+// time of its own.
+func (t *Table) Digest() uint64 {
+	var sum uint64
+	for _, d := range t.digests {
+		sum += d
+	}
+	return sum
+}
+
+// BucketCount returns into how many buckets to divide this table so that
+// digests and the entries of one differing bucket together are few bytes.
+func (t *Table) BucketCount() int {
+	n := 1
+	for n < MaxBuckets && n*n < entryDigestRatio*len(t.rows) {
+		n *= 2
+	}
+	return n
+}
+
+// Buckets returns the digests of n buckets; n is a power of two up to
+// MaxBuckets.
+func (t *Table) Buckets(n int) []uint64 {
+	out := make([]uint64, n)
+	for i, d := range t.digests {
+		out[i%n] += d
+	}
+	return out
+}
+
+// Differing returns the numbers of the buckets whose digest is not that of
+// this table, or false if digests is not a list that Buckets can return.
+func (t *Table) Differing(digests []uint64) ([]uint32, bool) {
+	n := len(digests)
+	if n == 0 || n > MaxBuckets || n&(n-1) != 0 {
+		return nil, false
+	}
+	var out []uint32
+	for i, d := range t.Buckets(n) {
+		if d != digests[i] {
+			out = append(out, uint32(i))
+		}
+	}
+	return out, true
+}
+
+// InBuckets returns the entries that are not gone in some of n buckets, in
+// order of ID.
+func (t *Table) InBuckets(n int, numbers []uint32) []Entry {
+	var out []Entry
+	for _, r := range t.rows {
+		if r.State != Gone && slices.Contains(numbers, uint32(bucketOf(r.ID)%n)) {
+			out = append(out, r.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func bucketOf(id string) int { return int(xxhash.Sum64String(id) % MaxBuckets) }
+
+func (r *Row) hash() uint64 {
+	h := xxhash.Sum64String(r.ID)
+	h = h*31 + uint64(r.Incarnation.Start)
+	h = h*31 + uint64(r.Incarnation.Random)
+	h = h*31 + r.Sequence
+	return h*31 + uint64(r.doubt())
+}
--- /dev/null
+++ b/core/entropy.go
@@ -0,0 +1,187 @@
+package core
+
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// differingHeartbeats is the number of heartbeats in a row with another
+// digest after which tables are compared. News that is still on its way makes
+// one of them differ, not two.
+const differingHeartbeats = 2
+
+// compareTables asks the other end of a link for what differs, if the digest
+// that it told has differed for long enough.
+func (s *State) compareTables(id LinkID, l *link) {
+	if l.last.Table == s.table.Digest() {
+		l.differing = 0
+		return
+	}
+	l.differing++
+	if l.differing >= differingHeartbeats {
+		l.differing = 0
+		s.sendDigests(id)
+	}
+}
+
+func (s *State) sendDigests(id LinkID) {
+	if s.cfg.breaks.digest {
+		return
+	}
+	s.send(id, message.TableDigests{Digests: s.table.Buckets(s.table.BucketCount())})
+}
+
+// digestsReceived answers with the entries of the buckets that differ.
+func (s *State) digestsReceived(id LinkID, m message.TableDigests) {
+	numbers, ok := s.table.Differing(m.Digests)
+	if !ok || len(numbers) == 0 {
+		return
+	}
+	of := len(m.Digests)
+	s.send(id, message.TableBuckets{Of: of, Numbers: numbers, Entries: s.table.InBuckets(of, numbers)})
+}
+
+// bucketsReceived takes what is newer and answers with what the sender lacks.
+func (s *State) bucketsReceived(id LinkID, m message.TableBuckets) {
+	if m.Of <= 0 || m.Of > endpoint.MaxBuckets {
+		return
+	}
+	theirs := map[string]endpoint.Entry{}
+	for _, e := range m.Entries {
+		theirs[e.ID] = e
+	}
+	s.endpointsReceived(id, m.Entries)
+	var lacking []endpoint.Entry
+	for _, e := range s.table.InBuckets(m.Of, m.Numbers) {
+		if their, ok := theirs[e.ID]; !ok || their.Compare(e) < 0 {
+			lacking = append(lacking, e)
+		}
+	}
+	if len(lacking) > 0 {
+		s.send(id, message.Endpoints{Entries: lacking})
+	}
+}
+
+// spread tells entries to all neighbours but the one they came from. What one
+// root tells another is not passed on to a third, which hears it from the
+// same source; comparing tables mends what a partial partition leaves.
+func (s *State) spread(from LinkID, entries []endpoint.Entry) {
+	fromRoot := false
+	if l, ok := s.links[from]; ok {
+		fromRoot = l.role == roleRoot
+	}
+	for _, id := range sortedLinks(s.links) {
+		l := s.links[id]
+		if id == from || !l.open || l.role == roleNew || fromRoot && l.role == roleRoot || !l.greeted {
+			continue
+		}
+		s.tell(id, l, entries)
+	}
+}
+
+// tell sends entries over one link. In the profile that saves bytes, those
+// that begin to serve wait for others; those that end must not wait.
+func (s *State) tell(id LinkID, l *link, entries []endpoint.Entry) {
+	if s.cfg.BatchWindow == 0 {
+		s.send(id, message.Endpoints{Entries: entries})
+		return
+	}
+	var now []endpoint.Entry
+	for _, e := range entries {
+		delete(l.batch, e.ID)
+		if !e.Serves() {
+			now = append(now, e)
+			continue
+		}
+		if len(l.batch) == 0 {
+			l.batch, l.batchAt = map[string]bool{}, s.now.Add(s.cfg.BatchWindow)
+		}
+		l.batch[e.ID] = true
+	}
+	if len(now) > 0 {
+		s.send(id, message.Endpoints{Entries: now})
+	}
+}
+
+// batchTick sends the batches whose window has passed.
+func (s *State) batchTick() {
+	if s.cfg.BatchWindow == 0 {
+		return
+	}
+	for _, id := range sortedLinks(s.links) {
+		l := s.links[id]
+		if len(l.batch) == 0 || s.now.Before(l.batchAt) {
+			continue
+		}
+		var entries []endpoint.Entry
+		for _, name := range sortedNames(l.batch) {
+			if r, ok := s.table.Get(name); ok {
+				entries = append(entries, r.Entry)
+			}
+		}
+		l.batch = nil
+		s.send(id, message.Endpoints{Entries: entries})
+	}
+}
+
+// endpointsReceived merges entries and passes on those that are news. A
+// sender that holds a live entry of what is known here to be gone is told.
+func (s *State) endpointsReceived(from LinkID, entries []endpoint.Entry) {
+	var news, ended []endpoint.Entry
+	for _, e := range entries {
+		if e.ID == s.cfg.Node {
+			s.refute(e)
+			continue
+		}
+		old, known := s.table.Get(e.ID)
+		if s.table.Merge(s.now, e) {
+			if known && old.Incarnation != e.Incarnation {
+				s.requests.balancer.Forget(e.ID)
+			}
+			news = append(news, e)
+			continue
+		}
+		if known && old.State == endpoint.Gone && e.State != endpoint.Gone {
+			ended = append(ended, old.Entry)
+		}
+	}
+	if len(ended) > 0 && from != 0 {
+		s.send(from, message.Endpoints{Entries: ended})
+	}
+	if len(news) > 0 {
+		s.spread(from, news)
+	}
+	s.report()
+}
+
+// refute answers news of the own entry that it did not write itself.
+func (s *State) refute(e endpoint.Entry) {
+	b := &s.backend
+	if e.Compare(b.entry) <= 0 {
+		return
+	}
+	if e.Incarnation.Compare(b.entry.Incarnation) > 0 {
+		if e.Peer != b.entry.Peer {
+			return // a later life of this ID elsewhere: this process is the one that is out of date
+		}
+		// This process has the address, so that life has ended; the host's
+		// clock was set back in between.
+		b.entry.Incarnation = e.Incarnation
+		b.entry.Incarnation.Start++
+	}
+	b.entry.Sequence = e.Sequence
+	s.announce(b.entry.State)
+}
+
+// collectEvery is the time between two collections of removed entries.
+const collectEvery = 10 * time.Second
+
+func (s *State) collectTombstones() {
+	if s.now.Sub(s.member.collected) < collectEvery {
+		return
+	}
+	s.member.collected = s.now
+	s.table.Collect(s.now.Add(-s.cfg.TombstoneFor))
+}
--- /dev/null
+++ b/core/fallback.go
@@ -0,0 +1,128 @@
+package core
+
+import (
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/tree"
+)
+
+// settleTime is how long a root that can't read the platform waits for
+// members that hold a newer version before it serves.
+const settleTime = 2 * joinTimeout
+
+// fallback looks for a parent without the platform: the last known holder of
+// the lease, then the members of the data centre that rank higher, then the
+// seeds. Since a node joins only a root or one that ranks higher, and never
+// one below itself, no cycle comes of it.
+func (s *State) fallback() {
+	m := &s.member
+	m.candidates, m.waitForHigher = nil, false
+	add := func(address string) {
+		if address != "" && address != s.cfg.Peer {
+			m.candidates = append(m.candidates, address)
+		}
+	}
+	if rec, ok := m.lease.Record(); ok {
+		add(rec.Address)
+	}
+	known := map[string]bool{}
+	higher := []string{}
+	for _, row := range s.table.Rows() {
+		known[row.Peer] = true
+		if s.isCandidate(row.Entry) && tree.Compare(s.cfg.DataCentre, row.ID, s.cfg.Node) < 0 {
+			higher = append(higher, row.ID)
+		}
+	}
+	for _, id := range tree.Rank(s.cfg.DataCentre, higher) {
+		row, _ := s.table.Get(id)
+		add(row.Peer)
+	}
+	for _, address := range s.cfg.Seeds {
+		if !known[address] {
+			add(address)
+		}
+	}
+	m.ranked = true
+	s.nextCandidate()
+}
+
+func (s *State) isCandidate(e endpoint.Entry) bool {
+	return e.DataCentre == s.cfg.DataCentre && e.ID != s.cfg.Node && e.Live()
+}
+
+// nextCandidate dials the next candidate. When none is left, this node acts
+// as root, unless one that ranks higher is about to.
+func (s *State) nextCandidate() {
+	m := &s.member
+	if len(m.candidates) > 0 {
+		address := m.candidates[0]
+		m.candidates = m.candidates[1:]
+		s.dialParent(address)
+		return
+	}
+	ranked, wait := m.ranked, m.waitForHigher
+	m.ranked = false
+	switch {
+	case m.phase == phaseRoot:
+		return
+	case ranked && !wait:
+		s.actAsRoot()
+	default:
+		s.seekAgain(s.cfg.LeaseRenew)
+	}
+}
+
+// actAsRoot makes this node a root without a lease, since the platform can't
+// be asked and no member that ranks higher answers.
+func (s *State) actAsRoot() {
+	s.log(notice.RootWithoutLease, Attr{"dataCentre", s.cfg.DataCentre})
+	s.enterRoot(true)
+}
+
+// fallbackTick looks from time to time whether the platform is back or a
+// better root has come up. Children stay where they are meanwhile.
+func (s *State) fallbackTick() {
+	m := &s.member
+	if !s.root.fallback || m.reading || m.parent != 0 || s.now.Before(m.retryAt) {
+		return
+	}
+	m.retryAt = s.now.Add(s.cfg.LeaseRenew + s.jitter(s.cfg.LeaseRenew))
+	s.readRootLease()
+}
+
+// settled reports whether this node knows which version it must hold before
+// it serves.
+func (s *State) settled() bool {
+	switch {
+	case s.member.phase == phaseJoined:
+		return s.member.rooted
+	case s.member.phase != phaseRoot:
+		return false
+	case s.root.headRead:
+		return true
+	}
+	return (s.root.fallback || s.platform.down) && s.now.Sub(s.root.since) >= settleTime
+}
+
+// caughtUp notes when the node holds what its root holds, or, with neither
+// root nor platform, the newest that any member told of.
+func (s *State) caughtUp() {
+	m := &s.member
+	if m.current || s.configVersion() < m.newest || !s.settled() {
+		return
+	}
+	m.current = true
+	s.log(notice.NodeReady, Attr{"version", s.configVersion()})
+	s.tellChildren()
+}
+
+// notCaughtUp says why the node does not serve yet.
+func (s *State) notCaughtUp() string {
+	switch {
+	case s.member.phase == phaseRoot && !s.settled():
+		return "acts as root and asks for the newest version"
+	case s.member.phase != phaseRoot && !s.rooted():
+		return "has found no root yet"
+	}
+	return "has not caught up with its root yet"
+}
--- a/core/holder.go
+++ b/core/holder.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/agatekeel/agatekeel/core/config"
-	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -26,7 +25,7 @@
 // take checks a newer set and puts it in force. An older or equal one is
 // dropped; a faulty one leaves the held one in force.
 func (s *State) take(set *config.Set) {
-	if set.Version <= s.holder.set.Version {
+	if set.Version <= s.holder.set.Version && !s.cfg.breaks.versionGuard {
 		return
 	}
 	s.adopt(set, config.Diff(s.holder.set, set))
@@ -45,6 +44,7 @@
 	if len(s.holder.deltas) > keptDeltas {
 		s.holder.deltas = s.holder.deltas[1:]
 	}
+	s.member.newest = max(s.member.newest, set.Version)
 	s.log(notice.ConfigApplied, Attr{"version", set.Version}, Attr{"objects", len(set.Objects)})
 	s.spreadConfig()
 	s.caughtUp()
@@ -56,61 +56,3 @@
 	s.log(notice.ConfigRefused, Attr{"reason", reason}, Attr{"held", s.configVersion()})
 	s.report()
 }
-
-// spreadConfig sends the held version to all that are known to hold less.
-func (s *State) spreadConfig() {
-	for _, id := range sortedLinks(s.links) {
-		l := s.links[id]
-		if l.open && (l.role == roleChild || l.role == roleRoot) {
-			s.sendConfig(id, l)
-		}
-	}
-}
-
-// sendConfig sends what leads from the version at the other end to the held
-// one: deltas where they are kept, else the whole.
-func (s *State) sendConfig(id LinkID, l *link) {
-	set := s.holder.set
-	if l.config >= set.Version {
-		return
-	}
-	for i, d := range s.holder.deltas {
-		if d.From != l.config {
-			continue
-		}
-		for _, next := range s.holder.deltas[i:] {
-			s.send(id, message.ConfigDelta{Delta: next})
-		}
-		l.config = set.Version
-		return
-	}
-	s.send(id, message.ConfigWhole{Version: set.Version, Hash: set.Hash(), Objects: set.Sorted()})
-	l.config = set.Version
-}
-
-func (s *State) deltaReceived(id LinkID, l *link, m message.ConfigDelta) {
-	l.config = max(l.config, m.Delta.To)
-	if m.Delta.To <= s.holder.set.Version {
-		return
-	}
-	if m.Delta.From != s.holder.set.Version {
-		s.send(id, message.ConfigWanted{Have: s.configVersion()})
-		return
-	}
-	set, err := s.holder.set.Apply(m.Delta)
-	if err != nil {
-		s.refuse(err.Error())
-		return
-	}
-	s.adopt(set, m.Delta)
-}
-
-func (s *State) wholeReceived(l *link, m message.ConfigWhole) {
-	l.config = max(l.config, m.Version)
-	set := config.NewSet(m.Version, m.Objects)
-	if set.Hash() != m.Hash {
-		s.refuse(fmt.Sprintf("version %d: %v", m.Version, config.ErrHash))
-		return
-	}
-	s.take(set)
-}
--- a/core/link.go
+++ b/core/link.go
@@ -35,6 +35,17 @@
 	sent   time.Time
 	report message.Report // of a child or another root
 	config uint64         // version that the other end is known to hold
+
+	greeted   bool              // Hello and Welcome are exchanged
+	told      message.Heartbeat // last one sent
+	last      message.Heartbeat // last one received
+	differing int               // heartbeats in a row with another digest
+	leaving   bool              // the other end said that it lives on
+	wanted    time.Time         // when a version was asked for over this link
+	behind    time.Time         // since when a child holds less than this node
+	named     bool              // reported as a laggard
+	batch     map[string]bool   // endpoints to tell when the window has passed
+	batchAt   time.Time
 }
 
 func (s *State) dial(address string, role linkRole) LinkID {
@@ -64,16 +75,22 @@
 
 func (s *State) hello(kind message.LinkKind) message.Hello {
 	return message.Hello{
+		Self: s.backend.entry,
 		Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Peer: s.cfg.Peer, Kind: kind,
 		Config: s.holder.set.Version, ConfigHash: s.holder.set.Hash(), Table: s.table.Digest(),
 	}
 }
 
-// drop closes a link and forgets it.
+// drop closes a link and forgets it. The other end is told that this node
+// lives on.
 func (s *State) drop(id LinkID, reason string) {
-	if _, ok := s.links[id]; !ok {
+	l, ok := s.links[id]
+	if !ok {
 		return
 	}
+	if l.open && l.greeted {
+		s.send(id, message.Leaving{})
+	}
 	s.emit(CloseLink{Link: id, Reason: reason})
 	s.linkDown(id, reason)
 }
@@ -89,15 +106,19 @@
 	case roleParent:
 		s.parentLost(id)
 	case roleChild:
-		s.childLost(l)
+		s.report()
 	case roleRoot:
-		delete(s.root.reports, l.dc)
+		s.otherRootLost(l)
 	}
+	s.suspectLater(l)
 }
 
 // linksTick sends heartbeats and closes links that have gone silent.
 func (s *State) linksTick() {
 	limit := time.Duration(s.cfg.MissedLimit) * s.cfg.HeartbeatEvery
+	if !s.ticked.IsZero() && s.now.Sub(s.ticked) > limit/2 {
+		s.hearAnew() // this process itself stood still: it can't say who was silent
+	}
 	for _, id := range sortedLinks(s.links) {
 		l, ok := s.links[id]
 		if !ok {
@@ -105,20 +126,55 @@
 		}
 		if s.now.Sub(l.heard) > limit {
 			s.log(notice.LinkSilent, Attr{"peer", l.peer}, Attr{"node", l.node})
-			s.drop(id, "silent")
+			s.emit(CloseLink{Link: id, Reason: "silent"})
+			s.linkDown(id, "silent")
 			continue
 		}
-		if l.open && l.role != roleNew && s.now.Sub(l.sent) >= s.cfg.HeartbeatEvery {
-			l.sent = s.now
-			s.send(id, s.heartbeat())
+		if l.open && l.greeted && s.now.Sub(l.sent) >= s.cfg.HeartbeatEvery {
+			s.sendHeartbeat(id, l)
 		}
 	}
 }
 
+func (s *State) hearAnew() {
+	for _, l := range s.links {
+		l.heard = s.now
+	}
+}
+
 func (s *State) heartbeat() message.Heartbeat {
 	return message.Heartbeat{
-		Path: s.path(), Rooted: s.rooted(), Config: s.configVersion(), Table: s.table.Digest(),
+		Path: s.path(), Rooted: s.rooted(), Config: s.configVersion(), Newest: s.member.newest,
+		Table: s.table.Digest(), Census: s.member.census,
+	}
+}
+
+// sendHeartbeat says how this node stands, or that nothing has changed since
+// it last did over this link.
+func (s *State) sendHeartbeat(id LinkID, l *link) {
+	l.sent = s.now
+	h := s.heartbeat()
+	if sameHeartbeat(h, l.told) {
+		s.send(id, message.Heartbeat{Same: true})
+		return
 	}
+	l.told = h
+	s.send(id, h)
+}
+
+// tellChildren sends a heartbeat to all children at once: what stands in it
+// has changed in a way that they act on.
+func (s *State) tellChildren() {
+	for _, id := range s.children() {
+		if l := s.links[id]; l.greeted {
+			s.sendHeartbeat(id, l)
+		}
+	}
+}
+
+func sameHeartbeat(a, b message.Heartbeat) bool {
+	return a.Rooted == b.Rooted && a.Config == b.Config && a.Newest == b.Newest && a.Table == b.Table &&
+		a.Census == b.Census && slices.Equal(a.Path, b.Path)
 }
 
 func (s *State) linkMessage(e LinkMessage) {
@@ -146,9 +202,15 @@
 		l.config = m.Have
 		s.sendConfig(e.Link, l)
 	case message.Endpoints:
-		s.endpointsReceived(e.Link, l, m.Entries)
-	case message.TableWanted:
-		s.send(e.Link, message.Endpoints{Entries: s.table.Entries()})
+		s.endpointsReceived(e.Link, m.Entries)
+	case message.TableDigests:
+		s.digestsReceived(e.Link, m)
+	case message.TableBuckets:
+		s.bucketsReceived(e.Link, m)
+	case message.Leaving:
+		l.leaving = true
+	case message.Present:
+		s.presentReceived(m)
 	case message.Report:
 		s.reportReceived(l, m)
 	}
--- a/core/member.go
+++ b/core/member.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
-	"github.com/agatekeel/agatekeel/core/status"
 )
 
 // memberPhase is where a node stands in the tree of its data centre.
@@ -35,17 +35,25 @@
 
 // member is the node's place in the tree of its data centre.
 type member struct {
-	phase    memberPhase
-	since    time.Time // of the phase
-	retryAt  time.Time
-	reading  bool // a read of the root lease is under way
-	lease    *lease.Machine
-	parent   LinkID
-	path     []string // parent first, root last
-	rooted   bool     // the path ends in a root
-	target   uint64   // version to hold before the node serves
-	current  bool     // it has held target once
-	reported message.Report
+	phase   memberPhase
+	since   time.Time // of the phase
+	retryAt time.Time
+	reading bool // a read of the root lease is under way
+	lease   *lease.Machine
+	parent  LinkID
+	dialAt  time.Time
+	path    []string // parent first, root last
+	rooted  bool     // the path ends in a root and all on it have caught up
+	newest  uint64   // newest version that this node has heard of
+	current bool     // it has held newest once, so it may serve
+	reports reports
+
+	candidates    []string // addresses to try before the lease is read again
+	ranked        bool     // they are all that there are: after them this node acts as root
+	waitForHigher bool     // one that ranks higher answered but has no place yet
+	census        uint64   // newest one answered
+	present       []string // answers to it that are to go up
+	collected     time.Time
 }
 
 func newMember(cfg Config) member {
@@ -66,55 +74,85 @@
 	return append([]string{s.cfg.Node}, s.member.path...)
 }
 
-func (s *State) rooted() bool { return s.member.phase == phaseRoot || s.member.rooted }
+// rooted reports whether the path ends in a root and all on it, this node
+// too, have caught up.
+func (s *State) rooted() bool {
+	return s.member.current && (s.member.phase == phaseRoot || s.member.phase == phaseJoined && s.member.rooted)
+}
 
 func (s *State) memberTick() {
 	m := &s.member
-	switch m.phase {
-	case phaseSeeking:
-		if !m.reading && !s.now.Before(m.retryAt) {
-			m.reading = true
-			s.storeGet(rootLeasePrefix+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
-		}
-	case phaseJoining:
-		if s.now.Sub(m.since) > joinTimeout {
-			s.drop(m.parent, "no answer to Hello")
-		}
+	if m.parent != 0 && m.phase != phaseJoined && s.now.Sub(m.dialAt) > joinTimeout {
+		s.drop(m.parent, "no answer to Hello")
+	}
+	if m.phase != phaseSeeking || s.now.Before(m.retryAt) || m.reading {
+		return
+	}
+	if len(m.candidates) > 0 {
+		s.nextCandidate()
+		return
 	}
+	s.readRootLease()
+}
+
+func (s *State) readRootLease() {
+	s.member.reading = true
+	s.storeGet(rootLeasePrefix+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
+}
+
+// dialParent asks the node at an address for a place. A root that does so
+// stays root until it is welcomed.
+func (s *State) dialParent(address string) {
+	m := &s.member
+	if m.phase != phaseRoot {
+		s.setPhase(phaseJoining)
+	}
+	m.dialAt = s.now
+	m.parent = s.dial(address, roleParent)
 }
 
 // seekAgain looks for a parent after a random wait.
 func (s *State) seekAgain(limit time.Duration) {
+	m := &s.member
 	s.setPhase(phaseSeeking)
-	s.member.parent, s.member.path, s.member.rooted = 0, nil, false
-	s.member.retryAt = s.now.Add(s.jitter(limit))
+	m.parent, m.path, m.rooted = 0, nil, false
+	m.candidates, m.ranked = nil, false
+	m.retryAt = s.now.Add(s.jitter(limit))
+	s.tellChildren()
 }
 
 func (s *State) rootLeaseRead(done StoreDone) {
 	m := &s.member
 	m.reading = false
+	seeks := m.phase == phaseSeeking || m.phase == phaseRoot && s.root.fallback && m.parent == 0
 	rec, version, err := readLease(done)
 	if err != nil {
 		s.platformFailed(done)
-		if m.phase == phaseSeeking {
-			s.seekAgain(s.cfg.LeaseRenew)
+		if seeks {
+			s.fallback()
 		}
 		return
 	}
 	m.lease.Observe(s.now, rec, version)
-	if m.phase != phaseSeeking {
+	if !seeks {
 		return
 	}
 	if w, due := m.lease.Next(s.now, true); due {
 		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 		return
 	}
-	if rec.Holder == s.cfg.Node {
-		s.seekAgain(s.cfg.JoinJitter)
+	if rec.Holder == s.cfg.Node || rec.Address == s.cfg.Peer {
+		s.seekLater()
 		return
 	}
-	s.setPhase(phaseJoining)
-	m.parent = s.dial(rec.Address, roleParent)
+	s.dialParent(rec.Address)
+}
+
+// seekLater tries again soon; a root that looks for a better one stays root.
+func (s *State) seekLater() {
+	if s.member.phase == phaseSeeking {
+		s.seekAgain(s.cfg.JoinJitter)
+	}
 }
 
 func (s *State) rootLeaseWritten(done StoreDone) {
@@ -124,25 +162,46 @@
 		if done.Err == StoreFailed {
 			s.platformFailed(done)
 		}
-		if m.phase == phaseSeeking {
-			s.seekAgain(s.cfg.JoinJitter)
-		}
+		s.seekLater()
 		return
 	}
 	m.lease.Written(s.now, done.Version)
-	if m.phase != phaseRoot {
+	if m.phase != phaseRoot || s.root.fallback {
 		s.becomeRoot()
 	}
 }
 
+// parentLost goes on to the next candidate, or, after a place in the tree was
+// lost, first to the next node up: it has room now, and knows where there is
+// more, so that not all come to the root.
 func (s *State) parentLost(id LinkID) {
-	if s.member.parent != id {
+	m := &s.member
+	if m.parent != id {
 		return
 	}
+	m.parent = 0
+	if m.phase != phaseJoined {
+		s.candidateFailed()
+		return
+	}
+	above := m.path[min(1, len(m.path)):]
 	s.seekAgain(s.cfg.JoinJitter)
+	if len(above) == 0 {
+		return
+	}
+	if row, ok := s.table.Get(above[0]); ok && row.Live() {
+		m.candidates = []string{row.Peer}
+	}
 }
 
-func (s *State) childLost(*link) { s.report() }
+func (s *State) candidateFailed() {
+	switch {
+	case len(s.member.candidates) > 0 || s.member.ranked:
+		s.nextCandidate()
+	case s.member.phase != phaseRoot:
+		s.seekAgain(s.cfg.JoinJitter)
+	}
+}
 
 func (s *State) children() []LinkID {
 	var out []LinkID
@@ -156,19 +215,26 @@
 
 func (s *State) helloReceived(id LinkID, l *link, m message.Hello) {
 	l.node, l.dc, l.peer, l.config = m.Node, m.DataCentre, m.Peer, m.Config
+	if m.Self.ID == m.Node {
+		s.endpointsReceived(0, []endpoint.Entry{m.Self})
+	}
 	if m.Kind == message.Root {
-		l.role = roleRoot
-		s.greet(id, l, m)
+		s.rootHello(id, l, m)
 		return
 	}
-	if slices.Contains(s.path(), m.Node) || s.member.phase == phaseSeeking || s.member.phase == phaseJoining {
-		s.send(id, message.ComeBack{After: s.jitter(s.cfg.HeartbeatEvery)})
+	below := slices.Contains(s.path(), m.Node) && !s.cfg.breaks.cycleCheck
+	if below || m.DataCentre != s.cfg.DataCentre || s.member.phase == phaseSeeking || s.member.phase == phaseJoining {
+		s.refuseHello(id, l, below)
 		return
 	}
 	if to, full := s.placement(m.Node); full {
 		s.send(id, message.Redirect{Peer: to})
 		return
 	}
+	if spread, ok := s.root.joins.Take(s.now); !ok {
+		s.send(id, message.ComeBack{After: s.jitter(spread), Config: s.configVersion()})
+		return
+	}
 	for _, old := range s.children() {
 		if s.links[old].node == m.Node {
 			s.drop(old, "replaced by a newer link")
@@ -179,6 +245,16 @@
 	s.report()
 }
 
+// refuseHello gives the dialler no place, but tells it what this node knows:
+// with neither platform nor root that is all that it can learn.
+func (s *State) refuseHello(id LinkID, l *link, below bool) {
+	if s.member.phase == phaseSeeking || s.member.phase == phaseJoining {
+		s.sendConfig(id, l)
+		s.send(id, message.Endpoints{Entries: s.table.Entries()})
+	}
+	s.send(id, message.ComeBack{After: s.jitter(s.cfg.HeartbeatEvery), Config: s.configVersion(), Below: below})
+}
+
 // placement returns where a joiner is to go when this node has no room: to
 // the child with the fewest nodes below it.
 func (s *State) placement(joiner string) (string, bool) {
@@ -202,14 +278,14 @@
 
 // greet welcomes the dialler and brings it up to date.
 func (s *State) greet(id LinkID, l *link, m message.Hello) {
-	l.sent = s.now
-	s.send(id, message.Welcome{
-		Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Path: s.path(), Config: s.configVersion(), Rooted: s.rooted(),
-	})
+	l.sent, l.greeted, l.told = s.now, true, s.heartbeat()
+	s.send(id, message.Welcome{Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Heartbeat: l.told})
 	s.sendConfig(id, l)
-	if m.Table != s.table.Digest() {
-		s.send(id, message.Endpoints{Entries: s.table.Entries()})
-		s.send(id, message.TableWanted{})
+	if m.Config > s.configVersion() {
+		s.wantConfig(id, l, s.configVersion())
+	}
+	if m.Table != l.told.Table {
+		s.sendDigests(id)
 	}
 	if l.role == roleRoot {
 		s.send(id, s.ownReport())
@@ -219,115 +295,108 @@
 func (s *State) welcomed(id LinkID, l *link, m message.Welcome) {
 	l.node, l.dc, l.config = m.Node, m.DataCentre, m.Config
 	if l.role == roleRoot {
-		s.send(id, s.ownReport())
-		s.sendConfig(id, l)
+		s.rootWelcomed(id, l, m)
 		return
 	}
 	if id != s.member.parent {
 		return
 	}
+	if s.member.phase == phaseRoot && !s.root.fallback {
+		s.member.parent = 0
+		s.drop(id, "took the lease in the meantime")
+		return
+	}
+	if s.member.phase == phaseRoot {
+		s.leaveRoot()
+	}
+	l.greeted, l.last = true, m.Heartbeat
 	s.setPhase(phaseJoined)
-	s.member.path, s.member.rooted = m.Path, m.Rooted
-	s.member.target = max(s.member.target, m.Config)
-	s.member.reported = message.Report{}
-	s.caughtUp()
+	s.member.candidates, s.member.ranked = nil, false
+	s.member.reports.last = message.Report{}
 	s.log(notice.JoinedParent, Attr{"parent", m.Node}, Attr{"path", m.Path})
-	s.send(id, message.Endpoints{Entries: s.table.Entries()})
 	s.report()
+	s.parentTold(id, l)
 }
 
-// caughtUp notes when the node holds what its root held as it joined.
-func (s *State) caughtUp() {
-	if s.member.current || s.configVersion() < s.member.target || !s.rooted() {
+func (s *State) redirected(id LinkID, l *link, m message.Redirect) {
+	if l.role == roleRoot {
+		s.rootRedirected(id, l, m.Peer)
 		return
 	}
-	s.member.current = true
-	s.log(notice.NodeReady, Attr{"version", s.configVersion()})
-}
-
-func (s *State) redirected(id LinkID, _ *link, m message.Redirect) {
 	if id != s.member.parent {
 		return
 	}
 	s.member.parent = 0
 	s.drop(id, "redirected")
-	s.setPhase(phaseSeeking)
-	s.setPhase(phaseJoining)
-	s.member.parent = s.dial(m.Peer, roleParent)
+	s.dialParent(m.Peer)
 }
 
-func (s *State) toldToComeBack(id LinkID, _ *link, m message.ComeBack) {
+func (s *State) toldToComeBack(id LinkID, l *link, m message.ComeBack) {
+	if l.role == roleRoot {
+		s.drop(id, "told to come back")
+		return
+	}
 	if id != s.member.parent {
 		return
 	}
+	t := &s.member
+	t.newest = max(t.newest, m.Config)
+	t.waitForHigher = t.waitForHigher || !m.Below
+	t.parent = 0
 	s.drop(id, "told to come back")
-	s.member.retryAt = s.now.Add(m.After)
+	if len(t.candidates) > 0 || t.ranked {
+		s.nextCandidate()
+		return
+	}
+	if t.phase != phaseRoot {
+		s.seekAgain(0)
+		t.retryAt = s.now.Add(m.After)
+	}
 }
 
 func (s *State) heartbeatReceived(id LinkID, l *link, m message.Heartbeat) {
-	l.config = max(l.config, m.Config)
-	if l.role != roleParent || id != s.member.parent {
-		if l.config < s.configVersion() && l.role != roleParent {
-			s.sendConfig(id, l)
-		}
+	if !l.greeted {
 		return
 	}
-	if slices.Contains(m.Path, s.cfg.Node) {
-		s.drop(id, "the tree has a cycle")
-		return
+	if !m.Same {
+		l.last = m
 	}
-	s.member.path, s.member.rooted = m.Path, m.Rooted
-	if m.Config > s.configVersion() {
-		s.send(id, message.ConfigWanted{Have: s.configVersion()})
+	l.config = max(l.config, l.last.Config)
+	switch {
+	case id == s.member.parent:
+		s.parentTold(id, l)
+	case l.config < s.configVersion():
+		s.sendConfig(id, l)
+	default:
+		s.compareVersions(id, l)
 	}
-	if m.Table != s.table.Digest() {
-		s.send(id, message.TableWanted{})
-		s.send(id, message.Endpoints{Entries: s.table.Entries()})
+	if id == s.member.parent || l.role == roleRoot {
+		s.compareTables(id, l)
 	}
-	s.caughtUp()
 }
 
-// ownReport counts this node and all below it.
-func (s *State) ownReport() message.Report {
-	own := message.Report{DataCentre: s.cfg.DataCentre, Applied: s.configVersion(), Nodes: 1}
-	if s.holder.refused != "" {
-		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
-	}
-	var below []message.Report
-	for _, id := range s.children() {
-		below = append(below, s.links[id].report)
+// compareVersions asks for a version that the other end is ahead by.
+func (s *State) compareVersions(id LinkID, l *link) {
+	if l.last.Config > s.configVersion() {
+		s.wantConfig(id, l, s.configVersion())
 	}
-	return status.Count(own, below)
 }
 
-// report sends the count up, or from a root to the other roots, if it has
-// changed.
-func (s *State) report() {
-	r := s.ownReport()
-	if sameReport(r, s.member.reported) {
+// parentTold takes what the parent says of itself and passes on what the
+// children act on.
+func (s *State) parentTold(id LinkID, l *link) {
+	m, h := &s.member, l.last
+	if slices.Contains(h.Path, s.cfg.Node) && !s.cfg.breaks.cycleCheck {
+		s.drop(id, "the tree has a cycle")
 		return
 	}
-	s.member.reported = r
-	for _, id := range sortedLinks(s.links) {
-		l := s.links[id]
-		if l.open && (l.role == roleRoot || id == s.member.parent && s.member.phase == phaseJoined) {
-			s.send(id, r)
-		}
-	}
-	s.publisherCounted()
-}
-
-func sameReport(a, b message.Report) bool {
-	return a.Applied == b.Applied && a.Nodes == b.Nodes && a.DataCentre == b.DataCentre && slices.Equal(a.Laggards, b.Laggards)
-}
-
-func (s *State) reportReceived(l *link, r message.Report) {
-	l.report = r
-	switch l.role {
-	case roleChild:
-		s.report()
-	case roleRoot:
-		s.root.reports[r.DataCentre] = r
-		s.publisherCounted()
+	changed := m.rooted != h.Rooted && m.current || !slices.Equal(m.path, h.Path)
+	m.path, m.rooted = h.Path, h.Rooted
+	m.newest = max(m.newest, h.Newest, h.Config)
+	s.compareVersions(id, l)
+	s.caughtUp()
+	if changed {
+		s.tellChildren()
 	}
+	s.censusSeen(h.Census)
 }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -30,32 +30,44 @@
 	Config     uint64 // configuration version held, zero: none
 	ConfigHash uint64
 	Table      uint64 // digest of the endpoint table held
+	Self       endpoint.Entry
 }
 
 // Welcome accepts the dialler.
 type Welcome struct {
 	Node       string
 	DataCentre string
-	Path       []string // node IDs from the answering node up to its root
-	Config     uint64   // version held by the answering node
-	Rooted     bool     // the path ends in a node that acts as a root
+	Heartbeat
 }
 
 // Redirect asks the dialler to join another node.
 type Redirect struct{ Peer string }
 
 // ComeBack asks the dialler to try again later.
-type ComeBack struct{ After time.Duration }
+type ComeBack struct {
+	After  time.Duration
+	Config uint64 // version held by the answering node
+	Below  bool   // the answering node is below the dialler in the tree
+}
 
 // Heartbeat shows that the sender is alive. Parents tell their path, so that
 // a cycle in the tree is found by its members.
 type Heartbeat struct {
-	Path   []string
-	Rooted bool
-	Config uint64 // version held by the sender
-	Table  uint64 // digest of the sender's endpoint table
+	Same   bool     // all is as in the last one on this link; the rest is empty
+	Path   []string // node IDs from the sender up to its root
+	Rooted bool     // the path ends in a root, and every node of it has caught up
+	Config uint64   // version held by the sender
+	Newest uint64   // newest version that the root knows of
+	Table  uint64   // digest of the sender's endpoint table
+	Census uint64   // number of the root's newest census, zero: none
 }
 
+// Leaving says that the sender closes the link and lives on.
+type Leaving struct{}
+
+// Present answers a census with the nodes of the sender's subtree.
+type Present struct{ Nodes []string }
+
 // ConfigDelta leads from one version to a later one.
 type ConfigDelta struct{ Delta config.Delta }
 
@@ -72,14 +84,24 @@
 // Endpoints carries entries that are new to the sender.
 type Endpoints struct{ Entries []endpoint.Entry }
 
-// TableWanted asks for all entries.
-type TableWanted struct{}
+// TableDigests compares endpoint tables: the receiver answers with its
+// entries of each bucket whose digest differs.
+type TableDigests struct{ Digests []uint64 }
+
+// TableBuckets carries all entries of some buckets; the receiver answers with
+// those of its own that the sender lacks.
+type TableBuckets struct {
+	Of      int // number of buckets in all
+	Numbers []uint32
+	Entries []endpoint.Entry
+}
 
 // Report counts what the sender and all below it have applied.
 type Report struct {
 	DataCentre string
-	Applied    uint64 // smallest version applied by any of them
-	Nodes      int
+	Applied    uint64    // smallest version applied by any of them
+	Nodes      int       // live nodes counted
+	Missing    int       // nodes thought to be live that are not in the tree; Applied is a bound for them too
 	Laggards   []Laggard // at most MaxLaggards
 }
 
@@ -102,5 +124,8 @@
 func (ConfigWhole) isMessage()  {}
 func (ConfigWanted) isMessage() {}
 func (Endpoints) isMessage()    {}
-func (TableWanted) isMessage()  {}
+func (TableDigests) isMessage() {}
+func (TableBuckets) isMessage() {}
+func (Leaving) isMessage()      {}
+func (Present) isMessage()      {}
 func (Report) isMessage()       {}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -20,6 +20,7 @@
 	LeaseLost           Code = 3002
 	PlatformUnreachable Code = 3003
 	PlatformReachable   Code = 3004
+	RootWithoutLease    Code = 3005
 	LinkUp              Code = 4001
 	LinkDown            Code = 4002
 	JoinedParent        Code = 4003
@@ -44,6 +45,7 @@
 	LeaseLost:           "lease lost",
 	PlatformUnreachable: "platform unreachable",
 	PlatformReachable:   "platform reachable",
+	RootWithoutLease:    "acts as root without a lease",
 	LinkUp:              "link up",
 	LinkDown:            "link down",
 	JoinedParent:        "joined parent",
--- a/core/root.go
+++ b/core/root.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/tree"
 )
 
 // Keys of configuration in the platform.
@@ -30,6 +30,19 @@
 	revision uint64 // the watch goes on from here
 	headRead bool   // the head has been read since this node became root
 	fetch    *fetch
+
+	since      time.Time // when this node became root
+	fallback   bool      // it holds no lease
+	complete   uint64    // version applied by all when no node was missing last
+	linkAt     time.Time
+	tries      map[string]int // to find the root of another data centre
+	joins      *tree.Limiter
+	fewerSince time.Time // since when the tree holds fewer nodes than the table
+	censusEnd  time.Time
+	present    map[string]bool // nodes that answered the census
+	absent     []string        // those that have not
+	swept      time.Time
+	broken     bool
 }
 
 // fetch is the read of one version from the platform.
@@ -40,34 +53,63 @@
 	missing  int
 }
 
-func newRoot(Config) root {
-	return root{others: map[string]lease.Record{}, reports: map[string]message.Report{}}
+func newRoot(cfg Config) root {
+	return root{
+		others: map[string]lease.Record{}, reports: map[string]message.Report{}, tries: map[string]int{},
+		joins: tree.NewLimiter(cfg.JoinsPerSecond, 2*cfg.Fanout),
+	}
 }
 
 func (s *State) becomeRoot() {
-	s.setPhase(phaseRoot)
-	s.member.parent, s.member.path, s.member.rooted = 0, nil, false
-	s.root = newRoot(s.cfg)
 	s.log(notice.LeaseTaken, Attr{"lease", rootLeasePrefix + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
+	s.enterRoot(false)
 	s.readHead()
 }
 
+// enterRoot makes this node a root, with or without a lease.
+func (s *State) enterRoot(fallback bool) {
+	if s.member.phase == phaseRoot {
+		s.root.fallback = fallback
+		return
+	}
+	if parent := s.member.parent; parent != 0 {
+		s.member.parent = 0
+		s.drop(parent, "became root")
+	}
+	s.setPhase(phaseRoot)
+	s.member.path, s.member.rooted = nil, false
+	s.root = newRoot(s.cfg)
+	s.root.since, s.root.fallback = s.now, fallback
+	s.tellChildren()
+}
+
 // resignRoot gives the role up: another node holds the lease.
 func (s *State) resignRoot(reason string) {
 	s.log(notice.LeaseLost, Attr{"lease", rootLeasePrefix + s.cfg.DataCentre}, Attr{"reason", reason})
+	s.leaveRoot()
+	s.seekAgain(s.cfg.JoinJitter)
+}
+
+// leaveRoot drops what belongs to the role. Children stay.
+func (s *State) leaveRoot() {
 	for _, id := range sortedLinks(s.links) {
 		if l, ok := s.links[id]; ok && l.role == roleRoot {
 			s.drop(id, "no longer root")
 		}
 	}
 	s.root = newRoot(s.cfg)
-	s.seekAgain(s.cfg.JoinJitter)
 }
 
 func (s *State) rootTick() {
 	if s.member.phase != phaseRoot {
 		return
 	}
+	s.linkRoots()
+	s.fallbackTick()
+	s.caughtUp()
+	if s.root.fallback {
+		return
+	}
 	if w, due := s.member.lease.Next(s.now, true); due {
 		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 	}
@@ -81,62 +123,6 @@
 	}
 }
 
-// leasesListed learns the other roots, whether this node is still the one of
-// its data centre, and who publishes.
-func (s *State) leasesListed(done StoreDone) {
-	s.root.listing = false
-	s.root.listAt = s.now.Add(s.cfg.LeaseRenew)
-	if done.Err != StoreOK {
-		s.platformFailed(done)
-		return
-	}
-	others := map[string]lease.Record{}
-	publisherSeen := false
-	for _, o := range done.Objects {
-		var rec lease.Record
-		if json.Unmarshal(o.Data, &rec) != nil {
-			continue
-		}
-		dc, isRoot := strings.CutPrefix(o.Key, rootLeasePrefix)
-		switch {
-		case o.Key == publisherLeaseKey:
-			publisherSeen = true
-			s.publisher.lease.Observe(s.now, rec, o.Version)
-		case isRoot && dc == s.cfg.DataCentre:
-			s.member.lease.Observe(s.now, rec, o.Version)
-		case isRoot:
-			others[dc] = rec
-		}
-	}
-	if !publisherSeen {
-		s.publisher.lease.Observe(s.now, lease.Record{}, 0)
-	}
-	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node {
-		s.resignRoot("held by " + rec.Holder)
-		return
-	}
-	s.root.others = others
-	s.linkRoots()
-}
-
-// linkRoots keeps one link to each other root. Of two roots the one whose
-// data centre has the smaller name dials, so that one link stands.
-func (s *State) linkRoots() {
-	linked := map[string]bool{}
-	for _, id := range sortedLinks(s.links) {
-		if l := s.links[id]; l.role == roleRoot {
-			linked[l.peer] = true
-		}
-	}
-	for _, dc := range sortedNames(s.root.others) {
-		rec := s.root.others[dc]
-		if s.cfg.DataCentre < dc && !linked[rec.Address] {
-			id := s.dial(rec.Address, roleRoot)
-			s.links[id].dc = dc
-		}
-	}
-}
-
 func (s *State) readHead() {
 	s.storeList(headKey, storeCall{purpose: forHeadRead})
 }
@@ -188,7 +174,7 @@
 		s.refuse(fmt.Sprintf("head can't be read: %v", err))
 		return
 	}
-	s.member.target = max(s.member.target, h.Version)
+	s.member.newest = max(s.member.newest, h.Version)
 	if h.Version <= s.configVersion() {
 		s.caughtUp()
 		return
--- /dev/null
+++ b/core/roots.go
@@ -0,0 +1,188 @@
+package core
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/tree"
+)
+
+// leasesListed learns the other roots, whether this node is still the one of
+// its data centre, and who publishes.
+func (s *State) leasesListed(done StoreDone) {
+	s.root.listing = false
+	s.root.listAt = s.now.Add(s.cfg.LeaseRenew)
+	if done.Err != StoreOK {
+		s.platformFailed(done)
+		return
+	}
+	others := map[string]lease.Record{}
+	publisherSeen := false
+	for _, o := range done.Objects {
+		var rec lease.Record
+		if json.Unmarshal(o.Data, &rec) != nil {
+			continue
+		}
+		dc, isRoot := strings.CutPrefix(o.Key, rootLeasePrefix)
+		switch {
+		case o.Key == publisherLeaseKey:
+			publisherSeen = true
+			s.publisher.lease.Observe(s.now, rec, o.Version)
+		case isRoot && dc == s.cfg.DataCentre:
+			s.member.lease.Observe(s.now, rec, o.Version)
+		case isRoot:
+			others[dc] = rec
+		}
+	}
+	if !publisherSeen {
+		s.publisher.lease.Observe(s.now, lease.Record{}, 0)
+	}
+	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node {
+		s.resignRoot("held by " + rec.Holder)
+		return
+	}
+	s.root.others = others
+}
+
+// linkRootsEvery is the time between two looks at which roots lack a link.
+const linkRootsEvery = time.Second
+
+// linkRoots keeps one link to each other root. Of two roots the one whose
+// data centre has the smaller name dials, so that one link stands. While the
+// platform can't be asked, leases may name nodes that are dead: then either
+// side dials members of the other data centre, which know their root.
+func (s *State) linkRoots() {
+	r := &s.root
+	if s.now.Before(r.linkAt) {
+		return
+	}
+	r.linkAt = s.now.Add(linkRootsEvery + s.jitter(linkRootsEvery))
+	linked := map[string]bool{}
+	for _, l := range s.links {
+		if l.role == roleRoot {
+			linked[l.dc] = true
+		}
+	}
+	unsure := r.fallback || s.platform.down
+	for _, dc := range s.otherDataCentres() {
+		if linked[dc] || !unsure && s.cfg.DataCentre > dc {
+			continue
+		}
+		if address := s.rootAddress(dc, unsure); address != "" {
+			s.links[s.dial(address, roleRoot)].dc = dc
+		}
+	}
+}
+
+func (s *State) otherDataCentres() []string {
+	seen := map[string]bool{}
+	for dc := range s.root.others {
+		seen[dc] = true
+	}
+	for _, dc := range s.table.DataCentres() {
+		seen[dc] = true
+	}
+	delete(seen, s.cfg.DataCentre)
+	return sortedNames(seen)
+}
+
+// rootAddress returns where to look for the root of another data centre: at
+// the holder of its lease, or in turn at its members.
+func (s *State) rootAddress(dc string, unsure bool) string {
+	rec, known := s.root.others[dc]
+	try := s.root.tries[dc]
+	s.root.tries[dc]++
+	if known && (!unsure || try%2 == 0) {
+		return rec.Address
+	}
+	if !unsure {
+		return ""
+	}
+	var members []string
+	for _, row := range s.table.Rows() {
+		if row.DataCentre == dc && row.Live() {
+			members = append(members, row.ID)
+		}
+	}
+	if len(members) == 0 {
+		return ""
+	}
+	row, _ := s.table.Get(tree.Rank(dc, members)[try/2%len(members)])
+	return row.Peer
+}
+
+// rootHello answers the root of another data centre. A node that is not a
+// root names its own.
+func (s *State) rootHello(id LinkID, l *link, m message.Hello) {
+	if m.DataCentre == s.cfg.DataCentre {
+		s.refuseHello(id, l, false)
+		return
+	}
+	if s.member.phase != phaseRoot {
+		path := s.path()
+		row, ok := s.table.Get(path[len(path)-1])
+		if !ok || !s.rooted() {
+			s.refuseHello(id, l, false)
+			return
+		}
+		s.send(id, message.Redirect{Peer: row.Peer})
+		return
+	}
+	if !s.keepNewer(id, m) {
+		s.refuseHello(id, l, false)
+		return
+	}
+	l.role = roleRoot
+	s.greet(id, l, m)
+}
+
+// keepNewer settles which of two links to one root stays when both ends
+// dialled at once: the one dialled by the node with the smaller name. Any
+// other older link to it is dead.
+func (s *State) keepNewer(id LinkID, m message.Hello) bool {
+	for _, old := range sortedLinks(s.links) {
+		o := s.links[old]
+		if old == id || o.role != roleRoot || o.node != m.Node || !o.open || !o.greeted {
+			continue
+		}
+		if old%2 == 0 && s.cfg.Node < m.Node {
+			return false
+		}
+		s.drop(old, "replaced by a newer link")
+	}
+	return true
+}
+
+func (s *State) rootWelcomed(id LinkID, l *link, m message.Welcome) {
+	l.greeted, l.last = true, m.Heartbeat
+	s.send(id, s.ownReport())
+	s.sendConfig(id, l)
+	s.compareVersions(id, l)
+}
+
+// rootRedirected follows a member of another data centre to its root.
+func (s *State) rootRedirected(id LinkID, l *link, address string) {
+	dc := l.dc
+	s.drop(id, "redirected")
+	if s.member.phase != phaseRoot {
+		return
+	}
+	for _, other := range s.links {
+		if other.role == roleRoot && other.dc == dc {
+			return
+		}
+	}
+	s.links[s.dial(address, roleRoot)].dc = dc
+}
+
+func (s *State) otherRootLost(l *link) {
+	for _, other := range s.links {
+		if other.role == roleRoot && other.dc == l.dc {
+			return // another link to that data centre took its place
+		}
+	}
+	delete(s.root.reports, l.dc)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -23,6 +23,8 @@
 	Fanout      int
 	Incarnation endpoint.Incarnation
 	Seed        uint64
+	Seeds       []string // addresses of other nodes, for a start without the platform
+	Favour      Favour
 
 	TickEvery      time.Duration
 	HeartbeatEvery time.Duration
@@ -37,10 +39,42 @@
 	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
+	ReportEvery    time.Duration // shortest time between two reports of one node
+	BatchWindow    time.Duration // news of endpoints that begin to serve is held this long; zero: sent at once
+	JoinsPerSecond int           // that one node accepts
+	Grace          time.Duration // time in which the nodes of a data centre find a new root
+	SuspectLimit   time.Duration // a suspected entry not refuted for so long is removed
+	TombstoneFor   time.Duration // removed entries are remembered this long
+
+	breaks breaks
+}
+
+// Favour says what the spreading of configuration and endpoints favours.
+type Favour string
+
+// The profiles.
+const (
+	FavourConvergence Favour = "convergence" // push at once
+	FavourBytes       Favour = "bytes"       // batch and compress
+)
+
+// breaks are deliberate faults, set by tests alone, which show that the
+// checks of the promises can fail.
+type breaks struct {
+	versionGuard bool // any version offered is taken
+	digest       bool // tables are not compared
+	grace        bool // a root removes at once what it does not find
+	cycleCheck   bool // a path that comes back is not looked at
 }
 
 // WithDefaults returns the settings with every zero field filled in.
 func (c Config) WithDefaults() Config {
+	if c.Favour == FavourBytes {
+		setDefault(&c.HeartbeatEvery, 2*time.Second)
+		setDefault(&c.ReportEvery, time.Second)
+		setDefault(&c.BatchWindow, 500*time.Millisecond)
+	}
+	setDefault(&c.Favour, FavourConvergence)
 	setDefault(&c.Slots, 6)
 	setDefault(&c.MaxQueue, 8*c.Slots)
 	setDefault(&c.Fanout, 16)
@@ -57,6 +91,11 @@
 	setDefault(&c.DrainAtLeast, time.Second)
 	setDefault(&c.DrainAtMost, 30*time.Second)
 	setDefault(&c.RetryShare, 0.1)
+	setDefault(&c.ReportEvery, c.TickEvery)
+	setDefault(&c.JoinsPerSecond, 100)
+	setDefault(&c.Grace, 20*time.Second)
+	setDefault(&c.SuspectLimit, 30*time.Second)
+	setDefault(&c.TombstoneFor, 10*time.Minute)
 	return c
 }
 
@@ -81,6 +120,8 @@
 
 	member    member
 	root      root
+	suspects  map[string]suspicion
+	ticked    time.Time
 	holder    holder
 	publisher publisher
 	table     *endpoint.Table
@@ -96,7 +137,7 @@
 	s := &State{
 		cfg: cfg, rng: rng,
 		calls: map[StoreCallID]storeCall{}, links: map[LinkID]*link{},
-		table: endpoint.NewTable(),
+		table: endpoint.NewTable(), suspects: map[string]suspicion{},
 	}
 	s.member = newMember(cfg)
 	s.root = newRoot(cfg)
@@ -156,8 +197,12 @@
 	s.linksTick()
 	s.memberTick()
 	s.rootTick()
+	s.suspectTick()
 	s.publisherTick()
 	s.backendTick()
+	s.reportTick()
+	s.batchTick()
+	s.ticked = s.now
 }
 
 // jitter returns a random time below limit ("full jitter").
@@ -176,7 +221,7 @@
 	case s.configVersion() == 0:
 		return false, "holds no configuration yet"
 	case !s.member.current:
-		return false, "has not caught up with its root yet"
+		return false, s.notCaughtUp()
 	}
 	return true, ""
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -16,20 +16,24 @@
 	case message.Hello:
 		return &pb.Frame{Body: &pb.Frame_Hello{Hello: &pb.Hello{
 			Node: m.Node, DataCentre: m.DataCentre, Peer: m.Peer, Kind: uint32(m.Kind),
-			Config: m.Config, ConfigHash: m.ConfigHash, Table: m.Table,
+			Config: m.Config, ConfigHash: m.ConfigHash, Table: m.Table, Self: encodeEntry(m.Self),
 		}}}, nil
 	case message.Welcome:
 		return &pb.Frame{Body: &pb.Frame_Welcome{Welcome: &pb.Welcome{
-			Node: m.Node, DataCentre: m.DataCentre, Path: m.Path, Config: m.Config, Rooted: m.Rooted,
+			Node: m.Node, DataCentre: m.DataCentre, Heartbeat: encodeHeartbeat(m.Heartbeat),
 		}}}, nil
 	case message.Redirect:
 		return &pb.Frame{Body: &pb.Frame_Redirect{Redirect: &pb.Redirect{Peer: m.Peer}}}, nil
 	case message.ComeBack:
-		return &pb.Frame{Body: &pb.Frame_ComeBack{ComeBack: &pb.ComeBack{AfterMillis: uint64(m.After.Milliseconds())}}}, nil
-	case message.Heartbeat:
-		return &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{
-			Path: m.Path, Rooted: m.Rooted, Config: m.Config, Table: m.Table,
+		return &pb.Frame{Body: &pb.Frame_ComeBack{ComeBack: &pb.ComeBack{
+			AfterMillis: uint64(m.After.Milliseconds()), Config: m.Config, Below: m.Below,
 		}}}, nil
+	case message.Heartbeat:
+		return &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: encodeHeartbeat(m)}}, nil
+	case message.Leaving:
+		return &pb.Frame{Body: &pb.Frame_Leaving{Leaving: &pb.Leaving{}}}, nil
+	case message.Present:
+		return &pb.Frame{Body: &pb.Frame_Present{Present: &pb.Present{Nodes: m.Nodes}}}, nil
 	case message.ConfigDelta:
 		return &pb.Frame{Body: &pb.Frame_ConfigDelta{ConfigDelta: encodeDelta(m.Delta)}}, nil
 	case message.ConfigWhole:
@@ -40,8 +44,12 @@
 		return &pb.Frame{Body: &pb.Frame_ConfigWanted{ConfigWanted: &pb.ConfigWanted{Have: m.Have}}}, nil
 	case message.Endpoints:
 		return &pb.Frame{Body: &pb.Frame_Endpoints{Endpoints: &pb.Endpoints{Entries: each(m.Entries, encodeEntry)}}}, nil
-	case message.TableWanted:
-		return &pb.Frame{Body: &pb.Frame_TableWanted{TableWanted: &pb.TableWanted{}}}, nil
+	case message.TableDigests:
+		return &pb.Frame{Body: &pb.Frame_TableDigests{TableDigests: &pb.TableDigests{Digests: m.Digests}}}, nil
+	case message.TableBuckets:
+		return &pb.Frame{Body: &pb.Frame_TableBuckets{TableBuckets: &pb.TableBuckets{
+			Of: uint32(m.Of), Numbers: m.Numbers, Entries: each(m.Entries, encodeEntry),
+		}}}, nil
 	case message.Report:
 		return &pb.Frame{Body: &pb.Frame_Report{Report: encodeReport(m)}}, nil
 	}
@@ -55,20 +63,28 @@
 		m := b.Hello
 		return message.Hello{
 			Node: m.GetNode(), DataCentre: m.GetDataCentre(), Peer: m.GetPeer(), Kind: message.LinkKind(m.GetKind()),
-			Config: m.GetConfig(), ConfigHash: m.GetConfigHash(), Table: m.GetTable(),
+			Config: m.GetConfig(), ConfigHash: m.GetConfigHash(), Table: m.GetTable(), Self: decodeEntry(m.GetSelf()),
 		}, nil
 	case *pb.Frame_Welcome:
 		m := b.Welcome
 		return message.Welcome{
-			Node: m.GetNode(), DataCentre: m.GetDataCentre(), Path: m.GetPath(), Config: m.GetConfig(), Rooted: m.GetRooted(),
+			Node: m.GetNode(), DataCentre: m.GetDataCentre(), Heartbeat: decodeHeartbeat(m.GetHeartbeat()),
 		}, nil
 	case *pb.Frame_Redirect:
 		return message.Redirect{Peer: b.Redirect.GetPeer()}, nil
 	case *pb.Frame_ComeBack:
-		return message.ComeBack{After: time.Duration(b.ComeBack.GetAfterMillis()) * time.Millisecond}, nil
+		m := b.ComeBack
+		return message.ComeBack{
+			After: time.Duration(m.GetAfterMillis()) * time.Millisecond, Config: m.GetConfig(), Below: m.GetBelow(),
+		}, nil
 	case *pb.Frame_Heartbeat:
-		m := b.Heartbeat
-		return message.Heartbeat{Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Table: m.GetTable()}, nil
+		return decodeHeartbeat(b.Heartbeat), nil
+	case *pb.Frame_Leaving:
+		return message.Leaving{}, nil
+	case *pb.Frame_Present:
+		return message.Present{Nodes: b.Present.GetNodes()}, nil
+	case *pb.Frame_Packed:
+		return unpack(b.Packed)
 	case *pb.Frame_ConfigDelta:
 		return message.ConfigDelta{Delta: decodeDelta(b.ConfigDelta)}, nil
 	case *pb.Frame_ConfigWhole:
@@ -78,8 +94,11 @@
 		return message.ConfigWanted{Have: b.ConfigWanted.GetHave()}, nil
 	case *pb.Frame_Endpoints:
 		return message.Endpoints{Entries: each(b.Endpoints.GetEntries(), decodeEntry)}, nil
-	case *pb.Frame_TableWanted:
-		return message.TableWanted{}, nil
+	case *pb.Frame_TableDigests:
+		return message.TableDigests{Digests: b.TableDigests.GetDigests()}, nil
+	case *pb.Frame_TableBuckets:
+		m := b.TableBuckets
+		return message.TableBuckets{Of: int(m.GetOf()), Numbers: m.GetNumbers(), Entries: each(m.GetEntries(), decodeEntry)}, nil
 	case *pb.Frame_Report:
 		return decodeReport(b.Report), nil
 	}
@@ -95,6 +114,19 @@
 	return out
 }
 
+func encodeHeartbeat(m message.Heartbeat) *pb.Heartbeat {
+	return &pb.Heartbeat{
+		Same: m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census,
+	}
+}
+
+func decodeHeartbeat(m *pb.Heartbeat) message.Heartbeat {
+	return message.Heartbeat{
+		Same: m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
+		Table: m.GetTable(), Census: m.GetCensus(),
+	}
+}
+
 func encodeObject(o config.Object) *pb.Object {
 	return &pb.Object{Kind: string(o.Kind), Name: o.Name, Version: o.Version, Author: o.Author, Spec: o.Spec}
 }
@@ -139,7 +171,7 @@
 
 func encodeReport(r message.Report) *pb.Report {
 	return &pb.Report{
-		DataCentre: r.DataCentre, Applied: r.Applied, Nodes: uint32(r.Nodes),
+		DataCentre: r.DataCentre, Applied: r.Applied, Nodes: uint32(r.Nodes), Missing: uint32(r.Missing),
 		Laggards: each(r.Laggards, func(l message.Laggard) *pb.Laggard {
 			return &pb.Laggard{Node: l.Node, Applied: l.Applied, Reason: l.Reason}
 		}),
@@ -148,7 +180,7 @@
 
 func decodeReport(r *pb.Report) message.Report {
 	return message.Report{
-		DataCentre: r.GetDataCentre(), Applied: r.GetApplied(), Nodes: int(r.GetNodes()),
+		DataCentre: r.GetDataCentre(), Applied: r.GetApplied(), Nodes: int(r.GetNodes()), Missing: int(r.GetMissing()),
 		Laggards: each(r.GetLaggards(), func(l *pb.Laggard) message.Laggard {
 			return message.Laggard{Node: l.GetNode(), Applied: l.GetApplied(), Reason: l.GetReason()}
 		}),
--- /dev/null
+++ b/peer/pack.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agatekeel/agatekeel/core/message"
+	pb "github.com/agatekeel/agatekeel/peer/peerpb"
+)
+
+// packAbove is the size in bytes above which a frame is worth compressing.
+const packAbove = 1 << 10
+
+// The coders keep no state between frames and may be used concurrently.
+var (
+	packer   = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(256<<10)))
+	unpacker = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxFrameBytes)))
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic("peer: zstd: " + err.Error())
+	}
+	return v
+}
+
+// Pack returns the frame compressed if it is large enough to gain by it.
+func Pack(f *pb.Frame) (*pb.Frame, error) {
+	if proto.Size(f) <= packAbove {
+		return f, nil
+	}
+	data, err := proto.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	return &pb.Frame{Body: &pb.Frame_Packed{Packed: packer.EncodeAll(data, nil)}}, nil
+}
+
+// unpack returns the message of a compressed frame.
+func unpack(packed []byte) (message.Message, error) {
+	data, err := unpacker.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	f := &pb.Frame{}
+	if err := proto.Unmarshal(data, f); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	if _, nested := f.GetBody().(*pb.Frame_Packed); nested {
+		return nil, fmt.Errorf("%w: compressed twice", ErrFrame)
+	}
+	return Decode(f)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -47,11 +47,12 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	closed bool
+	pack   bool
 	queue  chan *pb.Frame
 }
 
-func newLink(cancel context.CancelFunc) *Link {
-	return &Link{cancel: cancel, queue: make(chan *pb.Frame, queuedMessages)}
+func newLink(cancel context.CancelFunc, pack bool) *Link {
+	return &Link{cancel: cancel, pack: pack, queue: make(chan *pb.Frame, queuedMessages)}
 }
 
 // Send queues a message. It does not block: a full queue closes the link.
@@ -60,6 +61,11 @@
 	if err != nil {
 		return err
 	}
+	if l.pack {
+		if f, err = Pack(f); err != nil {
+			return err
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -128,6 +134,7 @@
 	handler Handler
 	server  *grpc.Server
 	creds   credentials.TransportCredentials
+	pack    bool
 	wg      sync.WaitGroup
 }
 
@@ -135,11 +142,14 @@
 type Config struct {
 	// Server and Client secure links; nil: in the clear.
 	Server, Client credentials.TransportCredentials
+	// Compress makes large frames smaller at the cost of processor time.
+	// Compressed frames are understood in any case.
+	Compress bool
 }
 
 // NewTransport returns a Transport that tells h of its links.
 func NewTransport(cfg Config, h Handler) *Transport {
-	t := &Transport{handler: h, creds: cfg.Client}
+	t := &Transport{handler: h, creds: cfg.Client, pack: cfg.Compress}
 	if t.creds == nil {
 		t.creds = insecure.NewCredentials()
 	}
@@ -172,7 +182,7 @@
 func (t *Transport) Link(s pb.Peer_LinkServer) error {
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
-	l := newLink(cancel)
+	l := newLink(cancel, t.pack)
 	link := t.handler.Accepted(l)
 	go l.write(s)
 	ended := make(chan string, 1)
@@ -203,7 +213,7 @@
 		_ = conn.Close()
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
-	l := newLink(cancel)
+	l := newLink(cancel, t.pack)
 	link := opened(l)
 	t.wg.Add(1)
 	go l.write(s)
