--- a/core/member.go
+++ b/core/member.go
@@ -158,7 +158,7 @@
 func (s *State) rootLeaseWritten(done StoreDone) {
 	m := &s.member
 	if done.Err != StoreOK {
-		m.lease.Lost()
+		leaseNotWritten(m.lease, done)
 		if done.Err == StoreFailed {
 			s.platformFailed(done)
 		}
