--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -78,6 +78,7 @@
 	peer   *end
 	id     core.LinkID
 	closed bool
+	silent bool      // what is sent to this end is lost
 	next   time.Time // earliest arrival of the next message: links keep order
 }
 
@@ -158,6 +159,27 @@
 // new ones fail. Nobody is told.
 func (m *Mesh) Cut(a, b string) { m.cut[pair(a, b)] = true }
 
+// Silence makes the links that are open between two nodes lose what a sends
+// to b, for good; new links work. Nobody is told.
+func (m *Mesh) Silence(a, b string) {
+	for _, l := range m.nodes[a].links {
+		if l.peer != nil && l.peer.node.Name == b {
+			l.peer.silent = true
+		}
+	}
+}
+
+// Part cuts all traffic between the nodes of two data centres.
+func (m *Mesh) Part(a, b string) {
+	for _, x := range m.nodes {
+		for _, y := range m.nodes {
+			if x.Config.DataCentre == a && y.Config.DataCentre == b {
+				m.Cut(x.Name, y.Name)
+			}
+		}
+	}
+}
+
 // Heal ends all cuts, pauses and faults. Delays stay.
 func (m *Mesh) Heal() {
 	m.cut = map[[2]string]bool{}
@@ -322,7 +344,7 @@
 		}
 		p.next = at
 		m.After(at.Sub(m.Now), func() {
-			if !p.closed && !m.cut[pair(n.Name, p.node.Name)] {
+			if !p.closed && !p.silent && !m.cut[pair(n.Name, p.node.Name)] {
 				m.step(p.node, p.life, core.LinkMessage{Link: p.id, Message: e.Message})
 			}
 		})
--- a/core/endpoint/table.go
+++ b/core/endpoint/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -231,10 +232,14 @@
 
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % MaxBuckets) }
 
+// hash mixes all fields that order entries, so that sums over tables that
+// differ in several rows differ too.
 func (r *Row) hash() uint64 {
-	h := xxhash.Sum64String(r.ID)
-	h = h*31 + uint64(r.Incarnation.Start)
-	h = h*31 + uint64(r.Incarnation.Random)
-	h = h*31 + r.Sequence
-	return h*31 + uint64(r.doubt())
+	var num [29]byte
+	binary.LittleEndian.PutUint64(num[0:], xxhash.Sum64String(r.ID))
+	binary.LittleEndian.PutUint64(num[8:], uint64(r.Incarnation.Start))
+	binary.LittleEndian.PutUint32(num[16:], r.Incarnation.Random)
+	binary.LittleEndian.PutUint64(num[20:], r.Sequence)
+	num[28] = byte(r.doubt())
+	return xxhash.Sum64(num[:])
 }
--- /dev/null
+++ b/core/endpoint/table_test.go
@@ -0,0 +1,111 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id, address string, life int64, seq uint64) Entry {
+	return Entry{
+		ID: id, Service: "orders", DataCentre: "a", Peer: address, Hop: address,
+		Incarnation: Incarnation{Start: life}, Sequence: seq, State: Ready,
+	}
+}
+
+func tableOf(entries ...Entry) *Table {
+	t := NewTable()
+	for _, e := range entries {
+		t.Merge(start, e)
+	}
+	return t
+}
+
+func TestMergeKeepsTheNewer(t *testing.T) {
+	base := entry("x", "1", 5, 3)
+	for _, c := range []struct {
+		name  string
+		other Entry
+		taken bool
+	}{
+		{"same", base, false},
+		{"older sequence", entry("x", "1", 5, 2), false},
+		{"newer sequence", entry("x", "1", 5, 4), true},
+		{"older incarnation, newer sequence", entry("x", "1", 4, 9), false},
+		{"newer incarnation, older sequence", entry("x", "1", 6, 1), true},
+		{"suspected", base.Suspected(), true},
+		{"suspected at an older sequence", entry("x", "1", 5, 2).Suspected(), false},
+		{"removed", base.Removed(), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tableOf(base).Merge(start, c.other), c.taken)
+			is.Equal(tableOf(base, c.other).Digest(), tableOf(c.other, base).Digest()) // order of arrival makes no difference
+		})
+	}
+}
+
+func TestRefutationOutranksSuspicion(t *testing.T) {
+	is := is.New(t)
+	table := tableOf(entry("x", "1", 5, 3).Suspected())
+	is.Equal(len(table.Serving("orders")), 0)
+	is.Equal(table.Live("a"), 0)
+	is.True(table.Merge(start, entry("x", "1", 5, 4)))
+	is.Equal(len(table.Serving("orders")), 1)
+	is.Equal(table.Live("a"), 1)
+}
+
+func TestLaterIncarnationAtAnAddressEndsTheOther(t *testing.T) {
+	is := is.New(t)
+	old, later := entry("x", "1", 5, 3), entry("y", "1", 6, 1)
+	for _, table := range []*Table{tableOf(old, later), tableOf(later, old)} {
+		x, _ := table.Get("x")
+		y, _ := table.Get("y")
+		is.Equal(x.State, Gone)
+		is.Equal(y.State, Ready)
+		is.Equal(table.Digest(), tableOf(later).Digest())
+	}
+}
+
+// TestDigestTellsSwappedSuspicionsApart holds two tables apart that suspect
+// one of two entries each.
+func TestDigestTellsSwappedSuspicionsApart(t *testing.T) {
+	is := is.New(t)
+	x, y := entry("x", "1", 5, 3), entry("y", "2", 5, 3)
+	is.True(tableOf(x.Suspected(), y).Digest() != tableOf(x, y.Suspected()).Digest())
+	is.True(tableOf(entry("x", "1", 5, 4), y).Digest() != tableOf(x, entry("y", "2", 5, 4)).Digest())
+}
+
+func TestBucketsFindWhatDiffers(t *testing.T) {
+	is := is.New(t)
+	a, b := NewTable(), NewTable()
+	for i := range 1000 {
+		e := entry(fmt.Sprintf("n%d", i), fmt.Sprint(i), 1, 1)
+		a.Merge(start, e)
+		b.Merge(start, e)
+	}
+	n := a.BucketCount()
+	is.Equal(n, 128) // about the root of 8 times 1000
+	numbers, ok := b.Differing(a.Buckets(n))
+	is.True(ok)
+	is.Equal(len(numbers), 0)
+	a.Merge(start, entry("n7", "7", 1, 2))
+	numbers, _ = b.Differing(a.Buckets(n))
+	is.Equal(len(numbers), 1)
+	is.True(len(a.InBuckets(n, numbers)) < 30) // one bucket, not the table
+	_, ok = b.Differing(make([]uint64, 3))
+	is.True(!ok) // not a power of two
+}
+
+func TestGoneEntriesAreCollectedWithoutChangingTheDigest(t *testing.T) {
+	is := is.New(t)
+	table := tableOf(entry("x", "1", 5, 3).Removed(), entry("y", "2", 5, 3))
+	before := table.Digest()
+	table.Collect(start.Add(time.Second))
+	is.Equal(table.Len(), 1)
+	is.Equal(table.Digest(), before)
+}
--- /dev/null
+++ b/core/export_tree_test.go
@@ -0,0 +1,30 @@
+package core
+
+import "github.com/agatekeel/agatekeel/core/config"
+
+// Break names a deliberate fault that shows that a check can fail.
+type Break string
+
+// The deliberate faults.
+const (
+	BreakNone         Break = ""
+	BreakVersionGuard Break = "version guard off"
+	BreakDigest       Break = "digest off"
+	BreakGrace        Break = "grace period off"
+	BreakCycleCheck   Break = "cycle check off"
+)
+
+// With returns the settings with a deliberate fault.
+func (c Config) With(b Break) Config {
+	c.breaks = breaks{
+		versionGuard: b == BreakVersionGuard, digest: b == BreakDigest,
+		grace: b == BreakGrace, cycleCheck: b == BreakCycleCheck,
+	}
+	return c
+}
+
+// HeldSet returns the configuration in force.
+func (s *State) HeldSet() *config.Set { return s.holder.set }
+
+// TableDigest returns the digest of the endpoint table.
+func (s *State) TableDigest() uint64 { return s.table.Digest() }
--- /dev/null
+++ b/core/tree_history_test.go
@@ -0,0 +1,268 @@
+package core_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+)
+
+// inForceWithin is the bound within which all nodes agree once faults end.
+const inForceWithin = 14 * time.Second
+
+// history is one run of a mesh under faults with the checks of the promises.
+type history struct {
+	m       *coretest.Mesh
+	applied map[string]uint64 // version by node and life
+	checked map[string]uint64 // version whose references were checked
+	fault   error             // first broken promise
+	down    map[string]bool
+	last    int
+}
+
+// choose returns a number below n; label says what for.
+type choose func(label string, n int) int
+
+func newHistory(t failer, seed uint64, b core.Break) *history {
+	h := &history{m: coretest.New(seed), applied: map[string]uint64{}, checked: map[string]uint64{}, down: map[string]bool{}}
+	for _, name := range historyNodes {
+		h.m.Start(name, core.Config{
+			DataCentre: name[:1], Service: "orders", Fanout: 2, Seeds: []string{"a1", "a2", "b1"},
+		}.With(b))
+	}
+	h.m.OnStep = func(n *coretest.Node, _ core.Event) { h.check(n) }
+	h.submit(t)
+	h.m.Run(5 * time.Second)
+	return h
+}
+
+var historyNodes = []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3"}
+
+func (h *history) fail(format string, args ...any) {
+	if h.fault == nil {
+		h.fault = fmt.Errorf(format, args...)
+	}
+}
+
+// check holds after each step of a node: it has not gone back, and no route
+// points at what it does not hold.
+func (h *history) check(n *coretest.Node) {
+	life := fmt.Sprintf("%s/%d", n.Name, n.Life)
+	set := n.State.HeldSet()
+	if set.Version < h.applied[life] {
+		h.fail("%s went back from version %d to %d", life, h.applied[life], set.Version)
+	}
+	h.applied[life] = set.Version
+	if h.checked[life] == set.Version {
+		return
+	}
+	h.checked[life] = set.Version
+	for key, o := range set.Objects {
+		var route struct{ Service string }
+		if key.Kind != config.KindRoute || json.Unmarshal(o.Spec, &route) != nil {
+			continue
+		}
+		if _, held := set.Objects[config.Key{Kind: config.KindService, Name: route.Service}]; !held {
+			h.fail("%s holds route %s without service %q", life, key.Name, route.Service)
+		}
+	}
+}
+
+// step brings about one fault or change and lets time pass.
+func (h *history) step(t failer, pick choose) {
+	name := func(label string) string { return historyNodes[pick(label, len(historyNodes))] }
+	waits := []time.Duration{100 * time.Millisecond, time.Second, 4 * time.Second, 9 * time.Second, 45 * time.Second}
+	switch pick("fault", 13) {
+	case 0:
+		h.m.Restart(name("restart"))
+	case 1:
+		down := name("crash")
+		h.m.Crash(down)
+		h.down[down] = true
+	case 2:
+		h.m.Pause(name("pause"), waits[pick("for", 4)])
+	case 3:
+		h.m.Cut(name("cut"), name("from"))
+	case 4:
+		h.m.Silence(name("silence"), name("towards"))
+	case 5:
+		h.m.Part("a", "b")
+	case 6:
+		h.m.Faults.PlatformDown = !h.m.Faults.PlatformDown
+	case 7:
+		h.m.Faults.LoseAnswer, h.m.Faults.Duplicate = 0.2, 0.2
+	case 8:
+		h.m.DropWatches()
+	case 9:
+		for _, n := range h.m.Nodes() {
+			if n.Config.DataCentre == "a" {
+				h.m.Restart(n.Name)
+			}
+		}
+	case 10:
+		h.m.Heal()
+	default:
+		h.submit(t)
+	}
+	h.m.Run(waits[pick("wait", len(waits))])
+}
+
+func (h *history) submit(t failer) {
+	h.last++
+	submitRoute(t, h.m, fmt.Sprintf("h%d", h.last), fmt.Sprintf("/orders%d", h.last))
+}
+
+// head returns the version that the platform's head names.
+func (h *history) head() uint64 {
+	o, err := h.m.Store.Get(context.Background(), "config/head")
+	if err != nil {
+		return 0
+	}
+	var head config.Head
+	_ = json.Unmarshal(o.Data, &head)
+	return head.Version
+}
+
+// end heals all faults and checks that the nodes agree within the bound,
+// before and after one more change.
+func (h *history) end(t failer) error {
+	h.m.Heal()
+	for _, name := range historyNodes {
+		if h.down[name] && !h.m.Node(name).Alive {
+			h.m.Restart(name)
+		}
+	}
+	h.agreeWithin("after the faults ended")
+	before := h.head()
+	h.submit(t)
+	if !h.m.RunUntil(time.Minute, func() bool { return h.head() > before }) {
+		h.fail("no change was accepted within a minute of the end of the faults")
+	}
+	h.agreeWithin("after acceptance")
+	return h.fault
+}
+
+func (h *history) agreeWithin(when string) {
+	if !h.m.RunUntil(inForceWithin, func() bool { return h.disagreement() == nil }) {
+		h.fail("%v %s: %v", inForceWithin, when, h.disagreement())
+	}
+}
+
+// disagreement says in what the nodes differ from what they must agree on.
+func (h *history) disagreement() error {
+	newest, digest := h.head(), h.m.Node("a1").State.TableDigest()
+	for _, n := range h.m.Nodes() {
+		if v := n.State.HeldSet().Version; v != newest {
+			return fmt.Errorf("%s holds version %d, newest is %d", n.Name, v, newest)
+		}
+		if n.State.TableDigest() != digest {
+			return fmt.Errorf("tables of %s and a1 differ", n.Name)
+		}
+	}
+	for _, n := range h.m.Nodes() {
+		d := n.State.Dump()
+		if d.Phase != "root" && d.Phase != "joined" {
+			return fmt.Errorf("%s is %s", n.Name, d.Phase)
+		}
+		if ok, why := n.State.Ready(); !ok {
+			return fmt.Errorf("%s is not ready: %s", n.Name, why)
+		}
+		if err := liveEntries(d); err != nil {
+			return err
+		}
+	}
+	return h.cycle()
+}
+
+// liveEntries checks that a table holds every node of the history as live.
+func liveEntries(d core.Dump) error {
+	for _, name := range historyNodes {
+		live := false
+		for _, e := range d.Endpoints {
+			live = live || e.ID == name && e.Live()
+		}
+		if !live {
+			return fmt.Errorf("%s has lost the entry of %s", d.Node, name)
+		}
+	}
+	return nil
+}
+
+// cycle follows the links to parents.
+func (h *history) cycle() error {
+	for _, n := range h.m.Nodes() {
+		seen := []string{n.Name}
+		for at := parentOf(n); at != ""; at = parentOf(h.m.Node(at)) {
+			if slices.Contains(seen, at) {
+				return fmt.Errorf("the tree has a cycle: %v", append(seen, at))
+			}
+			seen = append(seen, at)
+		}
+	}
+	return nil
+}
+
+func parentOf(n *coretest.Node) string {
+	for _, l := range n.State.Dump().Links {
+		if l.Role == "parent" {
+			return l.Node
+		}
+	}
+	return ""
+}
+
+// TestPromisesUnderFaults lets nodes crash, pause, lose links and the
+// platform, and checks the promises after each step and once faults end.
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t, rapid.Uint64().Draw(t, "seed"), core.BreakNone)
+		pick := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		for range rapid.IntRange(2, 10).Draw(t, "steps") {
+			h.step(t, pick)
+		}
+		if err := h.end(t); err != nil {
+			for _, n := range h.m.Nodes() {
+				d := n.State.Dump()
+				t.Logf("%s phase %s path %v version %d ready %v %s", n.Name, d.Phase, d.Path, d.ConfigVersion, d.Ready, d.NotReady)
+			}
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestPromisesCanFail shows that each check turns red under the deliberate
+// fault that it guards against.
+func TestPromisesCanFail(t *testing.T) {
+	for _, c := range []struct {
+		fault core.Break
+		red   string
+	}{
+		{core.BreakVersionGuard, "went back from version"},
+		{core.BreakDigest, "differ"},
+		{core.BreakGrace, "lost the entry"},
+		{core.BreakCycleCheck, "the tree has a cycle"},
+	} {
+		t.Run(string(c.fault), func(t *testing.T) {
+			for seed := range uint64(1000) {
+				h := newHistory(t, seed, c.fault)
+				for range 8 {
+					h.step(t, func(_ string, n int) int { return h.m.Rand.IntN(n) })
+				}
+				if err := h.end(t); err != nil && strings.Contains(err.Error(), c.red) {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("no history broke the promise")
+		})
+	}
+}
