--- a/core/announce.go
+++ b/core/announce.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -23,8 +24,10 @@
 	leaving   bool
 	stopSince time.Time
 	drained   bool
+	servedAt  time.Time // last whole answer that was no error
 	queue     *admission.Queue
 	memory    *admission.Memory
+	keys      *idempotency.Memory
 }
 
 func newBackend(cfg Config) backend {
@@ -33,8 +36,9 @@
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
 		},
-		queue:  admission.New(admission.Config{Slots: cfg.Slots, MaxQueue: cfg.MaxQueue}),
+		queue:  admission.New(cfg.admission()),
 		memory: admission.NewMemory(rememberedAttempts),
+		keys:   idempotency.NewMemory(idempotency.Config{Keep: cfg.KeyKeep, MaxKeys: maxKeys}),
 	}
 }
 
@@ -59,7 +63,9 @@
 	if b.entry.State == endpoint.Warming && !s.now.Before(b.readyAt) {
 		s.announce(endpoint.Ready)
 	}
+	s.admitTick()
 	b.memory.Age()
+	b.keys.Expire(s.now)
 	s.drainTick()
 }
 
@@ -67,6 +73,7 @@
 	b := &s.backend
 	b.probing = false
 	if b.leaving {
+		s.leavingProbed(e)
 		return
 	}
 	if e.OK {
@@ -77,6 +84,10 @@
 		}
 		return
 	}
+	if !e.Refused && s.servedLately() {
+		b.misses = 0
+		return
+	}
 	b.misses++
 	if b.entry.State.Serves() && (e.Refused || b.misses >= failedProbes) {
 		s.announce(endpoint.Failed)
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -46,6 +47,7 @@
 	Methods    []string
 	Service    string
 	Policy     *Policy
+	inherits   bool // Policy is the service's
 }
 
 // Snapshot is one version in compiled form. It is not changed after Compile.
@@ -104,6 +106,9 @@
 	faults   []Fault
 }
 
+// MaxSetBytes bounds the specs of a set: every node holds all of them.
+const MaxSetBytes = 8 << 20
+
 // Compile checks a whole set and returns what proxies route by, or every
 // fault found, ordered by object.
 func Compile(set *Set) (*Snapshot, []Fault) {
@@ -111,9 +116,7 @@
 		Version: set.Version, routes: map[string][]*Route{},
 		policies: map[string]*Policy{}, services: map[string]*Policy{},
 	}}
-	if len(set.Objects) > MaxObjects {
-		c.fault(Key{}, "", "the set has %d objects, at most %d are allowed", len(set.Objects), MaxObjects)
-	}
+	c.size()
 	keys := sortedKeys(set.Objects)
 	c.common(keys)
 	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route} {
@@ -132,6 +135,15 @@
 	c.faults = append(c.faults, Fault{Object: k, Field: field, Reason: fmt.Sprintf(format, args...)})
 }
 
+func (c *compiler) size() {
+	if len(c.set.Objects) > MaxObjects {
+		c.fault(Key{}, "", "the set has %d objects, at most %d are allowed", len(c.set.Objects), MaxObjects)
+	}
+	if c.set.bytes > MaxSetBytes {
+		c.fault(Key{}, "", "the set has %d bytes, at most %d are allowed", c.set.bytes, MaxSetBytes)
+	}
+}
+
 func (c *compiler) common(keys []Key) {
 	for _, k := range keys {
 		o := c.set.Objects[k]
@@ -156,7 +168,7 @@
 		return false
 	}
 	if err := strictDecode(spec, into); err != nil {
-		c.fault(k, "spec", "%v", err)
+		c.fault(k, cmp.Or(err.field, "spec"), "%s", err.reason)
 		return false
 	}
 	return true
@@ -281,7 +293,8 @@
 		policy = c.resolve(k, spec.Policy)
 	}
 	c.snapshot.routes[spec.PathPrefix] = append(c.snapshot.routes[spec.PathPrefix], &Route{
-		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service, Policy: policy,
+		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service,
+		Policy: policy, inherits: spec.Policy == "",
 	})
 }
 
--- /dev/null
+++ b/core/config/encoded.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Encoded is a set in its stored form. It is not changed after it was built;
+// Next makes another that shares what is the same.
+type Encoded struct {
+	Manifest Manifest
+	buckets  []bucket
+}
+
+// bucket is the part of a set that one chunk holds.
+type bucket struct {
+	keys []Key // sorted
+	size int   // of the objects, as bucketCount counts
+	data []byte
+}
+
+// Chunks returns the chunks that the manifest lists.
+func (e *Encoded) Chunks() []Chunk {
+	out := make([]Chunk, len(e.buckets))
+	for i, b := range e.buckets {
+		out[i] = Chunk{Name: e.Manifest.Chunks[i], Data: b.data}
+	}
+	return out
+}
+
+// Encode returns the stored form of a set.
+func Encode(s *Set) (*Encoded, error) {
+	size := 0
+	for _, o := range s.Objects {
+		size += storedSize(o)
+	}
+	e := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}}
+	e.buckets = make([]bucket, bucketCount(size))
+	e.Manifest.Chunks = make([]string, len(e.buckets))
+	for _, k := range sortedKeys(s.Objects) {
+		b := &e.buckets[e.bucketOf(k)]
+		b.keys = append(b.keys, k)
+	}
+	for i := range e.buckets {
+		if err := e.fill(i, s); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// Next returns the stored form of the set that a delta leads to. Its cost
+// grows with the chunks that the delta touches.
+func (e *Encoded) Next(s *Set, d Delta) (*Encoded, error) {
+	next := &Encoded{Manifest: Manifest{Version: s.Version, Hash: s.hash}}
+	next.buckets = slices.Clone(e.buckets)
+	next.Manifest.Chunks = slices.Clone(e.Manifest.Chunks)
+	for i, keys := range e.touched(d) {
+		next.buckets[i].retouch(keys)
+		if err := next.fill(i, s); err != nil {
+			return nil, err
+		}
+	}
+	size := 0
+	for _, b := range next.buckets {
+		size += b.size
+	}
+	if bucketCount(size) != len(next.buckets) {
+		return Encode(s)
+	}
+	return next, nil
+}
+
+// touched returns the keys of a delta by bucket, with whether they are in the
+// next set.
+func (e *Encoded) touched(d Delta) map[int]map[Key]bool {
+	touched := map[int]map[Key]bool{}
+	mark := func(k Key, in bool) {
+		i := e.bucketOf(k)
+		if touched[i] == nil {
+			touched[i] = map[Key]bool{}
+		}
+		touched[i][k] = in
+	}
+	for _, o := range d.Puts {
+		mark(o.Key(), true)
+	}
+	for _, k := range d.Deletes {
+		mark(k, false)
+	}
+	return touched
+}
+
+// retouch gives a bucket its new keys.
+func (b *bucket) retouch(keys map[Key]bool) {
+	out := make([]Key, 0, len(b.keys)+len(keys))
+	for _, k := range b.keys {
+		if _, changed := keys[k]; !changed {
+			out = append(out, k)
+		}
+	}
+	for k, in := range keys {
+		if in {
+			out = append(out, k)
+		}
+	}
+	slices.SortFunc(out, Key.Compare)
+	b.keys = out
+}
+
+// Decode returns the set that a manifest leads to and the delta from the held
+// set, whose stored form this is. Chunks that both have in common are not
+// looked at.
+func (e *Encoded) Decode(held *Set, m Manifest, chunks map[string][]byte) (*Set, Delta, error) {
+	if len(m.Chunks) != len(e.buckets) || held.hash != e.Manifest.Hash {
+		set, err := DecodeSet(m, chunks)
+		if err != nil {
+			return nil, Delta{}, err
+		}
+		return set, Diff(held, set), nil
+	}
+	d := Delta{From: held.Version, To: m.Version, Hash: m.Hash}
+	for i, name := range m.Chunks {
+		if name == e.Manifest.Chunks[i] {
+			continue
+		}
+		objects, err := decodeChunk(m.Version, name, chunks)
+		if err != nil {
+			return nil, Delta{}, err
+		}
+		d.changes(held, e.buckets[i].keys, objects)
+	}
+	slices.SortFunc(d.Puts, func(a, b Object) int { return a.Key().Compare(b.Key()) })
+	slices.SortFunc(d.Deletes, Key.Compare)
+	set, err := held.Apply(d)
+	return set, d, err
+}
+
+// changes adds what turns the objects of some keys into others.
+func (d *Delta) changes(held *Set, keys []Key, objects []Object) {
+	in := make(map[Key]bool, len(objects))
+	for _, o := range objects {
+		in[o.Key()] = true
+		if old, ok := held.Objects[o.Key()]; !ok || !sameObject(old, o) {
+			d.Puts = append(d.Puts, o)
+		}
+	}
+	for _, k := range keys {
+		if !in[k] {
+			d.Deletes = append(d.Deletes, k)
+		}
+	}
+}
+
+func (e *Encoded) bucketOf(k Key) int {
+	return int(xxhash.Sum64String(k.String()) % uint64(len(e.buckets)))
+}
+
+// fill encodes the objects of one bucket.
+func (e *Encoded) fill(i int, s *Set) error {
+	objects := make([]Object, 0, len(e.buckets[i].keys))
+	e.buckets[i].size = 0
+	for _, k := range e.buckets[i].keys {
+		objects = append(objects, s.Objects[k])
+		e.buckets[i].size += storedSize(s.Objects[k])
+	}
+	data, err := json.Marshal(objects)
+	if err != nil {
+		return fmt.Errorf("encode chunk of version %d: %w", s.Version, err)
+	}
+	if len(data) > MaxChunkBytes {
+		return fmt.Errorf("chunk of version %d has %d bytes, at most %d are allowed", s.Version, len(data), MaxChunkBytes)
+	}
+	e.buckets[i].data, e.Manifest.Chunks[i] = data, ContentName(data)
+	return nil
+}
+
+func storedSize(o Object) int { return len(o.Spec) + len(o.Name) + len(o.Author) }
+
+// bucketCount grows by powers of two, so that it seldom changes.
+func bucketCount(size int) int {
+	n := 1
+	for n*bucketTargetBytes < size {
+		n *= 2
+	}
+	return n
+}
--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -6,8 +6,6 @@
 
 import (
 	"container/heap"
-	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -16,7 +14,6 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
-	"github.com/agatekeel/agatekeel/platform"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
 )
 
@@ -53,6 +50,7 @@
 	queue   queue
 	order   uint64
 	cut     map[[2]string]bool
+	deaf    map[[2]string]bool
 	watches []*watch
 }
 
@@ -67,6 +65,7 @@
 
 	mesh   *Mesh
 	paused time.Time
+	held   []func() // what came during a pause, in order
 	links  map[core.LinkID]*end
 	last   core.LinkID
 }
@@ -98,7 +97,7 @@
 		Faults: Faults{
 			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
 		},
-		nodes: map[string]*Node{}, cut: map[[2]string]bool{},
+		nodes: map[string]*Node{}, cut: map[[2]string]bool{}, deaf: map[[2]string]bool{},
 	}
 }
 
@@ -153,7 +152,23 @@
 }
 
 // Pause stops a node for a time; what comes for it is handed over afterwards.
-func (m *Mesh) Pause(name string, d time.Duration) { m.nodes[name].paused = m.Now.Add(d) }
+func (m *Mesh) Pause(name string, d time.Duration) {
+	n := m.nodes[name]
+	n.paused = m.Now.Add(d)
+	m.After(d, func() { m.wake(n) })
+}
+
+// wake hands over what came during a pause that is over.
+func (m *Mesh) wake(n *Node) {
+	if m.Now.Before(n.paused) {
+		return
+	}
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
 
 // Cut silences all traffic between two nodes: open links lose what is sent,
 // new ones fail. Nobody is told.
@@ -180,12 +195,17 @@
 	}
 }
 
+// Deafen loses the messages of links between two nodes in silence, while
+// requests still pass.
+func (m *Mesh) Deafen(a, b string) { m.deaf[pair(a, b)] = true }
+
 // Heal ends all cuts, pauses and faults. Delays stay.
 func (m *Mesh) Heal() {
-	m.cut = map[[2]string]bool{}
+	m.cut, m.deaf = map[[2]string]bool{}, map[[2]string]bool{}
 	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
-	for _, n := range m.nodes {
+	for _, n := range m.Nodes() {
 		n.paused = time.Time{}
+		m.wake(n)
 	}
 }
 
@@ -250,7 +270,7 @@
 		return
 	}
 	if m.Now.Before(n.paused) {
-		m.After(n.paused.Sub(m.Now), func() { m.step(n, life, e) })
+		n.held = append(n.held, func() { m.step(n, life, e) })
 		return
 	}
 	effects := slices.Clone(n.State.Reduce(m.Now, e))
@@ -344,169 +364,9 @@
 		}
 		p.next = at
 		m.After(at.Sub(m.Now), func() {
-			if !p.closed && !p.silent && !m.cut[pair(n.Name, p.node.Name)] {
+			if between := pair(n.Name, p.node.Name); !p.closed && !p.silent && !m.cut[between] && !m.deaf[between] {
 				m.step(p.node, p.life, core.LinkMessage{Link: p.id, Message: e.Message})
 			}
 		})
 	}
 }
-
-// callStore lets a call take effect at the platform.
-func (m *Mesh) callStore(n *Node, life int, effect core.Effect) {
-	if m.OnStore != nil {
-		m.OnStore(n, effect)
-	}
-	switch {
-	case m.Faults.PlatformDown:
-		m.After(platformTimeout, func() { m.step(n, life, failed(effect)) })
-		return
-	case m.Rand.Float64() < m.Faults.FailBefore:
-		m.answer(n, life, failed(effect))
-		return
-	}
-	if w, ok := effect.(core.StoreWatch); ok {
-		m.watch(&watch{node: n, life: life, effect: w})
-		return
-	}
-	done := m.effectOf(effect)
-	if m.Rand.Float64() < m.Faults.LoseAnswer {
-		done = failed(effect)
-	}
-	m.answer(n, life, done)
-	m.wakeWatches()
-}
-
-func (m *Mesh) answer(n *Node, life int, done core.StoreDone) {
-	m.After(m.random(m.Faults.PlatformDelay), func() { m.step(n, life, done) })
-}
-
-func (m *Mesh) effectOf(effect core.Effect) core.StoreDone {
-	ctx := context.Background()
-	switch e := effect.(type) {
-	case core.StoreGet:
-		o, err := m.Store.Get(ctx, e.Key)
-		return result(core.StoreDone{Call: e.Call, Objects: objects(o)}, err)
-	case core.StoreList:
-		objs, rev, err := m.Store.List(ctx, e.Prefix)
-		return result(core.StoreDone{Call: e.Call, Revision: rev, Objects: objects(objs...)}, err)
-	case core.StorePut:
-		v, err := m.Store.Put(ctx, e.Key, e.Data, e.Base)
-		return result(core.StoreDone{Call: e.Call, Version: v}, err)
-	case core.StoreDelete:
-		return result(core.StoreDone{Call: e.Call}, m.Store.Delete(ctx, e.Key, e.Base))
-	}
-	panic("coretest: not a platform call")
-}
-
-func (m *Mesh) watch(w *watch) {
-	m.watches = append(m.watches, w)
-	m.wakeWatches()
-	m.After(w.effect.Wait, func() {
-		if !w.done {
-			w.done = true
-			_, rev, _ := m.Store.List(context.Background(), w.effect.Prefix)
-			m.answer(w.node, w.life, core.StoreDone{Call: w.effect.Call, Revision: rev})
-		}
-	})
-}
-
-// wakeWatches answers every watch that has something to tell, or fails it
-// when the platform is down.
-func (m *Mesh) wakeWatches() {
-	m.watches = slices.DeleteFunc(m.watches, func(w *watch) bool { return w.done })
-	for _, w := range m.watches {
-		changes, rev, err := m.Store.Watch(context.Background(), w.effect.Prefix, w.effect.After, 0)
-		if err == nil && len(changes) == 0 {
-			continue
-		}
-		w.done = true
-		done := core.StoreDone{Call: w.effect.Call, Revision: rev}
-		for _, c := range changes {
-			o := objects(c.Object)[0]
-			o.Deleted = c.Deleted
-			done.Objects = append(done.Objects, o)
-		}
-		m.answer(w.node, w.life, result(done, err))
-	}
-}
-
-// DropWatches fails every waiting watch.
-func (m *Mesh) DropWatches() {
-	for _, w := range m.watches {
-		if !w.done {
-			w.done = true
-			m.answer(w.node, w.life, failed(w.effect))
-		}
-	}
-	m.watches = nil
-}
-
-func objects(objs ...platform.Object) []core.StoreObject {
-	out := make([]core.StoreObject, 0, len(objs))
-	for _, o := range objs {
-		out = append(out, core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data})
-	}
-	return out
-}
-
-func failed(effect core.Effect) core.StoreDone {
-	done := core.StoreDone{Err: core.StoreFailed, Detail: "no answer"}
-	switch e := effect.(type) {
-	case core.StoreGet:
-		done.Call = e.Call
-	case core.StoreList:
-		done.Call = e.Call
-	case core.StorePut:
-		done.Call = e.Call
-	case core.StoreDelete:
-		done.Call = e.Call
-	case core.StoreWatch:
-		done.Call = e.Call
-	}
-	return done
-}
-
-func result(done core.StoreDone, err error) core.StoreDone {
-	if err == nil {
-		return done
-	}
-	done.Detail = err.Error()
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		done.Err = core.StoreNotFound
-	case errors.Is(err, platform.ErrConflict):
-		done.Err = core.StoreConflict
-	case errors.Is(err, platform.ErrTooLarge):
-		done.Err = core.StoreTooLarge
-	case errors.Is(err, platform.ErrCompacted):
-		done.Err = core.StoreCompacted
-	default:
-		done.Err = core.StoreFailed
-	}
-	return done
-}
-
-// item is something to happen at a time; order settles ties.
-type item struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-type queue []item
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].order < q[j].order
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
-func (q *queue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
--- /dev/null
+++ b/core/coretest/store.go
@@ -0,0 +1,147 @@
+package coretest
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/platform"
+)
+
+// callStore lets a call take effect at the platform.
+func (m *Mesh) callStore(n *Node, life int, effect core.Effect) {
+	if m.OnStore != nil {
+		m.OnStore(n, effect)
+	}
+	switch {
+	case m.Faults.PlatformDown:
+		m.After(platformTimeout, func() { m.step(n, life, failed(effect)) })
+		return
+	case m.Rand.Float64() < m.Faults.FailBefore:
+		m.answer(n, life, failed(effect))
+		return
+	}
+	if w, ok := effect.(core.StoreWatch); ok {
+		m.watch(&watch{node: n, life: life, effect: w})
+		return
+	}
+	done := m.effectOf(effect)
+	if m.Rand.Float64() < m.Faults.LoseAnswer {
+		done = failed(effect)
+	}
+	m.answer(n, life, done)
+	m.wakeWatches()
+}
+
+func (m *Mesh) answer(n *Node, life int, done core.StoreDone) {
+	m.After(m.random(m.Faults.PlatformDelay), func() { m.step(n, life, done) })
+}
+
+func (m *Mesh) effectOf(effect core.Effect) core.StoreDone {
+	ctx := context.Background()
+	switch e := effect.(type) {
+	case core.StoreGet:
+		o, err := m.Store.Get(ctx, e.Key)
+		return result(core.StoreDone{Call: e.Call, Objects: objects(o)}, err)
+	case core.StoreList:
+		objs, rev, err := m.Store.List(ctx, e.Prefix)
+		return result(core.StoreDone{Call: e.Call, Revision: rev, Objects: objects(objs...)}, err)
+	case core.StorePut:
+		v, err := m.Store.Put(ctx, e.Key, e.Data, e.Base)
+		return result(core.StoreDone{Call: e.Call, Version: v}, err)
+	case core.StoreDelete:
+		return result(core.StoreDone{Call: e.Call}, m.Store.Delete(ctx, e.Key, e.Base))
+	}
+	panic("coretest: not a platform call")
+}
+
+func (m *Mesh) watch(w *watch) {
+	m.watches = append(m.watches, w)
+	m.wakeWatches()
+	m.After(w.effect.Wait, func() {
+		if !w.done {
+			w.done = true
+			_, rev, _ := m.Store.List(context.Background(), w.effect.Prefix)
+			m.answer(w.node, w.life, core.StoreDone{Call: w.effect.Call, Revision: rev})
+		}
+	})
+}
+
+// wakeWatches answers every watch that has something to tell, or fails it
+// when the platform is down.
+func (m *Mesh) wakeWatches() {
+	m.watches = slices.DeleteFunc(m.watches, func(w *watch) bool { return w.done })
+	for _, w := range m.watches {
+		changes, rev, err := m.Store.Watch(context.Background(), w.effect.Prefix, w.effect.After, 0)
+		if err == nil && len(changes) == 0 {
+			continue
+		}
+		w.done = true
+		done := core.StoreDone{Call: w.effect.Call, Revision: rev}
+		for _, c := range changes {
+			o := objects(c.Object)[0]
+			o.Deleted = c.Deleted
+			done.Objects = append(done.Objects, o)
+		}
+		m.answer(w.node, w.life, result(done, err))
+	}
+}
+
+// DropWatches fails every waiting watch.
+func (m *Mesh) DropWatches() {
+	for _, w := range m.watches {
+		if !w.done {
+			w.done = true
+			m.answer(w.node, w.life, failed(w.effect))
+		}
+	}
+	m.watches = nil
+}
+
+func objects(objs ...platform.Object) []core.StoreObject {
+	out := make([]core.StoreObject, 0, len(objs))
+	for _, o := range objs {
+		out = append(out, core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data})
+	}
+	return out
+}
+
+func failed(effect core.Effect) core.StoreDone {
+	done := core.StoreDone{Err: core.StoreFailed, Detail: "no answer"}
+	switch e := effect.(type) {
+	case core.StoreGet:
+		done.Call = e.Call
+	case core.StoreList:
+		done.Call = e.Call
+	case core.StorePut:
+		done.Call = e.Call
+	case core.StoreDelete:
+		done.Call = e.Call
+	case core.StoreWatch:
+		done.Call = e.Call
+	}
+	return done
+}
+
+func result(done core.StoreDone, err error) core.StoreDone {
+	if err == nil {
+		return done
+	}
+	done.Detail = err.Error()
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		done.Err = core.StoreNotFound
+	case errors.Is(err, platform.ErrConflict):
+		done.Err = core.StoreConflict
+	case errors.Is(err, platform.ErrTooLarge):
+		done.Err = core.StoreTooLarge
+	case errors.Is(err, platform.ErrCompacted):
+		done.Err = core.StoreCompacted
+	case errors.Is(err, platform.ErrThrottled):
+		done.Err = core.StoreThrottled
+	default:
+		done.Err = core.StoreFailed
+	}
+	return done
+}
--- a/core/fallback.go
+++ b/core/fallback.go
@@ -87,9 +87,29 @@
 		return
 	}
 	m.retryAt = s.now.Add(s.cfg.LeaseRenew + s.jitter(s.cfg.LeaseRenew))
+	s.showItself()
 	s.readRootLease()
 }
 
+// showItself dials, in turn, a member that is not in this root's tree as far
+// as it can see: it may have come up anew, without knowing of this root, and
+// be under another one. The one of the two that ranks lower then joins.
+func (s *State) showItself() {
+	linked := s.linkedNodes()
+	var addresses []string
+	for _, row := range s.table.Rows() {
+		if s.isCandidate(row.Entry) && !linked[row.ID] {
+			addresses = append(addresses, row.Peer)
+		}
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	try := s.root.tries[s.cfg.DataCentre]
+	s.root.tries[s.cfg.DataCentre]++
+	s.links[s.dial(addresses[try%len(addresses)], roleRoot)].dc = s.cfg.DataCentre
+}
+
 // settled reports whether this node knows which version it must hold before
 // it serves.
 func (s *State) settled() bool {
--- a/core/link.go
+++ b/core/link.go
@@ -106,7 +106,7 @@
 	case roleParent:
 		s.parentLost(id)
 	case roleChild:
-		s.report()
+		s.childLost(l)
 	case roleRoot:
 		s.otherRootLost(l)
 	}
--- a/core/member.go
+++ b/core/member.go
@@ -54,10 +54,12 @@
 	census        uint64   // newest one answered
 	present       []string // answers to it that are to go up
 	collected     time.Time
+	lost          map[string]lostChild // by node
+	settled       bool                 // the phase has lasted for rejoinGrace
 }
 
 func newMember(cfg Config) member {
-	return member{lease: lease.New(lease.Config{
+	return member{lost: map[string]lostChild{}, lease: lease.New(lease.Config{
 		Holder: cfg.Node, Address: cfg.Peer, TTL: cfg.LeaseTTL, Renew: cfg.LeaseRenew, Margin: cfg.LeaseMargin,
 	})}
 }
@@ -66,7 +68,7 @@
 	if s.member.phase == p {
 		return
 	}
-	s.member.phase, s.member.since = p, s.now
+	s.member.phase, s.member.since, s.member.settled = p, s.now, false
 }
 
 // path returns the nodes from this one to its root.
@@ -82,6 +84,7 @@
 
 func (s *State) memberTick() {
 	m := &s.member
+	s.lostTick()
 	if m.parent != 0 && m.phase != phaseJoined && s.now.Sub(m.dialAt) > joinTimeout {
 		s.drop(m.parent, "no answer to Hello")
 	}
@@ -203,6 +206,11 @@
 	}
 }
 
+func (s *State) childLost(l *link) {
+	s.childLeft(l)
+	s.report()
+}
+
 func (s *State) children() []LinkID {
 	var out []LinkID
 	for _, id := range sortedLinks(s.links) {
@@ -240,6 +248,7 @@
 			s.drop(old, "replaced by a newer link")
 		}
 	}
+	delete(s.member.lost, m.Node)
 	l.role, l.report = roleChild, message.Report{DataCentre: m.DataCentre, Applied: m.Config, Nodes: 1}
 	s.greet(id, l, m)
 	s.report()
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -10,7 +10,7 @@
 	NodeStarted         Code = 1001
 	NodeStopping        Code = 1002
 	NodeReady           Code = 1003
-	SettingsRefused     Code = 1004
+	NodeDrained         Code = 1004
 	ConfigApplied       Code = 2001
 	ConfigRefused       Code = 2002
 	SubmissionAccepted  Code = 2003
@@ -26,16 +26,19 @@
 	JoinedParent        Code = 4003
 	LinkSilent          Code = 4004
 	PeerRefused         Code = 4005
+	CertificatesRead    Code = 4006
+	CertificatesRefused Code = 4007
 	EndpointState       Code = 5001
 	EndpointSuspected   Code = 5002
-	RequestRefused      Code = 6001
+	RequestsRefused     Code = 6001
+	ListenerFault       Code = 6002
 )
 
 var names = map[Code]string{
 	NodeStarted:         "node started",
 	NodeStopping:        "node stopping",
 	NodeReady:           "node ready",
-	SettingsRefused:     "settings refused",
+	NodeDrained:         "node drained",
 	ConfigApplied:       "configuration applied",
 	ConfigRefused:       "configuration refused",
 	SubmissionAccepted:  "submission accepted",
@@ -51,9 +54,12 @@
 	JoinedParent:        "joined parent",
 	LinkSilent:          "link silent",
 	PeerRefused:         "peer refused",
+	CertificatesRead:    "certificates read",
+	CertificatesRefused: "certificates refused",
 	EndpointState:       "endpoint state changed",
 	EndpointSuspected:   "endpoint suspected",
-	RequestRefused:      "request refused",
+	RequestsRefused:     "requests refused",
+	ListenerFault:       "listener fault",
 }
 
 // String returns the text that goes with the number.
--- a/core/report.go
+++ b/core/report.go
@@ -8,10 +8,6 @@
 	"github.com/agatekeel/agatekeel/core/status"
 )
 
-// laggardAfter is the time for which a child may hold less than its parent
-// before a report names it.
-const laggardAfter = 2 * time.Second
-
 // reports is what a node knows of the report it owes.
 type reports struct {
 	due  bool
@@ -25,9 +21,10 @@
 	if s.holder.refused != "" {
 		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
 	}
+	s.countLost(&own)
 	var below []message.Report
 	for _, id := range s.children() {
-		below = append(below, s.childReport(s.links[id]))
+		below = append(below, s.links[id].report)
 	}
 	sum := status.Count(own, below)
 	if s.member.phase == phaseRoot {
@@ -36,17 +33,6 @@
 	return sum
 }
 
-// childReport returns the last report of a child, which names the child if it
-// has been behind this node for long and does not say why itself.
-func (s *State) childReport(l *link) message.Report {
-	r := l.report
-	if l.behind.IsZero() || s.now.Sub(l.behind) < laggardAfter || len(r.Laggards) > 0 {
-		return r
-	}
-	r.Laggards = []message.Laggard{{Node: l.node, Applied: r.Applied, Reason: "it or a node below it has not confirmed a newer version"}}
-	return r
-}
-
 // countMissing adds the nodes of the data centre that are thought to be live
 // but are in no subtree now. What they hold was counted when they were last
 // there, so the version of that time bounds what is told.
@@ -73,7 +59,6 @@
 // has changed.
 func (s *State) reportTick() {
 	p := &s.member.reports
-	s.noteBehind()
 	if !p.due || s.now.Sub(p.at) < s.cfg.ReportEvery {
 		return
 	}
@@ -92,26 +77,6 @@
 	s.publisherCounted()
 }
 
-// noteBehind follows since when each child has held less than this node.
-func (s *State) noteBehind() {
-	for _, l := range s.links {
-		if l.role != roleChild {
-			continue
-		}
-		switch behind := l.report.Applied < s.configVersion(); {
-		case !behind && !l.behind.IsZero():
-			l.behind = time.Time{}
-			s.report()
-		case behind && l.behind.IsZero():
-			l.behind = s.now
-		case behind && s.now.Sub(l.behind) >= laggardAfter && len(l.report.Laggards) == 0 && !l.named:
-			l.named = true
-			s.report()
-		}
-		l.named = l.named && !l.behind.IsZero()
-	}
-}
-
 func sameReport(a, b message.Report) bool {
 	return a.Applied == b.Applied && a.Nodes == b.Nodes && a.Missing == b.Missing && a.DataCentre == b.DataCentre &&
 		slices.Equal(a.Laggards, b.Laggards)
--- a/core/root.go
+++ b/core/root.go
@@ -22,14 +22,16 @@
 // root is what a node does while it is the root of its data centre: it
 // watches the head and links with the roots of the other data centres.
 type root struct {
-	listAt   time.Time
-	listing  bool
-	others   map[string]lease.Record // by data centre
-	reports  map[string]message.Report
-	watching bool
-	revision uint64 // the watch goes on from here
-	headRead bool   // the head has been read since this node became root
-	fetch    *fetch
+	listAt     time.Time
+	listing    bool
+	listSent   time.Time               // of the list under way
+	listedFrom time.Time               // when the last list that succeeded was sent
+	others     map[string]lease.Record // by data centre
+	reports    map[string]message.Report
+	watching   bool
+	revision   uint64 // the watch goes on from here
+	headRead   bool   // the head has been read since this node became root
+	fetch      *fetch
 
 	since      time.Time // when this node became root
 	fallback   bool      // it holds no lease
@@ -114,7 +116,7 @@
 		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 	}
 	if !s.root.listing && !s.now.Before(s.root.listAt) {
-		s.root.listing = true
+		s.root.listing, s.root.listSent = true, s.now
 		s.storeList("lease/", storeCall{purpose: forLeaseList})
 	}
 	if s.root.headRead && !s.root.watching {
@@ -136,6 +138,7 @@
 		s.storeListLater(headKey, storeCall{purpose: forHeadRead})
 		return
 	}
+	s.platform.backoff.succeeded()
 	s.root.revision = done.Revision
 	s.root.headRead = true
 	if len(done.Objects) == 0 {
@@ -216,11 +219,11 @@
 // objects leaves the same but for a few.
 func (s *State) heldChunks() map[string][]byte {
 	held := map[string][]byte{}
-	_, chunks, err := config.EncodeSet(s.holder.set)
+	e, err := s.heldEncoded()
 	if err != nil {
 		return held
 	}
-	for _, c := range chunks {
+	for _, c := range e.Chunks() {
 		held[c.Name] = c.Data
 	}
 	return held
@@ -255,10 +258,18 @@
 		return
 	}
 	s.root.fetch = nil
-	set, err := config.DecodeSet(f.manifest, f.chunks)
+	if f.manifest.Version <= s.configVersion() {
+		return // it has come another way in the meantime
+	}
+	held, err := s.heldEncoded()
+	if err != nil {
+		s.refuse(err.Error())
+		return
+	}
+	set, delta, err := held.Decode(s.holder.set, f.manifest, f.chunks)
 	if err != nil {
 		s.refuse(err.Error())
 		return
 	}
-	s.take(set)
+	s.adopt(set, delta)
 }
--- a/core/roots.go
+++ b/core/roots.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/tree"
@@ -44,7 +45,7 @@
 		s.resignRoot("held by " + rec.Holder)
 		return
 	}
-	s.root.others = others
+	s.root.others, s.root.listedFrom = others, s.root.listSent
 }
 
 // linkRootsEvery is the time between two looks at which roots lack a link.
@@ -118,6 +119,7 @@
 // root names its own.
 func (s *State) rootHello(id LinkID, l *link, m message.Hello) {
 	if m.DataCentre == s.cfg.DataCentre {
+		s.send(id, message.Endpoints{Entries: s.selfAndRoot()})
 		s.refuseHello(id, l, false)
 		return
 	}
@@ -139,6 +141,17 @@
 	s.greet(id, l, m)
 }
 
+// selfAndRoot returns the entries by which another root of the data centre
+// learns of this node and its root.
+func (s *State) selfAndRoot() []endpoint.Entry {
+	out := []endpoint.Entry{s.backend.entry}
+	path := s.path()
+	if row, ok := s.table.Get(path[len(path)-1]); ok && row.ID != s.cfg.Node {
+		out = append(out, row.Entry)
+	}
+	return out
+}
+
 // keepNewer settles which of two links to one root stays when both ends
 // dialled at once: the one dialled by the node with the smaller name. Any
 // other older link to it is dead.
--- a/core/state.go
+++ b/core/state.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -19,6 +20,7 @@
 	Hop         string // own address for requests from other nodes
 	Service     string // of the backend server; empty: none stands beside this node
 	Slots       int
+	StatusSlots int // of Slots, those that run nothing but status checks
 	MaxQueue    int
 	Fanout      int
 	Incarnation endpoint.Incarnation
@@ -47,6 +49,18 @@
 	TombstoneFor   time.Duration // removed entries are remembered this long
 
 	breaks breaks
+
+	SweepEvery time.Duration // time between collections of garbage in the platform
+	StatusKeep time.Duration // time for which the status of a settled submission is kept
+	faults     publisherFaults
+
+	QueueMaxWait  time.Duration // none waits longer for a slot
+	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
+	QueueInterval time.Duration
+
+	KeyKeep         time.Duration // how long a node holds an Idempotency-Key
+	ClaimKeep       time.Duration // how long a claim stays in the platform
+	ClaimsPerSecond float64       // claims that this node may create
 }
 
 // Favour says what the spreading of configuration and endpoints favours.
@@ -65,6 +79,7 @@
 	digest       bool // tables are not compared
 	grace        bool // a root removes at once what it does not find
 	cycleCheck   bool // a path that comes back is not looked at
+	suspicion    bool // neighbours that go silent are not suspected
 }
 
 // WithDefaults returns the settings with every zero field filled in.
@@ -77,7 +92,7 @@
 	setDefault(&c.Favour, FavourConvergence)
 	setDefault(&c.Slots, 6)
 	setDefault(&c.MaxQueue, 8*c.Slots)
-	setDefault(&c.Fanout, 16)
+	setDefault(&c.Fanout, 8)
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
@@ -96,9 +111,29 @@
 	setDefault(&c.Grace, 20*time.Second)
 	setDefault(&c.SuspectLimit, 30*time.Second)
 	setDefault(&c.TombstoneFor, 10*time.Minute)
+	setDefault(&c.SweepEvery, 15*time.Minute)
+	setDefault(&c.StatusKeep, 24*time.Hour)
+	setDefault(&c.KeyKeep, 10*time.Minute)
+	setDefault(&c.ClaimKeep, 24*time.Hour)
+	setDefault(&c.ClaimsPerSecond, 5)
 	return c
 }
 
+func (c Config) balance() balance.Config {
+	b := balance.DefaultConfig(c.DataCentre)
+	b.SlowStart = c.SlowStart
+	return b
+}
+
+func (c Config) admission() admission.Config {
+	a := admission.DefaultConfig(c.Slots)
+	setDefault(&c.QueueMaxWait, a.MaxWait)
+	setDefault(&c.QueueTarget, a.Target)
+	setDefault(&c.QueueInterval, a.Interval)
+	a.StatusSlots, a.MaxQueue, a.MaxWait, a.Target, a.Interval = c.StatusSlots, c.MaxQueue, c.QueueMaxWait, c.QueueTarget, c.QueueInterval
+	return a
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
@@ -145,7 +180,7 @@
 	s.holder = newHolder()
 	s.publisher = newPublisher(cfg)
 	s.backend = newBackend(cfg)
-	s.requests = newRequests(cfg, balance.New(balance.DefaultConfig(cfg.DataCentre), rng))
+	s.requests = newRequests(cfg, balance.New(cfg.balance(), rng))
 	return s
 }
 
@@ -169,6 +204,8 @@
 		s.backendProbed(e)
 	case BackendLeaving:
 		s.beginDrain()
+	case BackendStays:
+		s.endLeaving()
 	case Stop:
 		s.stop()
 	case CallArrived:
@@ -204,6 +241,7 @@
 	s.reportTick()
 	s.batchTick()
 	s.ticked = s.now
+	s.claimTick()
 }
 
 // jitter returns a random time below limit ("full jitter").
@@ -252,6 +290,8 @@
 	Backend       DumpBackend      `json:"backend"`
 	Calls         int              `json:"calls"`
 	RetryTokens   float64          `json:"retryTokens"`
+
+	DumpRoles
 }
 
 // DumpLink is one link of a Dump.
@@ -287,6 +327,7 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
 	}
--- a/core/suspect.go
+++ b/core/suspect.go
@@ -21,7 +21,7 @@
 // suspectLater notes the end of a link as a sign that the node is dead,
 // unless it said that it lives on or has another link to this node.
 func (s *State) suspectLater(l *link) {
-	if l.leaving || !l.greeted || l.node == "" {
+	if l.leaving || !l.greeted || l.node == "" || s.cfg.breaks.suspicion {
 		return
 	}
 	if row, ok := s.table.Get(l.node); ok && row.Live() {
