--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -182,8 +182,11 @@
 			},
 		},
 		{
-			name: "the same, and it goes on serving", limit: 3 * time.Second, fault: core.ServeLeaving, red: true,
+			name: "the same, and it goes on serving unsuspected", limit: 3 * time.Second, fault: core.ServeLeaving, red: true,
 			leave: func(s *steadyMesh) {
+				for _, n := range s.Nodes() {
+					n.State.Break(core.BreakSuspicion) // else its silence alone takes it out of service
+				}
 				s.deafen("a2")
 				s.Step("a2", core.BackendLeaving{})
 			},
--- a/node/config.go
+++ b/node/config.go
@@ -21,7 +21,7 @@
 		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
-		Fanout:         s.Distribution.Fanout,
+		Fanout: s.Distribution.Fanout, Favour: core.Favour(s.Distribution.Favour), Seeds: s.Seeds,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -38,6 +38,7 @@
 		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
 		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
 		SweepEvery: 71 * time.Second, StatusKeep: 72 * time.Second, Incarnation: life, Seed: 63,
+		Seeds: []string{"10.0.0.1:1"}, Favour: core.FavourBytes,
 	}.WithDefaults()
 	is.Equal(got, want)
 }
