--- a/proxy/header.go
+++ b/proxy/header.go
@@ -1,6 +1,3 @@
-// Package proxy carries callers' requests: from a caller to the entry node,
-// from there to the node beside a backend server, and from there to the
-// backend server. Every decision is the reducer's; this package moves bytes.
 package proxy
 
 import (
@@ -12,34 +9,51 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/idempotency"
 )
 
-// Headers between nodes, and towards callers.
+// Headers between nodes, callers and backend servers. Those that a caller or
+// a backend server sends are dropped, but for HeaderTimeout, and HeaderDepth
+// from the own host.
 const (
-	HeaderOutcome = "Agatekeel-Outcome" // not-run or unknown, on refusals and failures
+	// HeaderOutcome is on refusals and failures: not-run or unknown, or ran
+	// for a repeat of a request that ran.
+	HeaderOutcome = "Agatekeel-Outcome"
 	HeaderReason  = "Agatekeel-Reason"
+	// HeaderFirstStatus is the status of the answer that the first request
+	// with the same Idempotency-Key got.
+	HeaderFirstStatus = "Agatekeel-First-Status"
+	// HeaderTimeout is the time that a caller allows for a call, and what is
+	// left of it when the request reaches the backend server.
+	HeaderTimeout = "Agatekeel-Timeout-Millis"
+	// HeaderDepth counts the calls of the mesh that led to a request. A
+	// backend server passes it on in the calls that it makes.
+	HeaderDepth = "Agatekeel-Depth"
+
+	headerPrefix  = "Agatekeel-"
 	headerAttempt = "Agatekeel-Attempt"
 	headerClass   = "Agatekeel-Class"
 	headerBudget  = "Agatekeel-Budget-Micros"
 	headerQueue   = "Agatekeel-Queue"
+	headerQuery   = "Agatekeel-Query" // asks about an attempt
+	headerCancel  = "Agatekeel-Cancel"
+	headerFor     = "Agatekeel-For" // life of the node that an attempt is sent to
+	headerKey     = "Agatekeel-Key"
 )
 
-// MaxBodyBytes bounds a request body.
-const MaxBodyBytes = 1 << 20
-
 // hopByHop are the headers that belong to one connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // copyHeader adds the end-to-end headers of src to dst.
 func copyHeader(dst, src http.Header) {
 	for k, vs := range src {
-		if strings.HasPrefix(k, "Agatekeel-") {
-			continue
+		if !strings.HasPrefix(k, headerPrefix) {
+			dst[k] = vs[:len(vs):len(vs)]
 		}
-		dst[k] = append(dst[k], vs...)
 	}
 	for _, v := range src["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
@@ -47,7 +61,7 @@
 		}
 	}
 	for _, k := range hopByHop {
-		dst.Del(k)
+		delete(dst, k)
 	}
 }
 
@@ -70,26 +84,88 @@
 	attempt core.AttemptID
 	class   admission.Class
 	budget  time.Duration
+	depth   int
+	meant   endpoint.Incarnation // zero: not told
+	key     idempotency.Key      // zero: none
 }
 
 func (h hopHeader) write(to http.Header) {
-	to.Set(headerAttempt, formatAttempt(h.attempt))
-	to.Set(headerClass, strconv.Itoa(int(h.class)))
-	to.Set(headerBudget, strconv.FormatInt(h.budget.Microseconds(), 10))
+	to[headerAttempt] = []string{formatAttempt(h.attempt)}
+	to[headerClass] = []string{strconv.Itoa(int(h.class))}
+	to[headerBudget] = []string{strconv.FormatInt(h.budget.Microseconds(), 10)}
+	to[HeaderDepth] = []string{strconv.Itoa(h.depth)}
+	to[headerFor] = []string{formatLife(h.meant)}
+	if !h.key.IsZero() {
+		to[headerKey] = []string{h.key.String()}
+	}
 }
 
-func readHopHeader(from http.Header) (hopHeader, error) {
-	id, err := parseAttempt(from.Get(headerAttempt))
-	if err != nil {
-		return hopHeader{}, err
+func readHopHeader(from http.Header) (h hopHeader, err error) {
+	if h.attempt, err = parseAttempt(from.Get(headerAttempt)); err != nil {
+		return h, err
 	}
 	class, err := strconv.ParseUint(from.Get(headerClass), 10, 8)
 	if err != nil || admission.Class(class) > admission.Batch {
-		return hopHeader{}, fmt.Errorf("header %s: %q is not a class", headerClass, from.Get(headerClass))
+		return h, fmt.Errorf("header %s: %q is not a class", headerClass, from.Get(headerClass))
 	}
+	h.class = admission.Class(class)
 	micros, err := strconv.ParseInt(from.Get(headerBudget), 10, 64)
 	if err != nil {
-		return hopHeader{}, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
+		return h, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
+	}
+	h.budget = time.Duration(micros) * time.Microsecond
+	if h.depth, err = parseDepth(from.Get(HeaderDepth)); err != nil {
+		return h, err
+	}
+	if h.meant, err = parseLife(from.Get(headerFor)); err != nil {
+		return h, err
+	}
+	if s := from.Get(headerKey); s != "" {
+		ok := false
+		if h.key, ok = idempotency.ParseKey(s); !ok {
+			return h, fmt.Errorf("header %s: %q is not a key", headerKey, s)
+		}
+	}
+	return h, nil
+}
+
+func formatLife(i endpoint.Incarnation) string {
+	return strconv.FormatInt(i.Start, 16) + "-" + strconv.FormatUint(uint64(i.Random), 16)
+}
+
+// parseLife reads what formatLife wrote; empty is the zero Incarnation.
+func parseLife(s string) (endpoint.Incarnation, error) {
+	if s == "" {
+		return endpoint.Incarnation{}, nil
+	}
+	start, random, ok := strings.Cut(s, "-")
+	t, err := strconv.ParseInt(start, 16, 64)
+	r, err2 := strconv.ParseUint(random, 16, 32)
+	if !ok || err != nil || err2 != nil {
+		return endpoint.Incarnation{}, fmt.Errorf("header %s: %q is not the life of a node", headerFor, s)
+	}
+	return endpoint.Incarnation{Start: t, Random: uint32(r)}, nil
+}
+
+func parseDepth(s string) (int, error) {
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 16)
+	if err != nil {
+		return 0, fmt.Errorf("header %s: %q is not a number", HeaderDepth, s)
+	}
+	return int(n), nil
+}
+
+// parseTimeout returns what a caller allows, or zero when it does not say.
+func parseTimeout(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	millis, err := strconv.ParseUint(s, 10, 32)
+	if err != nil || millis == 0 {
+		return 0, fmt.Errorf("header %s: %q is not a positive number of milliseconds", HeaderTimeout, s)
 	}
-	return hopHeader{attempt: id, class: admission.Class(class), budget: time.Duration(micros) * time.Microsecond}, nil
+	return time.Duration(millis) * time.Millisecond, nil
 }
--- /dev/null
+++ b/proxy/local.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// runLocal waits for admission, then sends the request to the own backend
+// server. The attempt counts as running until the answer has been read whole.
+func (p *Proxy) runLocal(ctx context.Context, r *http.Request, body *requestBody, h hopHeader) (*http.Response, error) {
+	if p.broken.attemptsUnnamed {
+		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
+	}
+	effects, fresh := p.core.OpenAttempt(h.attempt)
+	if !fresh {
+		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
+	}
+	deadline, _ := ctx.Deadline()
+	p.core.Step(core.AttemptArrived{Attempt: h.attempt, Class: h.class, Budget: h.budget, For: h.meant, Key: h.key})
+	if err := p.admitted(ctx, effects, h); err != nil {
+		p.core.CloseAttempt(h.attempt)
+		return nil, err
+	}
+	started := time.Now()
+	out := outgoing(r, p.cfg.Backend, body)
+	out.Header[HeaderDepth] = []string{strconv.Itoa(h.depth)}
+	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	resp, err := p.roundTrip(ctx, p.backend, out)
+	done := core.AttemptDone{Attempt: h.attempt}
+	end := func() {
+		done.Took = time.Since(started)
+		p.core.Step(done)
+		p.core.CloseAttempt(h.attempt)
+	}
+	if err != nil {
+		done.Refused, done.Cut = errors.Is(err, syscall.ECONNREFUSED), true
+		end()
+		failed := asAttemptError(err)
+		return nil, &attemptError{
+			outcome: failed.outcome, told: true, reason: failed.Error(), err: fmt.Errorf("backend server: %w", failed.err),
+		}
+	}
+	done.Status = resp.StatusCode
+	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(whole bool) {
+		done.Cut = !whole
+		end()
+	}}
+	return resp, nil
+}
+
+// admitted waits until the attempt runs, is refused or is cancelled.
+func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, h hopHeader) error {
+	cancelled := ctx.Done()
+	for {
+		select {
+		case e := <-effects:
+			switch e := e.(type) {
+			case core.Run:
+				return nil
+			case core.Refuse:
+				return refusal(e)
+			}
+		case <-cancelled:
+			cancelled = nil // asked once; Run or Refuse follows
+			p.core.Step(core.AttemptCancelled{Attempt: h.attempt, For: h.meant})
+		}
+	}
+}
+
+// countedBody tells once when the answer's body has ended or is closed, and
+// whether it came whole. It is told at the end already, so that a slow receiver
+// holds no slot.
+type countedBody struct {
+	io.ReadCloser
+	done func(whole bool)
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end(false)
+	return err
+}
+
+func (b *countedBody) end(whole bool) {
+	if b.done != nil {
+		b.done(whole)
+		b.done = nil
+	}
+}
