Let the fake platform skip no change when a watch times out

The trace shows the publisher's watch answered at its timeout with a revision beyond the submission, which it never delivered: the test had written past the nodes, so no watch was woken, and the fake answered a timeout with the newest revision. platformtest.Store does not: it returns the revision that it looked at.

No check was changed.

Ruled out: a fault of the publisher (its queue was empty and its watch open).

--- a/core/mesh_test.go
+++ b/core/mesh_test.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := m.Store.Put(context.Background(), "submission/"+id, data, 0); err != nil {
+	if err := m.Write("submission/"+id, data); err != nil {
 		t.Fatal(err)
 	}
 }
