Replace a lost root within the target

Cause: a change submitted as a root or the publisher is lost took 16 to 17 s to be in force, over the target of 14 s. In the trace orphans read the lease many times in the first half second, were slowed by their own call limit to a read in 2 s, and so claimed the lease 2 s after it had expired; the losers of the race came 2 s later; then the new root counted its members as unknown for 8 s.

Change: an orphan whose root can't be reached reads the lease half way and when it expires; the lease lasts 5 s instead of 6; the time for which a node out of the tree counts as live is 5 s instead of 8, which still covers the 3 s to a silent link and the join.

Ruled out: renewals each second with a lease of 4 s, which pass the bound on a root's calls in an outage (5.4 against 3 a second).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -119,6 +119,15 @@
 	return m.observed && (m.version == 0 || now.Sub(m.seenAt) >= m.cfg.TTL)
 }
 
+// ExpiresIn returns the time until the lease may be taken if nobody changes
+// it, zero when it may be taken now or was never read.
+func (m *Machine) ExpiresIn(now time.Time) time.Duration {
+	if !m.observed || m.version == 0 {
+		return 0
+	}
+	return max(0, m.seenAt.Add(m.cfg.TTL).Sub(now))
+}
+
 // Next returns the write that is due, if any: a renewal when held, a claim
 // when the lease can be taken and want is set.
 func (m *Machine) Next(now time.Time, want bool) (Write, bool) {
--- a/core/lost.go
+++ b/core/lost.go
@@ -8,7 +8,7 @@
 
 // rejoinGrace is how long a node that has left the tree still counts as live:
 // it may serve callers while it looks for another parent.
-const rejoinGrace = 8 * time.Second
+const rejoinGrace = 5 * time.Second
 
 // laggardAfter is how long a child may be behind before it is named. Shorter
 // delays are the ordinary way of a change down the tree.
--- a/core/member.go
+++ b/core/member.go
@@ -202,10 +202,22 @@
 	case len(s.member.candidates) > 0 || s.member.ranked:
 		s.nextCandidate()
 	case s.member.phase != phaseRoot:
-		s.seekAgain(s.cfg.JoinJitter)
+		s.awaitLease()
 	}
 }
 
+// awaitLease looks for a parent again when the lease of a root that can't be
+// reached runs out, and once before: the holder may be back by then, or
+// another one may have come. Reads in between would tell nothing more.
+func (s *State) awaitLease() {
+	left := s.member.lease.ExpiresIn(s.now)
+	if half := left / 2; half > s.cfg.LeaseRenew {
+		left = half
+	}
+	s.seekAgain(s.cfg.JoinJitter)
+	s.member.retryAt = s.member.retryAt.Add(left)
+}
+
 func (s *State) childLost(l *link) {
 	s.childLeft(l)
 	s.report()
--- a/core/state.go
+++ b/core/state.go
@@ -96,7 +96,7 @@
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
-	setDefault(&c.LeaseTTL, 6*time.Second)
+	setDefault(&c.LeaseTTL, 5*time.Second)
 	setDefault(&c.LeaseRenew, 2*time.Second)
 	setDefault(&c.LeaseMargin, time.Second)
 	setDefault(&c.ProbeEvery, time.Second)
