Take no answer that is not that of the attempt

Cause: whatever answered at a node's address was passed on, also another process that had taken the port, and the server's own refusals (431) counted as answers of the backend server. Change: a node's answer names its attempt; another answer makes the outcome unknown. The listener for nodes allows for the headers that nodes add. Tests: a foreign listener, slow callers, trailers, repeats by Idempotency-Key.

--- a/internal/sample/serve.go
+++ b/internal/sample/serve.go
@@ -120,6 +120,10 @@
 	if q.Get("chunked") == "" {
 		h.Set("Content-Length", strconv.Itoa(len(data)))
 	}
+	if t := q.Get("trailer"); t != "" {
+		h.Set("Trailer", "Answer-Trailer")
+		defer h.Set("Answer-Trailer", t)
+	}
 	if !cut {
 		_, _ = w.Write(data)
 		return
--- a/node/module.go
+++ b/node/module.go
@@ -159,8 +159,8 @@
 		hop = tls.NewListener(hop, p.Credentials.Server(alpnHTTP))
 	}
 	servers := []server{
-		{"callers", p.Listeners.Callers, proxy.NewServer(p.Proxy.Callers())},
-		{"hop", hop, proxy.NewServer(p.Proxy.Hops())},
+		{"callers", p.Listeners.Callers, p.Proxy.CallerServer()},
+		{"hop", hop, p.Proxy.HopServer()},
 		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range servers {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -97,6 +97,12 @@
 			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
 		}
 	}
+	if got, sent := resp.Header.Get(headerAttempt), out.Header.Get(headerAttempt); got != sent && !c.proxy.broken.answersUnchecked {
+		_ = resp.Body.Close()
+		c.proxy.hop.CloseIdleConnections()
+		err := fmt.Errorf("node %s: an answer with status %d is not that of the attempt", f.Target, resp.StatusCode)
+		return nil, &attemptError{outcome: retry.Unknown, reason: err.Error(), err: err}
+	}
 	if told := resp.Header.Get(HeaderOutcome); told != "" {
 		defer func() { _ = resp.Body.Close() }()
 		return nil, toldError(f, told, resp)
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -37,6 +37,7 @@
 	callers  string
 	hop      string
 	hopWrap  *listener
+	hopServe *http.Server
 	closers  []func()
 	stopped  bool
 	backends string // address given to the proxy
@@ -120,7 +121,8 @@
 	mn.arrivals = &arrivals{Node: mn.node}
 	mn.proxy = proxy.New(pc, mn.arrivals, metrics.NewRegistry())
 	transport := peer.NewTransport(peer.Config{}, mn.node)
-	callerServer, hopServer := proxy.NewServer(mn.proxy.Callers()), proxy.NewServer(mn.proxy.Hops())
+	callerServer, hopServer := mn.proxy.CallerServer(), mn.proxy.HopServer()
+	mn.hopServe = hopServer
 	go func() { _ = callerServer.Serve(callers) }()
 	go func() { _ = hopServer.Serve(mn.hopWrap) }()
 	go func() { _ = transport.Serve(peers) }()
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -20,6 +20,7 @@
 		p.fail(w, http.StatusBadRequest, retry.NotRun, err.Error())
 		return
 	}
+	w.Header()[headerAttempt] = r.Header[headerAttempt] // tells the sender that the answer is its own
 	body, err := newRequestBody(w, r, p.cfg.MaxBodyBytes)
 	if err != nil {
 		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -21,7 +21,8 @@
 	maxTransfer       = config.MaxTimeout + 10*time.Second // of one request or answer
 	serverIdleTimeout = 180 * time.Second
 	clientIdleTimeout = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 64 << 10 // of a caller's request
+	maxHopHeaderBytes = maxHeaderBytes + 8<<10
 )
 
 // Limits of the client side.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -87,6 +87,7 @@
 	cutEndsCleanly   bool // a cut answer ends as if it were whole
 	attemptsUnnamed  bool // attempt IDs are not compared
 	transportReplays bool // the transport may repeat requests by itself
+	answersUnchecked bool // an answer need not be that of its attempt
 	resendsUnknown   bool // an attempt of unknown outcome is sent once more
 }
 
@@ -128,10 +129,16 @@
 	return e
 }
 
-// NewServer returns a server for one of the handlers, with its limits set.
-func NewServer(h http.Handler) *http.Server {
+// CallerServer returns the server for callers, with its limits set.
+func (p *Proxy) CallerServer() *http.Server { return newServer(p.Callers(), maxHeaderBytes) }
+
+// HopServer returns the server for other nodes, with its limits set. What a
+// caller may send fits, with the headers that nodes add.
+func (p *Proxy) HopServer() *http.Server { return newServer(p.Hops(), maxHopHeaderBytes) }
+
+func newServer(h http.Handler, headerBytes int) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: maxTransfer, WriteTimeout: maxTransfer,
-		IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: serverIdleTimeout, MaxHeaderBytes: headerBytes,
 	}
 }
--- /dev/null
+++ b/proxy/slow_test.go
@@ -0,0 +1,106 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// raw opens a connection to a node's listener for callers and writes to it.
+func (m *mesh) raw(i int, s string) net.Conn {
+	conn, err := net.Dial("tcp", m.nodes[i].callers)
+	m.must(err)
+	m.t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, s)
+	m.must(err)
+	return conn
+}
+
+// A caller who sends or reads slowly holds a slot for no longer than its call
+// may take, and with a short body none at all.
+func TestSlowCallersHoldNoSlot(t *testing.T) {
+	for _, tc := range []struct{ name, request string }{
+		{"short body", "POST /brief HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nabc"},
+		{"long body", "POST /brief HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\nabc"},
+		{"chunked body", "POST /brief HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
+		{"long answer", "GET /brief?answerBytes=60000000 HTTP/1.1\r\nHost: x\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.Slots = 1 }, "", "orders")
+			m.raw(0, tc.request)
+			if tc.name != "short body" {
+				m.eventually("the request arrived", func() bool { return m.nodes[1].arrivals.count.Load() > 0 })
+			}
+			m.eventually("the slot is free", func() bool { return m.nodes[1].node.Dump().Backend.Running == 0 })
+			resp, _, err := m.do(0, "POST", "/once", "x")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestTrailersArePassedOn(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	resp, _, err := m.do(0, "GET", "/?chunked=true&trailer=done", "")
+	is.NoErr(err)
+	is.Equal(resp.Trailer.Get("Answer-Trailer"), "done")
+}
+
+// A repeat of a request by its Idempotency-Key is told how the first ended.
+func TestRepeatByKeyIsToldHowTheFirstEnded(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders", "orders")
+	id := m.id()
+	for i := range 3 {
+		resp, _, err := m.do(0, "POST", "/once", "flour", sample.HeaderID, id, "Idempotency-Key", "order-7")
+		is.NoErr(err)
+		if i == 0 {
+			is.Equal(resp.StatusCode, http.StatusOK)
+			continue
+		}
+		is.Equal(resp.StatusCode, http.StatusConflict)
+		is.Equal(resp.Header.Get(proxy.HeaderOutcome), "ran")
+		is.Equal(resp.Header.Get(proxy.HeaderFirstStatus), "200")
+	}
+	is.Equal(len(m.runs.Of(id)), 1)
+	is.Equal(m.runs.Of(id)[0].Header.Get("Idempotency-Key"), "order-7") // passed on
+}
+
+// Something else that listens at a node's address, or another attempt's
+// answer, is not taken for the answer.
+func TestAnswerOfAnotherIsNotTaken(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprint("broken ", broken), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, nil, "", "orders")
+			m.nodes[0].proxy.Break(proxy.Breaks{AnswersUnchecked: broken})
+			_ = m.nodes[1].hopServe.Close()
+			l, err := net.Listen("tcp", m.nodes[1].hop)
+			is.NoErr(err)
+			other := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Agatekeel-Attempt", "1-1")
+				_, _ = io.WriteString(w, "somebody else's")
+			})}
+			go func() { _ = other.Serve(l) }()
+			defer func() { _ = other.Close() }()
+			resp, body, err := m.do(0, "POST", "/once", "x")
+			is.NoErr(err)
+			taken := resp.StatusCode == http.StatusOK && strings.Contains(body, "somebody")
+			is.Equal(taken, broken)
+			if !broken {
+				is.Equal(resp.Header.Get(proxy.HeaderOutcome), "unknown")
+			}
+		})
+	}
+}
