--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -96,16 +96,23 @@
 	is.True(len(all) > 100)
 }
 
-// Cutting a node off without draining must show in the same check.
-func TestRestartCheckCanFail(t *testing.T) {
-	m := newMesh(t, nil, "", "orders", "orders")
-	m.nodes[1].backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
+// Cutting nodes off without draining must show in the same check; what their
+// deaths cut is told truly.
+func TestDyingNodesCutRequestsAndSoIsTold(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders", "orders", "orders")
+	for _, n := range m.nodes[1:3] {
+		n.backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
+	}
 	stop := m.callers(8)
-	m.eventually("requests are under way", func() bool { return m.nodes[1].node.Dump().Backend.Running > 0 })
+	m.eventually("requests are under way", func() bool {
+		return m.nodes[1].node.Dump().Backend.Running > 0 && m.nodes[2].node.Dump().Backend.Running > 0
+	})
 	m.nodes[1].end()
-	if all := stop(); len(failures(all)) == 0 {
-		t.Fatal("a node ended amid requests, and none of them failed")
-	}
+	m.nodes[2].end()
+	all := stop()
+	is.True(len(failures(all)) > 0) // nodes ended amid requests
+	is.Equal(violations(all, m.runs), nil)
 }
 
 // BenchmarkLeaving measures the time until the last new request reaches a
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -49,6 +50,25 @@
 	}
 }
 
+// A caller that waits to be told to go on is told so.
+func TestExpectContinueIsAnswered(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	conn := m.raw(0, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	answers := bufio.NewReader(conn)
+	line, err := answers.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	_, err = answers.ReadString('\n')
+	is.NoErr(err)
+	_, err = io.WriteString(conn, "abc")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(answers, nil)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
 func TestTrailersArePassedOn(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(t, nil, "", "orders")
