--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -84,7 +84,7 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
-	h.write(out.Header)
+	out.Header[headerHop] = []string{h.String()}
 	watch := c.proxy.watchSilence(f, cancel)
 	resp, err := c.proxy.roundTrip(ctx, c.proxy.hop, out)
 	silent := watch.stop()
@@ -97,7 +97,7 @@
 			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
 		}
 	}
-	if got, sent := resp.Header.Get(headerAttempt), out.Header.Get(headerAttempt); got != sent && !c.proxy.broken.answersUnchecked {
+	if resp.Header.Get(headerAttempt) != formatAttempt(f.Attempt) && !c.proxy.broken.answersUnchecked {
 		_ = resp.Body.Close()
 		c.proxy.hop.CloseIdleConnections()
 		err := fmt.Errorf("node %s: an answer with status %d is not that of the attempt", f.Target, resp.StatusCode)
--- a/proxy/basic_test.go
+++ b/proxy/basic_test.go
@@ -33,7 +33,7 @@
 	m := newMesh(t, nil, "", "orders")
 	id := m.id()
 	resp, _, err := m.do(0, "POST", "/a%2Fb//c%20d?q=%2F&r", "flour", sample.HeaderID, id,
-		"Agatekeel-Attempt", "1-1", "Agatekeel-Outcome", "not-run", "Connection", "X-Own", "X-Own", "mine", "X-Kept", "yes")
+		"Agatekeel-Attempt", "1-1", "Agatekeel-Hop", "1-1 0 1 1 0-0", "Agatekeel-Outcome", "not-run", "Connection", "X-Own", "X-Own", "mine", "X-Kept", "yes")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.Equal(resp.Header.Get(sample.HeaderID), id)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,14 +32,12 @@
 	HeaderDepth = "Agatekeel-Depth"
 
 	headerPrefix  = "Agatekeel-"
-	headerAttempt = "Agatekeel-Attempt"
-	headerClass   = "Agatekeel-Class"
-	headerBudget  = "Agatekeel-Budget-Micros"
+	headerHop     = "Agatekeel-Hop"     // a hopHeader
+	headerAttempt = "Agatekeel-Attempt" // whose answer it is
 	headerQueue   = "Agatekeel-Queue"
 	headerQuery   = "Agatekeel-Query" // asks about an attempt
 	headerCancel  = "Agatekeel-Cancel"
-	headerFor     = "Agatekeel-For" // life of the node that an attempt is sent to
-	headerKey     = "Agatekeel-Key"
+	headerFor     = "Agatekeel-For" // life of the node that a question is meant for
 )
 
 // hopByHop are the headers that belong to one connection.
@@ -74,57 +72,70 @@
 	o, err := strconv.ParseUint(origin, 16, 64)
 	n, err2 := strconv.ParseUint(number, 16, 64)
 	if !ok || err != nil || err2 != nil {
-		return core.AttemptID{}, fmt.Errorf("header %s: %q is not an attempt ID", headerAttempt, s)
+		return core.AttemptID{}, fmt.Errorf("%q is not an attempt ID", s)
 	}
 	return core.AttemptID{Origin: o, Number: n}, nil
 }
 
-// hopHeader is what the entry node tells the backend server's node.
+// hopHeader is what the entry node tells the backend server's node: one
+// header, its fields in this order and parted by spaces, the key only if there
+// is one.
 type hopHeader struct {
 	attempt core.AttemptID
 	class   admission.Class
-	budget  time.Duration
+	budget  time.Duration // sent in microseconds
 	depth   int
 	meant   endpoint.Incarnation // zero: not told
 	key     idempotency.Key      // zero: none
 }
 
-func (h hopHeader) write(to http.Header) {
-	to[headerAttempt] = []string{formatAttempt(h.attempt)}
-	to[headerClass] = []string{strconv.Itoa(int(h.class))}
-	to[headerBudget] = []string{strconv.FormatInt(h.budget.Microseconds(), 10)}
-	to[HeaderDepth] = []string{strconv.Itoa(h.depth)}
-	to[headerFor] = []string{formatLife(h.meant)}
+// String returns the header's value.
+func (h hopHeader) String() string {
+	b := make([]byte, 0, 96)
+	b = append(b, formatAttempt(h.attempt)...)
+	b = strconv.AppendUint(append(b, ' '), uint64(h.class), 10)
+	b = strconv.AppendInt(append(b, ' '), h.budget.Microseconds(), 10)
+	b = strconv.AppendInt(append(b, ' '), int64(h.depth), 10)
+	b = append(append(b, ' '), formatLife(h.meant)...)
 	if !h.key.IsZero() {
-		to[headerKey] = []string{h.key.String()}
+		b = append(append(b, ' '), h.key.String()...)
 	}
+	return string(b)
 }
 
-func readHopHeader(from http.Header) (h hopHeader, err error) {
-	if h.attempt, err = parseAttempt(from.Get(headerAttempt)); err != nil {
+// hopFields is the number of fields without the key.
+const hopFields = 5
+
+func parseHopHeader(s string) (h hopHeader, err error) {
+	fields := strings.Split(s, " ")
+	if len(fields) != hopFields && len(fields) != hopFields+1 {
+		return h, fmt.Errorf("header %s: %q has not %d fields, or one more", headerHop, s, hopFields)
+	}
+	if h.attempt, err = parseAttempt(fields[0]); err != nil {
 		return h, err
 	}
-	class, err := strconv.ParseUint(from.Get(headerClass), 10, 8)
+	class, err := strconv.ParseUint(fields[1], 10, 8)
 	if err != nil || admission.Class(class) > admission.Batch {
-		return h, fmt.Errorf("header %s: %q is not a class", headerClass, from.Get(headerClass))
+		return h, fmt.Errorf("header %s: %q is not a class", headerHop, fields[1])
 	}
 	h.class = admission.Class(class)
-	micros, err := strconv.ParseInt(from.Get(headerBudget), 10, 64)
+	micros, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil {
-		return h, fmt.Errorf("header %s: %q is not a number", headerBudget, from.Get(headerBudget))
+		return h, fmt.Errorf("header %s: %q is not a number", headerHop, fields[2])
 	}
 	h.budget = time.Duration(micros) * time.Microsecond
-	if h.depth, err = parseDepth(from.Get(HeaderDepth)); err != nil {
+	if h.depth, err = parseDepth(fields[3]); err != nil {
 		return h, err
 	}
-	if h.meant, err = parseLife(from.Get(headerFor)); err != nil {
+	if h.meant, err = parseLife(fields[4]); err != nil {
 		return h, err
 	}
-	if s := from.Get(headerKey); s != "" {
-		ok := false
-		if h.key, ok = idempotency.ParseKey(s); !ok {
-			return h, fmt.Errorf("header %s: %q is not a key", headerKey, s)
-		}
+	if len(fields) == hopFields {
+		return h, nil
+	}
+	ok := false
+	if h.key, ok = idempotency.ParseKey(fields[hopFields]); !ok {
+		return h, fmt.Errorf("header %s: %q is not a key", headerHop, fields[hopFields])
 	}
 	return h, nil
 }
@@ -142,7 +153,7 @@
 	t, err := strconv.ParseInt(start, 16, 64)
 	r, err2 := strconv.ParseUint(random, 16, 32)
 	if !ok || err != nil || err2 != nil {
-		return endpoint.Incarnation{}, fmt.Errorf("header %s: %q is not the life of a node", headerFor, s)
+		return endpoint.Incarnation{}, fmt.Errorf("%q is not the life of a node", s)
 	}
 	return endpoint.Incarnation{Start: t, Random: uint32(r)}, nil
 }
--- a/proxy/history_test.go
+++ b/proxy/history_test.go
@@ -358,7 +358,7 @@
 				req, err := http.NewRequest("POST", "http://"+m.nodes[0].hop+"/", strings.NewReader("x"))
 				is.NoErr(err)
 				for k, v := range map[string]string{
-					"Agatekeel-Attempt": "7-1", "Agatekeel-Class": "1", "Agatekeel-Budget-Micros": "5000000", sample.HeaderID: id,
+					"Agatekeel-Hop": "7-1 1 5000000 1 0-0", sample.HeaderID: id,
 				} {
 					req.Header.Set(k, v)
 				}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -15,12 +15,12 @@
 		p.serveQuery(w, r)
 		return
 	}
-	h, err := readHopHeader(r.Header)
+	h, err := parseHopHeader(r.Header.Get(headerHop))
 	if err != nil {
 		p.fail(w, http.StatusBadRequest, retry.NotRun, err.Error())
 		return
 	}
-	w.Header()[headerAttempt] = r.Header[headerAttempt] // tells the sender that the answer is its own
+	w.Header()[headerAttempt] = []string{formatAttempt(h.attempt)} // tells the sender that the answer is its own
 	body, err := newRequestBody(w, r, p.cfg.MaxBodyBytes)
 	if err != nil {
 		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
