Take the node's lock half as often for an attempt

Opening a call or an attempt and stepping it in are one acquisition, and so are ending an attempt and closing it; channels are made outside the lock.

--- a/node/node.go
+++ b/node/node.go
@@ -213,11 +213,12 @@
 }
 
 // OpenCall implements proxy.Decider.
-func (n *Node) OpenCall(id core.CallID) <-chan core.Effect {
+func (n *Node) OpenCall(e core.CallArrived) <-chan core.Effect {
 	ch := make(chan core.Effect, effectBacklog)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.calls[id] = ch
+	n.calls[e.Call] = ch
+	n.step(e)
 	return ch
 }
 
@@ -226,28 +227,36 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.calls, id)
-	n.observer.left(id)
 }
 
 // OpenAttempt implements proxy.Decider.
-func (n *Node) OpenAttempt(id core.AttemptID) (<-chan core.Effect, bool) {
+func (n *Node) OpenAttempt(e core.AttemptArrived) (<-chan core.Effect, bool) {
+	ch := make(chan core.Effect, effectBacklog)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, open := n.attempts[id]; open {
+	if _, open := n.attempts[e.Attempt]; open {
 		return nil, false
 	}
-	ch := make(chan core.Effect, effectBacklog)
-	n.attempts[id] = ch
+	n.attempts[e.Attempt] = ch
+	n.step(e)
 	return ch, true
 }
 
-// CloseAttempt implements proxy.Decider.
-func (n *Node) CloseAttempt(id core.AttemptID) {
+// DropAttempt implements proxy.Decider.
+func (n *Node) DropAttempt(id core.AttemptID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.attempts, id)
 }
 
+// EndAttempt implements proxy.Decider.
+func (n *Node) EndAttempt(e core.AttemptDone) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.attempts, e.Attempt)
+	n.step(e)
+}
+
 // AttemptOpen implements proxy.Decider.
 func (n *Node) AttemptOpen(id core.AttemptID) bool {
 	n.mu.Lock()
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -101,14 +101,13 @@
 // gone. However it ends, the reducer hears of it.
 func (c *call) run(arrived core.CallArrived) {
 	p := c.proxy
-	effects := p.core.OpenCall(c.id)
+	effects := p.core.OpenCall(arrived)
 	defer p.core.CloseCall(c.id)
 	defer func() {
 		if !c.over {
 			p.core.Step(core.CallLeft{Call: c.id})
 		}
 	}()
-	p.core.Step(arrived)
 	for !c.over {
 		select {
 		case e := <-effects:
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -25,13 +25,11 @@
 	count atomic.Int64
 }
 
-// Step implements proxy.Decider.
-func (a *arrivals) Step(e core.Event) {
-	if _, ok := e.(core.AttemptArrived); ok {
-		a.last.Store(time.Now().UnixNano())
-		a.count.Add(1)
-	}
-	a.Node.Step(e)
+// OpenAttempt implements proxy.Decider.
+func (a *arrivals) OpenAttempt(e core.AttemptArrived) (<-chan core.Effect, bool) {
+	a.last.Store(time.Now().UnixNano())
+	a.count.Add(1)
+	return a.Node.OpenAttempt(e)
 }
 
 // callers lets n callers send requests by node 0 until the returned function
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -21,14 +21,15 @@
 	if p.broken.attemptsUnnamed {
 		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
 	}
-	effects, fresh := p.core.OpenAttempt(h.attempt)
+	effects, fresh := p.core.OpenAttempt(core.AttemptArrived{
+		Attempt: h.attempt, Class: h.class, Budget: h.budget, For: h.meant, Key: h.key,
+	})
 	if !fresh {
 		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
 	}
 	deadline, _ := ctx.Deadline()
-	p.core.Step(core.AttemptArrived{Attempt: h.attempt, Class: h.class, Budget: h.budget, For: h.meant, Key: h.key})
 	if err := p.admitted(ctx, effects, h); err != nil {
-		p.core.CloseAttempt(h.attempt)
+		p.core.DropAttempt(h.attempt)
 		return nil, err
 	}
 	started := time.Now()
@@ -39,8 +40,7 @@
 	done := core.AttemptDone{Attempt: h.attempt}
 	end := func() {
 		done.Took = time.Since(started)
-		p.core.Step(done)
-		p.core.CloseAttempt(h.attempt)
+		p.core.EndAttempt(done)
 	}
 	if err != nil {
 		done.Refused, done.Cut = errors.Is(err, syscall.ECONNREFUSED), true
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -21,14 +21,19 @@
 // to one call or one attempt.
 type Decider interface {
 	Step(core.Event)
-	// OpenCall returns where the effects of a call arrive until CloseCall.
-	OpenCall(core.CallID) <-chan core.Effect
+	// OpenCall steps a call in and returns where its effects arrive until
+	// CloseCall.
+	OpenCall(core.CallArrived) <-chan core.Effect
 	CloseCall(core.CallID)
-	// OpenAttempt does the same for an attempt at the own backend server. It
-	// reports false when the attempt is open already.
-	OpenAttempt(core.AttemptID) (<-chan core.Effect, bool)
-	CloseAttempt(core.AttemptID)
-	// AttemptOpen reports whether an attempt is between the two.
+	// OpenAttempt steps an attempt at the own backend server in and returns
+	// where its effects arrive until DropAttempt or EndAttempt. It reports
+	// false, and steps nothing in, when the attempt is open already.
+	OpenAttempt(core.AttemptArrived) (<-chan core.Effect, bool)
+	// DropAttempt closes an attempt that was refused.
+	DropAttempt(core.AttemptID)
+	// EndAttempt closes an attempt that ran, and steps its end in.
+	EndAttempt(core.AttemptDone)
+	// AttemptOpen reports whether an attempt is open.
 	AttemptOpen(core.AttemptID) bool
 	// CancelAttempt steps an event in and reports whether the attempt was
 	// refused, so that it has not run and never will.
