--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -23,13 +23,20 @@
 	queue      int           // told by its last answer
 	took       time.Duration // smoothed
 	answeredAt time.Time
-	failures   int // consecutive
+	quietSince time.Time // with requests in flight, nothing was heard since
+	failures   int       // consecutive
 	failedAt   time.Time
 	ejections  int  // without a success between them
 	leaving    bool // left out for what it said, whatever the bound
 	outUntil   time.Time
 }
 
+// LeftOut reports whether an endpoint is left out of the choice for now.
+func (p *Peer) LeftOut() bool { return !p.outUntil.IsZero() }
+
+// IsLeaving reports whether it is left out because it said that it is leaving.
+func (p *Peer) IsLeaving() bool { return p.leaving }
+
 func (p *Peer) observe(took time.Duration) {
 	if p.took == 0 {
 		p.took = took
@@ -42,12 +49,12 @@
 	}
 }
 
-// slowness returns how many times slower than its group an endpoint answers.
-func (p *Peer) slowness() float64 {
+// slowness returns how many times longer than an answer of the group a time is.
+func (p *Peer) slowness(took time.Duration) float64 {
 	if p.group.took == 0 {
 		return 0
 	}
-	return min(float64(p.took)/float64(p.group.took), maxSlowness)
+	return min(float64(took)/float64(p.group.took), maxSlowness)
 }
 
 // set holds the peers of one side of a group; those before healthy are in
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -38,6 +38,9 @@
 	if err := drawMesh(filepath.Join(*docs, "plots", "control-bytes.svg"), r.Mesh); err != nil {
 		return err
 	}
+	if err := drawLatency(filepath.Join(*docs, "plots", "latency.svg"), r.Latency); err != nil {
+		return err
+	}
 	return writePage(filepath.Join(*docs, "CAPACITY.md"), r)
 }
 
@@ -56,7 +59,10 @@
 	for _, n := range []int{20, 100, 300} {
 		r.Mesh = append(r.Mesh, runMesh(n))
 	}
-	return r, nil
+	r.Losses = runLosses()
+	var err error
+	r.Latency, err = runLatency()
+	return r, err
 }
 
 // readResident reads what runs of real nodes have printed.
