--- a/node/node.go
+++ b/node/node.go
@@ -227,6 +227,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.calls, id)
+	n.observer.left(id)
 }
 
 // OpenAttempt implements proxy.Decider.
