--- /dev/null
+++ b/core/tree_test.go
@@ -0,0 +1,328 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// newTree starts n nodes a1, a2, … of one data centre, with a change in force.
+func newTree(t *testing.T, n, fanout int, b core.Break) *coretest.Mesh {
+	m := coretest.New(uint64(n))
+	for i := range n {
+		m.Start(fmt.Sprintf("a%d", i+1), core.Config{
+			DataCentre: "a", Service: "orders", Fanout: fanout, Seeds: []string{"a1", "a2", "a3"},
+		}.With(b))
+	}
+	submitRoute(t, m, "first", "/first")
+	m.Run(10 * time.Second)
+	return m
+}
+
+// roots returns the names of the live nodes that act as root.
+func roots(m *coretest.Mesh) (out []string) {
+	for _, n := range m.Nodes() {
+		if n.Alive && n.State.Dump().Phase == "root" {
+			out = append(out, n.Name)
+		}
+	}
+	return out
+}
+
+func entryOf(n *coretest.Node, id string) endpoint.Entry {
+	for _, e := range n.State.Dump().Endpoints {
+		if e.ID == id {
+			return e
+		}
+	}
+	return endpoint.Entry{}
+}
+
+func joined(m *coretest.Mesh) int {
+	count := 0
+	for _, n := range m.Nodes() {
+		if ok, _ := n.State.Ready(); ok && n.Alive && parentOf(n) != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRootWithoutPlatform lets the root die while the platform is down, then
+// restarts members, and gives the platform back.
+func TestRootWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 6, 2, core.BreakNone)
+	is.Equal(len(roots(m)), 1)
+	m.Faults.PlatformDown = true
+	m.Crash(roots(m)[0])
+	is.True(m.RunUntil(14*time.Second, func() bool { return len(roots(m)) == 1 && joined(m) == 4 })) // one tree again
+	highest := roots(m)[0]
+	for _, n := range m.Nodes() {
+		if n.Alive && n.Name != highest {
+			m.Restart(n.Name)
+		}
+	}
+	m.Run(14 * time.Second)
+	is.Equal(joined(m), 4) // they found the root by seeds and by rank, and serve
+	for _, n := range m.Nodes() {
+		if n.Alive {
+			is.Equal(n.State.Dump().ConfigVersion, uint64(1)) // none came up with an older version
+		}
+	}
+	m.Heal()
+	m.Run(14 * time.Second)
+	is.Equal(len(roots(m)), 1)
+	submitRoute(t, m, "second", "/second")
+	m.Run(14 * time.Second)
+	for _, n := range m.Nodes() {
+		is.True(!n.Alive || n.State.Dump().ConfigVersion == 2) // the platform is followed again
+	}
+}
+
+// TestColdStartWithoutPlatform starts nodes that hold nothing: they are not
+// ready, and say so, until one of them learns a version.
+func TestColdStartWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	m := coretest.New(1)
+	m.Faults.PlatformDown = true
+	for i := range 3 {
+		m.Start(fmt.Sprintf("a%d", i+1), core.Config{DataCentre: "a", Service: "orders", Seeds: []string{"a1", "a2", "a3"}})
+	}
+	m.Run(20 * time.Second)
+	is.Equal(len(roots(m)), 1)
+	for _, n := range m.Nodes() {
+		ok, why := n.State.Ready()
+		is.True(!ok)
+		is.True(why != "")
+	}
+	m.Heal()
+	submitRoute(t, m, "s1", "/x")
+	m.Run(14 * time.Second)
+	is.Equal(joined(m), 2)
+}
+
+// TestFallbackRootWaitsForNewest restarts the highest-ranking member with the
+// platform down: it does not serve before it has what the others hold.
+func TestFallbackRootWaitsForNewest(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 4, 3, core.BreakNone)
+	m.Faults.PlatformDown = true
+	lives := map[string]int{}
+	m.OnStep = func(n *coretest.Node, _ core.Event) {
+		if ok, _ := n.State.Ready(); ok && n.Life > lives[n.Name] {
+			lives[n.Name] = n.Life
+			is.Equal(n.State.Dump().ConfigVersion, uint64(1)) // ready means as new as the others
+		}
+	}
+	m.Crash(roots(m)[0])
+	for range 3 {
+		m.Run(12 * time.Second)
+		is.Equal(len(roots(m)), 1)
+		m.Restart(roots(m)[0])
+	}
+	m.Run(20 * time.Second)
+	is.Equal(joined(m), 2)
+}
+
+// TestNoCycleWithoutPlatform lets the root of a chain die without a platform:
+// a node must not join one below itself that ranks higher.
+func TestNoCycleWithoutPlatform(t *testing.T) {
+	lasting := func(b core.Break) error {
+		for n := 4; n <= 9; n++ {
+			m := newTree(t, n, 1, b)
+			m.Faults.PlatformDown = true
+			m.Crash(roots(m)[0])
+			m.Run(14 * time.Second)
+			if err := (&history{m: m}).cycle(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	is := is.New(t)
+	is.NoErr(lasting(core.BreakNone))
+	is.True(lasting(core.BreakCycleCheck) != nil) // the check can fail
+}
+
+// TestOlderVersionIsDropped hands a node an older whole set that comes late.
+func TestOlderVersionIsDropped(t *testing.T) {
+	after := func(b core.Break) uint64 {
+		m := newTree(t, 2, 2, b)
+		old := m.Node(roots(m)[0]).State.HeldSet()
+		submitRoute(t, m, "second", "/second")
+		m.Run(3 * time.Second)
+		for _, n := range m.Nodes() {
+			for _, l := range n.State.Dump().Links {
+				m.Step(n.Name, core.LinkMessage{Link: l.ID, Message: message.ConfigWhole{
+					Version: old.Version, Hash: old.Hash(), Objects: old.Sorted(),
+				}})
+			}
+		}
+		return min(m.Node("a1").State.HeldSet().Version, m.Node("a2").State.HeldSet().Version)
+	}
+	is := is.New(t)
+	is.Equal(after(core.BreakNone), uint64(2))
+	is.Equal(after(core.BreakVersionGuard), uint64(1)) // the check can fail
+}
+
+// TestChangeOfRootLosesNoEntry kills the root and checks after each step that
+// no table has removed a node that lives.
+func TestChangeOfRootLosesNoEntry(t *testing.T) {
+	lost := func(b core.Break) (err error) {
+		m := newTree(t, 7, 2, b)
+		dead := roots(m)[0]
+		m.OnStep = func(n *coretest.Node, _ core.Event) {
+			for _, e := range n.State.Dump().Endpoints {
+				if e.ID != dead && e.State == endpoint.Gone {
+					err = fmt.Errorf("%s has lost the entry of %s", n.Name, e.ID)
+				}
+			}
+		}
+		m.Crash(dead)
+		m.Run(90 * time.Second)
+		for _, n := range m.Nodes() {
+			if n.Alive && entryOf(n, dead).State != endpoint.Gone {
+				t.Errorf("%s still holds the dead root as %+v", n.Name, entryOf(n, dead))
+			}
+		}
+		return err
+	}
+	is := is.New(t)
+	is.NoErr(lost(core.BreakNone))
+	is.True(lost(core.BreakGrace) != nil) // the check can fail
+}
+
+// TestSuspicion lets a node crash, another move, and the first return.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 7, 2, core.BreakNone)
+	var leaf, relay string
+	for _, n := range m.Nodes() {
+		if p := parentOf(n); p != "" && p != roots(m)[0] {
+			leaf, relay = n.Name, p
+		}
+	}
+	m.Crash(relay)
+	m.Run(time.Second)
+	for _, n := range m.Nodes() {
+		is.True(!n.Alive || entryOf(n, relay).Suspect) // known everywhere within a second
+		is.True(!n.Alive || entryOf(n, leaf).Live())   // a child that moved is not suspected any more
+	}
+	m.Run(35 * time.Second)
+	is.Equal(entryOf(m.Node(leaf), relay).State, endpoint.Gone) // removed by the bound
+	m.Restart(relay)
+	m.Run(10 * time.Second)
+	is.Equal(entryOf(m.Node(leaf), relay).State, endpoint.Ready)
+}
+
+// TestEntriesWithoutNodeAreFound crashes a relay and all its children at
+// once, so that some have no neighbour left to suspect them.
+func TestEntriesWithoutNodeAreFound(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 10, 3, core.BreakNone)
+	root := roots(m)[0]
+	var dead []string
+	for _, n := range m.Nodes() {
+		if p := parentOf(n); p != "" && p != root {
+			dead = []string{p}
+		}
+	}
+	for _, n := range m.Nodes() {
+		if parentOf(n) == dead[0] {
+			dead = append(dead, n.Name)
+		}
+	}
+	is.True(len(dead) > 1)
+	for _, name := range dead {
+		m.Crash(name)
+	}
+	m.Run(2 * time.Minute)
+	for _, name := range dead {
+		is.Equal(entryOf(m.Node(root), name).State, endpoint.Gone)
+	}
+	is.Equal(m.Node(root).State.Dump().Endpoints[0].State == endpoint.Gone, entryOf(m.Node(root), "a1").State == endpoint.Gone)
+}
+
+// TestPartedDataCentres lets two data centres lose each other for an hour.
+func TestPartedDataCentres(t *testing.T) {
+	is := is.New(t)
+	h := newHistory(t, 5, core.BreakNone)
+	h.m.Part("a", "b")
+	h.m.Run(20 * time.Minute)
+	h.submit(t)
+	h.m.Restart("b2")
+	h.m.Run(40 * time.Minute)
+	is.NoErr(h.end(t))
+}
+
+// TestHerdReturns restarts all nodes of a data centre at once.
+func TestHerdReturns(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 40, 4, core.BreakNone)
+	calls := 0
+	m.OnStore = func(*coretest.Node, core.Effect) { calls++ }
+	for _, n := range m.Nodes() {
+		m.Restart(n.Name)
+	}
+	is.True(m.RunUntil(20*time.Second, func() bool { return joined(m) == 39 }))
+	is.True(calls < 40*20) // a lease read for each try, not one for each message
+	deepest := 0
+	for _, n := range m.Nodes() {
+		deepest = max(deepest, len(n.State.Dump().Path))
+		children := 0
+		for _, l := range n.State.Dump().Links {
+			if l.Role == "child" {
+				children++
+			}
+		}
+		is.True(children <= 4) // the fanout is kept
+	}
+	is.True(deepest <= 5) // 40 nodes at fanout 4 need 4 levels
+}
+
+// TestClockSetBack restarts a node whose clock was set back: its new life is
+// not taken for the old one.
+func TestClockSetBack(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 3, 2, core.BreakNone)
+	name := "a2"
+	cfg := m.Node(name).Config
+	m.Crash(name)
+	n := m.Start(name, cfg)
+	back := n.Config
+	back.Incarnation.Start -= time.Hour.Milliseconds()
+	n.State = core.New(back)
+	m.Run(10 * time.Second)
+	is.Equal(entryOf(m.Node("a1"), name).State, endpoint.Ready)
+	is.True(entryOf(m.Node("a1"), name).Incarnation.Compare(cfg.Incarnation) > 0)
+}
+
+// TestUselessDeltaIsReplacedByTheWhole gives a node a delta that does not
+// lead to the announced hash: it asks for the whole.
+func TestUselessDeltaIsReplacedByTheWhole(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 2, 2, core.BreakNone)
+	child := m.Nodes()[0]
+	if child.Name == roots(m)[0] {
+		child = m.Nodes()[1]
+	}
+	var asked bool
+	m.OnSend = func(from, _ *coretest.Node, msg message.Message) {
+		w, ok := msg.(message.ConfigWanted)
+		asked = asked || ok && from == child && w.Have == 0
+	}
+	m.Step(child.Name, core.LinkMessage{Link: child.State.Dump().Links[0].ID, Message: message.ConfigDelta{
+		Delta: config.Delta{From: 1, To: 2, Hash: 7},
+	}})
+	is.True(asked)
+	is.Equal(child.State.HeldSet().Version, uint64(1))
+}
