--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -201,3 +201,37 @@
 		is.Equal(m.runs.Of(id)[0].Header.Get(proxy.HeaderDepth), want)
 	}
 }
+
+// An attempt that waits when its connection breaks is confirmed as not-run, so
+// that a request that may run once is sent again.
+func TestBrokenConnectionWhileWaitingIsSettled(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprint("broken ", broken), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.Slots = 1 }, "", "orders")
+			n := m.nodes[1]
+			m.nodes[0].proxy.Break(proxy.Breaks{NeverAsks: broken})
+			n.backend.SetFault(func(r *http.Request) sample.Fault {
+				return sample.Fault{HangAfter: r.Header.Get(sample.HeaderID) == "first"}
+			})
+			var wg sync.WaitGroup
+			send := func(id string) *request {
+				q := &request{id: id, entry: m.nodes[0].callers, method: "POST", path: "/once", body: []byte("x"), once: true}
+				wg.Go(func() { m.send(q) })
+				return q
+			}
+			first := send("first")
+			m.eventually("the slot is taken", func() bool { return n.backend.Ran() == 1 })
+			second := send("second")
+			m.eventually("the second waits", func() bool { return n.node.Dump().Backend.Waiting == 1 })
+			n.hopWrap.cutLast()
+			m.eventually("the second waits no more, or again", func() bool {
+				return broken && n.node.Dump().Backend.Waiting == 0 || n.arrivals.count.Load() == 3
+			})
+			n.backend.Release()
+			wg.Wait()
+			is.Equal(second.status == http.StatusOK, !broken)
+			is.Equal(violations([]*request{first, second}, m.runs), nil)
+		})
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -93,6 +93,7 @@
 	attemptsUnnamed  bool // attempt IDs are not compared
 	transportReplays bool // the transport may repeat requests by itself
 	answersUnchecked bool // an answer need not be that of its attempt
+	neverAsks        bool // nodes are not asked about attempts of unknown outcome
 	resendsUnknown   bool // an attempt of unknown outcome is sent once more
 }
 
--- a/proxy/settle.go
+++ b/proxy/settle.go
@@ -21,7 +21,7 @@
 	if c.proxy.broken.resendsUnknown {
 		return &attemptError{outcome: retry.NotRun, err: failed.err}
 	}
-	if failed.outcome != retry.Unknown || failed.told || f.Local {
+	if failed.outcome != retry.Unknown || failed.told || f.Local || c.proxy.broken.neverAsks {
 		return failed
 	}
 	fate, err := c.proxy.ask(headerCancel, f)
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -37,6 +37,13 @@
 	return func() { close(ch) }
 }
 
+// cutLast closes the connection accepted last.
+func (l *listener) cutLast() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.conns[len(l.conns)-1].Conn.Close()
+}
+
 // silence lets all connections accepted so far go silent: what comes is not
 // seen, what is written is lost, and neither end is told.
 func (l *listener) silence() {
