--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -37,8 +37,10 @@
 	callers  string
 	hop      string
 	hopWrap  *listener
+	hopServe *http.Server
 	closers  []func()
 	stopped  bool
+	cutsOff  bool   // it does not wait for answers when it ends
 	backends string // address given to the proxy
 }
 
@@ -120,17 +122,31 @@
 	mn.arrivals = &arrivals{Node: mn.node}
 	mn.proxy = proxy.New(pc, mn.arrivals, metrics.NewRegistry())
 	transport := peer.NewTransport(peer.Config{}, mn.node)
-	callerServer, hopServer := proxy.NewServer(mn.proxy.Callers()), proxy.NewServer(mn.proxy.Hops())
+	callerServer, hopServer := mn.proxy.CallerServer(), mn.proxy.HopServer()
+	mn.hopServe = hopServer
 	go func() { _ = callerServer.Serve(callers) }()
 	go func() { _ = hopServer.Serve(mn.hopWrap) }()
 	go func() { _ = transport.Serve(peers) }()
 	mn.node.Start(transport, cc.TickEvery)
 	mn.closers = append(mn.closers, mn.proxy.Close, transport.Stop, mn.node.Stop,
-		func() { _ = hopServer.Close() }, func() { _ = callerServer.Close() })
+		func() { mn.stopServer(hopServer) }, func() { mn.stopServer(callerServer) })
 	m.nodes = append(m.nodes, mn)
 	return mn
 }
 
+// stopServer ends a server: in order after a drain, else as a crash does.
+func (mn *meshNode) stopServer(s *http.Server) {
+	select {
+	case <-mn.node.Drained():
+		if !mn.cutsOff {
+			proxy.StopServer(s)
+			return
+		}
+	default:
+	}
+	_ = s.Close()
+}
+
 // end stops the node's process, in order or as a crash does.
 func (mn *meshNode) end() {
 	if mn.stopped {
