--- /dev/null
+++ b/core/coretest/chain.go
@@ -0,0 +1,84 @@
+package coretest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// ChainDepth is the number of services in a Chain.
+const ChainDepth = 8
+
+// Chain is a load of calls that each cause one at the next of eight services.
+type Chain struct {
+	Calls   int
+	Lose    func(level int) float64 // of the answers at a level
+	Break   func(s *core.State)     // turns a safeguard off; nil: none
+	Retries bool                    // an error from below counts as a failure of the hop itself
+}
+
+// Run returns the runs at each level for each call that came in, and the
+// share of calls that ended well.
+func (c Chain) Run(submit func(m *Mesh, specs map[config.Key]string)) (runs [ChainDepth]float64, ended float64) {
+	m := New(1)
+	specs := map[config.Key]string{}
+	for level := range ChainDepth {
+		name := fmt.Sprintf("s%d", level)
+		for _, copyName := range []string{"a", "b"} {
+			m.Start(name+copyName, core.Config{DataCentre: "a", Service: name, Slots: 1000})
+		}
+		specs[config.Key{Kind: config.KindService, Name: name}] = `{}`
+		specs[config.Key{Kind: config.KindRoute, Name: name}] = fmt.Sprintf(`{"pathPrefix":"/%s","service":%q}`, name, name)
+	}
+	m.Run(5 * time.Second)
+	submit(m, specs)
+	m.Run(10 * time.Second)
+	for _, n := range m.Nodes() {
+		if c.Break != nil {
+			c.Break(n.State)
+		}
+	}
+	tr := NewTraffic(m)
+	level := map[core.CallID]int{}
+	then := map[core.CallID]func(ok bool){}
+	call := func(entry string, l int, budget time.Duration, f func(ok bool)) {
+		id := core.CallID(len(tr.Calls) + 1) // known before the call is made
+		level[id], then[id] = l, f
+		tr.Call(entry, core.CallArrived{Method: "GET", Path: fmt.Sprintf("/s%d", l), Repeats: true, Upstream: l > 0, Budget: budget})
+	}
+	failedBelow := map[core.CallID]bool{}
+	tr.Answered = func(c *Call) {
+		then[c.ID](c.Outcome == retry.Ran && !failedBelow[c.ID])
+	}
+	tr.Nested = func(node string, parent *Call, done func(bool)) bool {
+		l := level[parent.ID]
+		runs[l]++
+		finish := func(ok bool) {
+			failedBelow[parent.ID] = !ok
+			done(m.Rand.Float64() >= c.Lose(l) && (ok || !c.Retries))
+		}
+		if l == ChainDepth-1 {
+			m.After(time.Millisecond, func() { finish(true) })
+			return true
+		}
+		call(node, l+1, time.Second, finish)
+		return true
+	}
+	ok := 0
+	for range c.Calls {
+		call("s0a", 0, time.Second, func(good bool) {
+			if good {
+				ok++
+			}
+		})
+		m.Run(2 * time.Millisecond)
+	}
+	m.Run(5 * time.Second)
+	for l := range runs {
+		runs[l] /= float64(c.Calls)
+	}
+	return runs, float64(ok) / float64(c.Calls)
+}
--- /dev/null
+++ b/core/coretest/steady.go
@@ -0,0 +1,95 @@
+package coretest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// CallEvery is the time between two calls of a Steady.
+const CallEvery = 2 * time.Millisecond
+
+// Steady is a mesh under a steady load of calls, each into an entry node that
+// was ready when readiness was looked at last.
+type Steady struct {
+	*Mesh
+	Traffic *Traffic
+	path    string
+	ready   []string
+	next    int
+}
+
+// NewSteady puts a running mesh under load. A run takes took on average.
+func NewSteady(m *Mesh, path string, took time.Duration) *Steady {
+	s := &Steady{Mesh: m, Traffic: NewTraffic(m), path: path}
+	s.Traffic.Serve = func(string, *Call) time.Duration { return took/2 + time.Duration(m.Rand.Int64N(int64(took))) }
+	s.look()
+	s.load()
+	return s
+}
+
+// look reads every node's readiness twice a second, as a load balancer does.
+func (s *Steady) look() {
+	s.ReadReady()
+	s.After(500*time.Millisecond, s.look)
+}
+
+// ReadReady reads it now.
+func (s *Steady) ReadReady() {
+	s.ready = nil
+	for _, n := range s.Nodes() {
+		if ok, _ := n.State.Ready(); ok && n.Alive && n.Name != s.Traffic.Silent {
+			s.ready = append(s.ready, n.Name)
+		}
+	}
+}
+
+func (s *Steady) load() {
+	s.next++
+	s.Traffic.Call(s.ready[s.next%len(s.ready)], core.CallArrived{
+		Method: []string{"GET", "POST"}[s.next%2], Path: s.path, Repeats: true,
+	})
+	s.After(CallEvery, s.load)
+}
+
+// LastRun returns when the last run at a node began.
+func (s *Steady) LastRun(node string) (last time.Time) {
+	for _, c := range s.Traffic.Calls {
+		for _, r := range c.Runs {
+			if r.Node == node && r.At.After(last) {
+				last = r.At
+			}
+		}
+	}
+	return last
+}
+
+// Failed tells of the calls that did not end well, but for the newest.
+func (s *Steady) Failed() (bad []string) {
+	for _, c := range s.Traffic.Calls {
+		if c.Outcome != retry.Ran && s.Now.Sub(c.Started) > 6*time.Second {
+			bad = append(bad, fmt.Sprintf("call %d into %s at %v: %s %s", c.ID, c.Entry, c.Started.Format("05.000"), c.Outcome, c.Reason))
+		}
+	}
+	return bad
+}
+
+// DeafenAll loses all that links carry to and from a node.
+func (s *Steady) DeafenAll(node string) {
+	for _, n := range s.Nodes() {
+		s.Deafen(node, n.Name)
+	}
+}
+
+// FailedSince counts the failed calls that came after a time into nodes that
+// live.
+func (s *Steady) FailedSince(at time.Time) (n int) {
+	for _, c := range s.Traffic.Calls {
+		if s.Node(c.Entry).Alive && c.Outcome != retry.Ran && c.Started.After(at) && s.Now.Sub(c.Started) > 6*time.Second {
+			n++
+		}
+	}
+	return n
+}
--- a/core/requests_key_test.go
+++ b/core/requests_key_test.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -19,62 +17,6 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// keyModel is one Idempotency-Key: a call may run under it while none has,
-// and may be told that an earlier one ran once one has.
-var keyModel = (&porcupine.NondeterministicModel{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
-		}
-		var out [][]porcupine.Operation
-		for _, ops := range byKey {
-			out = append(out, ops)
-		}
-		return out
-	},
-	Init: func() []any { return []any{false} },
-	Step: func(state, _, output any) []any {
-		ran, c := state.(bool), output.(*coretest.Call)
-		switch {
-		case c.Outcome == retry.NotRun && len(c.Runs) == 0:
-			return []any{ran}
-		case c.Outcome == retry.Ran && len(c.Runs) == 0: // told of an earlier run
-			if ran {
-				return []any{true}
-			}
-			return nil
-		case len(c.Runs) == 0: // not known, and it did not
-			return []any{ran}
-		case len(c.Runs) == 1 && !ran && c.Outcome != retry.NotRun:
-			return []any{true}
-		}
-		return nil
-	},
-}).ToModel()
-
-// checkKeys checks that the calls of each key are linearizable as one run.
-func checkKeys(calls []*coretest.Call, end time.Time) error {
-	var history []porcupine.Operation
-	for i, c := range calls {
-		returned := c.Ended
-		if c.Outcome != retry.Ran && c.Outcome != retry.NotRun {
-			returned = end // what is not known may happen later
-		}
-		history = append(history, porcupine.Operation{
-			ClientId: i, Input: c.Key, Call: c.Started.UnixNano(), Output: c, Return: returned.UnixNano(),
-		})
-	}
-	if porcupine.CheckOperations(keyModel, history) {
-		return nil
-	}
-	var b strings.Builder
-	for _, c := range calls {
-		fmt.Fprintf(&b, "\n%s call %d: %s, runs %+v", c.Key, c.ID, c.Outcome, c.Runs)
-	}
-	return fmt.Errorf("calls of a key are not one run:%s", b.String())
-}
-
 func submitScope(t failer, m *coretest.Mesh, scope config.KeyScope) {
 	t.Helper()
 	submitSpecs(t, m, "scope", map[config.Key]string{
@@ -141,7 +83,7 @@
 		m.Run(time.Duration(c.pick(int(c.between))))
 	}
 	m.Run(20 * time.Second)
-	return checkKeys(tr.Calls, m.Now)
+	return coretest.CheckKeys(tr.Calls, m.Now)
 }
 
 // TestKeyRunsOnce sends repeats of Idempotency-Keys concurrently into all
--- a/core/requests_leave_test.go
+++ b/core/requests_leave_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -12,94 +11,15 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// callEvery is the time between two calls of the steady load in these tests.
-const callEvery = 2 * time.Millisecond
-
-// steadyMesh is six nodes in two data centres under a steady load of calls,
-// each into an entry node that was ready when readiness was looked at last.
-type steadyMesh struct {
-	*coretest.Mesh
-	traffic *coretest.Traffic
-	ready   []string
-	next    int
-}
-
-func newSteadyMesh(t *testing.T, seed uint64, took time.Duration) *steadyMesh {
-	s := &steadyMesh{Mesh: newMesh(seed, 3, 3)}
-	submitRoute(t, s.Mesh, "s1", "/orders")
-	s.Run(20 * time.Second)
-	s.traffic = coretest.NewTraffic(s.Mesh)
-	s.traffic.Serve = func(string, *coretest.Call) time.Duration {
-		return took/2 + time.Duration(s.Rand.Int64N(int64(took)))
-	}
-	s.look()
-	s.load()
-	return s
-}
-
-// look reads every node's readiness twice a second, as a load balancer does.
-func (s *steadyMesh) look() {
-	s.readReady()
-	s.After(500*time.Millisecond, s.look)
-}
-
-func (s *steadyMesh) readReady() {
-	s.ready = nil
-	for _, n := range s.Nodes() {
-		if ok, _ := n.State.Ready(); ok && n.Alive && n.Name != s.traffic.Silent {
-			s.ready = append(s.ready, n.Name)
-		}
-	}
-}
-
-func (s *steadyMesh) load() {
-	s.next++
-	s.traffic.Call(s.ready[s.next%len(s.ready)], core.CallArrived{
-		Method: []string{"GET", "POST"}[s.next%2], Path: "/orders/1", Repeats: true,
-	})
-	s.After(callEvery, s.load)
-}
-
-// lastRun returns when the last run at a node began.
-func (s *steadyMesh) lastRun(node string) (last time.Time) {
-	for _, c := range s.traffic.Calls {
-		for _, r := range c.Runs {
-			if r.Node == node && r.At.After(last) {
-				last = r.At
-			}
-		}
-	}
-	return last
-}
-
-func (s *steadyMesh) failed() (bad []string) {
-	for _, c := range s.traffic.Calls {
-		if c.Outcome != retry.Ran && s.Now.Sub(c.Started) > 6*time.Second {
-			bad = append(bad, fmt.Sprintf("call %d into %s at %v: %s %s", c.ID, c.Entry, c.Started.Format("05.000"), c.Outcome, c.Reason))
-		}
-	}
-	return bad
-}
-
-// deafen loses all that links carry to and from a node.
-func (s *steadyMesh) deafen(node string) {
-	for _, n := range s.Nodes() {
-		s.Deafen(node, n.Name)
-	}
-}
-
-// failedSince counts the failed calls that came after a time into nodes that
-// live.
-func (s *steadyMesh) failedSince(at time.Time) (n int) {
-	for _, c := range s.traffic.Calls {
-		if s.Node(c.Entry).Alive && c.Outcome != retry.Ran && c.Started.After(at) && s.Now.Sub(c.Started) > 6*time.Second {
-			n++
-		}
-	}
-	return n
+// newSteadyMesh returns six nodes in two data centres under a steady load.
+func newSteadyMesh(t *testing.T, seed uint64, took time.Duration) *coretest.Steady {
+	m := newMesh(seed, 3, 3)
+	submitRoute(t, m, "s1", "/orders")
+	m.Run(20 * time.Second)
+	return coretest.NewSteady(m, "/orders/1", took)
 }
 
-func (s *steadyMesh) breakAll(f core.RequestFault) {
+func breakAll(s *coretest.Steady, f core.RequestFault) {
 	for _, n := range s.Nodes() {
 		n.State.BreakForTest(f)
 	}
@@ -108,15 +28,15 @@
 // rollingRestart stops and starts every node once.
 func rollingRestart(t *testing.T, fault core.RequestFault) []string {
 	s := newSteadyMesh(t, 1, 20*time.Millisecond)
-	quick := s.traffic.Serve
-	s.traffic.Serve = func(node string, c *coretest.Call) time.Duration {
+	quick := s.Traffic.Serve
+	s.Traffic.Serve = func(node string, c *coretest.Call) time.Duration {
 		if c.ID%199 == 0 { // of both methods
 			return 2500 * time.Millisecond // longer than any drain lasts at least
 		}
 		return quick(node, c)
 	}
 	for _, n := range s.Nodes() {
-		s.breakAll(fault)
+		breakAll(s, fault)
 		s.Step(n.Name, core.Stop{})
 		s.RunUntil(40*time.Second, func() bool { return !n.Alive })
 		s.Run(time.Second)
@@ -125,11 +45,11 @@
 		s.Run(8 * time.Second)
 	}
 	s.Run(10 * time.Second)
-	t.Logf("%d calls while every node was restarted", len(s.traffic.Calls))
-	if err := checkTruth(s.traffic.Calls); err != nil {
+	t.Logf("%d calls while every node was restarted", len(s.Traffic.Calls))
+	if err := coretest.CheckTruth(s.Traffic.Calls); err != nil {
 		t.Error(err)
 	}
-	return s.failed()
+	return s.Failed()
 }
 
 // TestRollingRestartFailsNoRequest restarts all nodes one by one under load.
@@ -149,42 +69,42 @@
 func TestLeavingGetsNoNewWork(t *testing.T) {
 	tests := []struct {
 		name  string
-		leave func(s *steadyMesh)
+		leave func(s *coretest.Steady)
 		limit time.Duration // "after a few seconds"
 		fault core.RequestFault
 		red   bool
 	}{
-		{name: "stop of the node", leave: func(s *steadyMesh) { s.Step("a2", core.Stop{}) }, limit: 3 * time.Second},
-		{name: "the backend server's own word", leave: func(s *steadyMesh) { s.Step("a2", core.BackendLeaving{}) }, limit: 3 * time.Second},
-		{name: "hang of the backend server", leave: func(s *steadyMesh) { s.Node("a2").Hung = true }, limit: 4 * time.Second},
+		{name: "stop of the node", leave: func(s *coretest.Steady) { s.Step("a2", core.Stop{}) }, limit: 3 * time.Second},
+		{name: "the backend server's own word", leave: func(s *coretest.Steady) { s.Step("a2", core.BackendLeaving{}) }, limit: 3 * time.Second},
+		{name: "hang of the backend server", leave: func(s *coretest.Steady) { s.Node("a2").Hung = true }, limit: 4 * time.Second},
 		{
 			name: "silence of the host", limit: 5 * time.Second,
-			leave: func(s *steadyMesh) {
-				s.deafen("a2")
-				s.traffic.Silent = "a2"
-				s.readReady()
+			leave: func(s *coretest.Steady) {
+				s.DeafenAll("a2")
+				s.Traffic.Silent = "a2"
+				s.ReadReady()
 			},
 		},
 		{
 			name: "crash of a third of the hosts", limit: 3 * time.Second,
-			leave: func(s *steadyMesh) {
+			leave: func(s *coretest.Steady) {
 				s.Crash("a2")
 				s.Crash("b3")
-				s.readReady()
+				s.ReadReady()
 			},
 		},
-		{name: "crash of the host", leave: func(s *steadyMesh) { s.Crash("a2") }, limit: 3 * time.Second},
+		{name: "crash of the host", leave: func(s *coretest.Steady) { s.Crash("a2") }, limit: 3 * time.Second},
 		{
 			name: "own word, and the links that would tell it are silent", limit: 3 * time.Second,
-			leave: func(s *steadyMesh) {
-				s.deafen("a2")
+			leave: func(s *coretest.Steady) {
+				s.DeafenAll("a2")
 				s.Step("a2", core.BackendLeaving{})
 			},
 		},
 		{
 			name: "the same, and it goes on serving", limit: 3 * time.Second, fault: core.ServeLeaving, red: true,
-			leave: func(s *steadyMesh) {
-				s.deafen("a2")
+			leave: func(s *coretest.Steady) {
+				s.DeafenAll("a2")
 				s.Step("a2", core.BackendLeaving{})
 			},
 		},
@@ -194,18 +114,18 @@
 			is := is.New(t)
 			s := newSteadyMesh(t, 2, 20*time.Millisecond)
 			s.Run(2 * time.Second)
-			s.breakAll(tt.fault)
+			breakAll(s, tt.fault)
 			lastSent := s.Now
 			left := s.Now
-			s.traffic.Sent = func(f core.Forward) {
+			s.Traffic.Sent = func(f core.Forward) {
 				if f.Target == "a2" {
 					lastSent = s.Now
 				}
 			}
 			tt.leave(s)
 			s.Run(12 * time.Second)
-			run := max(s.lastRun("a2").Sub(left), 0)
-			t.Logf("last sent after %v, last run began after %v, %d failed, %d of them came later into live nodes", lastSent.Sub(left), run, len(s.failed()), s.failedSince(left))
+			run := max(s.LastRun("a2").Sub(left), 0)
+			t.Logf("last sent after %v, last run began after %v, %d failed, %d of them came later into live nodes", lastSent.Sub(left), run, len(s.Failed()), s.FailedSince(left))
 			is.Equal(run > tt.limit, tt.red)
 		})
 	}
@@ -220,19 +140,19 @@
 	left := s.Now
 	s.Restart("a2")
 	s.Run(30 * time.Second)
-	t.Logf("%d failed, %d of them came later", len(s.failed()), s.failedSince(left))
-	is.NoErr(checkTruth(s.traffic.Calls))
-	is.True(s.Now.Sub(s.lastRun("a2")) < time.Second) // its new life serves
+	t.Logf("%d failed, %d of them came later", len(s.Failed()), s.FailedSince(left))
+	is.NoErr(coretest.CheckTruth(s.Traffic.Calls))
+	is.True(s.Now.Sub(s.LastRun("a2")) < time.Second) // its new life serves
 }
 
 // TestBackendComesBack covers the ways back into service after a leave.
 func TestBackendComesBack(t *testing.T) {
 	tests := []struct {
 		name string
-		back func(s *steadyMesh)
+		back func(s *coretest.Steady)
 	}{
-		{"the leave is taken back", func(s *steadyMesh) { s.Step("a2", core.BackendStays{}) }},
-		{"another process at the address", func(s *steadyMesh) {
+		{"the leave is taken back", func(s *coretest.Steady) { s.Step("a2", core.BackendStays{}) }},
+		{"another process at the address", func(s *coretest.Steady) {
 			s.Node("a2").Backend = false
 			s.Run(3 * time.Second)
 			s.Node("a2").Backend = true
@@ -244,10 +164,10 @@
 			s := newSteadyMesh(t, 3, 20*time.Millisecond)
 			s.Step("a2", core.BackendLeaving{})
 			s.Run(5 * time.Second)
-			is.True(s.Now.Sub(s.lastRun("a2")) > 3*time.Second)
+			is.True(s.Now.Sub(s.LastRun("a2")) > 3*time.Second)
 			tt.back(s)
 			s.Run(10 * time.Second)
-			is.True(s.Now.Sub(s.lastRun("a2")) < time.Second)
+			is.True(s.Now.Sub(s.LastRun("a2")) < time.Second)
 			is.Equal(s.Node("a2").State.Dump().Backend.State, "ready")
 		})
 	}
--- a/core/requests_truth_test.go
+++ b/core/requests_truth_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,7 +10,6 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/coretest"
-	"github.com/agatekeel/agatekeel/core/retry"
 )
 
 // chaos is one run of concurrent calls under faults, drawn by its source.
@@ -24,22 +22,6 @@
 	pick    func(n int) int
 }
 
-// checkTruth compares the outcome of every call with what the backend servers
-// ran. It returns the first lie.
-func checkTruth(calls []*coretest.Call) error {
-	for _, c := range calls {
-		switch {
-		case c.Outcome == retry.NotRun && len(c.Runs) > 0:
-			return fmt.Errorf("call %d ended as not run (%s) and ran: %+v", c.ID, c.Reason, c.Runs)
-		case c.Outcome == retry.Ran && len(c.Runs) == 0:
-			return fmt.Errorf("call %d ended as run and did not run", c.ID)
-		case c.Method == "POST" && len(c.Runs) > 1:
-			return fmt.Errorf("non-idempotent call %d ran %d times: %+v", c.ID, len(c.Runs), c.Runs)
-		}
-	}
-	return nil
-}
-
 // run lets calls and faults happen, heals, waits and checks.
 func (c chaos) run(t failer) error {
 	m := newMesh(c.seed, 3, 2)
@@ -79,7 +61,7 @@
 		m.Run(time.Duration(c.pick(int(c.between))))
 	}
 	m.Run(20 * time.Second)
-	return checkTruth(tr.Calls)
+	return coretest.CheckTruth(tr.Calls)
 }
 
 var roughTraffic = coretest.TrafficFaults{
