Keep a dropped endpoint from shuffling the group that follows

Cause: when a request in flight ended at an endpoint that had left the table, leaving it out swapped places in the old group, whose members stand in the new one, and gave them wrong places there: the wrong endpoint could then be left out.

Change: an endpoint that is dropped belongs to no group. The property test of groups now drops any of them, ends requests at them and checks the places; it failed at once without the change. Claims past their time are deleted one a tick, up to ten a second for good, where before one list a minute deleted 20.

--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -16,7 +16,7 @@
 	Row *endpoint.Row
 
 	life       endpoint.Incarnation
-	group      *Group
+	group      *Group // nil once it is not in the table any more
 	set        *set
 	index      int // in set
 	inFlight   int
@@ -42,16 +42,18 @@
 		p.took = took
 	}
 	p.took += (took - p.took) / peerSmoothing
-	if g := p.group; g.took == 0 {
+	switch g := p.group; {
+	case g == nil:
+	case g.took == 0:
 		g.took = took
-	} else {
+	default:
 		g.took += (took - g.took) / groupSmoothing
 	}
 }
 
 // slowness returns how many times longer than an answer of the group a time is.
 func (p *Peer) slowness(took time.Duration) float64 {
-	if p.group.took == 0 {
+	if p.group == nil || p.group.took == 0 {
 		return 0
 	}
 	return min(float64(took)/float64(p.group.took), maxSlowness)
@@ -140,7 +142,11 @@
 		return
 	}
 	for p := range old.All() {
-		if p.group != g && b.peers[p.Row.ID] == p {
+		if p.group == g {
+			continue
+		}
+		p.group, p.set = nil, nil // requests in flight may still end there
+		if b.peers[p.Row.ID] == p {
 			delete(b.peers, p.Row.ID)
 		}
 	}
@@ -148,7 +154,7 @@
 
 // eject leaves a failing endpoint out, unless as many are as may be.
 func (b *Balancer) eject(now time.Time, p *Peer) {
-	if p.index >= p.set.healthy || !p.group.mayEject(b.cfg.MaxEjected) {
+	if p.group == nil || p.index >= p.set.healthy || !p.group.mayEject(b.cfg.MaxEjected) {
 		return
 	}
 	p.leaveOut(now.Add(b.cfg.EjectFor << min(p.ejections, maxEjectDoublings)))
@@ -159,6 +165,9 @@
 func (p *Peer) leaveOut(until time.Time) {
 	g, s := p.group, p.set
 	p.outUntil = until
+	if g == nil {
+		return
+	}
 	if g.restoreAt.IsZero() || until.Before(g.restoreAt) {
 		g.restoreAt = until
 	}
--- a/core/claim.go
+++ b/core/claim.go
@@ -18,7 +18,7 @@
 const (
 	claimBurst       = 20          // claims at once after a quiet time
 	claimSweepEvery  = time.Minute // between two lists of one part of the claims
-	claimSweepBatch  = 20          // deletes for each list
+	claimSweepBatch  = 600         // deletes for each list, one a tick: ten a second in all
 	claimSweepShards = 256         // parts, by the first byte of the key
 )
 
@@ -45,6 +45,13 @@
 	waiting map[CallID]bool // calls whose claim is being made
 	sweepAt time.Time
 	shard   int
+	expired []expiredClaim // to be deleted, one a tick
+}
+
+// expiredClaim is a claim past its time.
+type expiredClaim struct {
+	key     string
+	version uint64
 }
 
 func claimKey(c *call) string { return claimPrefix + c.key.String() }
@@ -147,33 +154,40 @@
 	s.sweepClaims()
 }
 
-// sweepClaims lets the publisher delete claims that are past their time, one
-// part at a time.
+// sweepClaims lets the publisher delete claims that are past their time: it
+// lists one part at a time, and deletes one claim a tick, so that neither its
+// bytes nor the platform's writes come at once.
 func (s *State) sweepClaims() {
 	cl := &s.requests.claims
-	if s.now.Before(cl.sweepAt) || !s.publisher.lease.Held(s.now) {
+	if !s.publisher.lease.Held(s.now) {
+		cl.expired = nil
 		return
 	}
-	cl.sweepAt = s.now.Add(claimSweepEvery)
-	s.storeList(fmt.Sprintf("%s%02x", claimPrefix, cl.shard), storeCall{purpose: forClaimSweep})
+	if n := len(cl.expired); n > 0 {
+		last := cl.expired[n-1]
+		cl.expired = cl.expired[:n-1]
+		s.storeDelete(last.key, last.version, storeCall{purpose: forClaimEnd})
+	}
+	if !s.now.Before(cl.sweepAt) {
+		cl.sweepAt = s.now.Add(claimSweepEvery)
+		s.storeList(fmt.Sprintf("%s%02x", claimPrefix, cl.shard), storeCall{purpose: forClaimSweep})
+	}
 }
 
 func (s *State) claimsListed(done StoreDone) {
 	cl := &s.requests.claims
-	if done.Err != StoreOK {
+	if done.Err != StoreOK || len(cl.expired) > 0 {
 		return
 	}
-	deleted := 0
 	for _, o := range done.Objects {
 		var rec ClaimRecord
 		if err := json.Unmarshal(o.Data, &rec); err == nil && s.now.UnixMilli()-rec.Made < s.cfg.ClaimKeep.Milliseconds() {
 			continue
 		}
-		if deleted == claimSweepBatch {
+		if len(cl.expired) == claimSweepBatch {
 			return // the same part again next time
 		}
-		deleted++
-		s.storeDelete(o.Key, o.Version, storeCall{purpose: forClaimEnd})
+		cl.expired = append(cl.expired, expiredClaim{key: o.Key, version: o.Version})
 	}
 	cl.shard = (cl.shard + 1) % claimSweepShards
 }
