--- a/core/lost.go
+++ b/core/lost.go
@@ -38,7 +38,7 @@
 	settled := s.now.Sub(s.member.since) >= rejoinGrace
 	if s.childrenBehind() || forgotten || settled && !s.member.settled {
 		s.member.settled = settled
-		s.member.reported = message.Report{} // what was greeted with is outdated
+		s.member.reports.last = message.Report{} // what was greeted with is outdated
 		s.report()
 	}
 }
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -38,6 +38,21 @@
 		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
 		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
 		SweepEvery: 71 * time.Second, StatusKeep: 72 * time.Second, Incarnation: life, Seed: 63,
+		Seeds: []string{"10.0.0.1:1"}, Favour: core.FavourBytes,
 	}.WithDefaults()
 	is.Equal(got, want)
 }
+
+func TestProxyConfigTakesEveryTunable(t *testing.T) {
+	is := is.New(t)
+	got := ProxyConfig(settings.Settings{
+		Backend:  settings.Backend{Address: "a", Connections: 130},
+		Requests: settings.Requests{MaxBodyBytes: 1, MaxDepth: 2, SilenceAfter: settings.Duration(time.Second)},
+	})
+	is.Equal(got.HopDial == nil, true)
+	is.Equal(got.Backend, "a")
+	is.Equal(got.Connections, 130)
+	is.Equal(got.MaxBodyBytes, int64(1))
+	is.Equal(got.MaxDepth, 2)
+	is.Equal(got.SilenceAfter, time.Second)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -48,6 +48,7 @@
 	cancel context.CancelFunc
 	mu     sync.Mutex
 	closed bool
+	pack   bool
 	queue  chan *pb.Frame
 	other  Identity // known from the first message on
 }
@@ -56,8 +57,8 @@
 // Handler.Received alone.
 func (l *Link) Other() Identity { return l.other }
 
-func newLink(cancel context.CancelFunc) *Link {
-	return &Link{cancel: cancel, queue: make(chan *pb.Frame, queuedMessages)}
+func newLink(cancel context.CancelFunc, pack bool) *Link {
+	return &Link{cancel: cancel, pack: pack, queue: make(chan *pb.Frame, queuedMessages)}
 }
 
 // Send queues a message. It does not block: a full queue closes the link.
@@ -66,6 +67,11 @@
 	if err != nil {
 		return err
 	}
+	if l.pack {
+		if f, err = Pack(f); err != nil {
+			return err
+		}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -137,6 +143,7 @@
 	handler Handler
 	server  *grpc.Server
 	creds   credentials.TransportCredentials
+	pack    bool
 	traffic *traffic // nil: not counted
 	wg      sync.WaitGroup
 }
@@ -145,13 +152,16 @@
 type Config struct {
 	// Server and Client secure links; nil: in the clear.
 	Server, Client credentials.TransportCredentials
+	// Compress makes large frames smaller at the cost of processor time.
+	// Compressed frames are understood in any case.
+	Compress bool
 	// Metrics counts messages and bytes by type; nil: not counted.
 	Metrics metrics.Registry
 }
 
 // NewTransport returns a Transport that tells h of its links.
 func NewTransport(cfg Config, h Handler) *Transport {
-	t := &Transport{handler: h, creds: cfg.Client}
+	t := &Transport{handler: h, creds: cfg.Client, pack: cfg.Compress}
 	if t.creds == nil {
 		t.creds = insecure.NewCredentials()
 	}
@@ -188,7 +198,7 @@
 func (t *Transport) Link(s pb.Peer_LinkServer) error {
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
-	l := newLink(cancel)
+	l := newLink(cancel, t.pack)
 	link := t.handler.Accepted(l)
 	go l.write(s)
 	ended := make(chan string, 1)
@@ -224,7 +234,7 @@
 		_ = conn.Close()
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
-	l := newLink(cancel)
+	l := newLink(cancel, t.pack)
 	link := opened(l)
 	t.wg.Add(1)
 	go l.write(s)
