Ask the table for a count of its changes, not for a digest, on each request

Cause: the digest of the table became a sum over 256 buckets, which each request took to see whether its group still holds.

Change: the table counts its changes.

--- a/core/endpoint/table.go
+++ b/core/endpoint/table.go
@@ -30,6 +30,7 @@
 	byAddress map[string]string // ID that has the address now
 	live      map[string]int    // live entries by data centre
 	digests   [MaxBuckets]uint64
+	changes   uint64
 }
 
 // NewTable returns an empty table.
@@ -84,6 +85,7 @@
 }
 
 func (t *Table) index(r *Row) {
+	t.changes++
 	if r.State != Gone {
 		t.digests[bucketOf(r.ID)] += r.hash()
 	}
@@ -132,6 +134,10 @@
 // belongs to the table and is valid until the next Merge.
 func (t *Table) Serving(service string) []*Row { return t.byService[service] }
 
+// Changes counts the changes of entries: as long as it stays, so do all lists
+// of Serving.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Rows returns all rows in order of ID.
 func (t *Table) Rows() []Row {
 	out := make([]Row, 0, len(t.rows))
--- a/core/request.go
+++ b/core/request.go
@@ -26,10 +26,11 @@
 	origin      uint64 // random number of this process, in every attempt ID
 }
 
-// group is the balancer's view of a service, built when the table had digest.
+// group is the balancer's view of a service, built after so many changes of
+// the table.
 type group struct {
-	peers  *balance.Group
-	digest uint64
+	peers   *balance.Group
+	changes uint64
 }
 
 // call is one caller's request on its way. It keeps the route it began with,
@@ -153,8 +154,8 @@
 		g = &group{}
 		s.requests.groups[service] = g
 	}
-	if digest := s.table.Digest(); g.peers == nil || g.digest != digest {
-		g.peers, g.digest = s.requests.balancer.Group(g.peers, s.table.Serving(service)), digest
+	if n := s.table.Changes(); g.peers == nil || g.changes != n {
+		g.peers, g.changes = s.requests.balancer.Group(g.peers, s.table.Serving(service)), n
 	}
 	return g.peers
 }
