Let another node publish when this one refuses the version

A publisher whose node refuses the published version, as an older release may, could not build on it and kept the lease: nothing was published any more. It neither claims nor renews the lease now. The test for it hung at first: a node that refused a version asked for it as soon as it was sent a later one, and each answer held both, so that the messages multiplied. It asks once in a heartbeat's time for the same version.

--- a/core/export_publisher_test.go
+++ b/core/export_publisher_test.go
@@ -16,3 +16,6 @@
 
 // UnfencedSweep deletes garbage without an update of the head.
 func UnfencedSweep(c Config) Config { c.faults.unfencedSweep = true; return c }
+
+// RefuseAll puts no version in force.
+func RefuseAll(c Config) Config { c.faults.refuseAll = true; return c }
--- a/core/holder.go
+++ b/core/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -13,11 +14,13 @@
 
 // holder holds the configuration in force on this node.
 type holder struct {
-	set      *config.Set
-	snapshot *config.Snapshot
-	deltas   []config.Delta  // consecutive, the last leads to set
-	refused  string          // why the newest version seen was not applied
-	encoded  *config.Encoded // the stored form of set or of an older one; nil while not needed
+	set        *config.Set
+	snapshot   *config.Snapshot
+	deltas     []config.Delta // consecutive, the last leads to set
+	refused    string         // why the newest version seen was not applied
+	wantedFrom uint64         // version at which more was asked for last
+	wantedAt   time.Time
+	encoded    *config.Encoded // the stored form of set or of an older one; nil while not needed
 }
 
 func newHolder() holder { return holder{set: config.NewSet(0, nil), snapshot: &config.Snapshot{}} }
@@ -37,6 +40,9 @@
 // made sure that it is newer.
 func (s *State) adopt(set *config.Set, delta config.Delta) {
 	snapshot, faults := config.CompileDelta(s.holder.snapshot, s.holder.set, set, delta)
+	if s.cfg.faults.refuseAll {
+		faults = []config.Fault{{Reason: "refused by a test"}}
+	}
 	if len(faults) > 0 {
 		s.refuse(fmt.Sprintf("version %d: %d faults, first: %v", set.Version, len(faults), faults[0]))
 		return
@@ -127,7 +133,7 @@
 		return
 	}
 	if m.Delta.From != s.holder.set.Version {
-		s.send(id, message.ConfigWanted{Have: s.configVersion()})
+		s.wantConfig(id)
 		return
 	}
 	set, err := s.holder.set.Apply(m.Delta)
@@ -138,6 +144,18 @@
 	s.adopt(set, m.Delta)
 }
 
+// wantConfig asks for what leads from the held version to the newest. It asks
+// once in a heartbeat's time for the same version: a node that refuses the
+// next one would be sent it again and again.
+func (s *State) wantConfig(id LinkID) {
+	h := &s.holder
+	if h.wantedFrom == s.configVersion() && s.now.Sub(h.wantedAt) < s.cfg.HeartbeatEvery {
+		return
+	}
+	h.wantedFrom, h.wantedAt = s.configVersion(), s.now
+	s.send(id, message.ConfigWanted{Have: s.configVersion()})
+}
+
 func (s *State) wholeReceived(l *link, m message.ConfigWhole) {
 	l.config = max(l.config, m.Version)
 	set := config.NewSet(m.Version, m.Objects)
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -66,6 +66,7 @@
 	unfenced      bool // the epoch of the head is not looked at
 	hasty         bool // in force is written without a count
 	unfencedSweep bool // garbage is deleted without an update of the head
+	refuseAll     bool // no version is put in force
 }
 
 func newPublisher(cfg Config) publisher {
@@ -83,7 +84,7 @@
 	if s.member.phase != phaseRoot && !p.active {
 		return
 	}
-	if w, due := p.lease.Next(s.now, s.member.phase == phaseRoot); due {
+	if w, due := p.lease.Next(s.now, s.canPublish()); due {
 		s.storePut(publisherLeaseKey, mustJSON(w.Record), w.Base, storeCall{purpose: forPublisherLease})
 	}
 	held := p.lease.Held(s.now)
@@ -109,6 +110,14 @@
 	s.sweepTick()
 }
 
+// canPublish reports whether this node may take or keep the publisher's lease.
+// One that refuses the published version, as an older release may, can't build
+// on it and lets another node publish.
+func (s *State) canPublish() bool {
+	refuses := s.holder.refused != "" && s.configVersion() < s.member.target
+	return s.member.phase == phaseRoot && !refuses
+}
+
 func (s *State) startPublisher() {
 	p := &s.publisher
 	s.log(notice.LeaseTaken, Attr{"lease", publisherLeaseKey}, Attr{"epoch", p.lease.Epoch()})
--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -14,6 +14,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
 )
@@ -424,3 +425,36 @@
 	is.Equal(st.Laggards[0].Node, "data centre b")
 	is.Equal(st.Applied, 2)
 }
+
+// TestNodeThatRefusesTheVersionDoesNotPublish lets all of data centre a refuse
+// what is published, as an older release may.
+func TestNodeThatRefusesTheVersionDoesNotPublish(t *testing.T) {
+	is := is.New(t)
+	m, c := publishMesh(4, func(cfg core.Config) core.Config {
+		if cfg.DataCentre == "a" {
+			return core.RefuseAll(cfg)
+		}
+		return cfg
+	})
+	m.Run(10 * time.Second)
+	asked := 0
+	m.OnSend = func(_, _ *coretest.Node, msg message.Message) {
+		if _, ok := msg.(message.ConfigWanted); ok {
+			asked++
+		}
+	}
+	for i := range 3 {
+		c.hand(config.Submission{ID: fmt.Sprintf("s%d", i), Puts: []config.Put{{Object: object(config.KindService, fmt.Sprintf("s%d", i), `{}`)}}})
+		is.True(m.RunUntil(20*time.Second, func() bool { return len(c.statuses) == i+1 })) // it is settled
+	}
+	m.Run(10 * time.Second)
+	is.NoErr(c.err)
+	is.True(asked < 200) // one that refuses a version doesn't ask for it without a pause
+	st := c.statuses["s2"]
+	is.Equal(st.Phase, status.Accepted) // and not in force while a node refuses it
+	reasons := ""
+	for _, l := range st.Laggards {
+		reasons += l.Node + ": " + l.Reason + "\n"
+	}
+	is.True(strings.Contains(reasons, "refused by a test")) // which the status tells
+}
