--- a/core/publisher.go
+++ b/core/publisher.go
@@ -114,7 +114,7 @@
 // One that refuses the published version, as an older release may, can't build
 // on it and lets another node publish.
 func (s *State) canPublish() bool {
-	refuses := s.holder.refused != "" && s.configVersion() < s.member.target
+	refuses := s.holder.refused != "" && s.configVersion() < s.member.newest
 	return s.member.phase == phaseRoot && !refuses
 }
 
--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -72,6 +72,10 @@
 			}
 		}
 	}
+	if all := s.ownReport(); all.Missing > 0 {
+		missing := message.Report{Applied: min(all.Applied, s.root.complete), Nodes: all.Missing, Laggards: all.Laggards}
+		parts = append(parts, part{name: "data centre " + s.cfg.DataCentre, report: missing})
+	}
 	for _, dc := range sortedNames(s.root.others) {
 		r, ok := roots[s.root.others[dc].Holder]
 		parts = append(parts, part{name: "data centre " + dc, report: r, gone: !ok})
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -44,6 +44,8 @@
 type Results struct {
 	Slopes   []Slope
 	Mesh     []traffic
+	Losses   []loss
+	Latency  []latency
 	Resident []sizes.Resident
 	byName   map[string]Slope
 }
--- a/internal/capacity/sizes/sizes.go
+++ b/internal/capacity/sizes/sizes.go
@@ -103,7 +103,9 @@
 	reduce(core.LinkUp{Link: ParentLink, Dialled: true})
 	set := config.NewSet(1, Objects(routes))
 	say := func(m message.Message) { reduce(core.LinkMessage{Link: ParentLink, Message: m}) }
-	say(message.Welcome{Node: "root", DataCentre: "centre-00", Path: []string{"root"}, Config: 1, Rooted: true})
+	say(message.Welcome{
+		Node: "root", DataCentre: "centre-00", Heartbeat: message.Heartbeat{Path: []string{"root"}, Config: 1, Rooted: true},
+	})
 	say(message.ConfigWhole{Version: 1, Hash: set.Hash(), Objects: set.Sorted()})
 	say(message.Endpoints{Entries: Entries(table)})
 	return s, now
--- a/node/config.go
+++ b/node/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/proxy"
 	"github.com/agatekeel/agatekeel/settings"
 )
 
@@ -20,7 +21,7 @@
 		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
-		Fanout:         s.Distribution.Fanout,
+		Fanout: s.Distribution.Fanout, Favour: core.Favour(s.Distribution.Favour), Seeds: s.Seeds,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
@@ -33,6 +34,15 @@
 	return cfg.WithDefaults()
 }
 
+// ProxyConfig returns the settings of a Proxy in the clear.
+func ProxyConfig(s settings.Settings) proxy.Config {
+	return proxy.Config{
+		Backend: s.Backend.Address, Connections: s.Backend.Connections,
+		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
+		SilenceAfter: time.Duration(s.Requests.SilenceAfter),
+	}
+}
+
 // newCoreConfig names this life of the node by its start and a random number:
 // hosts keep nothing, so no counter could.
 func newCoreConfig(s settings.Settings, l *Listeners) core.Config {
--- a/node/module.go
+++ b/node/module.go
@@ -50,15 +50,15 @@
 func newRegistry() metrics.Registry { return metrics.NewRegistry() }
 
 func newProxy(s settings.Settings, d proxy.Decider, r metrics.Registry, c *security.Credentials) *proxy.Proxy {
-	cfg := proxy.Config{Backend: s.Backend.Address, Connections: s.Backend.Connections}
+	cfg := ProxyConfig(s)
 	if c != nil {
 		cfg.HopDial = hopDialer(c).DialContext
 	}
 	return proxy.New(cfg, d, r)
 }
 
-func newTransport(n *Node, r metrics.Registry, c *security.Credentials, log *eventlog.Logger) *peer.Transport {
-	cfg := peer.Config{Metrics: r}
+func newTransport(n *Node, s settings.Settings, r metrics.Registry, c *security.Credentials, log *eventlog.Logger) *peer.Transport {
+	cfg := peer.Config{Metrics: r, Compress: s.Distribution.Favour == string(core.FavourBytes)}
 	if c != nil {
 		cfg.Server, cfg.Client = peer.NewCredentials(c, func(address string, reason error) {
 			logPeerRefused(log, address, reason.Error())
@@ -159,12 +159,11 @@
 		hop = tls.NewListener(hop, p.Credentials.Server(alpnHTTP))
 	}
 	servers := []server{
-		{"callers", p.Listeners.Callers, &http.Server{Handler: p.Proxy.Callers()}},
-		{"hop", hop, &http.Server{Handler: p.Proxy.Hops()}},
-		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry)}},
+		{"callers", p.Listeners.Callers, proxy.NewServer(p.Proxy.Callers())},
+		{"hop", hop, proxy.NewServer(p.Proxy.Hops())},
+		{"admin", p.Listeners.Admin, &http.Server{Handler: admin(p.Node, p.Registry), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range servers {
-		s.http.ReadHeaderTimeout = headerTimeout
 		s.http.ErrorLog = p.Log.Std(notice.ListenerFault, core.Attr{Key: "listener", Value: s.name})
 	}
 	return servers
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -12,6 +13,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/internal/build"
 	"github.com/agatekeel/agatekeel/peer"
@@ -63,6 +65,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	drained chan struct{}
+	waiting atomic.Int64 // attempts at the own backend server without a slot
 
 	mu           sync.Mutex // guards all below
 	state        *core.State
@@ -129,12 +132,17 @@
 	n.step(e)
 }
 
-func (n *Node) step(e core.Event) {
+// step returns the effects that it carried out, valid until the next step. The
+// caller holds mu.
+func (n *Node) step(e core.Event) []core.Effect {
 	n.observer.event(e)
-	for _, effect := range n.state.Reduce(n.clock.Now(), e) {
+	effects := n.state.Reduce(n.clock.Now(), e)
+	for _, effect := range effects {
 		n.observer.effect(effect)
 		n.carryOut(effect)
 	}
+	n.waiting.Store(int64(n.state.Waiting()))
+	return effects
 }
 
 // Dump returns the state for display.
@@ -240,6 +248,29 @@
 	delete(n.attempts, id)
 }
 
+// AttemptOpen implements proxy.Decider.
+func (n *Node) AttemptOpen(id core.AttemptID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, open := n.attempts[id]
+	return open
+}
+
+// CancelAttempt implements proxy.Decider.
+func (n *Node) CancelAttempt(e core.AttemptCancelled) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, effect := range n.step(e) {
+		if r, ok := effect.(core.Refuse); ok && r.Attempt == e.Attempt {
+			return r.Outcome == retry.NotRun
+		}
+	}
+	return false
+}
+
+// Waiting implements proxy.Decider.
+func (n *Node) Waiting() int { return int(n.waiting.Load()) }
+
 func (n *Node) probe() {
 	ok, refused := n.prober.Probe(n.ctx)
 	n.Step(core.BackendProbed{OK: ok, Refused: refused})
