--- a/core/platform_test.go
+++ b/core/platform_test.go
@@ -1,12 +1,17 @@
 package core_test
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/status"
@@ -68,3 +73,54 @@
 	}
 	return true
 }
+
+// callsOfChange counts the platform calls from a submission to InForce, those
+// for leases and waiting watches left out.
+func callsOfChange(t *testing.T, a, b, objects int) (writes, reads int) {
+	m := newMesh(11, a, b)
+	m.Run(12 * time.Second)
+	submitRoute(t, m, "first", "/first")
+	m.Run(5 * time.Second)
+	m.OnStore = func(_ *coretest.Node, e core.Effect) {
+		switch e := e.(type) {
+		case core.StorePut:
+			if !strings.HasPrefix(e.Key, "lease/") {
+				writes++
+			}
+		case core.StoreDelete:
+			writes++
+		case core.StoreGet:
+			reads++
+		}
+	}
+	sub := config.Submission{ID: "second"}
+	for i := range objects {
+		o := config.Object{Kind: config.KindService, Name: fmt.Sprintf("s%d", i), Spec: json.RawMessage(`{}`)}
+		sub.Puts = append(sub.Puts, config.Put{Object: o})
+	}
+	data, err := json.Marshal(sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Store.Put(context.Background(), "submission/second", data, 0); err != nil {
+		t.Fatal(err)
+	}
+	if !m.RunUntil(20*time.Second, func() bool { return readStatus(t, m, "second").Phase == status.InForce }) {
+		t.Fatal("not in force")
+	}
+	return writes, reads
+}
+
+// TestCallsOfAChange checks that the platform's load for a change grows with
+// neither the nodes nor the objects of the change.
+func TestCallsOfAChange(t *testing.T) {
+	is := is.New(t)
+	const writes = 6      // chunk, manifest, head, two statuses, removal
+	const reads = 1 + 2*2 // a status; at most a manifest and a chunk for each of two roots
+	for _, size := range []struct{ a, b, objects int }{{2, 1, 1}, {8, 6, 1}, {20, 20, 1}, {2, 1, 100}} {
+		w, r := callsOfChange(t, size.a, size.b, size.objects)
+		t.Logf("%d nodes, %d objects: %d writes and %d reads", size.a+size.b, size.objects, w, r)
+		is.Equal(w, writes)
+		is.True(r <= reads)
+	}
+}
