--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -79,9 +79,8 @@
 
 // publishHistory lets operators race while publishers crash, pause and lose
 // answers, ends all faults and returns the first broken promise.
-func publishHistory(t *rapid.T, broken func(core.Config) core.Config, prepare func(*coretest.Mesh)) error {
+func publishHistory(t *rapid.T, broken func(core.Config) core.Config, heal func(*coretest.Mesh)) error {
 	m, c := publishMesh(rapid.Uint64().Draw(t, "seed"), broken)
-	prepare(m)
 	names := []string{"a1", "a2", "b1", "b2"}
 	node := rapid.SampledFrom(names)
 	for i := range rapid.IntRange(4, 14).Draw(t, "steps") {
@@ -113,6 +112,7 @@
 		m.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "millis")) * time.Millisecond)
 	}
 	m.Heal()
+	heal(m)
 	m.Faults.PlatformDelay = 5 * time.Millisecond
 	if c.err == nil && !m.RunUntil(time.Minute, func() bool { return c.err != nil || c.settledAll() }) {
 		c.fail("a minute after the faults ended not all is settled: %+v", c.statuses)
@@ -147,6 +147,16 @@
 	})
 }
 
+// TestTwoHoldersUnderFaults is the same with a data centre whose nodes believe
+// for an hour that they hold what they once held.
+func TestTwoHoldersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := publishHistory(t, twoHolders, restartSound); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // scenario is a fixed run: a version, then a bad and two racing submissions,
 // with something done at one of the writes of publishers to the platform.
 func scenario(broken func(core.Config) core.Config, prepare func(*coretest.Mesh, *publishChecker), at int, do func(*publishChecker, *coretest.Node)) error {
