--- a/core/admit.go
+++ b/core/admit.go
@@ -139,7 +139,7 @@
 	for _, w := range start {
 		s.emit(Run{Attempt: w.ID})
 	}
-	if e.Refused && b.entry.State.Serves() && !b.leaving {
+	if e.Refused && b.entry.State.Serves() && !b.leaving && !s.cfg.breaks.watchdog {
 		s.announce(endpoint.Failed)
 	}
 }
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -279,6 +279,11 @@
 // run lets the backend server run an attempt. It goes on when its node dies.
 func (t *Traffic) run(n *Node, id core.AttemptID) {
 	a := t.attempts[id]
+	if !n.Backend {
+		life := n.Life
+		t.mesh.After(time.Millisecond, func() { t.unreached(n, life, a) })
+		return
+	}
 	a.call.Runs = append(a.call.Runs, Run{Node: n.Name, Attempt: id, At: t.mesh.Now})
 	life, started := n.Life, t.mesh.Now
 	done := func(answers bool) { t.ran(n, life, a, started, answers) }
@@ -292,6 +297,16 @@
 	t.mesh.After(a.forward.Budget, func() { done(false) }) // the node gives up at the deadline
 }
 
+// unreached ends an attempt whose backend server refused the connection.
+func (t *Traffic) unreached(n *Node, life int, a *attempt) {
+	t.mesh.step(n, life, core.AttemptDone{Attempt: a.forward.Attempt, Refused: true})
+	if n.Life == life && n.Alive {
+		t.after(func() {
+			t.end(a, core.AttemptEnded{Outcome: retry.NotRun, Failed: true, Queue: -1, Reason: "connection refused"})
+		})
+	}
+}
+
 // ran ends a run. Without an answer the entry node sees a broken connection.
 func (t *Traffic) ran(n *Node, life int, a *attempt, started time.Time, answers bool) {
 	done := core.AttemptDone{Attempt: a.forward.Attempt, Took: t.mesh.Now.Sub(started), Status: answered, Cut: !answers}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/node"
@@ -181,3 +183,16 @@
 	}
 	return puts
 }
+
+// wholeSet returns the size of the whole set as one message.
+func (f *fleet) wholeSet() (plain, packed int, err error) {
+	frame, err := peer.Encode(message.ConfigWhole{Version: 1, Objects: sizes.Objects(200)})
+	if err != nil {
+		return 0, 0, fmt.Errorf("encode: %w", err)
+	}
+	small, err := peer.Pack(frame)
+	if err != nil {
+		return 0, 0, fmt.Errorf("compress: %w", err)
+	}
+	return proto.Size(frame), proto.Size(small), nil
+}
