--- a/node/module.go
+++ b/node/module.go
@@ -57,8 +57,8 @@
 	return proxy.New(cfg, d, r)
 }
 
-func newTransport(n *Node, r metrics.Registry, c *security.Credentials, log *eventlog.Logger) *peer.Transport {
-	cfg := peer.Config{Metrics: r}
+func newTransport(n *Node, s settings.Settings, r metrics.Registry, c *security.Credentials, log *eventlog.Logger) *peer.Transport {
+	cfg := peer.Config{Metrics: r, Compress: s.Distribution.Favour == string(core.FavourBytes)}
 	if c != nil {
 		cfg.Server, cfg.Client = peer.NewCredentials(c, func(address string, reason error) {
 			logPeerRefused(log, address, reason.Error())
