--- a/core/dump.go
+++ b/core/dump.go
@@ -13,7 +13,9 @@
 type DumpRoles struct {
 	Leases     []DumpLease             `json:"leases"`
 	OtherRoots map[string]lease.Record `json:"otherRoots,omitempty"` // by data centre, as a root knows them
-	Fetching   uint64                  `json:"fetching,omitempty"`   // version that is being read from the platform
+	Fallback   bool                    `json:"rootWithoutLease,omitempty"`
+	Suspects   []string                `json:"suspects,omitempty"` // nodes whose links ended, not yet suspected or back
+	Fetching   uint64                  `json:"fetching,omitempty"` // version that is being read from the platform
 	Publishing *DumpPublisher          `json:"publishing,omitempty"`
 	StoreCalls int                     `json:"storeCalls"` // under way
 	Platform   DumpPlatform            `json:"platform"`
@@ -79,7 +81,7 @@
 		OtherRoots: s.root.others, StoreCalls: len(s.calls),
 		Platform: DumpPlatform{Down: s.platform.down, Retries: len(s.platform.retries)},
 		Requests: []DumpCall{}, Balance: s.requests.balancer.Views(),
-		Settings: s.cfg,
+		Settings: s.cfg, Fallback: s.root.fallback, Suspects: sortedNames(s.suspects),
 	}
 	d.Attempts.Remembered, d.Attempts.Origins = s.backend.memory.Len()
 	for _, waiting := range s.platform.limit.waiting {
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -22,6 +22,8 @@
 		},
 		Distribution: settings.Distribution{
 			Favour: "bytes", Fanout: 21, HeartbeatEvery: second(22), MissedHeartbeats: 23, JoinJitter: second(24), WatchWait: second(25),
+			ReportEvery: second(26), BatchWindow: second(27), JoinsPerSecond: 28, Grace: second(29), SuspectLimit: second(30),
+			TombstoneFor: second(39),
 		},
 		Lease:     settings.Lease{TTL: second(33), Renew: second(31), Margin: second(32)},
 		Publisher: settings.Publisher{SweepEvery: second(71), StatusKeep: second(72)},
@@ -36,6 +38,8 @@
 		KeyKeep: 42 * time.Second, ClaimKeep: 43 * time.Second, ClaimsPerSecond: 44,
 		ProbeEvery: 13 * time.Second, SlowStart: 14 * time.Second, Fanout: 21, HeartbeatEvery: 22 * time.Second, MissedLimit: 23,
 		JoinJitter: 24 * time.Second, WatchWait: 25 * time.Second, LeaseRenew: 31 * time.Second, LeaseMargin: 32 * time.Second,
+		ReportEvery: 26 * time.Second, BatchWindow: 27 * time.Second, JoinsPerSecond: 28, Grace: 29 * time.Second,
+		SuspectLimit: 30 * time.Second, TombstoneFor: 39 * time.Second,
 		LeaseTTL: 33 * time.Second, RetryShare: 0.41, DrainAtLeast: 51 * time.Second, DrainAtMost: 52 * time.Second,
 		SweepEvery: 71 * time.Second, StatusKeep: 72 * time.Second, Incarnation: life, Seed: 63,
 		Seeds: []string{"10.0.0.1:1"}, Favour: core.FavourBytes,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,6 +74,12 @@
 	MissedHeartbeats int      `json:"missedHeartbeats,omitempty" validate:"omitempty,min=2,max=20"`
 	JoinJitter       Duration `json:"joinJitter,omitempty" validate:"omitempty,min=1ms,max=5m"`
 	WatchWait        Duration `json:"watchWait,omitempty" validate:"omitempty,min=1s,max=1m"`
+	ReportEvery      Duration `json:"reportEvery,omitempty" validate:"omitempty,min=10ms,max=1m"`
+	BatchWindow      Duration `json:"batchWindow,omitempty" validate:"omitempty,min=1ms,max=10s"`
+	JoinsPerSecond   int      `json:"joinsPerSecond,omitempty" validate:"omitempty,min=1,max=10000"`
+	Grace            Duration `json:"grace,omitempty" validate:"omitempty,min=1s,max=10m"`
+	SuspectLimit     Duration `json:"suspectLimit,omitempty" validate:"omitempty,min=1s,max=1h"`
+	TombstoneFor     Duration `json:"tombstoneFor,omitempty" validate:"omitempty,min=1m,max=24h"`
 }
 
 // Lease holds the times of the leases of root and publisher.
