--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -139,7 +139,7 @@
 }
 
 // load returns what is known to be at an endpoint for each of its slots: the
-// requests in flight from here, which it can't lie about, and the queue that
+// requests in flight from here, which it can't misreport, and the queue that
 // its last answer told. Failures in a row count as a full load each, and
 // answers slower than the group's multiply the load. All that was seen fades
 // with its age, so that an endpoint that was left alone is tried again.
