--- a/core/lost.go
+++ b/core/lost.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 )
 
@@ -21,8 +22,11 @@
 }
 
 // childLeft counts a child as live, and behind, until it is back or its time
-// is up.
+// is up. One that has announced its end serves nobody any more.
 func (s *State) childLeft(l *link) {
+	if row, ok := s.table.Get(l.node); ok && row.State == endpoint.Gone {
+		return
+	}
 	s.member.lost[l.node] = lostChild{applied: l.report.Applied, until: s.now.Add(rejoinGrace)}
 }
 
