--- a/core/watchdog_test.go
+++ b/core/watchdog_test.go
@@ -28,7 +28,7 @@
 		}
 		died, before := s.Now, entryOf(s.Node("a1"), "a2").Sequence
 		s.Node("a2").Backend = false
-		s.traffic.Sent = func(f core.Forward) {
+		s.Traffic.Sent = func(f core.Forward) {
 			if f.Target == "a2" && !s.Node("a2").Backend {
 				total.wrong++
 				total.last = max(total.last, s.Now.Sub(died))
