--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -14,6 +14,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/platform/platformtest"
 )
@@ -78,9 +79,8 @@
 
 // publishHistory lets operators race while publishers crash, pause and lose
 // answers, ends all faults and returns the first broken promise.
-func publishHistory(t *rapid.T, broken func(core.Config) core.Config, prepare func(*coretest.Mesh)) error {
+func publishHistory(t *rapid.T, broken func(core.Config) core.Config, heal func(*coretest.Mesh)) error {
 	m, c := publishMesh(rapid.Uint64().Draw(t, "seed"), broken)
-	prepare(m)
 	names := []string{"a1", "a2", "b1", "b2"}
 	node := rapid.SampledFrom(names)
 	for i := range rapid.IntRange(4, 14).Draw(t, "steps") {
@@ -112,6 +112,7 @@
 		m.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "millis")) * time.Millisecond)
 	}
 	m.Heal()
+	heal(m)
 	m.Faults.PlatformDelay = 5 * time.Millisecond
 	if c.err == nil && !m.RunUntil(time.Minute, func() bool { return c.err != nil || c.settledAll() }) {
 		c.fail("a minute after the faults ended not all is settled: %+v", c.statuses)
@@ -146,6 +147,16 @@
 	})
 }
 
+// TestTwoHoldersUnderFaults is the same with a data centre whose nodes believe
+// for an hour that they hold what they once held.
+func TestTwoHoldersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := publishHistory(t, twoHolders, restartSound); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // scenario is a fixed run: a version, then a bad and two racing submissions,
 // with something done at one of the writes of publishers to the platform.
 func scenario(broken func(core.Config) core.Config, prepare func(*coretest.Mesh, *publishChecker), at int, do func(*publishChecker, *coretest.Node)) error {
@@ -424,3 +435,36 @@
 	is.Equal(st.Laggards[0].Node, "data centre b")
 	is.Equal(st.Applied, 2)
 }
+
+// TestNodeThatRefusesTheVersionDoesNotPublish lets all of data centre a refuse
+// what is published, as an older release may.
+func TestNodeThatRefusesTheVersionDoesNotPublish(t *testing.T) {
+	is := is.New(t)
+	m, c := publishMesh(4, func(cfg core.Config) core.Config {
+		if cfg.DataCentre == "a" {
+			return core.RefuseAll(cfg)
+		}
+		return cfg
+	})
+	m.Run(10 * time.Second)
+	asked := 0
+	m.OnSend = func(_, _ *coretest.Node, msg message.Message) {
+		if _, ok := msg.(message.ConfigWanted); ok {
+			asked++
+		}
+	}
+	for i := range 3 {
+		c.hand(config.Submission{ID: fmt.Sprintf("s%d", i), Puts: []config.Put{{Object: object(config.KindService, fmt.Sprintf("s%d", i), `{}`)}}})
+		is.True(m.RunUntil(20*time.Second, func() bool { return len(c.statuses) == i+1 })) // it is settled
+	}
+	m.Run(10 * time.Second)
+	is.NoErr(c.err)
+	is.True(asked < 200) // one that refuses a version doesn't ask for it without a pause
+	st := c.statuses["s2"]
+	is.Equal(st.Phase, status.Accepted) // and not in force while a node refuses it
+	reasons := ""
+	for _, l := range st.Laggards {
+		reasons += l.Node + ": " + l.Reason + "\n"
+	}
+	is.True(strings.Contains(reasons, "refused by a test")) // which the status tells
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -33,6 +35,7 @@
 	c.proxy.core.Step(core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
 		Status: failed.status, BodyGone: !c.body.repeatable(), Reason: failed.reason,
+		TargetGone: failed.outcome == retry.NotRun && !failed.told && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
 	if failed.outcome == retry.Ran {
 		c.over = true
@@ -84,7 +87,10 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
-	h.write(out.Header)
+	out.Header[headerHop] = []string{h.String()}
+	if c.body.streams() {
+		out.Header["Expect"] = []string{"100-continue"} // the body stays here until the attempt runs
+	}
 	watch := c.proxy.watchSilence(f, cancel)
 	resp, err := c.proxy.roundTrip(ctx, c.proxy.hop, out)
 	silent := watch.stop()
@@ -97,6 +103,12 @@
 			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
 		}
 	}
+	if resp.Header.Get(headerAttempt) != formatAttempt(f.Attempt) && !c.proxy.broken.answersUnchecked {
+		_ = resp.Body.Close()
+		c.proxy.hop.CloseIdleConnections()
+		err := fmt.Errorf("node %s: an answer with status %d is not that of the attempt", f.Target, resp.StatusCode)
+		return nil, &attemptError{outcome: retry.Unknown, reason: err.Error(), err: err}
+	}
 	if told := resp.Header.Get(HeaderOutcome); told != "" {
 		defer func() { _ = resp.Body.Close() }()
 		return nil, toldError(f, told, resp)
