Hold the defaults on the page of settings against those in use

Cause: two defaults changed today while the page stood. Change: a test sets each default of the page and expects the same settings of the reducer.

--- /dev/null
+++ b/node/defaults_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/settings"
+)
+
+// defaultCell is a row of the page of settings with a default that can be
+// written: a duration or a number.
+var defaultCell = regexp.MustCompile("(?m)^\\| `([A-Za-z.]+)` \\| (duration|number) \\| ([0-9][0-9,.a-z]*)(?: \\||;)")
+
+// with returns the settings of a State when one field is set.
+func with(t *testing.T, path, value string) core.Config {
+	t.Helper()
+	names := strings.Split(path, ".")
+	text := value
+	for i := len(names) - 1; i >= 0; i-- {
+		text = `{"` + names[i] + `":` + text + `}`
+	}
+	var s settings.Settings
+	is.New(t).NoErr(json.Unmarshal([]byte(text), &s))
+	return CoreConfig(s, "", "", endpoint.Incarnation{}, 0)
+}
+
+func TestDefaultsOnThePageAreThoseInUse(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/operations/settings.md")
+	is.NoErr(err)
+	unset := CoreConfig(settings.Settings{}, "", "", endpoint.Incarnation{}, 0)
+	rows := defaultCell.FindAllStringSubmatch(string(page), -1)
+	is.True(len(rows) > 20)
+	queue := admission.DefaultConfig(1) // filled in by the queue itself
+	queueDefaults := map[string]time.Duration{
+		"backend.queue.maxWait": queue.MaxWait, "backend.queue.target": queue.Target, "backend.queue.interval": queue.Interval,
+	}
+	for _, row := range rows {
+		if d, ok := queueDefaults[row[1]]; ok {
+			is.Equal(row[3], d.String())
+			continue
+		}
+		value := strings.ReplaceAll(row[3], ",", "")
+		if row[2] == "duration" {
+			value = `"` + value + `"`
+		}
+		if !reflect.DeepEqual(with(t, row[1], value), unset) {
+			t.Errorf("%s: the page has the default %s, the reducer another", row[1], row[3])
+		}
+	}
+	is.True(!reflect.DeepEqual(with(t, "lease.ttl", `"59s"`), unset)) // another value is seen
+}
