Bound the idle connections between nodes

An idle connection takes 48 to 49 KB, both ends together (BenchmarkIdleConnection, three runs), and nothing bounded their number over all nodes: 5,300 of them would be about 130 MB at each end. At most 1,024 are kept.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -54,7 +54,7 @@
 			}
 			return &trackedConn{Conn: conn}, nil
 		},
-		MaxConnsPerHost: connections, MaxIdleConnsPerHost: maxIdleToHost, IdleConnTimeout: clientIdleTimeout,
+		MaxConnsPerHost: connections, MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdleToHost, IdleConnTimeout: clientIdleTimeout,
 		DisableCompression: true, ExpectContinueTimeout: maxTransfer,
 	}
 }
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -31,6 +31,7 @@
 	dialTimeout   = time.Second
 	keepAlive     = 15 * time.Second
 	maxIdleToHost = 256
+	maxIdle       = 1024 // connections to all hosts
 	// hopGrace is the time after a call's deadline in which the receiving
 	// node's own answer, which tells what became of the attempt, may come.
 	hopGrace = 100 * time.Millisecond
