--- a/core/request.go
+++ b/core/request.go
@@ -26,10 +26,11 @@
 	origin      uint64 // random number of this process, in every attempt ID
 }
 
-// group is the balancer's view of a service, built when the table had digest.
+// group is the balancer's view of a service, built after so many changes of
+// the table.
 type group struct {
-	peers  *balance.Group
-	digest uint64
+	peers   *balance.Group
+	changes uint64
 }
 
 // call is one caller's request on its way. It keeps the route it began with,
@@ -153,8 +154,8 @@
 		g = &group{}
 		s.requests.groups[service] = g
 	}
-	if digest := s.table.Digest(); g.peers == nil || g.digest != digest {
-		g.peers, g.digest = s.requests.balancer.Group(g.peers, s.table.Serving(service)), digest
+	if n := s.table.Changes(); g.peers == nil || g.changes != n {
+		g.peers, g.changes = s.requests.balancer.Group(g.peers, s.table.Serving(service)), n
 	}
 	return g.peers
 }
@@ -218,7 +219,7 @@
 	s.requests.balancer.Done(s.now, c.target, balance.Result{
 		Failed: e.Failed, Refused: e.Failed && e.Outcome == retry.NotRun, Queue: e.Queue, Took: c.took(s.now, e),
 	})
-	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife {
+	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife || e.TargetGone {
 		s.requests.balancer.Leaving(s.now, c.target) // the table here is behind
 	}
 	if e.Outcome == retry.Ran {
@@ -250,8 +251,8 @@
 	if !retry.Allowed(e.Outcome, idempotent, e.AnswerStarted) || !c.repeats {
 		return false
 	}
-	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing {
-		return false // only a home that is leaving hands its keys on
+	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing && !e.TargetGone {
+		return false // only a home that is leaving or dead hands its keys on
 	}
 	if c.attempts >= c.route.Policy.MaxAttempts || !s.now.Before(c.deadline) {
 		return false
--- a/core/state.go
+++ b/core/state.go
@@ -79,6 +79,7 @@
 	digest       bool // tables are not compared
 	grace        bool // a root removes at once what it does not find
 	cycleCheck   bool // a path that comes back is not looked at
+	watchdog     bool // a refused probe counts as one that was not answered
 	suspicion    bool // neighbours that go silent are not suspected
 }
 
@@ -96,7 +97,7 @@
 	setDefault(&c.TickEvery, 50*time.Millisecond)
 	setDefault(&c.HeartbeatEvery, time.Second)
 	setDefault(&c.MissedLimit, 3)
-	setDefault(&c.LeaseTTL, 6*time.Second)
+	setDefault(&c.LeaseTTL, 5*time.Second)
 	setDefault(&c.LeaseRenew, 2*time.Second)
 	setDefault(&c.LeaseMargin, time.Second)
 	setDefault(&c.ProbeEvery, time.Second)
@@ -252,6 +253,9 @@
 	return time.Duration(s.rng.Int64N(int64(limit)))
 }
 
+// ConfigVersion returns the version in force on the node.
+func (s *State) ConfigVersion() uint64 { return s.configVersion() }
+
 // Ready reports whether the node may serve callers, and if not, why.
 func (s *State) Ready() (bool, string) {
 	switch {
