Ask other members for a place when the root is out of reach

A node cut off from its root alone, with the platform up, dialled the root again and again. It now asks two members in between. The fake platform no longer skips a write that comes just before a watch times out.

--- a/core/coretest/store.go
+++ b/core/coretest/store.go
@@ -60,6 +60,7 @@
 	m.watches = append(m.watches, w)
 	m.wakeWatches()
 	m.After(w.effect.Wait, func() {
+		m.wakeWatches() // a change may have been written since, straight into the store
 		if !w.done {
 			w.done = true
 			_, rev, _ := m.Store.List(context.Background(), w.effect.Prefix)
--- a/core/member.go
+++ b/core/member.go
@@ -49,6 +49,7 @@
 	reports reports
 
 	candidates    []string // addresses to try before the lease is read again
+	besideRoot    bool     // members are asked since the root did not answer
 	ranked        bool     // they are all that there are: after them this node acts as root
 	waitForHigher bool     // one that ranks higher answered but has no place yet
 	census        uint64   // newest one answered
@@ -202,10 +203,34 @@
 	case len(s.member.candidates) > 0 || s.member.ranked:
 		s.nextCandidate()
 	case s.member.phase != phaseRoot:
+		others := s.otherMembers()
 		s.seekAgain(s.cfg.JoinJitter)
+		s.member.candidates = others
 	}
 }
 
+// triedBesideRoot is the number of members asked for a place when the holder
+// of the lease can't be reached from here, though the platform can.
+const triedBesideRoot = 2
+
+// otherMembers returns members to ask next when the root did not answer, and
+// none when they have been asked: then the lease is read again.
+func (s *State) otherMembers() []string {
+	m := &s.member
+	m.besideRoot = !m.besideRoot
+	if !m.besideRoot {
+		return nil
+	}
+	var addresses []string
+	for _, row := range s.table.Rows() {
+		if s.isCandidate(row.Entry) {
+			addresses = append(addresses, row.Peer)
+		}
+	}
+	s.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(triedBesideRoot, len(addresses))]
+}
+
 func (s *State) childLost(l *link) {
 	s.childLeft(l)
 	s.report()
--- a/core/tree_test.go
+++ b/core/tree_test.go
@@ -252,6 +252,25 @@
 	is.Equal(m.Node(root).State.Dump().Endpoints[0].State == endpoint.Gone, entryOf(m.Node(root), "a1").State == endpoint.Gone)
 }
 
+// TestRootOutOfReach cuts one node off from its root alone: it finds a place
+// under a node that reaches the root.
+func TestRootOutOfReach(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 4, 3, core.BreakNone)
+	root := roots(m)[0]
+	cut := "a4"
+	if root == cut {
+		cut = "a3"
+	}
+	m.Cut(root, cut)
+	m.Run(14 * time.Second)
+	is.Equal(joined(m), 3)
+	is.Equal(len(m.Node(cut).State.Dump().Path), 3)
+	submitRoute(t, m, "second", "/second")
+	m.Run(3 * time.Second)
+	is.Equal(m.Node(cut).State.Dump().ConfigVersion, uint64(2))
+}
+
 // TestPartedDataCentres lets two data centres lose each other for an hour.
 func TestPartedDataCentres(t *testing.T) {
 	is := is.New(t)
