--- a/core/lost.go
+++ b/core/lost.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 )
 
 // rejoinGrace is how long a node that has left the tree still counts as live:
 // it may serve callers while it looks for another parent.
-const rejoinGrace = 8 * time.Second
+const rejoinGrace = 5 * time.Second
 
 // laggardAfter is how long a child may be behind before it is named. Shorter
 // delays are the ordinary way of a change down the tree.
@@ -21,8 +22,11 @@
 }
 
 // childLeft counts a child as live, and behind, until it is back or its time
-// is up.
+// is up. One that has announced its end serves nobody any more.
 func (s *State) childLeft(l *link) {
+	if row, ok := s.table.Get(l.node); ok && row.State == endpoint.Gone {
+		return
+	}
 	s.member.lost[l.node] = lostChild{applied: l.report.Applied, until: s.now.Add(rejoinGrace)}
 }
 
--- a/core/member.go
+++ b/core/member.go
@@ -203,9 +203,12 @@
 	case len(s.member.candidates) > 0 || s.member.ranked:
 		s.nextCandidate()
 	case s.member.phase != phaseRoot:
-		others := s.otherMembers()
-		s.seekAgain(s.cfg.JoinJitter)
-		s.member.candidates = others
+		if others := s.otherMembers(); len(others) > 0 {
+			s.seekAgain(s.cfg.JoinJitter)
+			s.member.candidates = others
+			return
+		}
+		s.awaitLease()
 	}
 }
 
@@ -231,6 +234,18 @@
 	return addresses[:min(triedBesideRoot, len(addresses))]
 }
 
+// awaitLease looks for a parent again when the lease of a root that can't be
+// reached runs out, and once before: the holder may be back by then, or
+// another one may have come. Reads in between would tell nothing more.
+func (s *State) awaitLease() {
+	left := s.member.lease.ExpiresIn(s.now)
+	if half := left / 2; half > s.cfg.LeaseRenew {
+		left = half
+	}
+	s.seekAgain(s.cfg.JoinJitter)
+	s.member.retryAt = s.member.retryAt.Add(left)
+}
+
 func (s *State) childLost(l *link) {
 	s.childLeft(l)
 	s.report()
@@ -345,7 +360,7 @@
 	}
 	l.greeted, l.last = true, m.Heartbeat
 	s.setPhase(phaseJoined)
-	s.member.candidates, s.member.ranked = nil, false
+	s.member.candidates, s.member.ranked, s.member.besideRoot = nil, false, false
 	s.member.reports.last = message.Report{}
 	s.log(notice.JoinedParent, Attr{"parent", m.Node}, Attr{"path", m.Path})
 	s.report()
@@ -378,8 +393,8 @@
 	t.waitForHigher = t.waitForHigher || !m.Below
 	t.parent = 0
 	s.drop(id, "told to come back")
-	if len(t.candidates) > 0 || t.ranked {
-		s.nextCandidate()
+	if len(t.candidates) > 0 || t.ranked || t.besideRoot {
+		s.candidateFailed()
 		return
 	}
 	if t.phase != phaseRoot {
--- a/core/spread.go
+++ b/core/spread.go
@@ -56,19 +56,27 @@
 		s.wantConfig(id, l, 0) // the held set differs from the sender's: only the whole can help
 		return
 	}
-	l.wanted = time.Time{}
 	s.adopt(set, m.Delta)
+	s.notWanted(l, m.Delta.To)
+}
+
+// notWanted lets the next request go out at once if a version was put in
+// force. A node that refuses one would ask for it again and again.
+func (s *State) notWanted(l *link, version uint64) {
+	if s.configVersion() >= version {
+		l.wanted = time.Time{}
+	}
 }
 
 func (s *State) wholeReceived(l *link, m message.ConfigWhole) {
 	l.config = max(l.config, m.Version)
-	l.wanted = time.Time{}
 	set := config.NewSet(m.Version, m.Objects)
 	if set.Hash() != m.Hash {
 		s.refuse(fmt.Sprintf("version %d: %v", m.Version, config.ErrHash))
 		return
 	}
 	s.take(set)
+	s.notWanted(l, m.Version)
 }
 
 // wantConfig asks for what leads from a version to the newest, once until it
