--- a/core/member.go
+++ b/core/member.go
@@ -49,6 +49,7 @@
 	reports reports
 
 	candidates    []string // addresses to try before the lease is read again
+	besideRoot    bool     // members are asked since the root did not answer
 	ranked        bool     // they are all that there are: after them this node acts as root
 	waitForHigher bool     // one that ranks higher answered but has no place yet
 	census        uint64   // newest one answered
@@ -202,10 +203,37 @@
 	case len(s.member.candidates) > 0 || s.member.ranked:
 		s.nextCandidate()
 	case s.member.phase != phaseRoot:
+		if others := s.otherMembers(); len(others) > 0 {
+			s.seekAgain(s.cfg.JoinJitter)
+			s.member.candidates = others
+			return
+		}
 		s.awaitLease()
 	}
 }
 
+// triedBesideRoot is the number of members asked for a place when the holder
+// of the lease can't be reached from here, though the platform can.
+const triedBesideRoot = 2
+
+// otherMembers returns members to ask next when the root did not answer, and
+// none when they have been asked: then the lease is read again.
+func (s *State) otherMembers() []string {
+	m := &s.member
+	m.besideRoot = !m.besideRoot
+	if !m.besideRoot {
+		return nil
+	}
+	var addresses []string
+	for _, row := range s.table.Rows() {
+		if s.isCandidate(row.Entry) {
+			addresses = append(addresses, row.Peer)
+		}
+	}
+	s.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(triedBesideRoot, len(addresses))]
+}
+
 // awaitLease looks for a parent again when the lease of a root that can't be
 // reached runs out, and once before: the holder may be back by then, or
 // another one may have come. Reads in between would tell nothing more.
@@ -332,7 +360,7 @@
 	}
 	l.greeted, l.last = true, m.Heartbeat
 	s.setPhase(phaseJoined)
-	s.member.candidates, s.member.ranked = nil, false
+	s.member.candidates, s.member.ranked, s.member.besideRoot = nil, false, false
 	s.member.reports.last = message.Report{}
 	s.log(notice.JoinedParent, Attr{"parent", m.Node}, Attr{"path", m.Path})
 	s.report()
@@ -365,8 +393,8 @@
 	t.waitForHigher = t.waitForHigher || !m.Below
 	t.parent = 0
 	s.drop(id, "told to come back")
-	if len(t.candidates) > 0 || t.ranked {
-		s.nextCandidate()
+	if len(t.candidates) > 0 || t.ranked || t.besideRoot {
+		s.candidateFailed()
 		return
 	}
 	if t.phase != phaseRoot {
