Look at waiting submissions once a second unless one can be in force

They are compared by version with the lowest one applied now, and counted in full once a second. No figure was taken.

--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -104,6 +104,18 @@
 	return st, done
 }
 
+// lowestApplied returns the version that every part has applied.
+func lowestApplied(parts []part) uint64 {
+	lowest := parts[0].report.Applied
+	for _, p := range parts {
+		if p.gone {
+			return 0
+		}
+		lowest = min(lowest, p.report.Applied)
+	}
+	return lowest
+}
+
 // laggards names the nodes of a part that are behind a version, or the part
 // itself when it names none.
 func (p part) laggards(version uint64) []message.Laggard {
@@ -133,6 +145,7 @@
 		return
 	}
 	parts := s.parts()
+	lowest, tell := lowestApplied(parts), s.now.Sub(p.progress) >= progressEvery
 	for i := range p.waiting {
 		a := &p.waiting[i]
 		if a.writing || s.now.Before(a.retryAt) {
@@ -143,6 +156,9 @@
 			s.storeGet(statusPrefix+a.status.ID, s.publisherCall(stepStatusOf, a.status.ID))
 			continue
 		}
+		if a.status.Version > lowest && !tell && !s.cfg.faults.hasty {
+			continue // not in force, and nothing to be told yet
+		}
 		st, done := progressOf(a.status, parts)
 		fresh := !s.root.listedFrom.Before(a.since)
 		if done && !fresh {
@@ -155,6 +171,9 @@
 		}
 		s.writeProgress(a, st)
 	}
+	if tell {
+		p.progress = s.now // the next look at all of them is as far away, whether one was written or not
+	}
 }
 
 // writeProgress tells operators who is behind, at a bounded rate.
