--- a/cmd/agatekeel/pages_test.go
+++ b/cmd/agatekeel/pages_test.go
@@ -84,6 +84,9 @@
 
 func TestLinksOfPagesLeadSomewhere(t *testing.T) {
 	for file, text := range pages(t) {
+		if strings.Contains(text, "\n<<<<<<< ") || strings.Contains(text, "\n>>>>>>> ") {
+			t.Errorf("%s: has the marks of an unfinished merge", file)
+		}
 		for _, l := range link.FindAllStringSubmatch(text, -1) {
 			if _, err := os.Stat(filepath.Join(filepath.Dir(file), l[1])); err != nil {
 				t.Errorf("%s: link to %s: %v", file, l[1], err)
