--- a/core/tree_test.go
+++ b/core/tree_test.go
@@ -271,6 +271,21 @@
 	is.Equal(m.Node(cut).State.Dump().ConfigVersion, uint64(2))
 }
 
+// TestMessagesLostOnAnOpenLink loses a change and the heartbeat that tells of
+// it on a link that goes on afterwards.
+func TestMessagesLostOnAnOpenLink(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 2, 2, core.BreakNone)
+	m.Run(7 * time.Second)
+	m.Cut("a1", "a2")
+	submitRoute(t, m, "second", "/second")
+	m.Run(1500 * time.Millisecond)
+	m.Heal()
+	m.Run(14 * time.Second)
+	is.Equal(m.Node("a1").State.Dump().ConfigVersion, uint64(2))
+	is.Equal(m.Node("a2").State.Dump().ConfigVersion, uint64(2))
+}
+
 // TestPartedDataCentres lets two data centres lose each other for an hour.
 func TestPartedDataCentres(t *testing.T) {
 	is := is.New(t)
