--- a/core/link.go
+++ b/core/link.go
@@ -39,6 +39,7 @@
 	greeted   bool              // Hello and Welcome are exchanged
 	told      message.Heartbeat // last one sent
 	last      message.Heartbeat // last one received
+	sames     int               // empty heartbeats sent since
 	differing int               // heartbeats in a row with another digest
 	leaving   bool              // the other end said that it lives on
 	wanted    time.Time         // when a version was asked for over this link
@@ -149,16 +150,21 @@
 	}
 }
 
+// maxSameHeartbeats is the number of empty heartbeats after which a whole one
+// is sent: should one have been lost, the ends agree again after so many.
+const maxSameHeartbeats = 4
+
 // sendHeartbeat says how this node stands, or that nothing has changed since
 // it last did over this link.
 func (s *State) sendHeartbeat(id LinkID, l *link) {
 	l.sent = s.now
 	h := s.heartbeat()
-	if sameHeartbeat(h, l.told) {
+	if sameHeartbeat(h, l.told) && l.sames < maxSameHeartbeats {
+		l.sames++
 		s.send(id, message.Heartbeat{Same: true})
 		return
 	}
-	l.told = h
+	l.told, l.sames = h, 0
 	s.send(id, h)
 }
 
