Ask a silent root for a place once, not again through the member list

The trace shows an orphan that dialled the silent root, waited 3 s, picked the same node out of the members to ask next, and waited 3 s more, past the end of the lease.

Change: the address that did not answer is left out of the members to ask, and is not asked again when the lease runs out sooner than an answer could come.

--- a/core/member.go
+++ b/core/member.go
@@ -35,18 +35,20 @@
 
 // member is the node's place in the tree of its data centre.
 type member struct {
-	phase   memberPhase
-	since   time.Time // of the phase
-	retryAt time.Time
-	reading bool // a read of the root lease is under way
-	lease   *lease.Machine
-	parent  LinkID
-	dialAt  time.Time
-	path    []string // parent first, root last
-	rooted  bool     // the path ends in a root and all on it have caught up
-	newest  uint64   // newest version that this node has heard of
-	current bool     // it has held newest once, so it may serve
-	reports reports
+	phase      memberPhase
+	since      time.Time // of the phase
+	retryAt    time.Time
+	reading    bool // a read of the root lease is under way
+	lease      *lease.Machine
+	parent     LinkID
+	dialAt     time.Time
+	dialled    string   // address last asked for a place
+	unanswered string   // address of a holder of the lease that did not answer
+	path       []string // parent first, root last
+	rooted     bool     // the path ends in a root and all on it have caught up
+	newest     uint64   // newest version that this node has heard of
+	current    bool     // it has held newest once, so it may serve
+	reports    reports
 
 	candidates    []string // addresses to try before the lease is read again
 	besideRoot    bool     // members are asked since the root did not answer
@@ -111,7 +113,7 @@
 	if m.phase != phaseRoot {
 		s.setPhase(phaseJoining)
 	}
-	m.dialAt = s.now
+	m.dialAt, m.dialled = s.now, address
 	m.parent = s.dial(address, roleParent)
 }
 
@@ -149,6 +151,10 @@
 		s.seekLater()
 		return
 	}
+	if left := m.lease.ExpiresIn(s.now); rec.Address == m.unanswered && left < joinTimeout {
+		s.awaitLease() // asking once more would take longer than the lease lasts
+		return
+	}
 	s.dialParent(rec.Address)
 }
 
@@ -185,6 +191,9 @@
 	}
 	m.parent = 0
 	if m.phase != phaseJoined {
+		if rec, _ := m.lease.Record(); rec.Address == m.dialled {
+			m.unanswered = m.dialled
+		}
 		s.candidateFailed()
 		return
 	}
@@ -226,7 +235,7 @@
 	}
 	var addresses []string
 	for _, row := range s.table.Rows() {
-		if s.isCandidate(row.Entry) {
+		if s.isCandidate(row.Entry) && row.Peer != m.unanswered {
 			addresses = append(addresses, row.Peer)
 		}
 	}
@@ -360,6 +369,7 @@
 	}
 	l.greeted, l.last = true, m.Heartbeat
 	s.setPhase(phaseJoined)
+	s.member.unanswered = ""
 	s.member.candidates, s.member.ranked, s.member.besideRoot = nil, false, false
 	s.member.reports.last = message.Report{}
 	s.log(notice.JoinedParent, Attr{"parent", m.Node}, Attr{"path", m.Path})
