Let no event carry the field of the writing node twice

Cause: tried on a clean clone, the log of events 4002, 4004 and 5002 had two fields named node, that of the writer and that of the other node; a reader of JSON keeps one of them.

Conclusion: each line can be read by a JSON decoder without loss.

--- a/core/link.go
+++ b/core/link.go
@@ -102,7 +102,7 @@
 		return
 	}
 	delete(s.links, id)
-	s.log(notice.LinkDown, Attr{"peer", l.peer}, Attr{"node", l.node}, Attr{"role", l.role.String()}, Attr{"reason", reason})
+	s.log(notice.LinkDown, Attr{"peer", l.peer}, Attr{"remote", l.node}, Attr{"role", l.role.String()}, Attr{"reason", reason})
 	switch l.role {
 	case roleParent:
 		s.parentLost(id)
@@ -126,7 +126,7 @@
 			continue
 		}
 		if s.now.Sub(l.heard) > limit {
-			s.log(notice.LinkSilent, Attr{"peer", l.peer}, Attr{"node", l.node})
+			s.log(notice.LinkSilent, Attr{"peer", l.peer}, Attr{"remote", l.node})
 			s.emit(CloseLink{Link: id, Reason: "silent"})
 			s.linkDown(id, "silent")
 			continue
--- a/core/suspect.go
+++ b/core/suspect.go
@@ -77,7 +77,7 @@
 }
 
 func (s *State) suspect(e endpoint.Entry) {
-	s.log(notice.EndpointSuspected, Attr{"node", e.ID}, Attr{"incarnation", e.Incarnation.Start})
+	s.log(notice.EndpointSuspected, Attr{"remote", e.ID}, Attr{"incarnation", e.Incarnation.Start})
 	s.mark(e.Suspected())
 }
 
--- a/eventlog/catalogue_test.go
+++ b/eventlog/catalogue_test.go
@@ -53,3 +53,16 @@
 	documented, _ := catalogue(t)
 	is.Equal(documented, code) // number, level and text of each, both ways
 }
+
+// TestNoEventNamesAFieldOfEveryLine: a line with one name twice is read by the
+// last of the two, so that a lost node would pass for the one that lost it.
+func TestNoEventNamesAFieldOfEveryLine(t *testing.T) {
+	_, fields := catalogue(t)
+	for number, names := range fields {
+		for _, name := range names {
+			if slices.Contains([]string{"node", "event", "level", "msg", "ts"}, name) {
+				t.Errorf("event %s has a field %q, which every line has", number, name)
+			}
+		}
+	}
+}
