--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -9,7 +9,7 @@
 	"text/template"
 )
 
-//go:embed page.tmpl failures.tmpl
+//go:embed *.tmpl
 var templates embed.FS
 
 // page is what the template is given.
