--- a/core/export_tree_test.go
+++ b/core/export_tree_test.go
@@ -14,6 +14,7 @@
 	BreakCycleCheck   Break = "cycle check off"
 	BreakSuspicion    Break = "suspicion off"
 	BreakWatchdog     Break = "watchdog off"
+	BreakHalfSwap     Break = "set swapped without its compiled form"
 )
 
 // With returns the settings with a deliberate fault.
@@ -21,7 +22,7 @@
 	c.breaks = breaks{
 		versionGuard: b == BreakVersionGuard, digest: b == BreakDigest,
 		grace: b == BreakGrace, cycleCheck: b == BreakCycleCheck, suspicion: b == BreakSuspicion,
-		watchdog: b == BreakWatchdog,
+		watchdog: b == BreakWatchdog, halfSwap: b == BreakHalfSwap,
 	}
 	return c
 }
@@ -34,3 +35,6 @@
 
 // TableDigest returns the digest of the endpoint table.
 func (s *State) TableDigest() uint64 { return s.table.Digest() }
+
+// RoutesBy returns the version that requests are routed by.
+func (s *State) RoutesBy() uint64 { return s.holder.snapshot.Version }
--- a/core/holder.go
+++ b/core/holder.go
@@ -43,6 +43,9 @@
 		s.refuse(fmt.Sprintf("version %d: %d faults, first: %v", set.Version, len(faults), faults[0]))
 		return
 	}
+	if s.cfg.breaks.halfSwap {
+		snapshot = s.holder.snapshot
+	}
 	s.keepEncoded(set, delta)
 	s.holder.set, s.holder.snapshot, s.holder.refused = set, snapshot, ""
 	s.holder.deltas = append(s.holder.deltas, delta)
--- a/core/state.go
+++ b/core/state.go
@@ -81,6 +81,7 @@
 	cycleCheck   bool // a path that comes back is not looked at
 	watchdog     bool // a refused probe counts as one that was not answered
 	suspicion    bool // neighbours that go silent are not suspected
+	halfSwap     bool // the set is swapped without its compiled form
 }
 
 // WithDefaults returns the settings with every zero field filled in.
