--- a/cmd/agatekeel/status.go
+++ b/cmd/agatekeel/status.go
@@ -7,13 +7,11 @@
 	"slices"
 	"strconv"
 
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/platform"
 )
 
-// statusPrefix is that of the status objects in the platform.
-const statusPrefix = "status/"
-
 // listedStatuses bounds the submissions that are listed.
 const listedStatuses = 20
 
@@ -51,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	objects, _, err := store.List(ctx, statusPrefix)
+	objects, _, err := store.List(ctx, keyspace.Statuses)
 	if err != nil {
 		return fmt.Errorf("list submissions: %w", err)
 	}
--- a/core/claim.go
+++ b/core/claim.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// claimPrefix is the prefix of the claims on idempotency keys.
-const claimPrefix = "claim/"
-
 // maxKeys bounds the idempotency keys that one node holds in memory.
 const maxKeys = 64 << 10
 
@@ -54,7 +52,7 @@
 	version uint64
 }
 
-func claimKey(c *call) string { return claimPrefix + c.key.String() }
+func claimKey(c *call) string { return keyspace.Claims + c.key.String() }
 
 // claim asks the platform for the right to run a call under its key.
 func (s *State) claim(id CallID, c *call) {
@@ -170,7 +168,7 @@
 	}
 	if !s.now.Before(cl.sweepAt) {
 		cl.sweepAt = s.now.Add(claimSweepEvery)
-		s.storeList(fmt.Sprintf("%s%02x", claimPrefix, cl.shard), storeCall{purpose: forClaimSweep})
+		s.storeList(fmt.Sprintf("%s%02x", keyspace.Claims, cl.shard), storeCall{purpose: forClaimSweep})
 	}
 }
 
--- a/core/dump.go
+++ b/core/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/status"
 )
@@ -76,7 +77,7 @@
 func (s *State) dumpRoles() DumpRoles {
 	d := DumpRoles{
 		Leases: []DumpLease{
-			s.dumpLease(rootLeasePrefix+s.cfg.DataCentre, s.member.lease), s.dumpLease(publisherLeaseKey, s.publisher.lease),
+			s.dumpLease(keyspace.RootLeases+s.cfg.DataCentre, s.member.lease), s.dumpLease(keyspace.PublisherLease, s.publisher.lease),
 		},
 		OtherRoots: s.root.others, StoreCalls: len(s.calls),
 		Platform: DumpPlatform{Down: s.platform.down, Retries: len(s.platform.retries)},
--- a/core/member.go
+++ b/core/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
@@ -24,12 +25,6 @@
 	return [...]string{phaseSeeking: "seeking", phaseJoining: "joining", phaseJoined: "joined", phaseRoot: "root"}[p]
 }
 
-// Prefixes of the lease objects.
-const (
-	rootLeasePrefix   = "lease/root/"
-	publisherLeaseKey = "lease/publisher"
-)
-
 // joinTimeout bounds the time from a dial to a Welcome.
 const joinTimeout = 3 * time.Second
 
@@ -103,7 +98,7 @@
 
 func (s *State) readRootLease() {
 	s.member.reading = true
-	s.storeGet(rootLeasePrefix+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
+	s.storeGet(keyspace.RootLeases+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
 }
 
 // dialParent asks the node at an address for a place. A root that does so
@@ -144,7 +139,7 @@
 		return
 	}
 	if w, due := m.lease.Next(s.now, true); due {
-		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
+		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 		return
 	}
 	if rec.Holder == s.cfg.Node || rec.Address == s.cfg.Peer {
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -85,7 +86,7 @@
 		return
 	}
 	if w, due := p.lease.Next(s.now, s.canPublish()); due {
-		s.storePut(publisherLeaseKey, mustJSON(w.Record), w.Base, storeCall{purpose: forPublisherLease})
+		s.storePut(keyspace.PublisherLease, mustJSON(w.Record), w.Base, storeCall{purpose: forPublisherLease})
 	}
 	held := p.lease.Held(s.now)
 	if held && !p.active {
@@ -99,11 +100,11 @@
 	}
 	if !p.retryAt.IsZero() && !s.now.Before(p.retryAt) {
 		p.retryAt = time.Time{}
-		s.storeList(headKey, s.publisherCall(stepHead, ""))
+		s.storeList(keyspace.Head, s.publisherCall(stepHead, ""))
 	}
 	if p.listed && !p.watching {
 		p.watching = true
-		s.storeWatch(submissionPrefix, p.revision, s.cfg.WatchWait, s.publisherCall(stepWatch, ""))
+		s.storeWatch(keyspace.Submissions, p.revision, s.cfg.WatchWait, s.publisherCall(stepWatch, ""))
 	}
 	s.nextJob()
 	s.publisherCounted()
@@ -120,7 +121,7 @@
 
 func (s *State) startPublisher() {
 	p := &s.publisher
-	s.log(notice.LeaseTaken, Attr{"lease", publisherLeaseKey}, Attr{"epoch", p.lease.Epoch()})
+	s.log(notice.LeaseTaken, Attr{"lease", keyspace.PublisherLease}, Attr{"epoch", p.lease.Epoch()})
 	p.active, p.backoff = true, backoff{}
 	p.recorded, p.waiting = map[string]bool{}, nil
 	p.sweep = sweep{at: s.now.Add(s.jitter(s.cfg.SweepEvery)), statusAt: s.now.Add(s.jitter(s.cfg.SweepEvery))}
@@ -130,7 +131,7 @@
 // stopPublisher ends all work at once: the lease may be another node's.
 func (s *State) stopPublisher() {
 	p := &s.publisher
-	s.log(notice.LeaseLost, Attr{"lease", publisherLeaseKey})
+	s.log(notice.LeaseLost, Attr{"lease", keyspace.PublisherLease})
 	p.active = false
 	p.round++
 	p.job, p.queue, p.waiting, p.sweep = nil, nil, nil, sweep{}
@@ -251,6 +252,6 @@
 		s.restartPublisher(s.after(&p.backoff))
 		return
 	}
-	s.storeList(submissionPrefix, s.publisherCall(stepList, ""))
+	s.storeList(keyspace.Submissions, s.publisherCall(stepList, ""))
 	s.recoverStatuses()
 }
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -7,6 +7,7 @@
 	"unicode/utf8"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -101,10 +102,10 @@
 			held[name] = true
 		}
 	}
-	j.parts = map[string][]byte{manifestPrefix + j.head.Manifest: manifest}
+	j.parts = map[string][]byte{keyspace.Manifests + j.head.Manifest: manifest}
 	for _, c := range j.encoded.Chunks() {
 		if !held[c.Name] {
-			j.parts[chunkPrefix+c.Name] = c.Data
+			j.parts[keyspace.Chunks+c.Name] = c.Data
 		}
 	}
 	j.writes = len(j.parts)
@@ -115,7 +116,7 @@
 
 func (s *State) writePart(j *job, key string, base uint64) {
 	step := stepChunk
-	if strings.HasPrefix(key, manifestPrefix) {
+	if strings.HasPrefix(key, keyspace.Manifests) {
 		step = stepManifest
 	}
 	s.storePut(key, j.parts[key], base, s.publisherCall(step, key))
@@ -145,7 +146,7 @@
 
 func (s *State) commit(j *job) {
 	j.head.Recent = s.recent(j.settled)
-	s.storePut(headKey, mustJSON(j.head), s.publisher.headAt, s.publisherCall(stepCommit, ""))
+	s.storePut(keyspace.Head, mustJSON(j.head), s.publisher.headAt, s.publisherCall(stepCommit, ""))
 }
 
 // recent returns the settled submissions that the next head names. One whose
--- a/core/publisher_garbage.go
+++ b/core/publisher_garbage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
 )
 
@@ -42,7 +43,7 @@
 		return
 	}
 	w.busy, w.listed = true, map[string]uint64{}
-	s.storeList(chunkPrefix, s.publisherCall(stepGarbage, chunkPrefix))
+	s.storeList(keyspace.Chunks, s.publisherCall(stepGarbage, keyspace.Chunks))
 }
 
 // sweepFailed gives a sweep up; the next one finds what this one left.
@@ -57,7 +58,7 @@
 	if !w.busy || w.listed == nil {
 		return // given up in the meantime
 	}
-	if prefix == statusPrefix {
+	if prefix == keyspace.Statuses {
 		s.statusesListed(done.Objects)
 		w.statusAt = s.now.Add(statusSweeps * s.cfg.SweepEvery)
 		w.ready = true
@@ -67,10 +68,10 @@
 		w.listed[o.Key] = o.Version
 	}
 	switch {
-	case prefix == chunkPrefix:
-		s.storeList(manifestPrefix, s.publisherCall(stepGarbage, manifestPrefix))
+	case prefix == keyspace.Chunks:
+		s.storeList(keyspace.Manifests, s.publisherCall(stepGarbage, keyspace.Manifests))
 	case !s.now.Before(w.statusAt):
-		s.storeList(statusPrefix, s.publisherCall(stepGarbage, statusPrefix))
+		s.storeList(keyspace.Statuses, s.publisherCall(stepGarbage, keyspace.Statuses))
 	default:
 		w.ready = true
 	}
@@ -82,7 +83,7 @@
 func (s *State) statusesListed(objects []StoreObject) {
 	for _, o := range objects {
 		var st status.Status
-		id := o.Key[len(statusPrefix):]
+		id := o.Key[len(keyspace.Statuses):]
 		if json.Unmarshal(o.Data, &st) != nil {
 			continue
 		}
@@ -125,7 +126,7 @@
 		s.fenced(StoreDone{Version: p.headAt})
 		return true
 	}
-	s.storePut(headKey, mustJSON(p.head), p.headAt, s.publisherCall(stepFence, ""))
+	s.storePut(keyspace.Head, mustJSON(p.head), p.headAt, s.publisherCall(stepFence, ""))
 	return true
 }
 
@@ -140,9 +141,9 @@
 	if err != nil || config.ContentName(mustJSON(e.Manifest)) != p.head.Manifest {
 		return nil, false
 	}
-	live := map[string]bool{manifestPrefix + p.head.Manifest: true}
+	live := map[string]bool{keyspace.Manifests + p.head.Manifest: true}
 	for _, name := range e.Manifest.Chunks {
-		live[chunkPrefix+name] = true
+		live[keyspace.Chunks+name] = true
 	}
 	return live, true
 }
--- a/core/publisher_queue.go
+++ b/core/publisher_queue.go
@@ -7,15 +7,10 @@
 	"slices"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
 )
 
-// Keys of submissions and their status in the platform.
-const (
-	submissionPrefix = "submission/"
-	statusPrefix     = "status/"
-)
-
 // queued is a submission that waits for its turn.
 type queued struct {
 	key     string
@@ -48,7 +43,7 @@
 		if err := json.Unmarshal(o.Data, &q.sub); err != nil {
 			q.fault = fmt.Sprintf("submission can't be read: %v", err)
 		}
-		q.sub.ID = o.Key[len(submissionPrefix):]
+		q.sub.ID = o.Key[len(keyspace.Submissions):]
 		p.queue = append(p.queue, q)
 	}
 	slices.SortStableFunc(p.queue, func(a, b queued) int { return cmp.Compare(a.created, b.created) })
@@ -69,7 +64,7 @@
 	}
 	p.job = &job{queued: p.queue[0]}
 	p.queue = p.queue[1:]
-	s.storeGet(statusPrefix+p.job.sub.ID, s.publisherCall(stepSettled, p.job.sub.ID))
+	s.storeGet(keyspace.Statuses+p.job.sub.ID, s.publisherCall(stepSettled, p.job.sub.ID))
 }
 
 // settledRead begins with a submission, unless it is known to be settled: a
@@ -96,7 +91,7 @@
 // writeStatus writes what became of the submission at work.
 func (s *State) writeStatus(j *job) {
 	st := s.statusOf(j.settled)
-	s.storePut(statusPrefix+st.ID, mustJSON(st), 0, s.publisherCall(stepStatus, st.ID))
+	s.storePut(keyspace.Statuses+st.ID, mustJSON(st), 0, s.publisherCall(stepStatus, st.ID))
 }
 
 func (s *State) statusOf(settled config.Settled) status.Status {
@@ -124,7 +119,7 @@
 	p := &s.publisher
 	for _, settled := range p.head.Recent {
 		if !p.recorded[settled.ID] {
-			s.storeGet(statusPrefix+settled.ID, s.publisherCall(stepRecover, settled.ID))
+			s.storeGet(keyspace.Statuses+settled.ID, s.publisherCall(stepRecover, settled.ID))
 		}
 	}
 }
@@ -132,7 +127,7 @@
 func (s *State) recovered(id string, done StoreDone) {
 	if done.Err != StoreOK || len(done.Objects) == 0 {
 		if settled, ok := s.publisher.head.Settled(id); ok {
-			s.storePut(statusPrefix+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepRecord, id))
+			s.storePut(keyspace.Statuses+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepRecord, id))
 		}
 		return
 	}
@@ -149,7 +144,7 @@
 	p := &s.publisher
 	settled, ok := p.head.Settled(id)
 	if done.Err != StoreOK || !ok {
-		s.storeGet(statusPrefix+id, s.publisherCall(stepRecover, id))
+		s.storeGet(keyspace.Statuses+id, s.publisherCall(stepRecover, id))
 		return
 	}
 	p.recorded[id] = true
--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/status"
@@ -153,7 +154,7 @@
 		}
 		if a.unsure {
 			a.writing = true
-			s.storeGet(statusPrefix+a.status.ID, s.publisherCall(stepStatusOf, a.status.ID))
+			s.storeGet(keyspace.Statuses+a.status.ID, s.publisherCall(stepStatusOf, a.status.ID))
 			continue
 		}
 		if a.status.Version > lowest && !tell && !s.cfg.faults.hasty {
@@ -193,7 +194,7 @@
 func (s *State) replaceStatus(a *awaited, st status.Status, step publishStep) {
 	a.writing = true
 	a.status = st
-	s.storePut(statusPrefix+st.ID, mustJSON(st), a.version, s.publisherCall(step, st.ID))
+	s.storePut(keyspace.Statuses+st.ID, mustJSON(st), a.version, s.publisherCall(step, st.ID))
 }
 
 // awaitedFailed reads a status whose write failed or may have failed, before
--- a/core/root.go
+++ b/core/root.go
@@ -6,19 +6,13 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/tree"
 )
 
-// Keys of configuration in the platform.
-const (
-	headKey        = "config/head"
-	manifestPrefix = "config/manifest/"
-	chunkPrefix    = "config/chunk/"
-)
-
 // root is what a node does while it is the root of its data centre: it
 // watches the head and links with the roots of the other data centres.
 type root struct {
@@ -64,7 +58,7 @@
 }
 
 func (s *State) becomeRoot() {
-	s.log(notice.LeaseTaken, Attr{"lease", rootLeasePrefix + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
+	s.log(notice.LeaseTaken, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
 	s.enterRoot(false)
 	s.readHead()
 }
@@ -88,7 +82,7 @@
 
 // resignRoot gives the role up: another node holds the lease.
 func (s *State) resignRoot(reason string) {
-	s.log(notice.LeaseLost, Attr{"lease", rootLeasePrefix + s.cfg.DataCentre}, Attr{"reason", reason})
+	s.log(notice.LeaseLost, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"reason", reason})
 	s.leaveRoot()
 	s.seekAgain(s.cfg.JoinJitter)
 }
@@ -114,20 +108,20 @@
 		return
 	}
 	if w, due := s.member.lease.Next(s.now, true); due {
-		s.storePut(rootLeasePrefix+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
+		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 	}
 	if !s.root.listing && !s.now.Before(s.root.listAt) {
 		s.root.listing, s.root.listSent = true, s.now
-		s.storeList("lease/", storeCall{purpose: forLeaseList})
+		s.storeList(keyspace.Leases, storeCall{purpose: forLeaseList})
 	}
 	if s.root.headRead && !s.root.watching {
 		s.root.watching = true
-		s.storeWatch(headKey, s.root.revision, s.cfg.WatchWait, storeCall{purpose: forHeadWatch})
+		s.storeWatch(keyspace.Head, s.root.revision, s.cfg.WatchWait, storeCall{purpose: forHeadWatch})
 	}
 }
 
 func (s *State) readHead() {
-	s.storeList(headKey, storeCall{purpose: forHeadRead})
+	s.storeList(keyspace.Head, storeCall{purpose: forHeadRead})
 }
 
 func (s *State) headReadDone(done StoreDone) {
@@ -136,7 +130,7 @@
 	}
 	if done.Err != StoreOK {
 		s.platformFailed(done)
-		s.storeListLater(headKey, storeCall{purpose: forHeadRead})
+		s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
 		return
 	}
 	s.platform.backoff.succeeded()
@@ -168,7 +162,7 @@
 	default:
 		s.platformFailed(done)
 		s.root.headRead = false
-		s.storeListLater(headKey, storeCall{purpose: forHeadRead})
+		s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
 	}
 }
 
@@ -187,7 +181,7 @@
 		return
 	}
 	s.root.fetch = &fetch{head: h, chunks: map[string][]byte{}}
-	s.storeGet(manifestPrefix+h.Manifest, storeCall{purpose: forManifest, name: h.Manifest})
+	s.storeGet(keyspace.Manifests+h.Manifest, storeCall{purpose: forManifest, name: h.Manifest})
 }
 
 func (s *State) manifestRead(c storeCall, done StoreDone) {
@@ -211,7 +205,7 @@
 			continue
 		}
 		f.missing++
-		s.storeGet(chunkPrefix+name, storeCall{purpose: forChunk, name: name, version: f.head.Version})
+		s.storeGet(keyspace.Chunks+name, storeCall{purpose: forChunk, name: name, version: f.head.Version})
 	}
 	s.fetchDone()
 }
@@ -250,7 +244,7 @@
 	s.root.fetch = nil
 	s.platformFailed(done)
 	s.root.headRead = false
-	s.storeListLater(headKey, storeCall{purpose: forHeadRead})
+	s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
 }
 
 func (s *State) fetchDone() {
--- a/core/roots.go
+++ b/core/roots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/tree"
@@ -29,9 +30,9 @@
 		if json.Unmarshal(o.Data, &rec) != nil {
 			continue
 		}
-		dc, isRoot := strings.CutPrefix(o.Key, rootLeasePrefix)
+		dc, isRoot := strings.CutPrefix(o.Key, keyspace.RootLeases)
 		switch {
-		case o.Key == publisherLeaseKey:
+		case o.Key == keyspace.PublisherLease:
 			publisherSeen = true
 			s.publisher.lease.Observe(s.now, rec, o.Version)
 		case isRoot && dc == s.cfg.DataCentre:
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -8,6 +8,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 )
@@ -114,7 +115,7 @@
 	if err != nil {
 		panic(err)
 	}
-	if err := m.Write("submission/"+id, data); err != nil {
+	if err := m.Write(keyspace.Submissions+id, data); err != nil {
 		panic(err)
 	}
 }
--- a/internal/capacity/paced.go
+++ b/internal/capacity/paced.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/peer"
@@ -86,7 +87,7 @@
 		return Slope{}, err
 	}
 	return measure("platform call, by calls a second", "ns", pacedRates, func(rate int) float64 {
-		return paced(rate, func() { _, _, _ = client.List(context.Background(), "lease/") })
+		return paced(rate, func() { _, _, _ = client.List(context.Background(), keyspace.Leases) })
 	}), nil
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,19 +12,11 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/platform"
 )
 
-// Keys in the platform.
-const (
-	submissionPrefix = "submission/"
-	statusPrefix     = "status/"
-	headKey          = "config/head"
-	manifestPrefix   = "config/manifest/"
-	chunkPrefix      = "config/chunk/"
-)
-
 // Errors of this package.
 var (
 	// ErrNoSubmission says that no submission has the ID.
@@ -66,7 +58,7 @@
 		}
 		if errors.Is(err, ErrNoSubmission) {
 			absent = true
-			_, err = c.store.Put(ctx, submissionPrefix+sub.ID, data, 0)
+			_, err = c.store.Put(ctx, keyspace.Submissions+sub.ID, data, 0)
 			if err == nil || errors.Is(err, platform.ErrConflict) {
 				return nil
 			}
@@ -101,8 +93,8 @@
 func (c *Client) Status(ctx context.Context, id string) (status.Status, error) {
 	// The submission is read first: it is removed only after its status was
 	// written, so one of the two is always found.
-	_, subErr := c.store.Get(ctx, submissionPrefix+id)
-	o, err := c.store.Get(ctx, statusPrefix+id)
+	_, subErr := c.store.Get(ctx, keyspace.Submissions+id)
+	o, err := c.store.Get(ctx, keyspace.Statuses+id)
 	switch {
 	case err == nil:
 		var st status.Status
@@ -128,7 +120,7 @@
 func (c *Client) Wait(ctx context.Context, id string) (status.Status, error) {
 	var last status.Status
 	for {
-		_, revision, listErr := c.store.List(ctx, statusPrefix+id)
+		_, revision, listErr := c.store.List(ctx, keyspace.Statuses+id)
 		st, err := c.Status(ctx, id)
 		if err == nil {
 			last = st
@@ -140,7 +132,7 @@
 			return last, fmt.Errorf("wait for %s: %w", id, ctx.Err())
 		}
 		if err == nil && listErr == nil {
-			_, _, err = c.store.Watch(ctx, statusPrefix+id, revision, waitEvery)
+			_, _, err = c.store.Watch(ctx, keyspace.Statuses+id, revision, waitEvery)
 		}
 		if err != nil || listErr != nil {
 			sleep(ctx, waitEvery/10)
@@ -171,7 +163,7 @@
 
 func (c *Client) readCurrent(ctx context.Context) (*config.Set, error) {
 	var h config.Head
-	o, err := c.store.Get(ctx, headKey)
+	o, err := c.store.Get(ctx, keyspace.Head)
 	if errors.Is(err, platform.ErrNotFound) {
 		return config.NewSet(0, nil), nil
 	}
@@ -185,7 +177,7 @@
 		return config.NewSet(0, nil), nil
 	}
 	var m config.Manifest
-	o, err = c.store.Get(ctx, manifestPrefix+h.Manifest)
+	o, err = c.store.Get(ctx, keyspace.Manifests+h.Manifest)
 	if err != nil {
 		return nil, fmt.Errorf("read manifest of version %d: %w", h.Version, err)
 	}
@@ -194,7 +186,7 @@
 	}
 	chunks := map[string][]byte{}
 	for _, name := range m.Chunks {
-		o, err := c.store.Get(ctx, chunkPrefix+name)
+		o, err := c.store.Get(ctx, keyspace.Chunks+name)
 		if err != nil {
 			return nil, fmt.Errorf("read chunk of version %d: %w", h.Version, err)
 		}
