Move the store interface to a package of its own

Cause: the package named platform held the product's own Store, its HTTP binding and its stand-in; the adapter to the users' platform needs that name. Change: platform is now store, platform/platformtest is store/storetest; local variables that hid the package name are renamed. No behaviour changes. Checked: go vet; tests of store, core, node, operator and cmd pass.

--- a/cmd/agatekeel/apply.go
+++ b/cmd/agatekeel/apply.go
@@ -12,7 +12,7 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/operator"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // platformOption is shared by the commands that talk to the platform.
@@ -26,8 +26,8 @@
 	submitTimeout = 20 * time.Second // reading what is published and submitting
 )
 
-func (o platformOption) store() (platform.Store, error) {
-	store, err := platform.NewClient(o.Platform)
+func (o platformOption) store() (store.Store, error) {
+	store, err := store.NewClient(o.Platform)
 	if err != nil {
 		return nil, usageError("--platform: %v", err)
 	}
--- a/cmd/agatekeel/commands_test.go
+++ b/cmd/agatekeel/commands_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // agatekeel runs one command line in this process.
@@ -214,19 +214,19 @@
 	}
 
 	// The write takes effect, its answer is lost: the client finds it itself.
-	m.store.SetFaults(platformtest.Faults{LoseAnswer: lost})
+	m.store.SetFaults(storetest.Faults{LoseAnswer: lost})
 	code, stdout, _ := apply("--id", "first")
 	is.Equal(code, exitOK)
 	is.Equal(stdout, "submission first\nfirst Pending\n")
 
 	// No answer settles it: the command says that it does not know, and how to learn.
-	m.store.SetFaults(platformtest.Faults{LoseAnswer: lost, Throttle: down})
+	m.store.SetFaults(storetest.Faults{LoseAnswer: lost, Throttle: down})
 	code, stdout, stderr := apply("--id", "second")
 	is.Equal(code, exitFailed)
 	is.Equal(stdout, "submission second\n")
 	is.True(strings.Contains(stderr, "not known whether the submission was taken"))
 	is.True(strings.Contains(stderr, "run the same command with --id second"))
-	m.store.SetFaults(platformtest.Faults{})
+	m.store.SetFaults(storetest.Faults{})
 	code, _, stderr = apply("--id", "second")
 	is.Equal(code, exitOK)
 	is.True(!strings.Contains(stderr, "not known"))
--- a/cmd/agatekeel/dev.go
+++ b/cmd/agatekeel/dev.go
@@ -12,9 +12,9 @@
 	"github.com/agatekeel/agatekeel/internal/sample"
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/operator"
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/settings"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // devCommand runs a whole mesh on one machine.
@@ -43,7 +43,7 @@
 // mesh is what dev has started.
 type mesh struct {
 	platform  string // URL of the platform stand-in
-	store     *platformtest.Store
+	store     *storetest.Store
 	nodes     []*node.Node
 	listeners []*node.Listeners
 	closers   []func()
@@ -108,8 +108,8 @@
 	if err != nil {
 		return fmt.Errorf("--platform-listen: %w", err)
 	}
-	m.store = platformtest.NewStore()
-	server := &http.Server{Handler: platformtest.Handler(m.store), ReadHeaderTimeout: 10 * time.Second}
+	m.store = storetest.NewStore()
+	server := &http.Server{Handler: storetest.Handler(m.store), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	m.closers = append(m.closers, func() { _ = server.Close() })
 	m.platform = "http://" + l.Addr().String()
@@ -170,7 +170,7 @@
 		case <-settled:
 		}
 	}()
-	store, err := platform.NewClient(platformURL)
+	store, err := store.NewClient(platformURL)
 	if err != nil {
 		return err
 	}
--- a/cmd/agatekeel/status.go
+++ b/cmd/agatekeel/status.go
@@ -9,7 +9,7 @@
 
 	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // listedStatuses bounds the submissions that are listed.
@@ -45,15 +45,15 @@
 
 // list shows the latest submissions, the newest first.
 func (c *statusCommand) list(ctx context.Context) error {
-	store, err := c.store()
+	kept, err := c.store()
 	if err != nil {
 		return err
 	}
-	objects, _, err := store.List(ctx, keyspace.Statuses)
+	objects, _, err := kept.List(ctx, keyspace.Statuses)
 	if err != nil {
 		return fmt.Errorf("list submissions: %w", err)
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return int(int64(b.Created) - int64(a.Created)) })
+	slices.SortFunc(objects, func(a, b store.Object) int { return int(int64(b.Created) - int64(a.Created)) })
 	all := []status.Status{}
 	for _, o := range objects[:min(len(objects), listedStatuses)] {
 		var st status.Status
--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -14,7 +14,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // Faults are what may go wrong. Probabilities are for each call or message.
@@ -34,7 +34,7 @@
 type Mesh struct {
 	Now    time.Time
 	Rand   *rand.Rand
-	Store  *platformtest.Store
+	Store  *storetest.Store
 	Faults Faults
 	// OnStep, if set, is called after each event a node took.
 	OnStep func(n *Node, e core.Event)
@@ -94,7 +94,7 @@
 	return &Mesh{
 		Now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		Rand:  rand.New(rand.NewPCG(seed, 1)),
-		Store: platformtest.NewStore(),
+		Store: storetest.NewStore(),
 		Faults: Faults{
 			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
 		},
--- a/core/coretest/store.go
+++ b/core/coretest/store.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/agatekeel/agatekeel/core"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // callStore lets a call take effect at the platform.
@@ -109,7 +109,7 @@
 	m.watches = nil
 }
 
-func objects(objs ...platform.Object) []core.StoreObject {
+func objects(objs ...store.Object) []core.StoreObject {
 	out := make([]core.StoreObject, 0, len(objs))
 	for _, o := range objs {
 		out = append(out, core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data})
@@ -140,15 +140,15 @@
 	}
 	done.Detail = err.Error()
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		done.Err = core.StoreNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		done.Err = core.StoreConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		done.Err = core.StoreTooLarge
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted):
 		done.Err = core.StoreCompacted
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, store.ErrThrottled):
 		done.Err = core.StoreThrottled
 	default:
 		done.Err = core.StoreFailed
--- a/core/platform_test.go
+++ b/core/platform_test.go
@@ -15,7 +15,7 @@
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // TestCallsDuringAnOutage counts what nodes ask of a platform that refuses
@@ -30,8 +30,8 @@
 	}{
 		{"no answer", func(m *coretest.Mesh) { m.Faults.FailBefore = 1 }, func(m *coretest.Mesh) { m.Heal() }, true},
 		{"rate refused", func(m *coretest.Mesh) {
-			m.Store.SetFaults(platformtest.Faults{Throttle: func(string, string) bool { return true }})
-		}, func(m *coretest.Mesh) { m.Store.SetFaults(platformtest.Faults{}) }, false},
+			m.Store.SetFaults(storetest.Faults{Throttle: func(string, string) bool { return true }})
+		}, func(m *coretest.Mesh) { m.Store.SetFaults(storetest.Faults{}) }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/publisher_check_test.go
+++ b/core/publisher_check_test.go
@@ -13,7 +13,7 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // publishChecker follows every write that took effect in the platform and
@@ -86,7 +86,7 @@
 	}
 }
 
-func (c *publishChecker) submitted(id string, o platform.Object) {
+func (c *publishChecker) submitted(id string, o store.Object) {
 	var sub config.Submission
 	_ = json.Unmarshal(o.Data, &sub) // one that can't be read is empty here
 	if _, known := c.subs[id]; !known {
@@ -100,7 +100,7 @@
 	}
 }
 
-func (c *publishChecker) headWritten(o platform.Object) {
+func (c *publishChecker) headWritten(o store.Object) {
 	var h config.Head
 	if err := json.Unmarshal(o.Data, &h); err != nil {
 		c.fail("head: %w", err)
@@ -201,7 +201,7 @@
 	return set
 }
 
-func (c *publishChecker) statusWritten(id string, o platform.Object) {
+func (c *publishChecker) statusWritten(id string, o store.Object) {
 	var st status.Status
 	if err := json.Unmarshal(o.Data, &st); err != nil {
 		c.fail("status of %s: %w", id, err)
--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -16,7 +16,7 @@
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // publishMesh starts a mesh of two data centres whose writes are checked.
@@ -240,7 +240,7 @@
 func TestPublisherChecksCanFail(t *testing.T) {
 	headUnguarded := func(m *coretest.Mesh, _ *publishChecker) {
 		m.Run(10 * time.Second)
-		m.Store.SetFaults(platformtest.Faults{IgnoreBase: func(key string) bool { return strings.HasPrefix(key, "config/head") }})
+		m.Store.SetFaults(storetest.Faults{IgnoreBase: func(key string) bool { return strings.HasPrefix(key, "config/head") }})
 	}
 	pause := func(c *publishChecker, n *coretest.Node) { c.pause(n.Name, 12*time.Second) }
 	tests := []struct {
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -16,8 +16,8 @@
 	"github.com/agatekeel/agatekeel/load"
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/operator"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/settings"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // latency is what two nodes add to a call at one rate, in microseconds: the
@@ -47,8 +47,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform stand-in: %w", err)
 	}
-	store := platformtest.NewStore()
-	server := &http.Server{Handler: platformtest.Handler(store), ReadHeaderTimeout: 10 * time.Second}
+	store := storetest.NewStore()
+	server := &http.Server{Handler: storetest.Handler(store), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	backend, err := sample.Start("measured", "measured")
--- a/internal/capacity/paced.go
+++ b/internal/capacity/paced.go
@@ -14,8 +14,8 @@
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // pacedRates are the rates, in operations a second, at which processor time
@@ -79,10 +79,10 @@
 	if err != nil {
 		return Slope{}, fmt.Errorf("listen: %w", err)
 	}
-	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: storetest.Handler(storetest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
-	client, err := platform.NewClient("http://" + l.Addr().String())
+	client, err := store.NewClient("http://" + l.Addr().String())
 	if err != nil {
 		return Slope{}, err
 	}
--- a/internal/capacity/resident/main.go
+++ b/internal/capacity/resident/main.go
@@ -23,8 +23,8 @@
 	"github.com/agatekeel/agatekeel/internal/capacity/sizes"
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/settings"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // window is how long the node's processor time is watched.
@@ -75,7 +75,7 @@
 	if err != nil {
 		return r, fmt.Errorf("platform stand-in: %w", err)
 	}
-	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: storetest.Handler(storetest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -29,7 +29,7 @@
 // fleet is a number of real nodes and the platform stand-in.
 type fleet struct {
 	favour  core.Favour
-	store   *store
+	store   *countedStore
 	nodes   []*member
 	changes int
 	lives   uint64
--- a/internal/measure/store.go
+++ b/internal/measure/store.go
@@ -9,17 +9,17 @@
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/keyspace"
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // storeLatency is the time that each call takes: the platform answers in
 // milliseconds.
 const storeLatency = 3 * time.Millisecond
 
-// store counts the calls on the stand-in and notes when the head changed.
-type store struct {
-	*platformtest.Store
+// countedStore counts the calls on the stand-in and notes when the head changed.
+type countedStore struct {
+	*storetest.Store
 	calls   atomic.Int64
 	version atomic.Uint64 // of the newest head
 
@@ -29,9 +29,11 @@
 	watching bool
 }
 
-func newStore() *store { return &store{Store: platformtest.NewStore(), seconds: map[int64]int{}} }
+func newStore() *countedStore {
+	return &countedStore{Store: storetest.NewStore(), seconds: map[int64]int{}}
+}
 
-func (s *store) count() {
+func (s *countedStore) count() {
 	s.calls.Add(1)
 	s.mu.Lock()
 	if s.watching {
@@ -41,14 +43,14 @@
 	time.Sleep(storeLatency)
 }
 
-func (s *store) watchPeak() {
+func (s *countedStore) watchPeak() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watching = true
 }
 
 // peak returns the most calls in one second since watchPeak.
-func (s *store) peak() int {
+func (s *countedStore) peak() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most := 0
@@ -58,26 +60,26 @@
 	return most
 }
 
-func (s *store) accepted() time.Time {
+func (s *countedStore) accepted() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.headAt
 }
 
-// Get implements platform.Store.
-func (s *store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *countedStore) Get(ctx context.Context, key string) (store.Object, error) {
 	s.count()
 	return s.Store.Get(ctx, key)
 }
 
-// List implements platform.Store.
-func (s *store) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+// List implements store.Store.
+func (s *countedStore) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
 	s.count()
 	return s.Store.List(ctx, prefix)
 }
 
-// Put implements platform.Store.
-func (s *store) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
+// Put implements store.Store.
+func (s *countedStore) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
 	s.count()
 	v, err := s.Store.Put(ctx, key, data, base)
 	var h config.Head
@@ -90,14 +92,14 @@
 	return v, err
 }
 
-// Delete implements platform.Store.
-func (s *store) Delete(ctx context.Context, key string, base uint64) error {
+// Delete implements store.Store.
+func (s *countedStore) Delete(ctx context.Context, key string, base uint64) error {
 	s.count()
 	return s.Store.Delete(ctx, key, base)
 }
 
-// Watch implements platform.Store.
-func (s *store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements store.Store.
+func (s *countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	s.count()
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/internal/sample"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/settings"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 func main() {
@@ -40,7 +40,7 @@
 	if err != nil {
 		return fmt.Errorf("platform stand-in: %w", err)
 	}
-	server := &http.Server{Handler: platformtest.Handler(platformtest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: storetest.Handler(storetest.NewStore()), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	centres := []string{"derby", "leicester"}
 	for _, service := range []string{"recipe-book", "orders", "print-room", "scaler"} {
--- a/node/admin_test.go
+++ b/node/admin_test.go
@@ -21,9 +21,9 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/proxy"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // handClock is moved by hand.
@@ -41,7 +41,7 @@
 func newTestNode() (*Node, metrics.Registry) {
 	r := metrics.NewRegistry()
 	cfg := core.Config{Node: "n1", DataCentre: "derby", Service: "orders"}.WithDefaults()
-	n := New(cfg, &handClock{now: time.Unix(1000, 0)}, newMeteredStore(platformtest.NewStore(), r), noProber{}, eventlog.Nop())
+	n := New(cfg, &handClock{now: time.Unix(1000, 0)}, newMeteredStore(storetest.NewStore(), r), noProber{}, eventlog.Nop())
 	n.CountIn(r)
 	return n, r
 }
@@ -184,7 +184,7 @@
 
 func TestPlatformCallsAreCounted(t *testing.T) {
 	is := is.New(t)
-	r, store := metrics.NewRegistry(), platformtest.NewStore()
+	r, store := metrics.NewRegistry(), storetest.NewStore()
 	m, ctx := newMeteredStore(store, r), context.Background()
 	version, err := m.Put(ctx, "k", []byte("v"), 0)
 	is.NoErr(err)
@@ -197,10 +197,10 @@
 	_, _, err = m.Watch(ctx, "k", 0, time.Millisecond)
 	is.NoErr(err)
 	is.NoErr(m.Delete(ctx, "k", version))
-	store.SetFaults(platformtest.Faults{Throttle: func(string, string) bool { return true }})
+	store.SetFaults(storetest.Faults{Throttle: func(string, string) bool { return true }})
 	_, err = m.Get(ctx, "k")
 	is.True(err != nil)
-	store.SetFaults(platformtest.Faults{Down: true})
+	store.SetFaults(storetest.Faults{Down: true})
 	_, err = m.Get(ctx, "k")
 	is.True(err != nil)
 	for _, name := range strings.Fields("put.ok put.conflict get.not-found list.ok watch.ok delete.ok get.throttled get.failed") {
@@ -208,4 +208,4 @@
 	}
 }
 
-var _ platform.Store = (*meteredStore)(nil)
+var _ store.Store = (*meteredStore)(nil)
--- a/node/metered.go
+++ b/node/metered.go
@@ -7,7 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/agatekeel/agatekeel/core"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 var outcomeNames = map[core.StoreError]string{
@@ -18,12 +18,12 @@
 // meteredStore counts the calls of a Store by kind and outcome, and times
 // them.
 type meteredStore struct {
-	store  platform.Store
+	store  store.Store
 	counts map[string]metrics.Counter
 	timers map[string]metrics.Timer
 }
 
-func newMeteredStore(s platform.Store, r metrics.Registry) *meteredStore {
+func newMeteredStore(s store.Store, r metrics.Registry) *meteredStore {
 	m := &meteredStore{store: s, counts: map[string]metrics.Counter{}, timers: map[string]metrics.Timer{}}
 	for _, kind := range []string{"get", "list", "put", "delete", "watch"} {
 		m.timers[kind] = metrics.GetOrRegisterTimer("platform."+kind+".time", r)
@@ -44,23 +44,23 @@
 	m.timers[kind].UpdateSince(started)
 }
 
-// Get implements platform.Store.
-func (m *meteredStore) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (m *meteredStore) Get(ctx context.Context, key string) (store.Object, error) {
 	started := time.Now()
 	o, err := m.store.Get(ctx, key)
 	m.done("get", started, err)
 	return o, err
 }
 
-// List implements platform.Store.
-func (m *meteredStore) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+// List implements store.Store.
+func (m *meteredStore) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
 	started := time.Now()
 	objects, revision, err := m.store.List(ctx, prefix)
 	m.done("list", started, err)
 	return objects, revision, err
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (m *meteredStore) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
 	started := time.Now()
 	version, err := m.store.Put(ctx, key, data, base)
@@ -68,7 +68,7 @@
 	return version, err
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (m *meteredStore) Delete(ctx context.Context, key string, base uint64) error {
 	started := time.Now()
 	err := m.store.Delete(ctx, key, base)
@@ -76,8 +76,8 @@
 	return err
 }
 
-// Watch implements platform.Store.
-func (m *meteredStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements store.Store.
+func (m *meteredStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	started := time.Now()
 	changes, revision, err := m.store.Watch(ctx, prefix, after, wait)
 	m.done("watch", started, err)
--- a/node/module.go
+++ b/node/module.go
@@ -17,10 +17,10 @@
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform"
 	"github.com/agatekeel/agatekeel/proxy"
 	"github.com/agatekeel/agatekeel/security"
 	"github.com/agatekeel/agatekeel/settings"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // Module puts a node together from settings.Settings.
@@ -39,8 +39,8 @@
 	return eventlog.New(eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node})
 }
 
-func newStore(s settings.Settings, r metrics.Registry) (platform.Store, error) {
-	client, err := platform.NewClient(s.Platform)
+func newStore(s settings.Settings, r metrics.Registry) (store.Store, error) {
+	client, err := store.NewClient(s.Platform)
 	if err != nil {
 		return nil, fmt.Errorf("settings: platform: %w", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,7 @@
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/internal/build"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // Clock tells the time and ticks.
@@ -56,7 +56,7 @@
 // Node runs one State.
 type Node struct {
 	clock  Clock
-	store  platform.Store
+	store  store.Store
 	prober Prober
 	log    *eventlog.Logger
 	links  Links
@@ -77,7 +77,7 @@
 }
 
 // New returns a Node that is not running yet.
-func New(cfg core.Config, clock Clock, store platform.Store, prober Prober, log *eventlog.Logger) *Node {
+func New(cfg core.Config, clock Clock, store store.Store, prober Prober, log *eventlog.Logger) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
 		clock: clock, store: store, prober: prober, log: log, ctx: ctx, cancel: cancel,
--- a/node/store.go
+++ b/node/store.go
@@ -4,7 +4,7 @@
 	"errors"
 
 	"github.com/agatekeel/agatekeel/core"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // callStore makes one platform call and steps its result in.
@@ -47,22 +47,22 @@
 	panic("node: effect of unknown type")
 }
 
-func storeObject(o platform.Object, deleted bool) core.StoreObject {
+func storeObject(o store.Object, deleted bool) core.StoreObject {
 	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Deleted: deleted}
 }
 
 // storeError turns an error of the platform into the reducer's.
 func storeError(err error) core.StoreError {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return core.StoreNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return core.StoreConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		return core.StoreTooLarge
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, store.ErrThrottled):
 		return core.StoreThrottled
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted):
 		return core.StoreCompacted
 	}
 	return core.StoreFailed
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,7 +14,7 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/status"
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // Errors of this package.
@@ -33,10 +33,10 @@
 var validID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
 
 // Client talks to the platform for one operator.
-type Client struct{ store platform.Store }
+type Client struct{ store store.Store }
 
 // New returns a Client.
-func New(store platform.Store) *Client { return &Client{store: store} }
+func New(store store.Store) *Client { return &Client{store: store} }
 
 // Bounds of the tries by which a lost answer is settled.
 const (
@@ -59,10 +59,10 @@
 		if errors.Is(err, ErrNoSubmission) {
 			absent = true
 			_, err = c.store.Put(ctx, keyspace.Submissions+sub.ID, data, 0)
-			if err == nil || errors.Is(err, platform.ErrConflict) {
+			if err == nil || errors.Is(err, store.ErrConflict) {
 				return nil
 			}
-			sent = sent || !errors.Is(err, platform.ErrThrottled)
+			sent = sent || !errors.Is(err, store.ErrThrottled)
 		}
 		sleep(ctx, rand.N(submitBackoff<<try))
 		if ctx.Err() != nil {
@@ -83,8 +83,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode submission %s: %w", sub.ID, err)
 	}
-	if len(data) > platform.MaxValueBytes {
-		return nil, fmt.Errorf("submission %s has %d bytes, at most %d are allowed: split it", sub.ID, len(data), platform.MaxValueBytes)
+	if len(data) > store.MaxValueBytes {
+		return nil, fmt.Errorf("submission %s has %d bytes, at most %d are allowed: split it", sub.ID, len(data), store.MaxValueBytes)
 	}
 	return data, nil
 }
@@ -102,11 +102,11 @@
 			return status.Status{}, fmt.Errorf("status of %s can't be read: %w", id, err)
 		}
 		return st, nil
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, store.ErrNotFound):
 		return status.Status{}, fmt.Errorf("status of %s: %w", id, err)
 	case subErr == nil:
 		return status.Status{ID: id, Phase: status.Pending}, nil
-	case errors.Is(subErr, platform.ErrNotFound):
+	case errors.Is(subErr, store.ErrNotFound):
 		return status.Status{}, fmt.Errorf("status of %s: %w", id, ErrNoSubmission)
 	}
 	return status.Status{}, fmt.Errorf("status of %s: %w", id, subErr)
@@ -155,7 +155,7 @@
 func (c *Client) Current(ctx context.Context) (*config.Set, error) {
 	for try := 1; ; try++ {
 		set, err := c.readCurrent(ctx)
-		if !errors.Is(err, platform.ErrNotFound) || try == currentTries {
+		if !errors.Is(err, store.ErrNotFound) || try == currentTries {
 			return set, err
 		}
 	}
@@ -164,7 +164,7 @@
 func (c *Client) readCurrent(ctx context.Context) (*config.Set, error) {
 	var h config.Head
 	o, err := c.store.Get(ctx, keyspace.Head)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return config.NewSet(0, nil), nil
 	}
 	if err != nil {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -13,8 +13,8 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/status"
 	"github.com/agatekeel/agatekeel/operator"
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 func object(kind config.Kind, name, spec string) config.Object {
@@ -28,9 +28,9 @@
 
 func TestSubmitSettlesLostAnswers(t *testing.T) {
 	is := is.New(t)
-	store := platformtest.NewStore()
+	store := storetest.NewStore()
 	lost := 0
-	store.SetFaults(platformtest.Faults{LoseAnswer: func(op, _ string) bool {
+	store.SetFaults(storetest.Faults{LoseAnswer: func(op, _ string) bool {
 		lost++
 		return op == "put" && lost <= 2
 	}})
@@ -49,20 +49,20 @@
 	put := func(op, _ string) bool { return op == "put" }
 	tests := []struct {
 		name   string
-		faults platformtest.Faults
+		faults storetest.Faults
 		sub    config.Submission
 		want   error
 	}{
-		{"platform down", platformtest.Faults{Down: true}, config.Submission{ID: "s"}, operator.ErrUnknownFate}, // an earlier try may have been taken
-		{"rate refused", platformtest.Faults{Throttle: put}, config.Submission{ID: "s"}, operator.ErrNotTaken},
-		{"every answer lost", platformtest.Faults{LoseAnswer: always}, config.Submission{ID: "s"}, nil},
-		{"no ID", platformtest.Faults{}, config.Submission{}, operator.ErrInvalidID},
-		{"ID with a slash", platformtest.Faults{}, config.Submission{ID: "a/b"}, operator.ErrInvalidID},
+		{"platform down", storetest.Faults{Down: true}, config.Submission{ID: "s"}, operator.ErrUnknownFate}, // an earlier try may have been taken
+		{"rate refused", storetest.Faults{Throttle: put}, config.Submission{ID: "s"}, operator.ErrNotTaken},
+		{"every answer lost", storetest.Faults{LoseAnswer: always}, config.Submission{ID: "s"}, nil},
+		{"no ID", storetest.Faults{}, config.Submission{}, operator.ErrInvalidID},
+		{"ID with a slash", storetest.Faults{}, config.Submission{ID: "a/b"}, operator.ErrInvalidID},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			store := platformtest.NewStore()
+			store := storetest.NewStore()
 			store.SetFaults(tt.faults)
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
@@ -72,7 +72,7 @@
 }
 
 // publish writes a set the way a publisher does and returns its manifest.
-func publish(t *testing.T, store platform.Store, set *config.Set) config.Manifest {
+func publish(t *testing.T, store store.Store, set *config.Set) config.Manifest {
 	t.Helper()
 	is := is.New(t)
 	ctx := context.Background()
@@ -97,11 +97,11 @@
 
 // collecting replaces the published set while it is read for the first time.
 type collecting struct {
-	platform.Store
+	store.Store
 	replace func()
 }
 
-func (c *collecting) Get(ctx context.Context, key string) (platform.Object, error) {
+func (c *collecting) Get(ctx context.Context, key string) (store.Object, error) {
 	if strings.HasPrefix(key, "config/chunk/") && c.replace != nil {
 		replace := c.replace
 		c.replace = nil
@@ -112,7 +112,7 @@
 
 func TestCurrentWhileTheSetIsReplaced(t *testing.T) {
 	is := is.New(t)
-	store := platformtest.NewStore()
+	store := storetest.NewStore()
 	old := publish(t, store, config.NewSet(1, objects))
 	c := operator.New(&collecting{Store: store, replace: func() {
 		publish(t, store, config.NewSet(2, objects[:1]))
@@ -128,7 +128,7 @@
 
 func TestWaitEndsWithTheLastStatus(t *testing.T) {
 	is := is.New(t)
-	store := platformtest.NewStore()
+	store := storetest.NewStore()
 	c := operator.New(store)
 	write := func(base uint64, st status.Status) uint64 {
 		data, err := json.Marshal(st)
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -20,8 +20,8 @@
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/operator"
 	"github.com/agatekeel/agatekeel/peer"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
 	"github.com/agatekeel/agatekeel/proxy"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // testDeadline bounds every wait for a condition.
@@ -48,7 +48,7 @@
 // this process, over real sockets.
 type mesh struct {
 	t      testing.TB
-	store  *platformtest.Store
+	store  *storetest.Store
 	nodes  []*meshNode
 	runs   *sample.Runs
 	client *http.Client
@@ -59,7 +59,7 @@
 // newMesh starts nodes; those of an empty service have no backend server.
 func newMesh(t testing.TB, tweak func(*core.Config, *proxy.Config), services ...string) *mesh {
 	m := &mesh{
-		t: t, store: platformtest.NewStore(), runs: sample.NewRuns(), tweak: tweak,
+		t: t, store: storetest.NewStore(), runs: sample.NewRuns(), tweak: tweak,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}, Timeout: testDeadline},
 	}
 	t.Cleanup(m.close)
--- a/platform/http_test.go
+++ b/store/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
-	"github.com/agatekeel/agatekeel/platform"
-	"github.com/agatekeel/agatekeel/platform/platformtest"
+	"github.com/agatekeel/agatekeel/store"
+	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
 // operation is one call on one key.
@@ -123,9 +123,9 @@
 	switch {
 	case err == nil:
 		return done
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return notFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return conflict
 	}
 	return unknown
@@ -151,13 +151,13 @@
 
 // history lets clients change a few keys at once over HTTP and returns what
 // they saw. Their choices come from seed.
-func history(t *testing.T, seed uint64, faults platformtest.Faults) []porcupine.Operation {
+func history(t *testing.T, seed uint64, faults storetest.Faults) []porcupine.Operation {
 	t.Helper()
-	store := platformtest.NewStore()
-	store.SetFaults(faults)
+	kept := storetest.NewStore()
+	kept.SetFaults(faults)
 	var mu sync.Mutex
 	rng := rand.New(rand.NewPCG(seed, 0))
-	server := httptest.NewServer(cutAnswers(platformtest.Handler(store), 0.1, func() float64 {
+	server := httptest.NewServer(cutAnswers(storetest.Handler(kept), 0.1, func() float64 {
 		mu.Lock()
 		defer mu.Unlock()
 		return rng.Float64()
@@ -170,7 +170,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			client, err := platform.NewClient(server.URL)
+			client, err := store.NewClient(server.URL)
 			if err != nil {
 				t.Error(err)
 				return
@@ -194,7 +194,7 @@
 
 // act makes the calls of one client: reads, and writes at the version read
 // last.
-func act(client *platform.Client, id int, seed uint64, start time.Time) []porcupine.Operation {
+func act(client *store.Client, id int, seed uint64, start time.Time) []porcupine.Operation {
 	ctx := context.Background()
 	rng := rand.New(rand.NewPCG(seed, uint64(id+1)))
 	known := map[string]uint64{}
@@ -208,7 +208,7 @@
 		switch n := rng.IntN(10); {
 		case n < 5:
 			in.name = "get"
-			var o platform.Object
+			var o store.Object
 			o, err = client.Get(ctx, in.key)
 			out.data, out.version = string(o.Data), o.Version
 		case n < 9:
@@ -235,7 +235,7 @@
 
 func TestConditionalUpdatesAreLinearizable(t *testing.T) {
 	for seed := range uint64(4) {
-		if !porcupine.CheckOperations(model, history(t, seed, platformtest.Faults{})) {
+		if !porcupine.CheckOperations(model, history(t, seed, storetest.Faults{})) {
 			t.Fatalf("seed %d: the history has no order", seed)
 		}
 	}
@@ -245,7 +245,7 @@
 // updates are not conditional.
 func TestLinearizabilityCheckCanFail(t *testing.T) {
 	is := is.New(t)
-	broken := platformtest.Faults{IgnoreBase: func(string) bool { return true }}
+	broken := storetest.Faults{IgnoreBase: func(string) bool { return true }}
 	found := false
 	for seed := uint64(0); seed < 10 && !found; seed++ {
 		found = !porcupine.CheckOperations(model, history(t, seed, broken))
@@ -254,10 +254,10 @@
 }
 
 func TestClientTellsErrorsApart(t *testing.T) {
-	store := platformtest.NewStore()
-	server := httptest.NewServer(platformtest.Handler(store))
+	kept := storetest.NewStore()
+	server := httptest.NewServer(storetest.Handler(kept))
 	defer server.Close()
-	client, err := platform.NewClient(server.URL)
+	client, err := store.NewClient(server.URL)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -266,18 +266,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	throttle := func() { store.SetFaults(platformtest.Faults{Throttle: func(string, string) bool { return true }}) }
+	throttle := func() { kept.SetFaults(storetest.Faults{Throttle: func(string, string) bool { return true }}) }
 	tests := []struct {
 		name  string
 		begin func()
 		call  func() error
 		want  error
 	}{
-		{"not found", nil, func() error { _, err := client.Get(ctx, "gone"); return err }, platform.ErrNotFound},
-		{"conflict", nil, func() error { _, err := client.Put(ctx, "a", nil, version+1); return err }, platform.ErrConflict},
-		{"delete conflict", nil, func() error { return client.Delete(ctx, "a", version+1) }, platform.ErrConflict},
-		{"too large", nil, func() error { _, err := client.Put(ctx, "b", make([]byte, platform.MaxValueBytes+1), 0); return err }, platform.ErrTooLarge},
-		{"throttled", throttle, func() error { _, err := client.Get(ctx, "a"); return err }, platform.ErrThrottled},
+		{"not found", nil, func() error { _, err := client.Get(ctx, "gone"); return err }, store.ErrNotFound},
+		{"conflict", nil, func() error { _, err := client.Put(ctx, "a", nil, version+1); return err }, store.ErrConflict},
+		{"delete conflict", nil, func() error { return client.Delete(ctx, "a", version+1) }, store.ErrConflict},
+		{"too large", nil, func() error { _, err := client.Put(ctx, "b", make([]byte, store.MaxValueBytes+1), 0); return err }, store.ErrTooLarge},
+		{"throttled", throttle, func() error { _, err := client.Get(ctx, "a"); return err }, store.ErrThrottled},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/platform/store.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
-// Package platform is the boundary to the platform's object API: versioned
+// Package store is the boundary to the platform's object API: versioned
 // values under keys, conditional updates and bounded watches.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/store.go
+++ b/store/storetest/store.go
@@ -1,6 +1,6 @@
-// Package platformtest is a stand-in for the platform, in memory, with the
+// Package storetest is a stand-in for the platform, in memory, with the
 // faults that the platform can show.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/agatekeel/agatekeel/platform"
+	"github.com/agatekeel/agatekeel/store"
 )
 
 // keptChanges bounds the history that a watch can start from.
@@ -31,23 +31,23 @@
 	Get, List, Put, Delete, Watch int
 }
 
-// Store is a platform.Store in memory.
+// Store is a store.Store in memory.
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]platform.Object
-	history  []platform.Change
+	objects  map[string]store.Object
+	history  []store.Change
 	oldest   uint64 // a watch may start from here
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ store.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Store{objects: map[string]store.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -84,7 +84,7 @@
 		return fmt.Errorf("%s %q: %w", op, key, errDown)
 	}
 	if f.Throttle != nil && f.Throttle(op, key) {
-		return fmt.Errorf("%s %q: %w", op, key, platform.ErrThrottled)
+		return fmt.Errorf("%s %q: %w", op, key, store.ErrThrottled)
 	}
 	return ctx.Err()
 }
@@ -100,28 +100,28 @@
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := s.begin(ctx, "get", key, &s.counts.Get); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+		return store.Object{}, fmt.Errorf("get %q: %w", key, store.ErrNotFound)
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
 	if err := s.begin(ctx, "list", prefix, &s.counts.List); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.Object
+	var out []store.Object
 	for k, o := range s.objects {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, o)
@@ -131,10 +131,10 @@
 	return out, s.revision, nil
 }
 
-// Put implements platform.Store.
+// Put implements store.Store.
 func (s *Store) Put(ctx context.Context, key string, data []byte, base uint64) (uint64, error) {
-	if len(data) > platform.MaxValueBytes || len(key) > platform.MaxKeyBytes {
-		return 0, fmt.Errorf("put %q: %w", key, platform.ErrTooLarge)
+	if len(data) > store.MaxValueBytes || len(key) > store.MaxKeyBytes {
+		return 0, fmt.Errorf("put %q: %w", key, store.ErrTooLarge)
 	}
 	if err := s.begin(ctx, "put", key, &s.counts.Put); err != nil {
 		return 0, err
@@ -151,19 +151,19 @@
 	defer s.mu.Unlock()
 	old := s.objects[key]
 	if old.Version != base && (s.faults.IgnoreBase == nil || !s.faults.IgnoreBase(key)) {
-		return 0, fmt.Errorf("put %q at version %d, is %d: %w", key, base, old.Version, platform.ErrConflict)
+		return 0, fmt.Errorf("put %q at version %d, is %d: %w", key, base, old.Version, store.ErrConflict)
 	}
 	s.revision++
-	o := platform.Object{Key: key, Version: s.revision, Created: old.Created, Data: append([]byte(nil), data...)}
+	o := store.Object{Key: key, Version: s.revision, Created: old.Created, Data: append([]byte(nil), data...)}
 	if base == 0 {
 		o.Created = s.revision
 	}
 	s.objects[key] = o
-	s.record(platform.Change{Object: o})
+	s.record(store.Change{Object: o})
 	return o.Version, nil
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (s *Store) Delete(ctx context.Context, key string, base uint64) error {
 	if err := s.begin(ctx, "delete", key, &s.counts.Delete); err != nil {
 		return err
@@ -179,19 +179,19 @@
 	defer s.mu.Unlock()
 	old, ok := s.objects[key]
 	if !ok {
-		return fmt.Errorf("delete %q: %w", key, platform.ErrNotFound)
+		return fmt.Errorf("delete %q: %w", key, store.ErrNotFound)
 	}
 	if old.Version != base && (s.faults.IgnoreBase == nil || !s.faults.IgnoreBase(key)) {
-		return fmt.Errorf("delete %q at version %d, is %d: %w", key, base, old.Version, platform.ErrConflict)
+		return fmt.Errorf("delete %q at version %d, is %d: %w", key, base, old.Version, store.ErrConflict)
 	}
 	s.revision++
 	delete(s.objects, key)
-	s.record(platform.Change{Object: platform.Object{Key: key, Version: s.revision}, Deleted: true})
+	s.record(store.Change{Object: store.Object{Key: key, Version: s.revision}, Deleted: true})
 	return nil
 }
 
 // record keeps a change for watches. The caller holds mu.
-func (s *Store) record(c platform.Change) {
+func (s *Store) record(c store.Change) {
 	s.history = append(s.history, c)
 	if len(s.history) > keptChanges {
 		s.oldest = s.history[0].Version
@@ -206,12 +206,12 @@
 	s.changed = make(chan struct{})
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	if err := s.begin(ctx, "watch", prefix, &s.counts.Watch); err != nil {
 		return nil, 0, err
 	}
-	timer := time.NewTimer(min(wait, platform.MaxWatch))
+	timer := time.NewTimer(min(wait, store.MaxWatch))
 	defer timer.Stop()
 	for {
 		changes, revision, changed, err := s.look(prefix, after)
@@ -228,16 +228,16 @@
 	}
 }
 
-func (s *Store) look(prefix string, after uint64) ([]platform.Change, uint64, <-chan struct{}, error) {
+func (s *Store) look(prefix string, after uint64) ([]store.Change, uint64, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
 		return nil, 0, nil, fmt.Errorf("watch %q: %w", prefix, errDown)
 	}
 	if after < s.oldest {
-		return nil, 0, nil, fmt.Errorf("watch %q after %d: %w", prefix, after, platform.ErrCompacted)
+		return nil, 0, nil, fmt.Errorf("watch %q after %d: %w", prefix, after, store.ErrCompacted)
 	}
-	var out []platform.Change
+	var out []store.Change
 	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
 	for _, c := range s.history[i:] {
 		if strings.HasPrefix(c.Key, prefix) {
