Run on the users' platform: the whole path, thin

Cause: nothing of agatekeel could run on its users' machines. The product grows what was lacking: hosts, splits and latency targets of routes (core/config), a configuration that is kept whole elsewhere (core/source.go), a backend server that tells of itself (core/heard.go), configurable header names with the request's ID checked on every answer (proxy/names.go), a log on standard output, a bound for memory.

--- a/cmd/agatekeel/commands.go
+++ b/cmd/agatekeel/commands.go
@@ -20,6 +20,12 @@
 				"finishes what is in flight and ends. The second ends it at once. With --check-settings it only " +
 				"checks the settings file.\n\n" +
 				"Example: agatekeel node --settings examples/hobbard-lyle/node.json --check-settings", &nodeCommand{console: c}},
+		{"sidecar", "run one node on the users' platform",
+			"Runs the node beside one backend server, with the settings file that AGATEKEEL_SETTINGS names. The first " +
+				"SIGTERM or SIGINT drains it, the second ends it at once. With --check-settings it only checks the " +
+				"settings file.\n\n" +
+				"Example: agatekeel sidecar --check-settings",
+			&sidecarCommand{console: c}},
 		{"check", "check objects offline",
 			"Checks the objects of JSON files or directories as one whole set, as the publisher would, and prints " +
 				"every fault with file, object, field and reason. Nothing is sent.\n\n" +
--- a/cmd/agatekeel/examples_test.go
+++ b/cmd/agatekeel/examples_test.go
@@ -49,10 +49,10 @@
 			snapshot := snapshotOf(t, tt.dir)
 			for _, service := range tt.services {
 				is.True(snapshot.HasService(service))
-				_, ok := snapshot.Match(http.MethodGet, "/"+service+"/1")
+				_, ok := snapshot.Match(http.MethodGet, "", "/"+service+"/1")
 				is.True(ok) // each service can be read
 			}
-			r, ok := snapshot.Match(http.MethodPost, tt.write)
+			r, ok := snapshot.Match(http.MethodPost, "", tt.write)
 			is.True(ok)
 			is.True(!r.Policy.IsIdempotent(http.MethodPost))
 			is.Equal(r.Policy.Key, config.KeyPlatform)
@@ -64,7 +64,7 @@
 	is := is.New(t)
 	snapshot := snapshotOf(t, "haenim")
 	for _, service := range []string{"lampbook", "wipeledger", "manualshelf", "roundplan"} {
-		r, ok := snapshot.Match(http.MethodGet, "/"+service+"/status")
+		r, ok := snapshot.Match(http.MethodGet, "", "/"+service+"/status")
 		is.True(ok)
 		is.Equal(r.Policy.Priority, config.PriorityStatus)
 	}
--- a/cmd/agatekeel/node.go
+++ b/cmd/agatekeel/node.go
@@ -36,11 +36,16 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.Settings, err)
 	}
+	return running.untilSignal()
+}
+
+// untilSignal runs the node until a signal asks it to end, and drains it.
+func (r runningNode) untilSignal() error {
 	signals, stopSignals := endSignals()
 	defer stopSignals()
 	<-signals
-	drain(signals, running.node)
-	return running.stop()
+	drain(signals, r.node)
+	return r.stop()
 }
 
 // runningNode is a node that was started.
@@ -50,9 +55,12 @@
 	app       *fx.App
 }
 
-func startNode(s settings.Settings) (runningNode, error) {
+func startNode(s settings.Settings) (runningNode, error) { return start(s, node.Standalone) }
+
+// start starts a node beside what provides its surroundings.
+func start(s settings.Settings, around fx.Option) (runningNode, error) {
 	var r runningNode
-	r.app = fx.New(fx.Supply(s), node.Module, fx.NopLogger, fx.Populate(&r.node, &r.listeners))
+	r.app = fx.New(fx.Supply(s), node.Module, around, fx.NopLogger, fx.Populate(&r.node, &r.listeners))
 	if err := r.app.Start(context.Background()); err != nil {
 		return runningNode{}, fmt.Errorf("start node %s: %w", s.Node, dig.RootCause(err))
 	}
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -113,6 +113,10 @@
 // New returns an empty Queue.
 func New(cfg Config) *Queue { return &Queue{cfg: cfg} }
 
+// SetSlots changes the number of attempts that run at once. Those that run
+// already are not touched.
+func (q *Queue) SetSlots(n int) { q.cfg.Slots = n }
+
 // Decision is the answer to an arrival. Reason is Admitted for an attempt that
 // runs now or waits.
 type Decision struct {
--- a/core/admit.go
+++ b/core/admit.go
@@ -58,10 +58,12 @@
 		b.keys.Begin(s.now, e.Key, e.Attempt)
 	}
 	if run {
-		s.emit(Run{Attempt: e.Attempt})
+		s.emit(s.run(e.Attempt))
 	}
 }
 
+func (s *State) run(id AttemptID) Run { return Run{Attempt: id, Backend: s.backend.heard.Backend} }
+
 // admit decides about an attempt that came for the first time.
 func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
@@ -137,7 +139,7 @@
 		s.dropWaiting(w.ID, admission.TooLate)
 	}
 	for _, w := range start {
-		s.emit(Run{Attempt: w.ID})
+		s.emit(s.run(w.ID))
 	}
 	if e.Refused && b.entry.State.Serves() && !b.leaving && !s.cfg.breaks.watchdog {
 		s.announce(endpoint.Failed)
--- a/core/announce.go
+++ b/core/announce.go
@@ -28,6 +28,8 @@
 	queue     *admission.Queue
 	memory    *admission.Memory
 	keys      *idempotency.Memory
+	heard     BackendHeard // newest of the life that is there now
+	heardAt   time.Time
 }
 
 func newBackend(cfg Config) backend {
@@ -55,7 +57,8 @@
 	if b.entry.Sequence == 0 {
 		s.announce(endpoint.Failed) // the node itself is known from its first tick on
 	}
-	if s.cfg.Service != "" && !b.probing && !s.now.Before(b.probeAt) {
+	s.silenceTick()
+	if s.cfg.Service != "" && !s.cfg.Announced && !b.probing && !s.now.Before(b.probeAt) {
 		b.probing = true
 		b.probeAt = s.now.Add(s.cfg.ProbeEvery)
 		s.emit(ProbeBackend{})
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -15,6 +15,7 @@
 	MaxTimeout         = 5 * time.Minute
 	DefaultMaxAttempts = 3
 	MaxMaxAttempts     = 10
+	MaxWeight          = 1_000_000 // of a share of a route
 )
 
 // Policy is a PolicySpec with everything inherited filled in.
@@ -22,6 +23,7 @@
 	Name        string
 	Priority    Priority
 	Timeout     time.Duration
+	Target      time.Duration // latency that callers are content with; zero: not told
 	Idempotent  *bool
 	MaxAttempts int
 	Key         KeyScope
@@ -43,27 +45,65 @@
 // alone, so it can't point at what is not there.
 type Route struct {
 	Name       string
+	Host       string // empty: any
 	PathPrefix string
 	Methods    []string
-	Service    string
+	Service    string  // empty: Split says
+	Split      []Share // the weights are positive
 	Policy     *Policy
 	inherits   bool // Policy is the service's
 }
 
+// ServiceFor returns the service of one request. A route with a split divides
+// its requests by draw, a random number that is uniform in [0, 1).
+func (r *Route) ServiceFor(draw float64) string {
+	if r.Service != "" {
+		return r.Service
+	}
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		if left -= float64(s.Weight); left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// services returns every service that the route may send to.
+func (r *Route) services() []string {
+	if r.Service != "" {
+		return []string{r.Service}
+	}
+	names := make([]string, len(r.Split))
+	for i, s := range r.Split {
+		names[i] = s.Service
+	}
+	return names
+}
+
 // Snapshot is one version in compiled form. It is not changed after Compile.
 type Snapshot struct {
 	Version  uint64
-	routes   map[string][]*Route // by path prefix
+	routes   map[string][]*Route // by host and path prefix
+	hosts    map[string]int      // routes of each host, the empty one left out
 	policies map[string]*Policy
 	services map[string]*Policy
 }
 
 // Match returns the route with the longest prefix that covers the path at a
-// segment boundary and allows the method. Its cost grows with the length of
+// segment boundary and allows the method, among those of the host, or, if the
+// host has none, among those of every host. Its cost grows with the length of
 // the path, not with the number of routes.
-func (s *Snapshot) Match(method, path string) (*Route, bool) {
+func (s *Snapshot) Match(method, host, path string) (*Route, bool) {
+	if host = hostName(host); s.hosts[host] == 0 {
+		host = ""
+	}
 	for p := path; ; {
-		for _, r := range s.routes[p] {
+		for _, r := range s.routes[host+p] {
 			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
 				return r, true
 			}
@@ -83,6 +123,14 @@
 	}
 }
 
+// hostName returns the name in a Host header: lower case, without a port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // HasService reports whether the snapshot holds a service.
 func (s *Snapshot) HasService(name string) bool {
 	_, ok := s.services[name]
@@ -113,7 +161,7 @@
 // fault found, ordered by object.
 func Compile(set *Set) (*Snapshot, []Fault) {
 	c := &compiler{set: set, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
-		Version: set.Version, routes: map[string][]*Route{},
+		Version: set.Version, routes: map[string][]*Route{}, hosts: map[string]int{},
 		policies: map[string]*Policy{}, services: map[string]*Policy{},
 	}}
 	c.size()
@@ -192,6 +240,9 @@
 	if spec.TimeoutMillis < 0 || time.Duration(spec.TimeoutMillis)*time.Millisecond > MaxTimeout {
 		c.fault(k, "timeoutMillis", "%d is not between 1 and %d", spec.TimeoutMillis, MaxTimeout.Milliseconds())
 	}
+	if spec.TargetMillis < 0 {
+		c.fault(k, "targetMillis", "%d is below 0", spec.TargetMillis)
+	}
 	if spec.MaxAttempts < 0 || spec.MaxAttempts > MaxMaxAttempts {
 		c.fault(k, "maxAttempts", "%d is not between 1 and %d", spec.MaxAttempts, MaxMaxAttempts)
 	}
@@ -232,6 +283,9 @@
 	if p.Timeout == 0 {
 		p.Timeout = time.Duration(spec.TimeoutMillis) * time.Millisecond
 	}
+	if p.Target == 0 {
+		p.Target = time.Duration(spec.TargetMillis) * time.Millisecond
+	}
 	if p.Idempotent == nil {
 		p.Idempotent = spec.Idempotent
 	}
@@ -280,22 +334,50 @@
 		c.fault(k, "pathPrefix", "%q does not start with '/'", spec.PathPrefix)
 		return
 	}
-	for _, other := range c.snapshot.routes[spec.PathPrefix] {
+	if spec.Host != hostName(spec.Host) || strings.ContainsAny(spec.Host, "/ ") {
+		c.fault(k, "host", "%q is not a host name in lower case without a port", spec.Host)
+		return
+	}
+	for _, other := range c.snapshot.routes[spec.key()] {
 		if overlap(other.Methods, spec.Methods) {
 			c.fault(k, "pathPrefix", "%q is that of route %q too, for the same methods", spec.PathPrefix, other.Name)
 		}
 	}
-	if _, ok := c.set.Objects[Key{KindService, spec.Service}]; !ok {
-		c.fault(k, "service", "service %q does not exist", spec.Service)
-	}
+	c.shares(k, spec)
 	policy := c.snapshot.services[spec.Service]
 	if spec.Policy != "" || policy == nil {
 		policy = c.resolve(k, spec.Policy)
 	}
-	c.snapshot.routes[spec.PathPrefix] = append(c.snapshot.routes[spec.PathPrefix], &Route{
-		Name: k.Name, PathPrefix: spec.PathPrefix, Methods: spec.Methods, Service: spec.Service,
-		Policy: policy, inherits: spec.Policy == "",
+	c.snapshot.routes[spec.key()] = append(c.snapshot.routes[spec.key()], &Route{
+		Name: k.Name, Host: spec.Host, PathPrefix: spec.PathPrefix, Methods: spec.Methods,
+		Service: spec.Service, Split: spec.Split, Policy: policy, inherits: spec.Policy == "" && spec.Service != "",
 	})
+	if spec.Host != "" {
+		c.snapshot.hosts[spec.Host]++
+	}
+}
+
+// shares checks the services that a route sends to.
+func (c *compiler) shares(k Key, spec RouteSpec) {
+	if (spec.Service == "") == (len(spec.Split) == 0) {
+		c.fault(k, "service", "needs either a service or a split")
+		return
+	}
+	if spec.Service != "" {
+		c.serviceExists(k, "service", spec.Service)
+	}
+	for i, s := range spec.Split {
+		c.serviceExists(k, fmt.Sprintf("split[%d].service", i), s.Service)
+		if s.Weight <= 0 || s.Weight > MaxWeight {
+			c.fault(k, fmt.Sprintf("split[%d].weight", i), "%d is not between 1 and %d", s.Weight, MaxWeight)
+		}
+	}
+}
+
+func (c *compiler) serviceExists(k Key, field, name string) {
+	if !c.has(Key{KindService, name}) {
+		c.fault(k, field, "service %q does not exist", name)
+	}
 }
 
 // overlap reports whether two method lists share one; empty means all.
--- a/core/config/compile_delta.go
+++ b/core/config/compile_delta.go
@@ -19,7 +19,7 @@
 		return Compile(next)
 	}
 	c := &compiler{set: next, snapshot: &Snapshot{
-		Version: next.Version, routes: maps.Clone(prev.routes), policies: prev.policies, services: prev.services,
+		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services,
 	}}
 	c.size()
 	c.common(d.keys())
@@ -64,12 +64,15 @@
 		}
 		var spec RouteSpec
 		_ = json.Unmarshal(old.Spec, &spec) // it was compiled before
-		rest := slices.DeleteFunc(slices.Clone(c.snapshot.routes[spec.PathPrefix]), func(r *Route) bool { return r.Name == k.Name })
+		if spec.Host != "" {
+			c.snapshot.hosts[spec.Host]--
+		}
+		rest := slices.DeleteFunc(slices.Clone(c.snapshot.routes[spec.key()]), func(r *Route) bool { return r.Name == k.Name })
 		if len(rest) == 0 {
-			delete(c.snapshot.routes, spec.PathPrefix)
+			delete(c.snapshot.routes, spec.key())
 			continue
 		}
-		c.snapshot.routes[spec.PathPrefix] = rest
+		c.snapshot.routes[spec.key()] = rest
 	}
 }
 
@@ -93,21 +96,25 @@
 		}
 	}
 	for prefix, routes := range c.snapshot.routes {
-		if slices.ContainsFunc(routes, func(r *Route) bool { return changed[r.Service] }) {
+		if slices.ContainsFunc(routes, func(r *Route) bool { return r.usesAny(changed) }) {
 			c.snapshot.routes[prefix] = c.relink(routes, changed)
 		}
 	}
 }
 
+func (r *Route) usesAny(services map[string]bool) bool {
+	return slices.ContainsFunc(r.services(), func(name string) bool { return services[name] })
+}
+
 // relink returns routes with the policies of changed services.
 func (c *compiler) relink(routes []*Route, changed map[string]bool) []*Route {
 	out := slices.Clone(routes)
 	for i, r := range out {
-		if !changed[r.Service] {
+		if !r.usesAny(changed) {
 			continue
 		}
-		if !c.has(Key{KindService, r.Service}) {
-			c.fault(Key{KindRoute, r.Name}, "service", "service %q does not exist", r.Service)
+		for _, name := range r.services() {
+			c.serviceExists(Key{KindRoute, r.Name}, "service", name)
 		}
 		if r.inherits {
 			linked := *r
@@ -132,9 +139,9 @@
 			c.route(o.Key()) // finds the fault, if it is a route
 			continue
 		}
-		c.snapshot.routes[spec.PathPrefix] = slices.Clone(c.snapshot.routes[spec.PathPrefix])
+		c.snapshot.routes[spec.key()] = slices.Clone(c.snapshot.routes[spec.key()])
 		c.route(o.Key())
-		routes := c.snapshot.routes[spec.PathPrefix]
+		routes := c.snapshot.routes[spec.key()]
 		slices.SortFunc(routes, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
 	}
 }
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -75,13 +75,13 @@
 		{"POST", "/post", "post"},
 	}
 	for _, tt := range tests {
-		r, ok := snapshot.Match(tt.method, tt.path)
+		r, ok := snapshot.Match(tt.method, "", tt.path)
 		is.Equal(ok, tt.route != "") // whether a route covers the path
 		if ok {
 			is.Equal(r.Name, tt.route) // the longest prefix wins
 		}
 	}
-	r, _ := snapshot.Match("GET", "/orders/status")
+	r, _ := snapshot.Match("GET", "", "/orders/status")
 	is.Equal(r.Policy.Priority, PriorityBatch) // inherited
 	is.Equal(r.Policy.Timeout.Milliseconds(), int64(50))
 }
--- a/core/config/fuzz_test.go
+++ b/core/config/fuzz_test.go
@@ -58,7 +58,7 @@
 		if len(spec.Methods) > 0 {
 			method = spec.Methods[0]
 		}
-		r, ok := snapshot.Match(method, spec.PathPrefix)
+		r, ok := snapshot.Match(method, spec.Host, spec.PathPrefix)
 		if !ok || !snapshot.HasService(r.Service) || r.Policy == nil {
 			t.Fatalf("%s: %s %q leads to %v", k, method, spec.PathPrefix, r)
 		}
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -79,12 +79,25 @@
 // Key returns the identity of the object.
 func (o Object) Key() Key { return Key{Kind: o.Kind, Name: o.Name} }
 
-// RouteSpec sends the requests below a path prefix to a service.
+// RouteSpec sends the requests below a path prefix to a service, or divides
+// them among several.
 type RouteSpec struct {
+	Host       string   `json:"host,omitempty"` // of the request, without a port; empty: every host that has no route of its own
 	PathPrefix string   `json:"pathPrefix"`
 	Methods    []string `json:"methods,omitempty"` // empty: every method
-	Service    string   `json:"service"`
-	Policy     string   `json:"policy,omitempty"` // empty: the service's
+	Service    string   `json:"service,omitempty"` // empty: Split says
+	Split      []Share  `json:"split,omitempty"`
+	Policy     string   `json:"policy,omitempty"` // empty: the service's; with Split: the defaults
+}
+
+// key is the part of a spec by which routes are looked up.
+func (s RouteSpec) key() string { return s.Host + s.PathPrefix }
+
+// Share is the part of a route's requests that goes to one service: its weight
+// over the sum of the weights.
+type Share struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
 }
 
 // ServiceSpec names a group of backend servers that announce themselves.
@@ -98,7 +111,8 @@
 	Extends        string   `json:"extends,omitempty"`
 	Priority       Priority `json:"priority,omitempty"`
 	TimeoutMillis  int      `json:"timeoutMillis,omitempty"`
-	Idempotent     *bool    `json:"idempotent,omitempty"` // nil: by HTTP method
+	TargetMillis   int      `json:"targetMillis,omitempty"` // latency that callers are content with
+	Idempotent     *bool    `json:"idempotent,omitempty"`   // nil: by HTTP method
 	MaxAttempts    int      `json:"maxAttempts,omitempty"`
 	IdempotencyKey KeyScope `json:"idempotencyKey,omitempty"`
 }
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -23,6 +23,13 @@
 	Chunks  []string `json:"chunks"` // SHA-256 of each, in hex
 }
 
+// Published is a whole set that is kept outside the publisher's own form.
+type Published struct {
+	Version uint64   `json:"version"`
+	Objects []Object `json:"objects,omitempty"`
+	Fault   string   `json:"fault,omitempty"` // why the objects can't be told; empty: they are all there
+}
+
 // Chunk is an encoded part of a set, named by the SHA-256 of its content.
 type Chunk struct {
 	Name string
--- a/core/effect.go
+++ b/core/effect.go
@@ -94,11 +94,16 @@
 	Outcome retry.Outcome
 	NoRoute bool
 	Status  int
+	After   time.Duration // when the caller may come back after NotRun; zero: not told
 	Reason  string
 }
 
-// Run lets an attempt run at the own backend server.
-type Run struct{ Attempt AttemptID }
+// Run lets an attempt run at the own backend server. Backend is the ID by which
+// that one knows itself, empty if it has not told.
+type Run struct {
+	Attempt AttemptID
+	Backend string
+}
 
 // Refuse answers an attempt without running it. Outcome is what the sender is
 // to be told, and what it may conclude: NotRun when no copy of the attempt ran
--- a/core/event.go
+++ b/core/event.go
@@ -89,6 +89,17 @@
 	Refused bool
 }
 
+// BackendHeard is what the own backend server says of itself.
+type BackendHeard struct {
+	Backend  string // its ID, another one after most restarts
+	Service  string
+	Born     int64          // when it started, in Unix milliseconds; zero: not told
+	Sequence uint64         // grows with what one life of it says; zero: not told
+	State    endpoint.State // Ready, Draining or Gone
+	Slots    int
+	Cold     time.Duration // how much longer it is slow after its start
+}
+
 // BackendLeaving says that the backend server announced its end itself, or
 // that an operator takes it out of service.
 type BackendLeaving struct{}
@@ -104,6 +115,7 @@
 type CallArrived struct {
 	Call     CallID
 	Method   string
+	Host     string
 	Path     string
 	Key      string        // Idempotency-Key, empty for none
 	Budget   time.Duration // what the caller allows, zero: what the policy says
@@ -165,6 +177,7 @@
 func (LinkDown) isEvent()         {}
 func (LinkMessage) isEvent()      {}
 func (BackendProbed) isEvent()    {}
+func (BackendHeard) isEvent()     {}
 func (BackendLeaving) isEvent()   {}
 func (BackendStays) isEvent()     {}
 func (Stop) isEvent()             {}
--- a/core/fallback.go
+++ b/core/fallback.go
@@ -114,6 +114,8 @@
 // it serves.
 func (s *State) settled() bool {
 	switch {
+	case s.source.known:
+		return true
 	case s.member.phase == phaseJoined:
 		return s.member.rooted
 	case s.member.phase != phaseRoot:
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -7,6 +7,7 @@
 	Head           = "config/head"      // points at the manifest in force
 	Manifests      = "config/manifest/" // by the SHA-256 of their content
 	Chunks         = "config/chunk/"    // by the SHA-256 of their content
+	Source         = "source/"          // configuration that is kept whole elsewhere; config.Published
 	Submissions    = "submission/"      // by the ID that the operator's tool made
 	Statuses       = "status/"          // by the ID of the submission
 	Leases         = "lease/"           // all leases
--- a/core/limit.go
+++ b/core/limit.go
@@ -55,6 +55,8 @@
 	switch c.purpose {
 	case forClaimWrite, forClaimRead, forClaimEnd, forClaimSweep:
 		return false
+	case forSourceRead, forSourceWatch:
+		return false // one at a time, each answered by a change or after WatchWait
 	}
 	return true
 }
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -30,6 +30,7 @@
 	CertificatesRefused Code = 4007
 	EndpointState       Code = 5001
 	EndpointSuspected   Code = 5002
+	HeartbeatRefused    Code = 5003
 	RequestsRefused     Code = 6001
 	ListenerFault       Code = 6002
 )
@@ -58,6 +59,7 @@
 	CertificatesRefused: "certificates refused",
 	EndpointState:       "endpoint state changed",
 	EndpointSuspected:   "endpoint suspected",
+	HeartbeatRefused:    "heartbeat refused",
 	RequestsRefused:     "requests refused",
 	ListenerFault:       "listener fault",
 }
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -82,7 +82,7 @@
 
 func (s *State) publisherTick() {
 	p := &s.publisher
-	if s.member.phase != phaseRoot && !p.active {
+	if s.cfg.Source || s.member.phase != phaseRoot && !p.active {
 		return
 	}
 	if w, due := p.lease.Next(s.now, s.canPublish()); due {
--- a/core/request.go
+++ b/core/request.go
@@ -38,6 +38,7 @@
 type call struct {
 	method   string
 	route    *config.Route
+	service  string // of the route, one of its shares if it is split
 	class    admission.Class
 	deadline time.Time
 	repeats  bool
@@ -77,7 +78,7 @@
 		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why})
 		return
 	}
-	route, ok := s.holder.snapshot.Match(e.Method, e.Path)
+	route, ok := s.holder.snapshot.Match(e.Method, e.Host, e.Path)
 	if !ok {
 		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, NoRoute: true, Reason: string(admission.UnknownRoute)})
 		return
@@ -89,13 +90,13 @@
 	s.requests.budget.Call()
 	c := s.newCall()
 	*c = call{
-		method: e.Method, route: route, class: classOf(route.Policy.Priority),
+		method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy.Priority),
 		deadline: s.now.Add(budget), repeats: e.Repeats, tried: c.tried[:0],
 	}
 	s.requests.calls[e.Call] = c
 	scope := keyScope(e, route.Policy)
 	if scope != config.KeyIgnored {
-		c.key = idempotency.KeyOf(route.Service, e.Key)
+		c.key = idempotency.KeyOf(c.service, e.Key)
 	}
 	if scope == config.KeyPlatform {
 		s.claim(e.Call, c)
@@ -129,7 +130,7 @@
 // choose returns the backend server for the next attempt of a call: the home
 // of its key if a node is to hold it, else the balancer's choice.
 func (s *State) choose(c *call) (*balance.Peer, bool) {
-	g := s.group(c.route.Service)
+	g := s.group(c.service)
 	if c.homeKey().IsZero() {
 		return s.requests.balancer.Pick(s.now, g, c.tried)
 	}
@@ -164,7 +165,7 @@
 func (s *State) forward(id CallID, c *call) {
 	p, ok := s.choose(c)
 	if !ok {
-		s.finish(id, retry.NotRun, "no backend server of service "+c.route.Service+" takes requests")
+		s.finish(id, retry.NotRun, "no backend server of service "+c.service+" takes requests")
 		return
 	}
 	c.attempts++
--- a/core/root.go
+++ b/core/root.go
@@ -60,7 +60,9 @@
 func (s *State) becomeRoot() {
 	s.log(notice.LeaseTaken, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
 	s.enterRoot(false)
-	s.readHead()
+	if !s.cfg.Source {
+		s.readHead()
+	}
 }
 
 // enterRoot makes this node a root, with or without a lease.
--- a/core/state.go
+++ b/core/state.go
@@ -25,7 +25,10 @@
 	Fanout      int
 	Incarnation endpoint.Incarnation
 	Seed        uint64
-	Seeds       []string // addresses of other nodes, for a start without the platform
+	Source      bool          // configuration comes from keyspace.Source, not from a publisher
+	Announced   bool          // the backend server tells of itself (BackendHeard) and is not probed
+	SilentAfter time.Duration // an announced backend server that is not heard for so long has failed
+	Seeds       []string      // addresses of other nodes, for a start without the platform
 	Favour      Favour
 
 	TickEvery      time.Duration
@@ -102,6 +105,7 @@
 	setDefault(&c.LeaseRenew, 2*time.Second)
 	setDefault(&c.LeaseMargin, time.Second)
 	setDefault(&c.ProbeEvery, time.Second)
+	setDefault(&c.SilentAfter, 5*time.Second)
 	setDefault(&c.WatchWait, 20*time.Second)
 	setDefault(&c.JoinJitter, 200*time.Millisecond)
 	setDefault(&c.SlowStart, 5*time.Second)
@@ -161,6 +165,7 @@
 	ticked    time.Time
 	holder    holder
 	publisher publisher
+	source    source
 	table     *endpoint.Table
 	backend   backend
 	platform  platformState
@@ -204,6 +209,8 @@
 		s.linkMessage(e)
 	case BackendProbed:
 		s.backendProbed(e)
+	case BackendHeard:
+		s.backendHeard(e)
 	case BackendLeaving:
 		s.beginDrain()
 	case BackendStays:
@@ -235,6 +242,7 @@
 func (s *State) tick() {
 	s.storeTick()
 	s.linksTick()
+	s.sourceTick()
 	s.memberTick()
 	s.rootTick()
 	s.suspectTick()
--- a/core/store.go
+++ b/core/store.go
@@ -22,6 +22,8 @@
 	forChunk
 	forPublisherLease
 	forPublisher
+	forSourceRead
+	forSourceWatch
 	forClaimWrite
 	forClaimRead
 	forClaimEnd
@@ -128,6 +130,8 @@
 		s.headReadDone(done)
 	case forHeadWatch:
 		s.headWatched(done)
+	case forSourceRead, forSourceWatch:
+		s.sourceAnswered(done)
 	case forManifest:
 		s.manifestRead(c, done)
 	case forChunk:
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -92,7 +92,7 @@
 		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
 		Log:    settings.Log{Format: "json", Level: "error"},
 	}
-	app := fx.New(fx.Supply(s), node.Module, fx.NopLogger, fx.Populate(&listeners))
+	app := fx.New(fx.Supply(s), node.Module, node.Standalone, fx.NopLogger, fx.Populate(&listeners))
 	if err := app.Start(context.Background()); err != nil {
 		return "", nil, fmt.Errorf("start node %s: %w", name, err)
 	}
--- a/internal/capacity/resident/main.go
+++ b/internal/capacity/resident/main.go
@@ -86,7 +86,7 @@
 		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
 		Log:    settings.Log{Format: "json", Level: "error"},
 	}
-	app := fx.New(fx.Supply(s), node.Module, fx.NopLogger, fx.Populate(&n, &listeners))
+	app := fx.New(fx.Supply(s), node.Module, node.Standalone, fx.NopLogger, fx.Populate(&n, &listeners))
 	if err := app.Start(context.Background()); err != nil {
 		return r, fmt.Errorf("start node: %w", err)
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -21,6 +21,8 @@
 		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
+		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter),
+		Source: s.Distribution.Source == settings.SourceStore,
 		Fanout: s.Distribution.Fanout, Favour: core.Favour(s.Distribution.Favour), Seeds: s.Seeds,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
@@ -40,6 +42,7 @@
 // ProxyConfig returns the settings of a Proxy in the clear.
 func ProxyConfig(s settings.Settings) proxy.Config {
 	return proxy.Config{
+		Service: s.Backend.Service,
 		Backend: s.Backend.Address, Connections: s.Backend.Connections,
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter: time.Duration(s.Requests.SilenceAfter),
--- a/node/module.go
+++ b/node/module.go
@@ -7,11 +7,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/notice"
@@ -23,34 +26,46 @@
 	"github.com/agatekeel/agatekeel/store"
 )
 
-// Module puts a node together from settings.Settings.
+// Standalone is what a node needs beside Module when no adapter provides it: the
+// product's own binding of the store, and its own headers.
+var Standalone = fx.Module("standalone", fx.Provide(newStore, func() proxy.Names { return proxy.DefaultNames }))
+
+// Module puts a node together from settings.Settings, a store.Store and
+// proxy.Names.
 var Module = fx.Module("node",
 	fx.Provide(
-		newLogger, newStore, newProber, newCoreConfig, newListeners, newProxy, newRegistry, newCredentials,
+		newLogger, newProber, newCoreConfig, newListeners, newProxy, newRegistry, newCredentials,
 		newTransport,
 		func() Clock { return SystemClock{} },
-		New,
+		func(cfg core.Config, clock Clock, s store.Store, r metrics.Registry, p Prober, log *eventlog.Logger) *Node {
+			return New(cfg, clock, newMeteredStore(s, r), p, log)
+		},
 		fx.Annotate(func(n *Node) *Node { return n }, fx.As(new(proxy.Decider))),
 	),
 	fx.Invoke(run),
 )
 
 func newLogger(s settings.Settings) (*eventlog.Logger, error) {
-	return eventlog.New(eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node})
+	cfg := eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node}
+	if s.Log.Output == "stdout" {
+		cfg.Writer = zapcore.Lock(os.Stdout)
+	}
+	return eventlog.New(cfg)
 }
 
-func newStore(s settings.Settings, r metrics.Registry) (store.Store, error) {
+func newStore(s settings.Settings) (store.Store, error) {
 	client, err := store.NewClient(s.Platform)
 	if err != nil {
 		return nil, fmt.Errorf("settings: platform: %w", err)
 	}
-	return newMeteredStore(client, r), nil
+	return client, nil
 }
 
 func newRegistry() metrics.Registry { return metrics.NewRegistry() }
 
-func newProxy(s settings.Settings, d proxy.Decider, r metrics.Registry, c *security.Credentials) *proxy.Proxy {
+func newProxy(s settings.Settings, names proxy.Names, d proxy.Decider, r metrics.Registry, c *security.Credentials) *proxy.Proxy {
 	cfg := ProxyConfig(s)
+	cfg.Names = names
 	if c != nil {
 		cfg.HopDial = hopDialer(c).DialContext
 	}
@@ -136,6 +151,7 @@
 type runParams struct {
 	fx.In
 	Lifecycle   fx.Lifecycle
+	Settings    settings.Settings
 	Node        *Node
 	Config      core.Config
 	Listeners   *Listeners
@@ -178,6 +194,9 @@
 // run starts the listeners and the node, and stops them in reverse.
 func run(p runParams) {
 	p.Node.CountIn(p.Registry)
+	if p.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(p.Settings.MemoryBytes) / 4 * 3) // the rest is for what the runtime does not count
+	}
 	servers := p.servers()
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -80,6 +80,7 @@
 		attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
 	}
 	if f.Local {
+		h.entry = true
 		return c.proxy.runLocal(ctx, c.r, c.body, h)
 	}
 	return c.sendHop(ctx, cancel, f, h)
@@ -88,6 +89,7 @@
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
 	out.Header[headerHop] = []string{h.String()}
+	set(out.Header, c.proxy.cfg.Names.Service, c.proxy.cfg.Service)
 	if c.body.streams() {
 		out.Header["Expect"] = []string{"100-continue"} // the body stays here until the attempt runs
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core"
@@ -51,11 +52,11 @@
 		return core.CallArrived{}, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf(
 			"request body has %d bytes, at most %d are allowed", r.ContentLength, p.cfg.MaxBodyBytes)}
 	}
-	budget, err := parseTimeout(r.Header.Get(HeaderTimeout))
+	budget, err := p.cfg.Names.parseTimeout(r.Header)
 	if err != nil {
 		return core.CallArrived{}, &rejection{http.StatusBadRequest, err.Error()}
 	}
-	c.depth = callerDepth(r)
+	c.depth = p.cfg.Names.callerDepth(r)
 	if c.depth >= p.cfg.MaxDepth {
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
@@ -65,15 +66,15 @@
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
 	return core.CallArrived{
-		Call: c.id, Method: r.Method, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
+		Call: c.id, Method: r.Method, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
 		Budget: budget, Repeats: true, Upstream: c.depth > 0,
 	}, nil
 }
 
 // callerDepth returns the depth that a backend server on this host passed on.
 // From elsewhere the header means nothing.
-func callerDepth(r *http.Request) int {
-	s := r.Header.Get(HeaderDepth)
+func (n Names) callerDepth(r *http.Request) int {
+	s := get(r.Header, n.Depth)
 	if s == "" || !fromOwnHost(r) {
 		return 0
 	}
@@ -131,6 +132,9 @@
 		if e.NoRoute {
 			status = http.StatusNotFound
 		}
+		if e.After > 0 {
+			c.w.Header().Set("Retry-After", strconv.FormatFloat(e.After.Seconds(), 'f', 3, 64))
+		}
 		c.proxy.fail(c.w, status, e.Outcome, e.Reason)
 	case core.Forward:
 		c.attempt(e)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -87,6 +87,7 @@
 	depth   int
 	meant   endpoint.Incarnation // zero: not told
 	key     idempotency.Key      // zero: none
+	entry   bool                 // this node took the request from the caller; not sent
 }
 
 // String returns the header's value.
@@ -170,13 +171,14 @@
 }
 
 // parseTimeout returns what a caller allows, or zero when it does not say.
-func parseTimeout(s string) (time.Duration, error) {
+func (n Names) parseTimeout(h http.Header) (time.Duration, error) {
+	s := get(h, n.Timeout)
 	if s == "" {
 		return 0, nil
 	}
 	millis, err := strconv.ParseUint(s, 10, 32)
 	if err != nil || millis == 0 {
-		return 0, fmt.Errorf("header %s: %q is not a positive number of milliseconds", HeaderTimeout, s)
+		return 0, fmt.Errorf("header %s: %q is not a positive number of milliseconds", n.Timeout, s)
 	}
 	return time.Duration(millis) * time.Millisecond, nil
 }
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -28,15 +27,21 @@
 		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
 	}
 	deadline, _ := ctx.Deadline()
-	if err := p.admitted(ctx, effects, h); err != nil {
+	run, err := p.admitted(ctx, effects, h)
+	if err != nil {
 		p.core.DropAttempt(h.attempt)
 		return nil, err
 	}
 	started := time.Now()
 	out := outgoing(r, p.cfg.Backend, body)
-	out.Header[HeaderDepth] = []string{strconv.Itoa(h.depth)}
-	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	if h.entry {
+		set(out.Header, p.cfg.Names.Service, p.cfg.Service)
+	}
+	p.cfg.Names.tellBackend(out.Header, run.Backend, h.depth, time.Until(deadline))
 	resp, err := p.roundTrip(ctx, p.backend, out)
+	if err == nil {
+		err = p.cfg.Names.checkAnswer(r, resp)
+	}
 	done := core.AttemptDone{Attempt: h.attempt}
 	end := func() {
 		done.Took = time.Since(started)
@@ -47,7 +52,8 @@
 		end()
 		failed := asAttemptError(err)
 		return nil, &attemptError{
-			outcome: failed.outcome, told: true, reason: failed.Error(), err: fmt.Errorf("backend server: %w", failed.err),
+			outcome: failed.outcome, told: true, healthy: failed.healthy, reason: failed.Error(),
+			err: fmt.Errorf("backend server: %w", failed.err),
 		}
 	}
 	done.Status = resp.StatusCode
@@ -59,16 +65,16 @@
 }
 
 // admitted waits until the attempt runs, is refused or is cancelled.
-func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, h hopHeader) error {
+func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, h hopHeader) (core.Run, error) {
 	cancelled := ctx.Done()
 	for {
 		select {
 		case e := <-effects:
 			switch e := e.(type) {
 			case core.Run:
-				return nil
+				return e, nil
 			case core.Refuse:
-				return refusal(e)
+				return core.Run{}, refusal(e)
 			}
 		case <-cancelled:
 			cancelled = nil // asked once; Run or Refuse follows
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -50,6 +50,9 @@
 	MaxDepth     int           // calls that backend servers of the mesh make for one another
 	SilenceAfter time.Duration // without an answer, the receiving node is asked about the attempt
 
+	Service string // of the own backend server, told where Names.Service says
+	Names   Names
+
 	// HopDial opens connections to other nodes; nil: TCP in the clear.
 	HopDial DialFunc
 }
@@ -64,6 +67,9 @@
 	if c.HopDial == nil {
 		c.HopDial = dialTCP
 	}
+	if c.Names == (Names{}) {
+		c.Names = DefaultNames
+	}
 	if c.MaxDepth == 0 {
 		c.MaxDepth = DefaultMaxDepth
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,10 @@
 // otherwise: on loopback.
 const DefaultAdmin = "127.0.0.1:8081"
 
+// SourceStore is the value of distribution.source by which nodes read a whole
+// configuration that something else keeps in the store.
+const SourceStore = "store"
+
 // Settings are those of one node. Addresses are IP:port. A field of zero
 // takes its default.
 type Settings struct {
@@ -32,6 +36,7 @@
 	Drain        Drain        `json:"drain,omitzero"`
 	TLS          TLS          `json:"tls,omitzero"`
 	Log          Log          `json:"log,omitzero"`
+	MemoryBytes  int          `json:"memoryBytes,omitempty" validate:"omitempty,min=16777216"`
 }
 
 // Listen holds the addresses that a node listens on. Callers and Hop carry
@@ -56,6 +61,8 @@
 	HealthPath  string   `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
 	ProbeEvery  Duration `json:"probeEvery,omitempty" validate:"omitempty,min=50ms,max=1m"`
 	SlowStart   Duration `json:"slowStart,omitempty" validate:"omitempty,min=1ms,max=10m"`
+	Announces   bool     `json:"announces,omitempty"`
+	SilentAfter Duration `json:"silentAfter,omitempty" validate:"omitempty,min=100ms,max=10m"`
 }
 
 // Queue bounds the attempts that wait for a slot.
@@ -68,6 +75,7 @@
 
 // Distribution says how configuration is spread.
 type Distribution struct {
+	Source           string   `json:"source,omitempty" validate:"omitempty,oneof=publisher store"`
 	Favour           string   `json:"favour,omitempty" validate:"omitempty,oneof=convergence bytes"`
 	Fanout           int      `json:"fanout,omitempty" validate:"omitempty,min=2,max=1024"`
 	HeartbeatEvery   Duration `json:"heartbeatEvery,omitempty" validate:"omitempty,min=50ms,max=1m"`
@@ -123,8 +131,9 @@
 // Enabled reports whether links and hops are secured.
 func (t TLS) Enabled() bool { return t != TLS{} }
 
-// Log says how events are written.
+// Log says how events are written, and where.
 type Log struct {
+	Output string `json:"output,omitempty" validate:"omitempty,oneof=stderr stdout"`
 	Format string `json:"format,omitempty" validate:"omitempty,oneof=json console"`
 	Level  string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
