Log each decision about a request; hold failures that may be tried again

No line of the log told of a single request. A rerun is any attempt after one that a backend server may have seen; attempts that only nodes have refused cost none, and are bounded. Budgets are by service, with a reserve that is shared out over the nodes. Nodes log each decision (6101 to 6203), bounded by event and second, written in the background; dropped lines are counted and told (7001). Refusals say when to come back.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -79,9 +80,15 @@
 	Number uint64
 }
 
+// String returns the ID as it stands in headers and logs.
+func (id ID) String() string {
+	return strconv.FormatUint(id.Origin, 16) + "-" + strconv.FormatUint(id.Number, 16)
+}
+
 // Waiting is one attempt in the queue.
 type Waiting struct {
 	ID       ID
+	Request  string // of the caller, for the log
 	Class    Class
 	Deadline time.Time
 	arrived  time.Time
@@ -294,14 +301,14 @@
 }
 
 // Cancel takes a waiting attempt out and reports whether it was there.
-func (q *Queue) Cancel(id ID) bool {
+func (q *Queue) Cancel(id ID) (Waiting, bool) {
 	for c := range classes {
-		if q.lines[c].remove(id) {
+		if w, ok := q.lines[c].remove(id); ok {
 			q.length--
-			return true
+			return w, true
 		}
 	}
-	return false
+	return Waiting{}, false
 }
 
 // Load returns the number running and the number waiting.
--- a/core/admission/line.go
+++ b/core/admission/line.go
@@ -36,12 +36,12 @@
 	return w
 }
 
-func (l *line) remove(id ID) bool {
+func (l *line) remove(id ID) (Waiting, bool) {
 	for i := l.first; i < len(l.items); i++ {
-		if l.items[i].ID == id {
+		if w := l.items[i]; w.ID == id {
 			l.items = slices.Delete(l.items, i, i+1)
-			return true
+			return w, true
 		}
 	}
-	return false
+	return Waiting{}, false
 }
--- a/core/admit.go
+++ b/core/admit.go
@@ -4,6 +4,7 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
@@ -30,16 +31,16 @@
 func (s *State) attemptArrived(e AttemptArrived) {
 	b := &s.backend
 	if s.forEarlierLife(e.For) {
-		s.refuseAttempt(e.Attempt, admission.EarlierLife, retry.Unknown)
+		s.refuseAttempt(e.Request, e.Attempt, admission.EarlierLife, retry.Unknown)
 		return
 	}
 	switch fate := b.memory.Fate(e.Attempt); {
 	case fate == admission.Fresh, s.fault.forgetSeen && fate != admission.Open:
 	case fate == admission.Refused, s.fault.vouchForCopies:
-		s.refuseAttempt(e.Attempt, admission.SeenBefore, retry.NotRun)
+		s.refuseAttempt(e.Request, e.Attempt, admission.SeenBefore, retry.NotRun)
 		return
 	default:
-		s.refuseAttempt(e.Attempt, admission.SeenBefore, retry.Unknown)
+		s.refuseAttempt(e.Request, e.Attempt, admission.SeenBefore, retry.Unknown)
 		return
 	}
 	if first, used := b.keys.First(e.Key); used && !s.fault.forgetKeys {
@@ -50,7 +51,7 @@
 	run, reason := s.admit(e)
 	if reason != admission.Admitted {
 		b.memory.Add(e.Attempt, admission.Refused)
-		s.refuseAttempt(e.Attempt, reason, retry.NotRun)
+		s.refuseAttempt(e.Request, e.Attempt, reason, retry.NotRun)
 		return
 	}
 	b.memory.Add(e.Attempt, admission.Open)
@@ -59,7 +60,11 @@
 	}
 	if run {
 		s.emit(s.run(e.Attempt))
+		return
 	}
+	running, waiting := b.queue.Load()
+	s.log(notice.AttemptQueued, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"running", running},
+		Attr{"waiting", waiting}, Attr{"leftMillis", e.Budget.Milliseconds()})
 }
 
 func (s *State) run(id AttemptID) Run { return Run{Attempt: id, Backend: s.backend.heard.Backend} }
@@ -73,9 +78,9 @@
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
 	}
-	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget)})
 	for _, w := range d.Pushed {
-		s.dropWaiting(w.ID, admission.QueueFull)
+		s.dropWaiting(w, admission.QueueFull)
 	}
 	return d.Run, d.Reason
 }
@@ -83,15 +88,15 @@
 // admitTick refuses what has waited too long while no run ended.
 func (s *State) admitTick() {
 	for _, w := range s.backend.queue.Expire(s.now) {
-		s.dropWaiting(w.ID, admission.TooLate)
+		s.dropWaiting(w, admission.TooLate)
 	}
 }
 
 // dropWaiting refuses an attempt that waited.
-func (s *State) dropWaiting(id AttemptID, reason admission.Reason) {
-	s.backend.memory.End(id, admission.Refused)
-	s.backend.keys.End(id, idempotency.End{Outcome: retry.NotRun})
-	s.refuseAttempt(id, reason, retry.NotRun)
+func (s *State) dropWaiting(w admission.Waiting, reason admission.Reason) {
+	s.backend.memory.End(w.ID, admission.Refused)
+	s.backend.keys.End(w.ID, idempotency.End{Outcome: retry.NotRun})
+	s.refuseAttempt(w.Request, w.ID, reason, retry.NotRun)
 }
 
 // firstServerError is the lowest HTTP status by which a backend server says
@@ -123,7 +128,11 @@
 	return meant != endpoint.Incarnation{} && meant != s.cfg.Incarnation && !s.fault.ignoreLife
 }
 
-func (s *State) refuseAttempt(id AttemptID, reason admission.Reason, o retry.Outcome) {
+func (s *State) refuseAttempt(request string, id AttemptID, reason admission.Reason, o retry.Outcome) {
+	running, waiting := s.backend.queue.Load()
+	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
+		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
+		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heard.Backend})
 	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
 
@@ -135,8 +144,12 @@
 		b.servedAt = s.now
 	}
 	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
+	running, waiting := b.queue.Load()
+	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heard.Backend},
+		Attr{"status", e.Status}, Attr{"cut", e.Cut}, Attr{"refused", e.Refused}, Attr{"tookMillis", e.Took.Milliseconds()},
+		Attr{"running", running}, Attr{"waiting", waiting})
 	for _, w := range dropped {
-		s.dropWaiting(w.ID, admission.TooLate)
+		s.dropWaiting(w, admission.TooLate)
 	}
 	for _, w := range start {
 		s.emit(s.run(w.ID))
@@ -158,15 +171,16 @@
 		}
 	case admission.Refused:
 	case admission.Open:
-		if !b.queue.Cancel(e.Attempt) {
+		w, waited := b.queue.Cancel(e.Attempt)
+		if !waited {
 			return // it runs
 		}
-		s.dropWaiting(e.Attempt, admission.Cancelled)
+		s.dropWaiting(w, admission.Cancelled)
 		return
 	default:
 		return
 	}
-	s.refuseAttempt(e.Attempt, admission.Cancelled, retry.NotRun)
+	s.refuseAttempt("", e.Attempt, admission.Cancelled, retry.NotRun)
 }
 
 // Waiting returns the number of attempts at the own backend server that have
--- a/core/effect.go
+++ b/core/effect.go
@@ -84,8 +84,12 @@
 	Class       admission.Class
 	Budget      time.Duration // time left until the call's deadline
 	Key         idempotency.Key
+	Repeats     bool // another attempt may follow, as long as nothing of an answer was passed on
 }
 
+// PassOn lets the answer that is held go to the caller, which ends the call.
+type PassOn struct{ Call CallID }
+
 // Finish ends a call without, or instead of, a backend server's answer.
 // Outcome Ran says that an earlier request with the same Idempotency-Key ran;
 // Status is that of its answer, zero if it is not known.
@@ -145,6 +149,7 @@
 func (CloseLink) isEffect()    {}
 func (ProbeBackend) isEffect() {}
 func (Forward) isEffect()      {}
+func (PassOn) isEffect()       {}
 func (Finish) isEffect()       {}
 func (Run) isEffect()          {}
 func (Refuse) isEffect()       {}
--- a/core/event.go
+++ b/core/event.go
@@ -114,6 +114,7 @@
 // CallArrived is a caller's request.
 type CallArrived struct {
 	Call     CallID
+	Request  string // ID by which caller and nodes know the request, for the log
 	Method   string
 	Host     string
 	Path     string
@@ -131,6 +132,8 @@
 	Failed        bool // counts against the endpoint's health
 	Queue         int  // waiting there, as the answer told; -1: not told
 	AnswerStarted bool // part of the answer was passed on
+	Held          bool // the answer is whole and a failure, and waits: PassOn or another Forward follows
+	Arrived       bool // the backend server may have seen the request, whether it ran it or not
 	TargetGone    bool // NotRun, since no process listens at the target's address
 	BodyGone      bool // the request body can't be sent again
 	Status        int  // HTTP status of an answer, zero: not known
@@ -148,6 +151,7 @@
 // used before is refused with the outcome of the first.
 type AttemptArrived struct {
 	Attempt AttemptID
+	Request string // as in CallArrived
 	Class   admission.Class
 	Budget  time.Duration // time left until the call's deadline
 	For     endpoint.Incarnation
@@ -157,6 +161,7 @@
 // AttemptDone says that an attempt that ran has ended.
 type AttemptDone struct {
 	Attempt AttemptID
+	Request string // as in CallArrived
 	Took    time.Duration
 	Refused bool // the backend server's address refused the connection
 	Cut     bool // no whole answer came: what the backend server did is not known
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -33,6 +33,15 @@
 	HeartbeatRefused    Code = 5003
 	RequestsRefused     Code = 6001
 	ListenerFault       Code = 6002
+	AttemptSent         Code = 6101
+	AttemptEnded        Code = 6102
+	RequestAnswered     Code = 6103
+	RequestEnded        Code = 6104
+	RequestLeft         Code = 6105
+	AttemptQueued       Code = 6201
+	AttemptRefused      Code = 6202
+	AttemptRan          Code = 6203
+	LinesDropped        Code = 7001
 )
 
 var names = map[Code]string{
@@ -62,6 +71,15 @@
 	HeartbeatRefused:    "heartbeat refused",
 	RequestsRefused:     "requests refused",
 	ListenerFault:       "listener fault",
+	AttemptSent:         "attempt sent",
+	AttemptEnded:        "attempt ended without the last answer",
+	RequestAnswered:     "request answered",
+	RequestEnded:        "request ended without an answer",
+	RequestLeft:         "caller left",
+	AttemptQueued:       "attempt queued",
+	AttemptRefused:      "attempt refused",
+	AttemptRan:          "attempt ran",
+	LinesDropped:        "log lines dropped",
 }
 
 // String returns the text that goes with the number.
--- a/core/request.go
+++ b/core/request.go
@@ -8,6 +8,7 @@
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
@@ -17,8 +18,8 @@
 // requests holds the calls that entered at this node.
 type requests struct {
 	balancer    *balance.Balancer
-	groups      map[string]*group // by service
-	budget      *retry.Budget
+	groups      map[string]*group        // by service
+	budgets     map[string]*retry.Budget // by service
 	calls       map[CallID]*call
 	free        []*call // to be used again
 	claims      claims
@@ -36,6 +37,8 @@
 // call is one caller's request on its way. It keeps the route it began with,
 // whatever configuration comes.
 type call struct {
+	request  string
+	arrived  time.Time
 	method   string
 	route    *config.Route
 	service  string // of the route, one of its shares if it is split
@@ -43,6 +46,7 @@
 	deadline time.Time
 	repeats  bool
 	attempts int
+	arrivals int // attempts that a backend server may have seen
 	tried    []string
 	target   *balance.Peer
 	attempt  AttemptID
@@ -56,9 +60,9 @@
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
 		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
-		budget: retry.NewBudget(retry.Config{Share: cfg.RetryShare, Reserve: retryReserve}),
-		claims: claims{tokens: claimBurst},
-		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
+		budgets: map[string]*retry.Budget{},
+		claims:  claims{tokens: claimBurst},
+		origin:  uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
 	}
 }
 
@@ -82,25 +86,25 @@
 
 func (s *State) callArrived(e CallArrived) {
 	if ok, why := s.accepts(); !ok {
-		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why})
+		s.turnAway(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why, After: s.comeBack(e.Budget)})
 		return
 	}
 	route, ok := s.holder.snapshot.Match(e.Method, e.Host, e.Path)
 	if !ok {
-		s.emit(Finish{Call: e.Call, Outcome: retry.NotRun, NoRoute: true, Reason: string(admission.UnknownRoute)})
+		s.turnAway(e, Finish{Call: e.Call, Outcome: retry.NotRun, NoRoute: true, Reason: string(admission.UnknownRoute)})
 		return
 	}
 	budget := route.Policy.Timeout
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
-	s.requests.budget.Call()
 	c := s.newCall()
 	*c = call{
-		method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy.Priority),
+		request: e.Request, arrived: s.now, method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy.Priority),
 		deadline: s.now.Add(budget), repeats: e.Repeats, tried: c.tried[:0],
 	}
 	s.requests.calls[e.Call] = c
+	s.budget(c.service).Call()
 	scope := keyScope(e, route.Policy)
 	if scope != config.KeyIgnored {
 		c.key = idempotency.KeyOf(c.service, e.Key)
@@ -180,9 +184,13 @@
 	s.requests.lastAttempt++
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
 	s.requests.balancer.Sent(s.now, p)
+	s.log(notice.AttemptSent, Attr{"request", c.request}, Attr{"attempt", c.attempt.String()}, Attr{"route", c.route.Name},
+		Attr{"service", c.service}, Attr{"target", p.Row.ID}, Attr{"dataCentre", p.Row.DataCentre}, Attr{"number", c.attempts},
+		Attr{"leftMillis", c.deadline.Sub(s.now).Milliseconds()}, Attr{"version", s.configVersion()})
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
 		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
+		Repeats: c.repeats && c.idempotent(s) && c.arrivals+1 < c.route.Policy.MaxAttempts,
 	})
 }
 
@@ -204,10 +212,45 @@
 	if c.unknown && f.Outcome == retry.NotRun && !s.fault.forgetUnknown {
 		f.Outcome = retry.Unknown
 	}
+	if f.Outcome == retry.NotRun {
+		f.After = s.comeBack(c.deadline.Sub(s.now))
+	}
+	s.logEnded(c, f)
 	s.endCall(f.Call, c, f.Outcome, f.Status)
 	s.emit(f)
 }
 
+// turnAway ends a call that has not been taken in.
+func (s *State) turnAway(e CallArrived, f Finish) {
+	s.logEnded(&call{request: e.Request, arrived: s.now}, f)
+	s.emit(f)
+}
+
+func (s *State) logEnded(c *call, f Finish) {
+	s.log(notice.RequestEnded, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"outcome", f.Outcome.String()},
+		Attr{"reason", f.Reason}, Attr{"attempts", c.attempts}, Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()},
+		Attr{"retryMillis", f.After.Milliseconds()})
+}
+
+// Bounds of the time after which a caller is told to come back. It is random
+// between them, so that those who were refused together do not return together.
+const (
+	comeBackFirst = 30 * time.Millisecond
+	comeBackLast  = 150 * time.Millisecond
+	// comeBackPart of the time left, as a divisor, is the longest wait that
+	// leaves enough for the request itself.
+	comeBackPart = 4
+)
+
+// comeBack returns when a caller may come back that has so much time left.
+func (s *State) comeBack(left time.Duration) time.Duration {
+	after := comeBackFirst + s.jitter(comeBackLast-comeBackFirst)
+	if left > 0 {
+		after = min(after, left/comeBackPart)
+	}
+	return after
+}
+
 // endCall forgets a call and lets go of its claim.
 func (s *State) endCall(id CallID, c *call, o retry.Outcome, status int) {
 	delete(s.requests.calls, id)
@@ -230,13 +273,23 @@
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.EarlierLife || e.TargetGone {
 		s.requests.balancer.Leaving(s.now, c.target) // the table here is behind
 	}
+	if e.Arrived || e.Outcome != retry.NotRun {
+		c.arrivals++
+	}
+	if e.Held {
+		s.answerHeld(e, c)
+		return
+	}
 	if e.Outcome == retry.Ran {
+		s.logAnswered(c, e)
 		s.endCall(e.Call, c, retry.Ran, e.Status)
 		return
 	}
 	c.unknown = c.unknown || e.Outcome == retry.Unknown
 	c.repeats = c.repeats && !e.BodyGone
-	if !s.tryAgain(c, e) {
+	again := s.tryAgain(c, e)
+	s.logAttemptEnded(c, e, again)
+	if !again {
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
 	}
@@ -244,6 +297,70 @@
 	s.forward(e.Call, c)
 }
 
+// answerHeld tries a call again whose backend server answered with a failure,
+// or lets that answer go.
+func (s *State) answerHeld(e AttemptEnded, c *call) {
+	if c.idempotent(s) && c.repeats && s.hasAttempt(c) && s.budget(c.service).MayRerun() {
+		s.logAttemptEnded(c, e, true)
+		c.tried = append(c.tried, c.target.Row.ID)
+		s.forward(e.Call, c)
+		return
+	}
+	s.logAnswered(c, e)
+	s.endCall(e.Call, c, retry.Ran, e.Status)
+	s.emit(PassOn{Call: e.Call})
+}
+
+func (s *State) logAnswered(c *call, e AttemptEnded) {
+	s.log(notice.RequestAnswered, Attr{"request", c.request}, Attr{"target", c.targetID()}, Attr{"status", e.Status},
+		Attr{"attempts", c.attempts}, Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()}, Attr{"cut", e.Reason})
+}
+
+func (s *State) logAttemptEnded(c *call, e AttemptEnded, again bool) {
+	s.log(notice.AttemptEnded, Attr{"request", c.request}, Attr{"attempt", c.attempt.String()}, Attr{"target", c.targetID()},
+		Attr{"outcome", e.Outcome.String()}, Attr{"status", e.Status}, Attr{"reason", e.Reason},
+		Attr{"tookMillis", s.now.Sub(c.sent).Milliseconds()}, Attr{"again", again})
+}
+
+// idempotent reports whether a call may run more than once.
+func (c *call) idempotent(s *State) bool {
+	return c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
+}
+
+// budget returns the retries of a service.
+func (s *State) budget(service string) *retry.Budget {
+	b, ok := s.requests.budgets[service]
+	if !ok {
+		cfg := retry.Config{Share: s.cfg.RetryShare, Reserve: retryReserve, RerunShare: s.cfg.RerunShare}
+		if s.cfg.RerunReserve > 0 {
+			cfg.RerunReserve = s.cfg.RerunReserve / float64(max(s.table.Len(), 1))
+		}
+		b = retry.NewBudget(cfg)
+		s.requests.budgets[service] = b
+	}
+	return b
+}
+
+// retryTokens returns the retries left of the service that has the fewest.
+func (s *State) retryTokens() float64 {
+	least := float64(retryReserve)
+	for _, b := range s.requests.budgets {
+		least = min(least, b.Tokens())
+	}
+	return least
+}
+
+// refusedRetries is the number of attempts, beyond those that a policy allows,
+// that a call gets when nodes refuse them before their backend server has seen
+// anything.
+const refusedRetries = 2
+
+// hasAttempt reports whether a call may be sent once more.
+func (s *State) hasAttempt(c *call) bool {
+	most := c.route.Policy.MaxAttempts
+	return c.arrivals < most && c.attempts < most+refusedRetries && s.now.Before(c.deadline)
+}
+
 // took returns the time of an attempt that was answered, zero for another.
 func (c *call) took(now time.Time, e AttemptEnded) time.Duration {
 	if e.Outcome != retry.Ran {
@@ -255,17 +372,20 @@
 // tryAgain reports whether a call gets another attempt, and spends the budget
 // for it.
 func (s *State) tryAgain(c *call, e AttemptEnded) bool {
-	idempotent := c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
-	if !retry.Allowed(e.Outcome, idempotent, e.AnswerStarted) || !c.repeats {
+	if !retry.Allowed(e.Outcome, c.idempotent(s), e.AnswerStarted) || !c.repeats {
 		return false
 	}
 	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing && !e.TargetGone {
 		return false // only a home that is leaving or dead hands its keys on
 	}
-	if c.attempts >= c.route.Policy.MaxAttempts || !s.now.Before(c.deadline) {
+	if !s.hasAttempt(c) {
 		return false
 	}
-	return s.fault.retryFreely || c.isNews(e) || s.requests.budget.Take(e.Outcome)
+	after := e.Outcome
+	if c.arrivals > 0 {
+		after = retry.Unknown // one more would be a repeat for the backend servers
+	}
+	return s.fault.retryFreely || c.arrivals == 0 && c.isNews(e) || s.budget(c.service).Take(after)
 }
 
 // targetID returns the backend server of the last attempt, empty for none.
@@ -289,6 +409,8 @@
 	if !ok {
 		return
 	}
+	s.log(notice.RequestLeft, Attr{"request", c.request}, Attr{"attempts", c.attempts},
+		Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()})
 	o := retry.NotRun
 	if c.attempts > 0 {
 		s.requests.balancer.Done(s.now, c.target, balance.Result{Queue: -1})
--- /dev/null
+++ b/core/requests_rerun_test.go
@@ -0,0 +1,175 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// entryNode is a reducer that holds a configuration and knows backend servers.
+type entryNode struct {
+	t     *testing.T
+	state *core.State
+	now   time.Time
+	calls core.CallID
+}
+
+// newEntryNode returns a node that has read a configuration from its source
+// and knows n backend servers of service "orders".
+func newEntryNode(t *testing.T, cfg core.Config, n int, objects ...config.Object) *entryNode {
+	t.Helper()
+	cfg.Node, cfg.DataCentre, cfg.Source, cfg.Seed = "entry", "dc", true, 1
+	e := &entryNode{t: t, state: core.New(cfg), now: time.Unix(1_800_000_000, 0)}
+	e.read(1, objects...)
+	var entries []endpoint.Entry
+	for i := range n {
+		id := string(rune('a' + i))
+		entries = append(entries, endpoint.Entry{
+			ID: id, Service: "orders", DataCentre: "dc", Peer: id, Hop: id, Slots: 4, State: endpoint.Ready, Sequence: 1,
+			Incarnation: endpoint.Incarnation{Start: 1},
+		})
+	}
+	e.tell(entries)
+	return e
+}
+
+func (e *entryNode) step(event core.Event) []core.Effect {
+	return append([]core.Effect(nil), e.state.Reduce(e.now, event)...)
+}
+
+// read answers the read of the source that is under way.
+func (e *entryNode) read(version uint64, objects ...config.Object) {
+	e.t.Helper()
+	for _, effect := range e.step(core.Tick{}) {
+		call := core.StoreCallID(0)
+		switch effect := effect.(type) {
+		case core.StoreList:
+			if effect.Prefix == keyspace.Source {
+				call = effect.Call
+			}
+		case core.StoreWatch:
+			call = effect.Call
+		}
+		if call != 0 {
+			data := published(e.t, version, objects...)
+			e.step(core.StoreDone{Call: call, Revision: version, Objects: []core.StoreObject{{Key: keyspace.Source + "main", Data: data}}})
+			return
+		}
+	}
+	e.t.Fatal("the source is not read")
+}
+
+// tell hands entries over as another node would.
+func (e *entryNode) tell(entries []endpoint.Entry) {
+	const link = core.LinkID(1)
+	e.step(core.LinkUp{Link: link})
+	e.step(core.LinkMessage{Link: link, Message: endpointsMessage(entries)})
+}
+
+// call sends a request in and returns its first Forward.
+func (e *entryNode) call(method string) core.Forward {
+	e.t.Helper()
+	e.calls++
+	f, ok := only[core.Forward](e.step(core.CallArrived{Call: e.calls, Method: method, Path: "/", Repeats: true}))
+	if !ok {
+		e.t.Fatal("the request was not sent")
+	}
+	return f
+}
+
+// only returns the first effect of a type.
+func only[T core.Effect](effects []core.Effect) (T, bool) {
+	for _, effect := range effects {
+		if t, ok := effect.(T); ok {
+			return t, true
+		}
+	}
+	var zero T
+	return zero, false
+}
+
+func orders(policy string) []config.Object {
+	return []config.Object{
+		{Kind: config.KindPolicy, Name: "p", Spec: []byte(policy)},
+		{Kind: config.KindService, Name: "orders", Spec: []byte(`{}`)},
+		{Kind: config.KindRoute, Name: "r", Spec: []byte(`{"pathPrefix":"/","service":"orders","policy":"p"}`)},
+	}
+}
+
+// held is the end of an attempt whose backend server answered with a failure.
+func held(f core.Forward) core.AttemptEnded {
+	return core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, Status: 500, Held: true, Arrived: true, Failed: true, Queue: -1,
+	}
+}
+
+// TestFailedAnswerIsTriedAgain checks that a failure that a backend server
+// answered is not the end of a request that may run twice, and that it is for
+// any other.
+func TestFailedAnswerIsTriedAgain(t *testing.T) {
+	for _, tt := range []struct {
+		method string
+		again  bool
+	}{{"GET", true}, {"POST", false}} {
+		t.Run(tt.method, func(t *testing.T) {
+			is := is.New(t)
+			e := newEntryNode(t, core.Config{RerunShare: 0.1, RerunReserve: 100}, 3, orders(`{"maxAttempts":2}`)...)
+			first := e.call(tt.method)
+			is.Equal(first.Repeats, tt.again)
+			effects := e.step(held(first))
+			second, again := only[core.Forward](effects)
+			is.Equal(again, tt.again)
+			if !again {
+				_, passed := only[core.PassOn](effects)
+				is.True(passed) // the answer goes to the caller
+				return
+			}
+			is.True(second.Target != first.Target)
+			_, passed := only[core.PassOn](e.step(held(second)))
+			is.True(passed) // the policy allows no third attempt
+		})
+	}
+}
+
+// TestRerunsStayWithinTheirBudget lets every answer fail: what reaches a
+// backend server once more stays a share of the calls.
+func TestRerunsStayWithinTheirBudget(t *testing.T) {
+	is := is.New(t)
+	const calls, share, reserve = 1000, 0.08, 24
+	e := newEntryNode(t, core.Config{RetryShare: 0.5, RerunShare: share, RerunReserve: reserve}, 3, orders(`{"maxAttempts":3}`)...)
+	reruns := 0
+	for range calls {
+		f, again := e.call("GET"), true
+		for again {
+			if f, again = only[core.Forward](e.step(held(f))); again {
+				reruns++
+			}
+		}
+	}
+	is.True(reruns <= share*calls+reserve)
+	is.True(reruns >= share*calls/2) // the budget is used
+}
+
+// TestRefusalsCostNoRerun checks that attempts which no backend server has
+// seen are tried elsewhere when there is no budget for reruns, and are bounded.
+func TestRefusalsCostNoRerun(t *testing.T) {
+	is := is.New(t)
+	e := newEntryNode(t, core.Config{RetryShare: 0.5, RerunShare: 1e-9, RerunReserve: 1e-9}, 6, orders(`{"maxAttempts":2}`)...)
+	f, again := e.call("POST"), true
+	sent := 1
+	for again {
+		if f, again = only[core.Forward](e.step(core.AttemptEnded{
+			Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, Queue: -1, Reason: "queue full",
+		})); again {
+			sent++
+		}
+	}
+	is.Equal(sent, 4)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -28,8 +28,20 @@
 
 // Config holds the settings of a Budget.
 type Config struct {
-	Share   float64 // retries for each call
-	Reserve float64 // retries allowed when there are few calls
+	Share        float64 // retries for each call
+	Reserve      float64 // retries allowed when there are few calls
+	RerunShare   float64 // the part of Share that may follow an attempt that may have run; zero: rerunShare
+	RerunReserve float64 // the same of Reserve; zero: rerunReserveShare
+}
+
+func (c Config) withDefaults() Config {
+	if c.RerunShare == 0 {
+		c.RerunShare = c.Share * rerunShare
+	}
+	if c.RerunReserve == 0 {
+		c.RerunReserve = max(c.Reserve*rerunReserveShare, 1)
+	}
+	return c
 }
 
 // rerunShare is the share of each hop in the reruns of MaxDepth hops and the
@@ -49,19 +61,18 @@
 
 // NewBudget returns a Budget with a full reserve.
 func NewBudget(cfg Config) *Budget {
-	return &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.rerunReserve()}
+	cfg = cfg.withDefaults()
+	return &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.RerunReserve}
 }
 
 // rerunReserveShare is the part of the reserve that reruns may spend at once: a
 // few calls in flight to one node that dies.
 const rerunReserveShare = 0.25
 
-func (c Config) rerunReserve() float64 { return max(c.Reserve*rerunReserveShare, 1) }
-
 // Call counts a call, which earns a share of a retry.
 func (b *Budget) Call() {
 	b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Reserve)
-	b.reruns = min(b.reruns+b.cfg.Share*rerunShare, b.cfg.rerunReserve())
+	b.reruns = min(b.reruns+b.cfg.RerunShare, max(b.cfg.RerunReserve, 1))
 }
 
 // Take spends one retry if the budget has one. After says how the attempt
@@ -92,5 +103,10 @@
 	return false
 }
 
+// MayRerun reports whether an idempotent call whose backend server answered
+// with a failure of its own may run once more, nothing having been passed on,
+// and spends a rerun for it.
+func (b *Budget) MayRerun() bool { return b.Take(Unknown) }
+
 // Tokens returns the retries left.
 func (b *Budget) Tokens() float64 { return b.tokens }
--- /dev/null
+++ b/core/source_export_test.go
@@ -0,0 +1,24 @@
+package core_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+)
+
+// published returns a configuration in the form in which a source keeps it.
+func published(t *testing.T, version uint64, objects ...config.Object) []byte {
+	t.Helper()
+	data, err := json.Marshal(config.Published{Version: version, Objects: objects})
+	is.New(t).NoErr(err)
+	return data
+}
+
+func endpointsMessage(entries []endpoint.Entry) message.Message {
+	return message.Endpoints{Entries: entries}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -44,6 +44,8 @@
 	DrainAtLeast   time.Duration // time that stale senders get to learn of a leaving backend server
 	DrainAtMost    time.Duration // after this the process ends in any case
 	RetryShare     float64       // retries for each call
+	RerunShare     float64       // of these, those of calls that a backend server may have seen; zero: by the depth of calls
+	RerunReserve   float64       // the same when there are few calls, over all nodes; zero: a part of RetryShare's
 	ReportEvery    time.Duration // shortest time between two reports of one node
 	BatchWindow    time.Duration // news of endpoints that begin to serve is held this long; zero: sent at once
 	JoinsPerSecond int           // that one node accepts
@@ -332,7 +334,7 @@
 	d := Dump{
 		Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Time: s.now, Ready: ready, NotReady: why,
 		Phase: s.member.phase.String(), Path: s.path(), Publisher: s.publisher.lease.Held(s.now),
-		Endpoints: s.table.Entries(), Calls: len(s.requests.calls), RetryTokens: s.requests.budget.Tokens(),
+		Endpoints: s.table.Entries(), Calls: len(s.requests.calls), RetryTokens: s.retryTokens(),
 		Backend:       s.backend.dump(s.cfg),
 		ConfigVersion: s.holder.set.Version, ConfigHash: s.holder.set.Hash(), Routes: s.holder.snapshot.Routes(),
 	}
--- a/eventlog/emitted_test.go
+++ b/eventlog/emitted_test.go
@@ -43,7 +43,7 @@
 	out, number := map[string][]string{}, numbers(t)
 	err := filepath.WalkDir("..", func(file string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(file, ".go") || strings.HasSuffix(file, "_test.go") ||
-			strings.HasPrefix(file, "../core/notice/") || strings.HasPrefix(file, "../eventlog/") {
+			strings.HasPrefix(file, "../core/notice/") {
 			return err
 		}
 		ast.Inspect(parse(t, file), func(n ast.Node) bool {
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"log"
 	"os"
 	"time"
@@ -16,13 +17,7 @@
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
-// Of each event the first lines of a second are written, then one of many.
-const (
-	sampleEvery  = time.Second
-	sampleFirst  = 100
-	sampleOneOf  = 100
-	defaultLevel = "info"
-)
+const defaultLevel = "info"
 
 // The forms of a log.
 const (
@@ -35,12 +30,18 @@
 	Format string              // FormatJSON (default) or FormatConsole
 	Level  string              // "debug", "info" (default), "warn" or "error"
 	Node   string              // added to every line
-	Writer zapcore.WriteSyncer // nil: standard error
+	Writer zapcore.WriteSyncer // written to at once; nil: standard error
+	Output io.Writer           // instead of Writer: written to in the background, and lines that it does not take are dropped
 	Clock  zapcore.Clock       // nil: the system's
 }
 
-// Logger writes numbered events.
-type Logger struct{ zap *zap.Logger }
+// Logger writes numbered events. Of each event a bounded number of lines is
+// written in a second; how many were dropped is written as an event.
+type Logger struct {
+	core  zapcore.Core
+	clock zapcore.Clock
+	limit *limiter
+}
 
 // New returns a Logger.
 func New(cfg Config) (*Logger, error) {
@@ -55,14 +56,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if cfg.Writer == nil {
+	switch {
+	case cfg.Output != nil:
+		cfg.Writer = newAsyncWriter(cfg.Output)
+	case cfg.Writer == nil:
 		cfg.Writer = zapcore.Lock(os.Stderr)
 	}
 	if cfg.Clock == nil {
 		cfg.Clock = zapcore.DefaultClock
 	}
-	sampled := zapcore.NewSamplerWithOptions(zapcore.NewCore(enc, cfg.Writer, level), sampleEvery, sampleFirst, sampleOneOf)
-	return &Logger{zap: zap.New(sampled, zap.WithClock(cfg.Clock)).With(zap.String("node", cfg.Node))}, nil
+	core := zapcore.NewCore(enc, cfg.Writer, level).With([]zap.Field{zap.String("node", cfg.Node)})
+	return &Logger{core: core, clock: cfg.Clock, limit: newLimiter()}, nil
 }
 
 func encoder(format string) (zapcore.Encoder, error) {
@@ -79,20 +83,42 @@
 }
 
 // Nop returns a Logger that writes nothing.
-func Nop() *Logger { return &Logger{zap: zap.NewNop()} }
+func Nop() *Logger {
+	return &Logger{core: zapcore.NewNopCore(), clock: zapcore.DefaultClock, limit: newLimiter()}
+}
 
-// Write writes one event.
+// Write writes one event, unless as many of it as may be were written in this
+// second.
 func (l *Logger) Write(c notice.Code, attrs ...core.Attr) {
-	entry := l.zap.Check(levelOf(c), c.String())
-	if entry == nil {
+	if !l.core.Enabled(levelOf(c)) {
 		return
 	}
+	now := l.clock.Now()
+	ok, missing := l.limit.take(now, c)
+	for _, m := range missing {
+		l.write(now, notice.LinesDropped, core.Attr{Key: "of", Value: int(m.Code)}, core.Attr{Key: "count", Value: m.Count})
+	}
+	if ok {
+		l.write(now, c, attrs...)
+	}
+}
+
+// Dropped returns the number of lines that are missing in the log, by event.
+func (l *Logger) Dropped() map[notice.Code]int { return l.limit.totals() }
+
+// Sync waits for the last lines, for a bounded time.
+func (l *Logger) Sync() error { return l.core.Sync() }
+
+func (l *Logger) write(now time.Time, c notice.Code, attrs ...core.Attr) {
 	fields := make([]zap.Field, 0, len(attrs)+1)
 	fields = append(fields, zap.Int("event", int(c)))
 	for _, a := range attrs {
 		fields = append(fields, zap.Any(a.Key, a.Value))
 	}
-	entry.Write(fields...)
+	entry := zapcore.Entry{Level: levelOf(c), Time: now, Message: c.String()}
+	if err := l.core.Write(entry, fields); err != nil {
+		l.limit.lost(c)
+	}
 }
 
 // Std returns a logger for libraries that write text: each line becomes an
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -57,15 +57,64 @@
 	is.True(strings.Contains(err.Error(), `log level "loud"`))
 }
 
-func TestManyLinesOfOneEventAreSampled(t *testing.T) {
+// TestLinesOfOneEventAreBounded checks that what is over the bound of a second
+// is dropped, counted and told of, and that other events are not touched.
+func TestLinesOfOneEventAreBounded(t *testing.T) {
 	is := is.New(t)
-	l, out := logger(t, FormatJSON, "info")
-	for range 1000 {
+	var out bytes.Buffer
+	clock := &steppedClock{now: time.Unix(1000, 0)}
+	l, err := New(Config{Writer: zapcore.AddSync(&out), Clock: clock})
+	is.NoErr(err)
+	for range linesPerSecond + 750 {
 		l.Write(notice.EndpointState)
 	}
 	l.Write(notice.ConfigApplied) // another event has a share of its own
-	is.Equal(strings.Count(out.String(), "endpoint state changed"), sampleFirst+(1000-sampleFirst)/sampleOneOf)
+	is.Equal(strings.Count(out.String(), "endpoint state changed"), linesPerSecond)
 	is.Equal(strings.Count(out.String(), "configuration applied"), 1)
+	clock.now = clock.now.Add(time.Second)
+	l.Write(notice.EndpointState)
+	is.Equal(strings.Count(out.String(), "endpoint state changed"), linesPerSecond+1)
+	is.Equal(strings.Count(out.String(), `"of":5001,"count":750`), 1)
+	is.Equal(l.Dropped(), map[notice.Code]int{notice.EndpointState: 750})
+}
+
+// steppedClock stands where it is put.
+type steppedClock struct {
+	fixedClock
+	now time.Time
+}
+
+func (c *steppedClock) Now() time.Time { return c.now }
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	written chan int
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.written <- len(p)
+	return len(p), nil
+}
+
+// TestStuckOutputBlocksNobody writes while the reader of the log has stopped:
+// lines are dropped and counted, and what was queued comes once it reads again.
+func TestStuckOutputBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	out := &stuckWriter{release: make(chan struct{}), written: make(chan int, 16)}
+	clock := &steppedClock{now: time.Unix(1000, 0)}
+	l, err := New(Config{Output: out, Clock: clock})
+	is.NoErr(err)
+	lines := 3 * queuedLines
+	for range lines {
+		clock.now = clock.now.Add(time.Second / linesPerSecond * 2)
+		l.Write(notice.ConfigApplied)
+	}
+	is.True(l.Dropped()[notice.ConfigApplied] >= lines-2*queuedLines) // one batch is being written, one waits
+	close(out.release)
+	is.True(<-out.written > 0)
+	is.NoErr(l.Sync())
 }
 
 func TestStdWritesLinesAsEvents(t *testing.T) {
--- /dev/null
+++ b/eventlog/limit.go
@@ -0,0 +1,99 @@
+package eventlog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// linesPerSecond is the number of lines that one event may write in a second.
+// Each event has a share of its own, so that lines of routine never push out
+// one that says what failed.
+const linesPerSecond = 250
+
+// limiter bounds the lines of each event.
+type limiter struct {
+	mu     sync.Mutex
+	second int64 // that the counts are of
+	events map[notice.Code]*lines
+}
+
+// lines counts those of one event.
+type lines struct {
+	written int // in this second
+	dropped int // in this second
+	total   int // dropped since the start
+}
+
+// dropped says how many lines of an event are missing in the log.
+type dropped struct {
+	Code  notice.Code
+	Count int
+}
+
+func newLimiter() *limiter { return &limiter{events: map[notice.Code]*lines{}} }
+
+// take reports whether a line may be written, and which lines of earlier
+// seconds were dropped, each told once.
+func (l *limiter) take(now time.Time, c notice.Code) (bool, []dropped) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var missing []dropped
+	if second := now.Unix(); second != l.second {
+		l.second = second
+		missing = l.nextSecond()
+	}
+	e := l.of(c)
+	if e.written >= linesPerSecond {
+		e.drop()
+		return false, missing
+	}
+	e.written++
+	return true, missing
+}
+
+// lost counts a line that could not be written after it was taken.
+func (l *limiter) lost(c notice.Code) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(c).drop()
+}
+
+func (e *lines) drop() {
+	e.dropped++
+	e.total++
+}
+
+func (l *limiter) of(c notice.Code) *lines {
+	e, ok := l.events[c]
+	if !ok {
+		e = &lines{}
+		l.events[c] = e
+	}
+	return e
+}
+
+func (l *limiter) nextSecond() []dropped {
+	var missing []dropped
+	for c, e := range l.events {
+		if e.dropped > 0 {
+			missing = append(missing, dropped{Code: c, Count: e.dropped})
+		}
+		e.written, e.dropped = 0, 0
+	}
+	return missing
+}
+
+// totals returns the lines dropped since the start, by event.
+func (l *limiter) totals() map[notice.Code]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[notice.Code]int{}
+	for c, e := range l.events {
+		if e.total > 0 {
+			out[c] = e.total
+		}
+	}
+	return out
+}
--- a/node/module.go
+++ b/node/module.go
@@ -14,7 +14,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/notice"
@@ -48,7 +47,7 @@
 func newLogger(s settings.Settings) (*eventlog.Logger, error) {
 	cfg := eventlog.Config{Format: s.Log.Format, Level: s.Log.Level, Node: s.Node}
 	if s.Log.Output == "stdout" {
-		cfg.Writer = zapcore.Lock(os.Stdout)
+		cfg.Output = os.Stdout
 	}
 	return eventlog.New(cfg)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -176,6 +176,8 @@
 		n.toCall(e.Call, e)
 	case core.Finish:
 		n.toCall(e.Call, e)
+	case core.PassOn:
+		n.toCall(e.Call, e)
 	case core.Run:
 		n.toAttempt(e.Attempt, e)
 	case core.Refuse:
--- a/node/observe.go
+++ b/node/observe.go
@@ -83,7 +83,7 @@
 func (o *observer) event(e core.Event) {
 	switch e := e.(type) {
 	case core.AttemptEnded:
-		if e.Outcome == retry.Ran {
+		if e.Outcome == retry.Ran && !e.Held {
 			o.ended(e.Call, retry.Ran)
 		}
 	case core.LinkUp:
@@ -100,6 +100,8 @@
 			o.retries.Inc(1)
 		}
 		o.classes[e.Call] = classNames[e.Class]
+	case core.PassOn:
+		o.ended(e.Call, retry.Ran)
 	case core.Finish:
 		o.finished(e)
 	case core.Run:
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -18,6 +18,9 @@
 	defer cancel()
 	c.body.limitUpload(f.Budget + hopGrace)
 	resp, err := c.send(ctx, cancel, f)
+	if err == nil && f.Repeats {
+		err = c.take(resp)
+	}
 	if err == nil {
 		c.answer(resp, f)
 		return
@@ -33,7 +36,8 @@
 	}
 	failed := c.settle(f, asAttemptError(err))
 	c.proxy.core.Step(core.AttemptEnded{
-		Call: f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
+		Arrived: failed.arrived,
+		Call:    f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
 		Status: failed.status, BodyGone: !c.body.repeatable(), Reason: failed.reason,
 		TargetGone: failed.outcome == retry.NotRun && !failed.told && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
@@ -48,9 +52,14 @@
 	defer func() { _ = resp.Body.Close() }()
 	ended := core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueOf(resp),
-		Status: resp.StatusCode,
+		Status: resp.StatusCode, Arrived: true,
 		Failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
+	if ended.Failed && f.Repeats && c.hold(resp) {
+		ended.AnswerStarted, ended.Held = false, true
+		c.proxy.core.Step(ended)
+		return
+	}
 	err := passOn(c.w, resp)
 	var cut *answerError
 	if err != nil {
@@ -120,7 +129,9 @@
 
 // toldError returns what the receiving node says about an attempt.
 func toldError(f core.Forward, told string, resp *http.Response) *attemptError {
-	e := &attemptError{outcome: retry.Unknown, told: true, reason: resp.Header.Get(HeaderReason)}
+	e := &attemptError{
+		outcome: retry.Unknown, told: true, reason: resp.Header.Get(HeaderReason), arrived: resp.Header.Get(headerArrived) != "",
+	}
 	e.err = fmt.Errorf("node %s: %s", f.Target, e.reason)
 	switch told {
 	case retry.NotRun.String():
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -22,6 +22,7 @@
 	body  *requestBody
 	depth int  // calls of the mesh that led to it
 	over  bool // the reducer knows that it has ended
+	held  *heldAnswer
 }
 
 // rejection is a request that is refused before the reducer sees it.
@@ -70,7 +71,7 @@
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
 	return core.CallArrived{
-		Call: c.id, Method: r.Method, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
+		Call: c.id, Request: get(r.Header, p.cfg.Names.RequestID), Method: r.Method, Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key"),
 		Budget: budget, Repeats: true, Upstream: c.depth > 0,
 	}, nil
 }
@@ -126,8 +127,15 @@
 // carryOut carries one effect out.
 func (c *call) carryOut(e core.Effect) {
 	switch e := e.(type) {
+	case core.PassOn:
+		c.over = true
+		c.passHeld()
 	case core.Finish:
 		c.over = true
+		if c.held != nil {
+			c.passHeld() // no later attempt has come to more
+			return
+		}
 		if e.Outcome == retry.Ran {
 			c.proxy.tellFirst(c.w, e.Status, e.Reason)
 			return
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -34,6 +34,7 @@
 	headerPrefix  = "Agatekeel-"
 	headerHop     = "Agatekeel-Hop"     // a hopHeader
 	headerAttempt = "Agatekeel-Attempt" // whose answer it is
+	headerArrived = "Agatekeel-Arrived" // the backend server may have seen the attempt
 	headerQueue   = "Agatekeel-Queue"
 	headerQuery   = "Agatekeel-Query" // asks about an attempt
 	headerCancel  = "Agatekeel-Cancel"
@@ -63,9 +64,7 @@
 	}
 }
 
-func formatAttempt(id core.AttemptID) string {
-	return strconv.FormatUint(id.Origin, 16) + "-" + strconv.FormatUint(id.Number, 16)
-}
+func formatAttempt(id core.AttemptID) string { return id.String() }
 
 func parseAttempt(s string) (core.AttemptID, error) {
 	origin, number, ok := strings.Cut(s, "-")
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -36,6 +36,9 @@
 			p.tellFirst(w, failed.status, failed.reason)
 			return
 		}
+		if failed.arrived {
+			w.Header()[headerArrived] = []string{"1"}
+		}
 		p.fail(w, statusOf(failed.outcome), failed.outcome, failed.Error())
 		return
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -21,7 +21,7 @@
 		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
 	}
 	effects, fresh := p.core.OpenAttempt(core.AttemptArrived{
-		Attempt: h.attempt, Class: h.class, Budget: h.budget, For: h.meant, Key: h.key,
+		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class, Budget: h.budget, For: h.meant, Key: h.key,
 	})
 	if !fresh {
 		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
@@ -42,7 +42,7 @@
 	if err == nil {
 		err = p.cfg.Names.checkAnswer(r, resp)
 	}
-	done := core.AttemptDone{Attempt: h.attempt}
+	done := core.AttemptDone{Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID)}
 	end := func() {
 		done.Took = time.Since(started)
 		p.core.EndAttempt(done)
@@ -53,7 +53,8 @@
 		failed := asAttemptError(err)
 		return nil, &attemptError{
 			outcome: failed.outcome, told: true, healthy: failed.healthy, reason: failed.Error(),
-			err: fmt.Errorf("backend server: %w", failed.err),
+			arrived: failed.arrived || failed.outcome != retry.NotRun,
+			err:     fmt.Errorf("backend server: %w", failed.err),
 		}
 	}
 	done.Status = resp.StatusCode
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -67,5 +67,5 @@
 	}
 	_ = resp.Body.Close()
 	err := fmt.Errorf("answer with status %d says that it did not run", resp.StatusCode)
-	return &attemptError{outcome: retry.NotRun, healthy: true, err: err}
+	return &attemptError{outcome: retry.NotRun, healthy: true, arrived: true, err: err}
 }
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -15,6 +15,7 @@
 	outcome retry.Outcome
 	told    bool   // the receiving node said so, so there is no need to ask it
 	healthy bool   // the failure does not count against the endpoint
+	arrived bool   // the backend server may have seen the request
 	status  int    // of the first answer, when outcome is Ran
 	reason  string // as the receiving node gave it
 	err     error
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -109,6 +109,8 @@
 	MaxDepth        int      `json:"maxDepth,omitempty" validate:"min=0,max=64"`
 	SilenceAfter    Duration `json:"silenceAfter,omitempty" validate:"omitempty,min=10ms,max=1m"`
 	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
+	RerunShare      float64  `json:"rerunShare,omitempty" validate:"min=0,max=1"`
+	RerunReserve    float64  `json:"rerunReserve,omitempty" validate:"min=0,max=1000"`
 	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
 	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=10m,max=720h"`
 	ClaimsPerSecond float64  `json:"claimsPerSecond,omitempty" validate:"min=0,max=1000"`
