--- /dev/null
+++ b/core/source_test.go
@@ -0,0 +1,151 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/keyspace"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// follower is a reducer that follows a source, and the read that it waits for.
+type follower struct {
+	t       *testing.T
+	state   *core.State
+	now     time.Time
+	pending core.Effect // StoreList or StoreWatch of the source; nil: none
+	refused int         // lines of ConfigRefused
+}
+
+func newFollower(t *testing.T) *follower {
+	f := &follower{t: t, now: time.Unix(1_800_000_000, 0), state: core.New(core.Config{
+		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Source: true, Seed: 1,
+	})}
+	f.step(core.Tick{})
+	return f
+}
+
+func (f *follower) step(e core.Event) {
+	for _, effect := range f.state.Reduce(f.now, e) {
+		switch effect := effect.(type) {
+		case core.StoreList:
+			if effect.Prefix == keyspace.Source {
+				f.pending = effect
+			}
+		case core.StoreWatch:
+			f.pending = effect
+		case core.Log:
+			if effect.Code == notice.ConfigRefused {
+				f.refused++
+			}
+		}
+	}
+}
+
+// answer ends the read that is under way.
+func (f *follower) answer(done core.StoreDone) {
+	f.t.Helper()
+	switch e := f.pending.(type) {
+	case core.StoreList:
+		done.Call = e.Call
+	case core.StoreWatch:
+		done.Call = e.Call
+	default:
+		f.t.Fatal("no read of the source is under way")
+	}
+	f.pending = nil
+	f.step(done)
+}
+
+func (f *follower) tell(data []byte) {
+	f.t.Helper()
+	f.answer(core.StoreDone{Objects: []core.StoreObject{{Key: keyspace.Source + "main", Data: data}}, Revision: 10})
+}
+
+// lists and watches tell which read is under way.
+func (f *follower) lists() bool {
+	_, ok := f.pending.(core.StoreList)
+	return ok
+}
+
+func (f *follower) watches() bool {
+	_, ok := f.pending.(core.StoreWatch)
+	return ok
+}
+
+func (f *follower) after(d time.Duration) {
+	for range d / (50 * time.Millisecond) {
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.step(core.Tick{})
+	}
+}
+
+func TestSourceIsFollowed(t *testing.T) {
+	is := is.New(t)
+	f := newFollower(t)
+	is.True(f.lists())
+	ready, _ := f.state.Ready()
+	is.True(!ready) // no request is answered before a configuration is held
+	f.tell(published(t, 3, orders(`{}`)...))
+	ready, why := f.state.Ready()
+	is.Equal(why, "")
+	is.True(ready)
+	is.True(f.watches()) // at once: a change may have come since
+	f.tell(published(t, 5, orders(`{"maxAttempts":5}`)...))
+	is.Equal(f.state.ConfigVersion(), uint64(5))
+	f.tell(published(t, 4, orders(`{}`)...))
+	is.Equal(f.state.ConfigVersion(), uint64(5)) // never back
+}
+
+// TestFaultyVersionLeavesTheHeldOne checks that a version that can't be
+// compiled or translated changes nothing, and is told of once.
+func TestFaultyVersionLeavesTheHeldOne(t *testing.T) {
+	faulty := orders(`{}`)[:1] // without the service
+	faulty = append(faulty, config.Object{Kind: config.KindRoute, Name: "r", Spec: []byte(`{"pathPrefix":"/","service":"gone"}`)})
+	for name, data := range map[string][]byte{
+		"compile":   published(t, 5, faulty...),
+		"translate": []byte(`{"version":5,"fault":"kind is not known"}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFollower(t)
+			f.tell(published(t, 3, orders(`{}`)...))
+			f.tell(data)
+			f.tell(data)
+			is.Equal(f.state.ConfigVersion(), uint64(3))
+			is.Equal(f.refused, 1)
+			ready, _ := f.state.Ready()
+			is.True(ready)
+			f.tell(published(t, 6, orders(`{}`)...))
+			is.Equal(f.state.ConfigVersion(), uint64(6))
+		})
+	}
+}
+
+func TestSourceIsListedAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		err   core.StoreError
+		waits bool
+	}{{"history is gone", core.StoreCompacted, false}, {"call failed", core.StoreFailed, true}, {"rate", core.StoreThrottled, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFollower(t)
+			f.tell(published(t, 3, orders(`{}`)...))
+			f.answer(core.StoreDone{Err: tt.err})
+			if tt.waits {
+				is.Equal(f.pending, nil)
+				f.after(time.Second)
+			}
+			is.True(f.lists())
+			ready, _ := f.state.Ready()
+			is.True(ready) // the held version stays in force
+			f.tell(published(t, 9, orders(`{}`)...))
+			is.Equal(f.state.ConfigVersion(), uint64(9))
+		})
+	}
+}
