Let roots alone read the configuration, and tell its age with every heartbeat

Weighed: a second watcher beside each root (its child would feed the root): two watchers of one data centre may be turned away by the store together, and no bound follows. An age that travels: each heartbeat says how long ago its sender's configuration was known to be the newest. A node whose age passes the wait of a root plus two heartbeats (1.4 s on the platform) reads the source itself until the tree has fed it for 3 s. The bound holds by construction, whatever stands between.

--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -46,12 +46,13 @@
 	// OnStore, if set, sees every platform call as it arrives there.
 	OnStore func(n *Node, e core.Effect)
 
-	nodes   map[string]*Node
-	queue   queue
-	order   uint64
-	cut     map[[2]string]bool
-	deaf    map[[2]string]bool
-	watches []*watch
+	storeCut map[string]bool // nodes that hear nothing of the platform
+	nodes    map[string]*Node
+	queue    queue
+	order    uint64
+	cut      map[[2]string]bool
+	deaf     map[[2]string]bool
+	watches  []*watch
 }
 
 // Node is one reducer of a Mesh.
@@ -98,7 +99,7 @@
 		Faults: Faults{
 			PlatformDelay: 5 * time.Millisecond, LinkDelay: 2 * time.Millisecond,
 		},
-		nodes: map[string]*Node{}, cut: map[[2]string]bool{}, deaf: map[[2]string]bool{},
+		storeCut: map[string]bool{}, nodes: map[string]*Node{}, cut: map[[2]string]bool{}, deaf: map[[2]string]bool{},
 	}
 }
 
@@ -200,6 +201,18 @@
 // requests still pass.
 func (m *Mesh) Deafen(a, b string) { m.deaf[pair(a, b)] = true }
 
+// CutStore parts a node from the platform in silence: it hears nothing, and
+// its calls have no effect.
+func (m *Mesh) CutStore(name string) {
+	m.storeCut[name] = true
+	for _, w := range m.watches {
+		if w.node.Name == name && !w.done {
+			w.done = true
+			m.After(platformTimeout, func() { m.step(w.node, w.life, failed(w.effect)) })
+		}
+	}
+}
+
 // Heal ends all cuts, pauses and faults. Delays stay.
 func (m *Mesh) Heal() {
 	m.cut, m.deaf = map[[2]string]bool{}, map[[2]string]bool{}
--- a/core/coretest/store.go
+++ b/core/coretest/store.go
@@ -15,7 +15,7 @@
 		m.OnStore(n, effect)
 	}
 	switch {
-	case m.Faults.PlatformDown:
+	case m.Faults.PlatformDown || m.storeCut[n.Name]:
 		m.After(platformTimeout, func() { m.step(n, life, failed(effect)) })
 		return
 	case m.Rand.Float64() < m.Faults.FailBefore:
--- a/core/link.go
+++ b/core/link.go
@@ -146,7 +146,7 @@
 func (s *State) heartbeat() message.Heartbeat {
 	return message.Heartbeat{
 		Path: s.path(), Rooted: s.rooted(), Config: s.configVersion(), Newest: s.member.newest,
-		Table: s.table.Digest(), Census: s.member.census,
+		Table: s.table.Digest(), Census: s.member.census, Source: s.sourceAge(),
 	}
 }
 
@@ -161,7 +161,7 @@
 	h := s.heartbeat()
 	if sameHeartbeat(h, l.told) && l.sames < maxSameHeartbeats {
 		l.sames++
-		s.send(id, message.Heartbeat{Same: true})
+		s.send(id, message.Heartbeat{Same: true, Source: h.Source})
 		return
 	}
 	l.told, l.sames = h, 0
--- a/core/member.go
+++ b/core/member.go
@@ -363,6 +363,7 @@
 		s.leaveRoot()
 	}
 	l.greeted, l.last = true, m.Heartbeat
+	s.sourceTold(m.Source, m.Config)
 	s.setPhase(phaseJoined)
 	s.member.unanswered = ""
 	s.member.candidates, s.member.ranked, s.member.besideRoot = nil, false, false
@@ -416,6 +417,7 @@
 		l.last = m
 	}
 	l.config = max(l.config, l.last.Config)
+	s.sourceTold(m.Source, l.last.Config)
 	switch {
 	case id == s.member.parent:
 		s.parentTold(id, l)
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -53,7 +53,8 @@
 // Heartbeat shows that the sender is alive. Parents tell their path, so that
 // a cycle in the tree is found by its members.
 type Heartbeat struct {
-	Same   bool     // all is as in the last one on this link; the rest is empty
+	Same   bool     // all but Source is as in the last one on this link; the rest is empty
+	Source *Age     // of what the sender knows of the configuration's source; nil: nothing
 	Path   []string // node IDs from the sender up to its root
 	Rooted bool     // the path ends in a root, and every node of it has caught up
 	Config uint64   // version held by the sender
@@ -62,6 +63,10 @@
 	Census uint64   // number of the root's newest census, zero: none
 }
 
+// Age is a time that has passed. It is sent instead of a time of day, since
+// clocks differ.
+type Age time.Duration
+
 // Leaving says that the sender closes the link and lives on.
 type Leaving struct{}
 
--- a/core/state.go
+++ b/core/state.go
@@ -27,6 +27,7 @@
 	Seed        uint64
 	Source      bool          // configuration comes from keyspace.Source, not from a publisher
 	Announced   bool          // the backend server tells of itself (BackendHeard) and is not probed
+	SourceWait  time.Duration // the longest wait of one watch of the source
 	SilentAfter time.Duration // an announced backend server that is not heard for so long has failed
 	Seeds       []string      // addresses of other nodes, for a start without the platform
 	Favour      Favour
@@ -109,6 +110,7 @@
 	setDefault(&c.ProbeEvery, time.Second)
 	setDefault(&c.SilentAfter, 5*time.Second)
 	setDefault(&c.WatchWait, 20*time.Second)
+	setDefault(&c.SourceWait, time.Second)
 	setDefault(&c.JoinJitter, 200*time.Millisecond)
 	setDefault(&c.SlowStart, 5*time.Second)
 	setDefault(&c.DrainAtLeast, time.Second)
--- a/node/config.go
+++ b/node/config.go
@@ -22,7 +22,7 @@
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
 		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter),
-		Source: s.Distribution.Source == settings.SourceStore,
+		Source: s.Distribution.Source == settings.SourceStore, SourceWait: time.Duration(s.Distribution.SourceWait),
 		Fanout: s.Distribution.Fanout, Favour: core.Favour(s.Distribution.Favour), Seeds: s.Seeds,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
 		JoinJitter: time.Duration(s.Distribution.JoinJitter), WatchWait: time.Duration(s.Distribution.WatchWait),
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
@@ -116,13 +117,33 @@
 
 func encodeHeartbeat(m message.Heartbeat) *pb.Heartbeat {
 	return &pb.Heartbeat{
-		Same: m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census,
+		SourceAgeMillis: encodeAge(m.Source),
+		Same:            m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census,
 	}
 }
 
+// encodeAge rounds up: an age must not look younger than it is.
+func encodeAge(a *message.Age) *uint32 {
+	if a == nil {
+		return nil
+	}
+	millis := (time.Duration(*a) + time.Millisecond - 1) / time.Millisecond
+	n := uint32(max(0, min(millis, math.MaxUint32)))
+	return &n
+}
+
+func decodeAge(n *uint32) *message.Age {
+	if n == nil {
+		return nil
+	}
+	a := message.Age(time.Duration(*n) * time.Millisecond)
+	return &a
+}
+
 func decodeHeartbeat(m *pb.Heartbeat) message.Heartbeat {
 	return message.Heartbeat{
-		Same: m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
+		Source: decodeAge(m.SourceAgeMillis),
+		Same:   m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
 		Table: m.GetTable(), Census: m.GetCensus(),
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,7 @@
 	MissedHeartbeats int      `json:"missedHeartbeats,omitempty" validate:"omitempty,min=2,max=20"`
 	JoinJitter       Duration `json:"joinJitter,omitempty" validate:"omitempty,min=1ms,max=5m"`
 	WatchWait        Duration `json:"watchWait,omitempty" validate:"omitempty,min=1s,max=1m"`
+	SourceWait       Duration `json:"sourceWait,omitempty" validate:"omitempty,min=100ms,max=1m"`
 	ReportEvery      Duration `json:"reportEvery,omitempty" validate:"omitempty,min=10ms,max=1m"`
 	BatchWindow      Duration `json:"batchWindow,omitempty" validate:"omitempty,min=1ms,max=10s"`
 	JoinsPerSecond   int      `json:"joinsPerSecond,omitempty" validate:"omitempty,min=1,max=10000"`
