Let configuration bound callers, rank policies and hold hosts and splits to tests

Cause: the platform's limits of requests were read and left out, and its ranks were cut to three classes. Checked: tests of core/config, proxy and platform.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -13,12 +13,15 @@
 // Class orders the queue; the smaller runs first.
 type Class uint8
 
-// The classes of requests.
+// The classes of requests that have a name. Those up to MaxClass are less
+// urgent, each more than the next.
 const (
 	Status Class = iota
 	Interactive
 	Batch
-	classes
+
+	MaxClass Class = 7
+	classes        = MaxClass + 1
 )
 
 // Reason says why an attempt was refused.
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -16,12 +16,15 @@
 	DefaultMaxAttempts = 3
 	MaxMaxAttempts     = 10
 	MaxWeight          = 1_000_000 // of a share of a route
+	MaxRank            = 7         // the least urgent
+	MinHeaderBytes     = 1 << 10   // the least that limits may allow
 )
 
 // Policy is a PolicySpec with everything inherited filled in.
 type Policy struct {
 	Name        string
 	Priority    Priority
+	Rank        *int // nil: by Priority
 	Timeout     time.Duration
 	Target      time.Duration // latency that callers are content with; zero: not told
 	Idempotent  *bool
@@ -92,8 +95,12 @@
 	hosts    map[string]int      // routes of each host, the empty one left out
 	policies map[string]*Policy
 	services map[string]*Policy
+	limits   LimitsSpec
 }
 
+// Limits returns what callers are bound by.
+func (s *Snapshot) Limits() LimitsSpec { return s.limits }
+
 // Match returns the route with the longest prefix that covers the path at a
 // segment boundary and allows the method, among those of the host, or, if the
 // host has none, among those of every host. Its cost grows with the length of
@@ -167,7 +174,7 @@
 	c.size()
 	keys := sortedKeys(set.Objects)
 	c.common(keys)
-	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route} {
+	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route, c.limits} {
 		for _, k := range keys {
 			step(k)
 		}
@@ -240,6 +247,9 @@
 	if spec.TimeoutMillis < 0 || time.Duration(spec.TimeoutMillis)*time.Millisecond > MaxTimeout {
 		c.fault(k, "timeoutMillis", "%d is not between 1 and %d", spec.TimeoutMillis, MaxTimeout.Milliseconds())
 	}
+	if spec.Rank != nil && (*spec.Rank < 0 || *spec.Rank > MaxRank) {
+		c.fault(k, "rank", "%d is not between 0 and %d", *spec.Rank, MaxRank)
+	}
 	if spec.TargetMillis < 0 {
 		c.fault(k, "targetMillis", "%d is below 0", spec.TargetMillis)
 	}
@@ -277,8 +287,8 @@
 }
 
 func (p *Policy) inherit(spec PolicySpec) {
-	if p.Priority == "" {
-		p.Priority = spec.Priority
+	if p.Priority == "" && p.Rank == nil {
+		p.Priority, p.Rank = spec.Priority, spec.Rank
 	}
 	if p.Timeout == 0 {
 		p.Timeout = time.Duration(spec.TimeoutMillis) * time.Millisecond
@@ -380,6 +390,33 @@
 	}
 }
 
+// limits takes the one object that bounds callers.
+func (c *compiler) limits(k Key) {
+	var spec LimitsSpec
+	if k.Kind != KindLimits || !c.decode(k, &spec) {
+		return
+	}
+	for other := range c.set.Objects {
+		if other.Kind == KindLimits && other.Name < k.Name {
+			c.fault(k, "", "is not the only one of its kind: there is %s too", other)
+		}
+	}
+	if spec.MaxHeaderBytes != 0 && spec.MaxHeaderBytes < MinHeaderBytes {
+		c.fault(k, "maxHeaderBytes", "%d is below the least, %d", spec.MaxHeaderBytes, MinHeaderBytes)
+	}
+	for _, f := range []struct {
+		field string
+		value int
+	}{
+		{"maxBodyBytes", spec.MaxBodyBytes}, {"headerTimeoutMillis", spec.HeaderTimeoutMillis}, {"idleTimeoutMillis", spec.IdleTimeoutMillis},
+	} {
+		if f.value < 0 {
+			c.fault(k, f.field, "%d is below 0", f.value)
+		}
+	}
+	c.snapshot.limits = spec
+}
+
 // overlap reports whether two method lists share one; empty means all.
 func overlap(a, b []string) bool {
 	if len(a) == 0 || len(b) == 0 {
--- a/core/config/compile_delta.go
+++ b/core/config/compile_delta.go
@@ -19,7 +19,7 @@
 		return Compile(next)
 	}
 	c := &compiler{set: next, snapshot: &Snapshot{
-		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services,
+		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services, limits: prev.limits,
 	}}
 	c.size()
 	c.common(d.keys())
@@ -32,14 +32,14 @@
 	return c.snapshot, nil
 }
 
-// compilesAlone reports whether a delta is small and changes no policy: those
-// may reach any other object.
+// compilesAlone reports whether a delta is small and changes no policy, which
+// may reach any other object, and no limits.
 func (d Delta) compilesAlone(objects int) bool {
 	if (len(d.Puts)+len(d.Deletes))*smallDelta > objects {
 		return false
 	}
 	for _, k := range d.keys() {
-		if k.Kind == KindPolicy {
+		if k.Kind == KindPolicy || k.Kind == KindLimits {
 			return false
 		}
 	}
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -47,6 +47,12 @@
 		{"prefix taken", object(KindRoute, "x", `{"pathPrefix":"/orders","service":"orders"}`), `pathPrefix: "/orders" is that of route "orders" too`},
 		{"bad priority", object(KindPolicy, "x", `{"priority":"first"}`), `Policy/x: priority: "first" is not one of`},
 		{"bad timeout", object(KindPolicy, "x", `{"timeoutMillis":-1}`), `Policy/x: timeoutMillis: -1 is not between`},
+		{"bad rank", object(KindPolicy, "x", `{"rank":8}`), `Policy/x: rank: 8 is not between 0 and 7`},
+		{"bad host", object(KindRoute, "x", `{"host":"A.example:80","pathPrefix":"/x","service":"orders"}`), `Route/x: host: "A.example:80" is not`},
+		{"service and split", object(KindRoute, "x", `{"pathPrefix":"/x","service":"orders","split":[{"service":"orders","weight":1}]}`), "Route/x: service: needs either"},
+		{"split to nowhere", object(KindRoute, "x", `{"pathPrefix":"/x","split":[{"service":"gone","weight":1}]}`), `Route/x: split[0].service: service "gone" does not exist`},
+		{"split of nothing", object(KindRoute, "x", `{"pathPrefix":"/x","split":[{"service":"orders","weight":0}]}`), "Route/x: split[0].weight: 0 is not between"},
+		{"bad limit", object(KindLimits, "x", `{"maxHeaderBytes":10}`), "Limits/x: maxHeaderBytes: 10 is below the least"},
 		{"cycle", object(KindPolicy, "base", `{"extends":"quick"}`), "Policy/base: extends: forms a cycle: base -> quick -> base"},
 	}
 	for _, tt := range tests {
@@ -167,3 +173,84 @@
 		})
 	}
 }
+
+// TestLimitsStandOnce checks that a set with two objects of limits is refused.
+func TestLimitsStandOnce(t *testing.T) {
+	is := is.New(t)
+	one, two := object(KindLimits, "a", `{"maxBodyBytes":1}`), object(KindLimits, "b", `{"maxBodyBytes":2}`)
+	snapshot, faults := Compile(with(one))
+	is.Equal(len(faults), 0)
+	is.Equal(snapshot.Limits(), LimitsSpec{MaxBodyBytes: 1})
+	_, faults = Compile(NewSet(1, []Object{one, two}))
+	is.Equal(len(faults), 1)
+	is.Equal(faults[0].Object, two.Key())
+}
+
+// TestHosts checks that a host's own routes go before those of every host, and
+// that no other host gets them.
+func TestHosts(t *testing.T) {
+	is := is.New(t)
+	snapshot, faults := Compile(with(
+		object(KindRoute, "own", `{"host":"shop.example","pathPrefix":"/own/","service":"orders"}`),
+	))
+	is.Equal(len(faults), 0)
+	for _, tt := range []struct{ host, path, route string }{
+		{"shop.example", "/own/1", "own"},
+		{"Shop.Example:8080", "/own/", "own"},
+		{"shop.example", "/orders", ""}, // it has routes, and this is none of them
+		{"other.example", "/own/1", ""},
+		{"other.example", "/orders", "orders"},
+		{"", "/orders", "orders"},
+	} {
+		r, ok := snapshot.Match("GET", tt.host, tt.path)
+		is.Equal(ok, tt.route != "")
+		if ok {
+			is.Equal(r.Name, tt.route)
+		}
+	}
+}
+
+// TestSplitFollowsWeights draws evenly: each share gets its weight.
+func TestSplitFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	r := &Route{Split: []Share{{"a", 70}, {"b", 20}, {"c", 10}}}
+	got := map[string]int{}
+	for i := range 1000 {
+		got[r.ServiceFor((float64(i)+0.5)/1000)]++
+	}
+	is.Equal(got, map[string]int{"a": 700, "b": 200, "c": 100})
+	is.Equal((&Route{Service: "a"}).ServiceFor(0.99), "a")
+}
+
+// TestDeltaOfSplitsAndHosts checks that compiling by delta gives what a whole
+// compile does.
+func TestDeltaOfSplitsAndHosts(t *testing.T) {
+	is := is.New(t)
+	var objects []Object
+	for i := range 40 {
+		objects = append(objects, object(KindRoute, fmt.Sprint("r", i), fmt.Sprintf(`{"host":"h%d","pathPrefix":"/","split":[{"service":"orders","weight":1}]}`, i)))
+	}
+	held := with(objects...)
+	prev, faults := Compile(held)
+	is.Equal(len(faults), 0)
+	next, err := held.Apply(deltaOf(held, []Object{object(KindRoute, "r0", `{"host":"other","pathPrefix":"/","service":"orders"}`)}, Key{KindRoute, "r1"}))
+	is.NoErr(err)
+	snapshot, faults := CompileDelta(prev, held, next, Diff(held, next))
+	is.Equal(len(faults), 0)
+	whole, _ := Compile(next)
+	for _, host := range []string{"h0", "h1", "h2", "other"} {
+		a, okA := snapshot.Match("GET", host, "/x")
+		b, okB := whole.Match("GET", host, "/x")
+		is.Equal(okA, okB)
+		if okA {
+			is.Equal(a.Name, b.Name)
+		}
+	}
+}
+
+// deltaOf returns a delta by hand.
+func deltaOf(from *Set, puts []Object, deletes ...Key) Delta {
+	d := Delta{From: from.Version, To: from.Version + 1, Puts: puts, Deletes: deletes}
+	d.Hash = from.apply(d).Hash()
+	return d
+}
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -21,6 +21,7 @@
 	KindRoute   Kind = "Route"
 	KindService Kind = "Service"
 	KindPolicy  Kind = "Policy"
+	KindLimits  Kind = "Limits"
 )
 
 // Limits on what operators submit.
@@ -55,7 +56,7 @@
 }
 
 func (k Kind) known() bool {
-	return k == KindRoute || k == KindService || k == KindPolicy
+	return k == KindRoute || k == KindService || k == KindPolicy || k == KindLimits
 }
 
 // Compare orders keys by kind, then name.
@@ -110,6 +111,7 @@
 type PolicySpec struct {
 	Extends        string   `json:"extends,omitempty"`
 	Priority       Priority `json:"priority,omitempty"`
+	Rank           *int     `json:"rank,omitempty"` // instead of Priority: its place among MaxRank+1 classes, 0 is the most urgent
 	TimeoutMillis  int      `json:"timeoutMillis,omitempty"`
 	TargetMillis   int      `json:"targetMillis,omitempty"` // latency that callers are content with
 	Idempotent     *bool    `json:"idempotent,omitempty"`   // nil: by HTTP method
@@ -117,6 +119,15 @@
 	IdempotencyKey KeyScope `json:"idempotencyKey,omitempty"`
 }
 
+// LimitsSpec bounds what callers may send, and how long they may take. A set
+// holds at most one; a field of zero takes the node's own limit.
+type LimitsSpec struct {
+	MaxHeaderBytes      int `json:"maxHeaderBytes,omitempty"`      // of one request
+	MaxBodyBytes        int `json:"maxBodyBytes,omitempty"`        // of one request
+	HeaderTimeoutMillis int `json:"headerTimeoutMillis,omitempty"` // in which a header comes
+	IdleTimeoutMillis   int `json:"idleTimeoutMillis,omitempty"`   // of a connection without a request
+}
+
 // Priority is the class by which a backend server's node orders its queue.
 type Priority string
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -121,6 +122,9 @@
 	Status  int
 }
 
+// LimitCallers says what callers are bound by from now on.
+type LimitCallers struct{ Limits config.LimitsSpec }
+
 // Leaving says that the process has begun to drain.
 type Leaving struct{}
 
@@ -153,6 +157,7 @@
 func (Finish) isEffect()       {}
 func (Run) isEffect()          {}
 func (Refuse) isEffect()       {}
+func (LimitCallers) isEffect() {}
 func (Leaving) isEffect()      {}
 func (Drained) isEffect()      {}
 func (Log) isEffect()          {}
--- a/core/holder.go
+++ b/core/holder.go
@@ -47,6 +47,9 @@
 		snapshot = s.holder.snapshot
 	}
 	s.keepEncoded(set, delta)
+	if snapshot.Limits() != s.holder.snapshot.Limits() {
+		s.emit(LimitCallers{Limits: snapshot.Limits()})
+	}
 	s.holder.set, s.holder.snapshot, s.holder.refused = set, snapshot, ""
 	s.holder.deltas = append(s.holder.deltas, delta)
 	if len(s.holder.deltas) > keptDeltas {
--- a/core/request.go
+++ b/core/request.go
@@ -66,9 +66,12 @@
 	}
 }
 
-// classOf returns the admission class of a priority.
-func classOf(p config.Priority) admission.Class {
-	switch p {
+// classOf returns the admission class of a policy.
+func classOf(p *config.Policy) admission.Class {
+	if p.Rank != nil {
+		return admission.Class(min(*p.Rank, int(admission.MaxClass)))
+	}
+	switch p.Priority {
 	case config.PriorityStatus:
 		return admission.Status
 	case config.PriorityBatch:
@@ -100,7 +103,7 @@
 	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy.Priority),
+		request: e.Request, arrived: s.now, method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy),
 		deadline: s.now.Add(budget), repeats: e.Repeats, tried: c.tried[:0],
 	}
 	s.requests.calls[e.Call] = c
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -98,8 +98,8 @@
 
 // await waits for the first byte of a request.
 func (c *conn) await() bool {
-	c.limit.N = int64(c.server.cfg.MaxHeaderBytes)
-	_ = c.net.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+	c.limit.N = int64(c.server.limits.Load().MaxHeaderBytes)
+	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().IdleTimeout))
 	for {
 		if c.ending.Load() {
 			return false // seen here or by the deadline that wakes the reader
@@ -110,7 +110,7 @@
 		}
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() && c.open.Load() > 0 {
-			_ = c.net.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+			_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().IdleTimeout))
 			continue // not idle: an answer is under way
 		}
 		return false
@@ -118,7 +118,7 @@
 }
 
 func (c *conn) readRequest() (*http.Request, error) {
-	_ = c.net.SetReadDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
+	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
 	r, err := http.ReadRequest(c.in)
 	if err != nil {
 		if c.limit.N <= 0 {
@@ -154,7 +154,7 @@
 	if c.ctx.Err() != nil || c.ending.Load() {
 		return
 	}
-	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
+	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
 	text := reason.Error() + "\n"
 	_, _ = fmt.Fprintf(c.out, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), len(text), text)
@@ -199,7 +199,7 @@
 	}
 	expects := r.Header.Get("Expect") != ""
 	if r.ContentLength > 0 && r.ContentLength <= wholeBodyBytes && !expects {
-		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.cfg.HeaderTimeout))
+		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
 		whole := make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, whole); err != nil {
 			return fmt.Errorf("read request body: %w", err)
--- a/h1/server.go
+++ b/h1/server.go
@@ -31,13 +31,18 @@
 	ErrLongAnswer = fmt.Errorf("answer is longer than declared")
 )
 
-// Config holds the settings of a Server. Zero fields are filled in by New.
-type Config struct {
+// Limits bound what clients may send, and how long they may take.
+type Limits struct {
 	MaxHeaderBytes int           // of one request
 	HeaderTimeout  time.Duration // in which a request's header comes, once it has begun
 	IdleTimeout    time.Duration // after which a connection without a request is closed
-	WriteTimeout   time.Duration // of one answer, unless the handler sets another
-	MaxAhead       int           // requests of one connection that are handled at once
+}
+
+// Config holds the settings of a Server. Zero fields are filled in by New.
+type Config struct {
+	Limits
+	WriteTimeout time.Duration // of one answer, unless the handler sets another
+	MaxAhead     int           // requests of one connection that are handled at once
 	// Fault is told of a handler that failed; nil: nobody is.
 	Fault func(error)
 }
@@ -64,6 +69,7 @@
 // Server serves connections.
 type Server struct {
 	cfg      Config
+	limits   atomic.Pointer[Limits]
 	handler  http.Handler
 	draining atomic.Bool
 
@@ -75,12 +81,17 @@
 
 // New returns a Server.
 func New(cfg Config, h http.Handler) *Server {
-	return &Server{
+	s := &Server{
 		cfg: cfg.withDefaults(), handler: h,
 		listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{},
 	}
+	s.limits.Store(&s.cfg.Limits)
+	return s
 }
 
+// SetLimits replaces the limits for all requests that have not begun yet.
+func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
+
 // acceptPause is the wait after an error that may pass, such as too few
 // descriptors.
 const acceptPause = 10 * time.Millisecond
--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -256,7 +256,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			_, c := start(t, h1.Config{MaxHeaderBytes: 16 << 10}, func(http.ResponseWriter, *http.Request) {
+			_, c := start(t, h1.Config{Limits: h1.Limits{MaxHeaderBytes: 16 << 10}}, func(http.ResponseWriter, *http.Request) {
 				t.Error("the handler was called")
 			})
 			go func() { _, _ = c.Write([]byte(tt.sent)) }()
--- a/node/module.go
+++ b/node/module.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/peer"
@@ -177,6 +178,7 @@
 		hop = tls.NewListener(hop, p.Credentials.Server(alpnHTTP))
 	}
 	callers := p.Proxy.CallerServer(p.fault("callers"))
+	p.Node.WhenLimited(func(l config.LimitsSpec) { p.Proxy.Limit(callers, l) })
 	go func() {
 		<-p.Node.Leaving()
 		callers.Drain()
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -75,6 +76,7 @@
 	calls        map[core.CallID]chan core.Effect
 	attempts     map[core.AttemptID]chan core.Effect
 	observer     *observer
+	onLimits     func(config.LimitsSpec)
 }
 
 // New returns a Node that is not running yet.
@@ -85,10 +87,18 @@
 		drained: make(chan struct{}), leaving: make(chan struct{}), state: core.New(cfg),
 		open: map[core.LinkID]*peer.Link{}, lastAccepted: 1,
 		calls: map[core.CallID]chan core.Effect{}, attempts: map[core.AttemptID]chan core.Effect{},
-		observer: newObserver(metrics.NewRegistry(), log, clock),
+		observer: newObserver(metrics.NewRegistry(), log, clock), onLimits: func(config.LimitsSpec) {},
 	}
 }
 
+// WhenLimited lets f hear what callers are bound by. It is called before Start;
+// f must not block.
+func (n *Node) WhenLimited(f func(config.LimitsSpec)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onLimits = f
+}
+
 // Start begins to run. links carries what the node says to others.
 func (n *Node) Start(links Links, tickEvery time.Duration) {
 	n.links = links
@@ -197,6 +207,8 @@
 		n.run(n.probe)
 	case core.Log:
 		n.log.Write(e.Code, e.Attrs...)
+	case core.LimitCallers:
+		n.onLimits(e.Limits)
 	case core.Leaving:
 		close(n.leaving)
 	case core.Drained:
--- a/node/observe.go
+++ b/node/observe.go
@@ -23,6 +23,10 @@
 	admission.Status: "status", admission.Interactive: "interactive", admission.Batch: "batch",
 }
 
+// className returns the name of a class, that of the least urgent for those
+// that have none.
+func className(c admission.Class) string { return classNames[min(c, admission.Batch)] }
+
 // otherReason stands for the reasons that have no counter of their own.
 const otherReason admission.Reason = "other"
 
@@ -99,7 +103,7 @@
 		if _, again := o.classes[e.Call]; again {
 			o.retries.Inc(1)
 		}
-		o.classes[e.Call] = classNames[e.Class]
+		o.classes[e.Call] = className(e.Class)
 	case core.PassOn:
 		o.ended(e.Call, retry.Ran)
 	case core.Finish:
--- a/proxy/basic_test.go
+++ b/proxy/basic_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/internal/sample"
 )
 
@@ -53,6 +54,34 @@
 	}
 }
 
+// TestLimitsOfTheConfiguration checks that callers are bound by the limits in
+// force.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "orders")
+	m.apply(config.Object{Kind: config.KindLimits, Name: "callers", Spec: []byte(`{"maxBodyBytes":10,"maxHeaderBytes":2048}`)})
+	for _, tt := range []struct {
+		body, header string
+		status       int
+	}{
+		{strings.Repeat("x", 10), "", http.StatusOK},
+		{strings.Repeat("x", 11), "", http.StatusRequestEntityTooLarge},
+		{"", strings.Repeat("x", 4096), http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		m.eventually("the limits hold", func() bool {
+			req, err := http.NewRequest(http.MethodPost, "http://"+m.nodes[0].callers+"/x", strings.NewReader(tt.body))
+			is.NoErr(err)
+			req.Header.Set("X-Long", tt.header)
+			resp, err := m.client.Do(req)
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == tt.status
+		})
+	}
+}
+
 func TestRefusalsAtTheEntry(t *testing.T) {
 	m := newMesh(t, nil, "", "orders")
 	big := strings.Repeat("x", 128<<10)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -53,9 +53,9 @@
 	switch {
 	case r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect:
 		return core.CallArrived{}, &rejection{http.StatusNotImplemented, "connections can't be upgraded or tunnelled"}
-	case r.ContentLength > p.cfg.MaxBodyBytes:
+	case r.ContentLength > p.maxBody.Load():
 		return core.CallArrived{}, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf(
-			"request body has %d bytes, at most %d are allowed", r.ContentLength, p.cfg.MaxBodyBytes)}
+			"request body has %d bytes, at most %d are allowed", r.ContentLength, p.maxBody.Load())}
 	}
 	budget, err := p.cfg.Names.parseTimeout(r.Header)
 	if err != nil {
@@ -66,7 +66,7 @@
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
 	}
-	if c.body, err = newRequestBody(c.w, r, p.cfg.MaxBodyBytes); err != nil {
+	if c.body, err = newRequestBody(c.w, r, p.maxBody.Load()); err != nil {
 		return core.CallArrived{}, &rejection{http.StatusRequestTimeout, err.Error()}
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
@@ -161,7 +161,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		c.proxy.fail(c.w, http.StatusRequestEntityTooLarge, retry.Unknown, fmt.Sprintf(
-			"request body has more than %d bytes", c.proxy.cfg.MaxBodyBytes))
+			"request body has more than %d bytes", c.proxy.maxBody.Load()))
 	case errors.As(err, &timeout) && timeout.Timeout():
 		c.proxy.fail(c.w, http.StatusRequestTimeout, retry.Unknown, "request body did not come in time")
 	default:
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -115,7 +115,7 @@
 		return h, err
 	}
 	class, err := strconv.ParseUint(fields[1], 10, 8)
-	if err != nil || admission.Class(class) > admission.Batch {
+	if err != nil || admission.Class(class) > admission.MaxClass {
 		return h, fmt.Errorf("header %s: %q is not a class", headerHop, fields[1])
 	}
 	h.class = admission.Class(class)
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -21,7 +22,7 @@
 		return
 	}
 	w.Header()[headerAttempt] = []string{formatAttempt(h.attempt)} // tells the sender that the answer is its own
-	body, err := newRequestBody(w, r, p.cfg.MaxBodyBytes)
+	body, err := newRequestBody(w, r, math.MaxInt64)
 	if err != nil {
 		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
 		return
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -5,6 +5,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/h1"
 )
 
@@ -92,6 +94,7 @@
 	query    *http.Transport // asks other nodes about attempts, on connections of its own
 	calls    metrics.Timer
 	refused  metrics.Counter
+	maxBody  atomic.Int64 // bytes of a caller's request
 	broken   breaks
 }
 
@@ -109,7 +112,7 @@
 // New returns a Proxy that asks d and counts in r.
 func New(cfg Config, d Decider, r metrics.Registry) *Proxy {
 	cfg = cfg.withDefaults()
-	return &Proxy{
+	p := &Proxy{
 		cfg: cfg, core: d,
 		backend: newTransport(dialTCP, cfg.Connections),
 		hop:     newTransport(cfg.HopDial, 0),
@@ -117,6 +120,22 @@
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
+	p.maxBody.Store(cfg.MaxBodyBytes)
+	return p
+}
+
+// Limit bounds what callers may send, and how long they may take, from now on.
+// A field of zero leaves the limit of Config.
+func (p *Proxy) Limit(callers *h1.Server, l config.LimitsSpec) {
+	p.maxBody.Store(p.cfg.MaxBodyBytes)
+	if l.MaxBodyBytes > 0 {
+		p.maxBody.Store(int64(l.MaxBodyBytes))
+	}
+	callers.SetLimits(h1.Limits{
+		MaxHeaderBytes: cmp.Or(l.MaxHeaderBytes, maxHeaderBytes),
+		HeaderTimeout:  cmp.Or(time.Duration(l.HeaderTimeoutMillis)*time.Millisecond, readHeaderTimeout),
+		IdleTimeout:    cmp.Or(time.Duration(l.IdleTimeoutMillis)*time.Millisecond, serverIdleTimeout),
+	})
 }
 
 // Close closes idle connections.
@@ -173,7 +192,7 @@
 
 func newServer(h http.Handler, headerBytes int, fault func(error)) *h1.Server {
 	return h1.New(h1.Config{
-		MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, WriteTimeout: maxTransfer,
-		IdleTimeout: serverIdleTimeout, Fault: fault,
+		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
+		WriteTimeout: maxTransfer, Fault: fault,
 	}, h)
 }
