Answer a client that speaks in the clear where TLS is spoken

Change: h1 makes the handshake itself, answers 400 in the clear if the client's first bytes are no TLS, and tells of a failed handshake.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -60,6 +61,11 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.forget(c)
+	if err := c.secure(); err != nil {
+		c.server.cfg.Fault(err)
+		c.cut()
+		return
+	}
 	for c.next() {
 	}
 	if last := c.last; last != nil && c.ending.Load() {
@@ -69,6 +75,28 @@
 	c.cut()
 }
 
+// plainAnswer is for a client that speaks HTTP in the clear where TLS is spoken.
+const plainAnswer = "HTTP/1.0 400 Bad Request\r\nConnection: close\r\n\r\nthis address takes TLS only\n"
+
+// secure brings the TLS handshake about, if the connection has one.
+func (c *conn) secure() error {
+	secured, ok := c.net.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.server.limits.Load().HeaderTimeout)
+	defer cancel()
+	err := secured.HandshakeContext(ctx)
+	var plain tls.RecordHeaderError
+	if errors.As(err, &plain) && plain.Conn != nil {
+		_, _ = io.WriteString(plain.Conn, plainAnswer)
+	}
+	if err != nil {
+		return fmt.Errorf("TLS handshake with %s: %w", c.net.RemoteAddr(), err)
+	}
+	return nil
+}
+
 // next reads one request and lets it be handled. It reports false when no
 // further one is to be read.
 func (c *conn) next() bool {
