Explain a request from the logs of the nodes it passed; metrics as text

Cause: on-call engineers have logs and metrics alone. Change: agatekeel explain ID FILE... puts the lines of one request in order of cause (clocks that differ are shifted), with what its nodes learned around it, what is missing and the cause. /metrics.txt on the admin address gives counters and times by service, route, outcome and reason, the age of the configuration, the retries left and the lines that the log lacks.

--- a/cmd/agatekeel/commands.go
+++ b/cmd/agatekeel/commands.go
@@ -54,6 +54,11 @@
 			"Prints the whole state of a process as JSON: configuration, place in the tree, links, leases, backend " +
 				"servers, queues and memory.\n\n" +
 				"Example: agatekeel dump --admin 127.0.0.1:8081", &dumpCommand{console: c}},
+		{"explain", "tell the story of one request from logs",
+			"Reads the logs of nodes and prints what they tell of one request in order of time, what its nodes learned " +
+				"around it, what is missing, and the cause. Clocks that differ are shifted so that cause goes before " +
+				"effect.\n\n" +
+				"Example: agatekeel explain 9c41d07be2a35f68 node-1.log node-2.log", &explainCommand{console: c}},
 		{"load", "send requests at a fixed rate and measure latency",
 			"Sends requests at a fixed rate, whatever the answers do, and prints percentiles of the latency by class " +
 				"and target, counted from the moment at which each request was due. Exit code 1 says that more than " +
--- /dev/null
+++ b/cmd/agatekeel/explain.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/agatekeel/agatekeel/explain"
+)
+
+// explainCommand tells the story of one request.
+type explainCommand struct {
+	console
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"yes" description:"request, as its caller named it"`
+		Files []string `positional-arg-name:"FILE" required:"1" description:"logs of the nodes"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	var log explain.Log
+	for _, name := range c.Args.Files {
+		if err := readLog(&log, name); err != nil {
+			return err
+		}
+	}
+	story, err := log.Story(c.Args.ID)
+	if err != nil {
+		return err
+	}
+	return story.Print(c.out, c.Args.ID)
+}
+
+func readLog(log *explain.Log, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	if err := log.Read(f); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
--- a/core/request.go
+++ b/core/request.go
@@ -324,12 +324,12 @@
 }
 
 func (s *State) logAnswered(c *call, e AttemptEnded) {
-	s.log(notice.RequestAnswered, Attr{"request", c.request}, Attr{"target", c.targetID()}, Attr{"status", e.Status},
+	s.log(notice.RequestAnswered, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"target", c.targetID()}, Attr{"status", e.Status},
 		Attr{"attempts", c.attempts}, Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()}, Attr{"cut", e.Reason})
 }
 
 func (s *State) logAttemptEnded(c *call, e AttemptEnded, again bool) {
-	s.log(notice.AttemptEnded, Attr{"request", c.request}, Attr{"attempt", c.attempt.String()}, Attr{"target", c.targetID()},
+	s.log(notice.AttemptEnded, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"attempt", c.attempt.String()}, Attr{"target", c.targetID()},
 		Attr{"outcome", e.Outcome.String()}, Attr{"status", e.Status}, Attr{"reason", e.Reason},
 		Attr{"tookMillis", s.now.Sub(c.sent).Milliseconds()}, Attr{"again", again})
 }
@@ -421,7 +421,7 @@
 	if !ok {
 		return
 	}
-	s.log(notice.RequestLeft, Attr{"request", c.request}, Attr{"attempts", c.attempts},
+	s.log(notice.RequestLeft, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"attempts", c.attempts},
 		Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()})
 	o := retry.NotRun
 	if c.attempts > 0 {
--- a/core/state.go
+++ b/core/state.go
@@ -293,6 +293,7 @@
 	Path          []string         `json:"path"`
 	ConfigVersion uint64           `json:"configVersion"`
 	ConfigHash    uint64           `json:"configHash"`
+	ConfigAge     time.Duration    `json:"configAge,omitempty"` // since it was known to be the newest of its source
 	Routes        int              `json:"routes"`
 	Publisher     bool             `json:"publisher"`
 	Links         []DumpLink       `json:"links"`
@@ -338,6 +339,9 @@
 		l := s.links[id]
 		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.heard})
 	}
+	if age := s.sourceAge(); age != nil {
+		d.ConfigAge = time.Duration(*age)
+	}
 	d.DumpRoles = s.dumpRoles()
 	for _, dc := range sortedNames(s.root.reports) {
 		d.Reports = append(d.Reports, s.root.reports[dc])
--- /dev/null
+++ b/explain/print.go
@@ -0,0 +1,47 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Print writes a story for people: times in milliseconds since its request
+// was first told of.
+func (s Story) Print(w io.Writer, request string) error {
+	var b strings.Builder
+	start := s.Lines[0].Time
+	for _, line := range s.Lines {
+		if line.Request == request {
+			start = line.Time
+			break
+		}
+	}
+	for _, line := range s.Lines {
+		fmt.Fprintf(&b, "%9.1f ms  %-20s %d %s%s\n", float64(line.Time.Sub(start).Microseconds())/1000, line.Node, int(line.Event), line.Text, line.details())
+	}
+	for _, node := range slices.Sorted(maps.Keys(s.Shifts)) {
+		if shift := s.Shifts[node]; shift != 0 {
+			fmt.Fprintf(&b, "clock of %s: shifted by %v, so that what it did lies between cause and effect\n", node, shift)
+		}
+	}
+	for _, m := range s.Missing {
+		fmt.Fprintf(&b, "missing: %s\n", m)
+	}
+	fmt.Fprintf(&b, "cause: %s\n", s.Verdict)
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("print story: %w", err)
+	}
+	return nil
+}
+
+// details returns the fields of a line in order of name.
+func (l Line) details() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		fmt.Fprintf(&b, "  %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -26,6 +26,12 @@
 		updateGauges(r, n.ProcessState())
 		metrics.WriteJSONOnce(r, c.Writer)
 	})
+	e.GET("/metrics.txt", func(c *gin.Context) {
+		updateGauges(r, n.ProcessState())
+		n.countDropped(r)
+		c.Header("Content-Type", "text/plain; charset=utf-8")
+		_ = writeText(c.Writer, r) // the reader is gone
+	})
 	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.ProcessState()) })
 	e.POST("/drain", func(c *gin.Context) {
 		n.Step(core.BackendLeaving{})
--- a/node/observe.go
+++ b/node/observe.go
@@ -54,6 +54,7 @@
 	convergence metrics.Timer
 	classes     map[core.CallID]string
 	accepted    map[string]time.Time // submissions by ID, until in force
+	tally       *tally
 
 	loggedAt time.Time // refusals; the counts are those since
 	notRun   int
@@ -70,7 +71,7 @@
 		run:         metrics.GetOrRegisterCounter("attempts.run", r),
 		applied:     metrics.GetOrRegisterCounter("config.applied", r),
 		convergence: metrics.GetOrRegisterTimer("config.convergence", r),
-		classes:     map[core.CallID]string{}, accepted: map[string]time.Time{},
+		classes:     map[core.CallID]string{}, accepted: map[string]time.Time{}, tally: newTally(r),
 	}
 	for _, class := range []string{"status", "interactive", "batch", unrouted} {
 		for _, outcome := range []retry.Outcome{retry.Ran, retry.NotRun, retry.Unknown} {
@@ -155,6 +156,7 @@
 // logged counts by the reducer's own events: versions applied, and at the
 // publisher the time from acceptance until in force.
 func (o *observer) logged(e core.Log) {
+	o.tally.event(e)
 	switch e.Code {
 	case notice.ConfigApplied:
 		o.applied.Inc(1)
--- a/node/state.go
+++ b/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -119,6 +120,13 @@
 	n.observer = newObserver(r, n.log, n.clock)
 }
 
+// countDropped sets the gauges of the lines that are missing in the log.
+func (n *Node) countDropped(r metrics.Registry) {
+	for code, count := range n.log.Dropped() {
+		metrics.GetOrRegisterGauge("log.dropped."+strconv.Itoa(int(code)), r).Update(int64(count))
+	}
+}
+
 // updateGauges sets the gauges of a registry from a state.
 func updateGauges(r metrics.Registry, s ProcessState) {
 	ready := int64(0)
@@ -135,6 +143,8 @@
 		"backend.running":    int64(s.Backend.Running),
 		"backend.waiting":    int64(s.Backend.Waiting),
 		"requests.open":      int64(s.Open.Calls),
+		"config.age":         s.ConfigAge.Milliseconds(),
+		"retries.left":       int64(s.RetryTokens),
 		"runtime.goroutines": int64(s.Runtime.Goroutines),
 		"runtime.heap":       int64(s.Runtime.HeapInUse),
 	} {
--- /dev/null
+++ b/node/tally.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// maxTallies bounds the counters whose names come from configuration, such as
+// those of services and routes. What is over is counted under otherName.
+const maxTallies = 1024
+
+const otherName = "other"
+
+// tally counts requests by service, route, outcome and reason, as the
+// reducer's events of the log tell them.
+type tally struct {
+	registry metrics.Registry
+	names    map[string]bool
+}
+
+func newTally(r metrics.Registry) *tally { return &tally{registry: r, names: map[string]bool{}} }
+
+// counter returns the counter of a name that is made of parts.
+func (t *tally) counter(parts ...string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(t.name(parts, otherName), t.registry)
+}
+
+func (t *tally) timer(parts ...string) metrics.Timer {
+	return metrics.GetOrRegisterTimer(t.name(parts, otherName+".time"), t.registry)
+}
+
+// name returns the name that is made of parts, or that for what is over.
+func (t *tally) name(parts []string, over string) string {
+	name := strings.Join(parts, ".")
+	if !t.names[name] {
+		if len(t.names) >= maxTallies {
+			return parts[0] + "." + over
+		}
+		t.names[name] = true
+	}
+	return name
+}
+
+// attrs gives the fields of an event by name.
+type attrs []core.Attr
+
+func (a attrs) text(key string) string {
+	for _, one := range a {
+		if one.Key == key {
+			return fmt.Sprint(one.Value)
+		}
+	}
+	return ""
+}
+
+func (a attrs) millis(key string) time.Duration {
+	n, err := strconv.ParseInt(a.text(key), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// event counts what an event of the log tells.
+func (t *tally) event(e core.Log) {
+	a := attrs(e.Attrs)
+	switch e.Code {
+	case notice.AttemptSent:
+		t.counter("route", cmp.Or(a.text("route"), otherName), "sent").Inc(1)
+	case notice.AttemptEnded:
+		t.counter("service", cmp.Or(a.text("service"), otherName), "again."+a.text("again")).Inc(1)
+	case notice.RequestAnswered:
+		service := cmp.Or(a.text("service"), otherName)
+		t.counter("service", service, "answered", a.text("status")).Inc(1)
+		t.timer("service", service, "time").Update(a.millis("tookMillis"))
+	case notice.RequestEnded:
+		t.counter("service", cmp.Or(a.text("service"), otherName), "ended", a.text("outcome")).Inc(1)
+		t.counter("ended", reasonName(a.text("reason"))).Inc(1)
+	case notice.RequestLeft:
+		t.counter("service", cmp.Or(a.text("service"), otherName), "left").Inc(1)
+	case notice.AttemptRan:
+		t.timer("backend.time").Update(a.millis("tookMillis"))
+		t.counter("backend.status", a.text("status")).Inc(1)
+	}
+}
+
+// reasonName returns a reason without what differs from one request to the
+// next: its last clause, with all but letters and digits as dashes.
+func reasonName(reason string) string {
+	if i := strings.LastIndex(reason, ": "); i >= 0 {
+		reason = reason[i+len(": "):]
+	}
+	name := strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '-'
+	}, reason)
+	return cmp.Or(name, "none")
+}
+
+// writeText writes all metrics as lines of name and value, in order of name.
+// Times are in microseconds.
+func writeText(w io.Writer, r metrics.Registry) error {
+	var lines []string
+	add := func(name string, value any) { lines = append(lines, fmt.Sprintf("%s %v\n", name, value)) }
+	r.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			add(name, m.Count())
+		case metrics.Gauge:
+			add(name, m.Value())
+		case metrics.Timer:
+			s := m.Snapshot()
+			add(name+".count", s.Count())
+			for _, p := range []struct {
+				name string
+				at   float64
+			}{{"p50", 0.5}, {"p95", 0.95}, {"p99", 0.99}} {
+				add(name+"."+p.name, int64(s.Percentile(p.at)/float64(time.Microsecond)))
+			}
+			add(name+".max", s.Max()/int64(time.Microsecond))
+		}
+	})
+	slices.Sort(lines)
+	if _, err := io.WriteString(w, strings.Join(lines, "")); err != nil {
+		return fmt.Errorf("write metrics: %w", err)
+	}
+	return nil
+}
