--- a/cmd/agatekeel/node.go
+++ b/cmd/agatekeel/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/settings"
 )
@@ -45,13 +46,16 @@
 	defer stopSignals()
 	<-signals
 	drain(signals, r.node)
-	return r.stop()
+	err := r.stop()
+	_ = r.log.Sync() // lines that the log's reader does not take in time are lost
+	return err
 }
 
 // runningNode is a node that was started.
 type runningNode struct {
 	node      *node.Node
 	listeners *node.Listeners
+	log       *eventlog.Logger
 	app       *fx.App
 }
 
@@ -60,7 +64,7 @@
 // start starts a node beside what provides its surroundings.
 func start(s settings.Settings, around fx.Option) (runningNode, error) {
 	var r runningNode
-	r.app = fx.New(fx.Supply(s), node.Module, around, fx.NopLogger, fx.Populate(&r.node, &r.listeners))
+	r.app = fx.New(fx.Supply(s), node.Module, around, fx.NopLogger, fx.Populate(&r.node, &r.listeners, &r.log))
 	if err := r.app.Start(context.Background()); err != nil {
 		return runningNode{}, fmt.Errorf("start node %s: %w", s.Node, dig.RootCause(err))
 	}
--- a/cmd/agatekeel/sidecar.go
+++ b/cmd/agatekeel/sidecar.go
@@ -5,6 +5,9 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/notice"
+	"github.com/agatekeel/agatekeel/eventlog"
 	"github.com/agatekeel/agatekeel/platform"
 )
 
@@ -24,10 +27,29 @@
 		c.printf("%s: no faults\n", os.Getenv(platform.SettingsVariable))
 		return nil
 	}
-	signal.Ignore(syscall.SIGHUP)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	running, err := start(s.Node, platform.Module(s))
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range reload {
+			readAgain(s, running.log)
+		}
+	}()
 	return running.untilSignal()
 }
+
+// readAgain checks the settings file after a signal and says what has changed.
+// Addresses and sizes of a process are fixed while it runs, so nothing takes
+// effect before the next start.
+func readAgain(held platform.Settings, log *eventlog.Logger) {
+	s, err := platform.Load()
+	if err != nil {
+		log.Write(notice.SettingsRefused, core.Attr{Key: "reason", Value: err.Error()})
+		return
+	}
+	log.Write(notice.SettingsRead, core.Attr{Key: "changed", Value: platform.Changed(held, s)})
+}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -11,6 +11,8 @@
 	NodeStopping        Code = 1002
 	NodeReady           Code = 1003
 	NodeDrained         Code = 1004
+	SettingsRead        Code = 1005
+	SettingsRefused     Code = 1006
 	ConfigApplied       Code = 2001
 	ConfigRefused       Code = 2002
 	SubmissionAccepted  Code = 2003
@@ -49,6 +51,8 @@
 	NodeStopping:        "node stopping",
 	NodeReady:           "node ready",
 	NodeDrained:         "node drained",
+	SettingsRead:        "settings read again",
+	SettingsRefused:     "settings refused",
 	ConfigApplied:       "configuration applied",
 	ConfigRefused:       "configuration refused",
 	SubmissionAccepted:  "submission accepted",
