--- a/core/request.go
+++ b/core/request.go
@@ -12,9 +12,6 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// retryReserve is the number of retries allowed when there are few calls.
-const retryReserve = 10
-
 // requests holds the calls that entered at this node.
 type requests struct {
 	balancer    *balance.Balancer
@@ -231,12 +228,6 @@
 	s.emit(f)
 }
 
-func (s *State) logEnded(c *call, f Finish) {
-	s.log(notice.RequestEnded, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"outcome", f.Outcome.String()},
-		Attr{"reason", f.Reason}, Attr{"attempts", c.attempts}, Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()},
-		Attr{"retryMillis", f.After.Milliseconds()})
-}
-
 // Bounds of the time after which a caller is told to come back. It is random
 // between them, so that those who were refused together do not return together.
 const (
@@ -309,70 +300,6 @@
 	return e.Outcome == retry.Ran && e.Status >= firstServerError || e.Outcome == retry.NotRun && e.Arrived
 }
 
-// answerHeld tries a call again whose backend server answered with a failure,
-// or lets that answer go.
-func (s *State) answerHeld(e AttemptEnded, c *call) {
-	if c.idempotent(s) && c.repeats && s.hasAttempt(c) && s.budget(c.service).MayRerun() {
-		s.logAttemptEnded(c, e, true)
-		c.tried = append(c.tried, c.target.Row.ID)
-		s.forward(e.Call, c)
-		return
-	}
-	s.logAnswered(c, e)
-	s.endCall(e.Call, c, retry.Ran, e.Status)
-	s.emit(PassOn{Call: e.Call})
-}
-
-func (s *State) logAnswered(c *call, e AttemptEnded) {
-	s.log(notice.RequestAnswered, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"target", c.targetID()}, Attr{"status", e.Status},
-		Attr{"attempts", c.attempts}, Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()}, Attr{"cut", e.Reason})
-}
-
-func (s *State) logAttemptEnded(c *call, e AttemptEnded, again bool) {
-	s.log(notice.AttemptEnded, Attr{"request", c.request}, Attr{"service", c.service}, Attr{"attempt", c.attempt.String()}, Attr{"target", c.targetID()},
-		Attr{"outcome", e.Outcome.String()}, Attr{"status", e.Status}, Attr{"reason", e.Reason},
-		Attr{"tookMillis", s.now.Sub(c.sent).Milliseconds()}, Attr{"again", again})
-}
-
-// idempotent reports whether a call may run more than once.
-func (c *call) idempotent(s *State) bool {
-	return c.route.Policy.IsIdempotent(c.method) || s.fault.repeatAll
-}
-
-// budget returns the retries of a service.
-func (s *State) budget(service string) *retry.Budget {
-	b, ok := s.requests.budgets[service]
-	if !ok {
-		cfg := retry.Config{Share: s.cfg.RetryShare, Reserve: retryReserve, RerunShare: s.cfg.RerunShare}
-		if s.cfg.RerunReserve > 0 {
-			cfg.RerunReserve = s.cfg.RerunReserve / float64(max(s.table.Len(), 1))
-		}
-		b = retry.NewBudget(cfg)
-		s.requests.budgets[service] = b
-	}
-	return b
-}
-
-// retryTokens returns the retries left of the service that has the fewest.
-func (s *State) retryTokens() float64 {
-	least := float64(retryReserve)
-	for _, b := range s.requests.budgets {
-		least = min(least, b.Tokens())
-	}
-	return least
-}
-
-// refusedRetries is the number of attempts, beyond those that a policy allows,
-// that a call gets when nodes refuse them before their backend server has seen
-// anything.
-const refusedRetries = 2
-
-// hasAttempt reports whether a call may be sent once more.
-func (s *State) hasAttempt(c *call) bool {
-	most := c.route.Policy.MaxAttempts
-	return c.arrivals < most && c.attempts < most+refusedRetries && s.now.Before(c.deadline)
-}
-
 // took returns the time of an attempt that was answered, zero for another.
 func (c *call) took(now time.Time, e AttemptEnded) time.Duration {
 	if e.Outcome != retry.Ran {
@@ -381,25 +308,6 @@
 	return now.Sub(c.sent)
 }
 
-// tryAgain reports whether a call gets another attempt, and spends the budget
-// for it.
-func (s *State) tryAgain(c *call, e AttemptEnded) bool {
-	if !retry.Allowed(e.Outcome, c.idempotent(s), e.AnswerStarted) || !c.repeats {
-		return false
-	}
-	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing && !e.TargetGone {
-		return false // only a home that is leaving or dead hands its keys on
-	}
-	if !s.hasAttempt(c) {
-		return false
-	}
-	after := e.Outcome
-	if c.arrivals > 0 {
-		after = retry.Unknown // one more would be a repeat for the backend servers
-	}
-	return s.fault.retryFreely || c.arrivals == 0 && c.isNews(e) || s.budget(c.service).Take(after)
-}
-
 // targetID returns the backend server of the last attempt, empty for none.
 func (c *call) targetID() string {
 	if c.target == nil {
@@ -408,13 +316,6 @@
 	return c.target.Row.ID
 }
 
-// isNews reports whether an attempt ended by the first news that its target
-// takes no requests. To try again after it costs no budget: the target is left
-// out from now on, so there are no more of these than were on their way.
-func (c *call) isNews(e AttemptEnded) bool {
-	return e.Outcome == retry.NotRun && !c.leftOut && c.target.LeftOut()
-}
-
 // callLeft ends a call whose caller is gone.
 func (s *State) callLeft(id CallID) {
 	c, ok := s.requests.calls[id]
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -32,6 +32,7 @@
 	Reserve      float64 // retries allowed when there are few calls
 	RerunShare   float64 // the part of Share that may follow an attempt that may have run; zero: rerunShare
 	RerunReserve float64 // the same of Reserve; zero: rerunReserveShare
+	NoReruns     bool    // the budget begins without reruns
 }
 
 func (c Config) withDefaults() Config {
@@ -62,7 +63,11 @@
 // NewBudget returns a Budget with a full reserve.
 func NewBudget(cfg Config) *Budget {
 	cfg = cfg.withDefaults()
-	return &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.RerunReserve}
+	b := &Budget{cfg: cfg, tokens: cfg.Reserve, reruns: cfg.RerunReserve}
+	if cfg.NoReruns {
+		b.reruns = 0
+	}
+	return b
 }
 
 // rerunReserveShare is the part of the reserve that reruns may spend at once: a
@@ -103,6 +108,13 @@
 	return false
 }
 
+// SetRerunReserve changes Config.RerunReserve; below one it counts as one, or
+// no rerun could ever be earned.
+func (b *Budget) SetRerunReserve(reserve float64) {
+	b.cfg.RerunReserve = max(reserve, 1)
+	b.reruns = min(b.reruns, b.cfg.RerunReserve)
+}
+
 // MayRerun reports whether an idempotent call whose backend server answered
 // with a failure of its own may run once more, nothing having been passed on,
 // and spends a rerun for it.
