End a process in time after its drain

After a drain that ran its full time, three servers were stopped one after the other, each waiting up to 5 s for answers.

--- a/node/module.go
+++ b/node/module.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -223,9 +224,11 @@
 			return nil
 		},
 		OnStop: func(context.Context) error {
+			var stopping sync.WaitGroup
 			for _, s := range servers {
-				proxy.StopServer(s.http)
+				stopping.Go(func() { proxy.StopServer(s.http) })
 			}
+			stopping.Wait()
 			p.Node.Stop()
 			p.Transport.Stop()
 			p.Proxy.Close()
