--- /dev/null
+++ b/core/config/route.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Route is a compiled route: it holds its service and policy, not their names
+// alone, so it can't point at what is not there.
+type Route struct {
+	Name       string
+	Host       string // empty: any
+	PathPrefix string
+	Methods    []string
+	Service    string  // empty: Split says
+	Split      []Share // the weights are positive
+	Policy     *Policy
+	inherits   bool // Policy is the service's
+}
+
+// ServiceFor returns the service of one request. A route with a split divides
+// its requests by draw, a random number that is uniform in [0, 1).
+func (r *Route) ServiceFor(draw float64) string {
+	if r.Service != "" {
+		return r.Service
+	}
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		if left -= float64(s.Weight); left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// services returns every service that the route may send to.
+func (r *Route) services() []string {
+	if r.Service != "" {
+		return []string{r.Service}
+	}
+	names := make([]string, len(r.Split))
+	for i, s := range r.Split {
+		names[i] = s.Service
+	}
+	return names
+}
+
+func (c *compiler) route(k Key) {
+	var spec RouteSpec
+	if k.Kind != KindRoute || !c.decode(k, &spec) {
+		return
+	}
+	if !strings.HasPrefix(spec.PathPrefix, "/") {
+		c.fault(k, "pathPrefix", "%q does not start with '/'", spec.PathPrefix)
+		return
+	}
+	if spec.Host != hostName(spec.Host) || strings.ContainsAny(spec.Host, "/ ") {
+		c.fault(k, "host", "%q is not a host name in lower case without a port", spec.Host)
+		return
+	}
+	for _, other := range c.snapshot.routes[spec.key()] {
+		if overlap(other.Methods, spec.Methods) {
+			c.fault(k, "pathPrefix", "%q is that of route %q too, for the same methods", spec.PathPrefix, other.Name)
+		}
+	}
+	c.shares(k, spec)
+	policy := c.snapshot.services[spec.Service]
+	if spec.Policy != "" || policy == nil {
+		policy = c.resolve(k, spec.Policy)
+	}
+	c.snapshot.routes[spec.key()] = append(c.snapshot.routes[spec.key()], &Route{
+		Name: k.Name, Host: spec.Host, PathPrefix: spec.PathPrefix, Methods: spec.Methods,
+		Service: spec.Service, Split: spec.Split, Policy: policy, inherits: spec.Policy == "" && spec.Service != "",
+	})
+	if spec.Host != "" {
+		c.snapshot.hosts[spec.Host]++
+	}
+}
+
+// shares checks the services that a route sends to.
+func (c *compiler) shares(k Key, spec RouteSpec) {
+	if (spec.Service == "") == (len(spec.Split) == 0) {
+		c.fault(k, "service", "needs either a service or a split")
+		return
+	}
+	if spec.Service != "" {
+		c.serviceExists(k, "service", spec.Service)
+	}
+	for i, s := range spec.Split {
+		c.serviceExists(k, fmt.Sprintf("split[%d].service", i), s.Service)
+		if s.Weight <= 0 || s.Weight > MaxWeight {
+			c.fault(k, fmt.Sprintf("split[%d].weight", i), "%d is not between 1 and %d", s.Weight, MaxWeight)
+		}
+	}
+}
+
+func (c *compiler) serviceExists(k Key, field, name string) {
+	if !c.has(Key{KindService, name}) {
+		c.fault(k, field, "service %q does not exist", name)
+	}
+}
+
+// overlap reports whether two method lists share one; empty means all.
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
--- a/core/source.go
+++ b/core/source.go
@@ -28,10 +28,9 @@
 	backoff  backoff
 	refused  uint64 // newest version that was refused
 
-	readAt    time.Time // when a read of this node last showed the newest version
-	fedAt     time.Time // the same of what other nodes told
-	unfedAt   time.Time // when what they told was last too old
-	following bool      // this node reads the source
+	readAt  time.Time // when a read of this node last showed the newest version
+	fedAt   time.Time // the same of what other nodes told
+	unfedAt time.Time // when what they told was last too old
 }
 
 // fedFor is how long other nodes must have fed a node before it stops to read
@@ -59,10 +58,9 @@
 		return
 	}
 	if !s.follows() {
-		src.following, src.read = false, false
+		src.read = false // the history from there may be gone by the next time
 		return
 	}
-	src.following = true
 	if s.now.Before(src.retryAt) {
 		return
 	}
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -14,7 +14,7 @@
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
-// fixedClock stands still, so that sampling gives the same on each run.
+// fixedClock stands still, so that all lines are of one second.
 type fixedClock struct{}
 
 func (fixedClock) Now() time.Time                       { return time.Unix(1000, 0) }
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -264,7 +264,7 @@
 	defer func() {
 		if v := recover(); v != nil {
 			w.failed = true
-			if v != http.ErrAbortHandler { //nolint:errorlint // the value of a panic
+			if v != http.ErrAbortHandler {
 				c.server.cfg.Fault(fmt.Errorf("handler: %v\n%s", v, debug.Stack()))
 			}
 		}
--- a/node/module.go
+++ b/node/module.go
@@ -181,8 +181,11 @@
 	callers := p.Proxy.CallerServer(p.fault("callers"))
 	p.Node.WhenLimited(func(l config.LimitsSpec) { p.Proxy.Limit(callers, l) })
 	go func() {
-		<-p.Node.Leaving()
-		callers.Drain()
+		select {
+		case <-p.Node.Leaving():
+			callers.Drain()
+		case <-p.Node.ctx.Done():
+		}
 	}()
 	return []server{
 		{"callers", p.Listeners.Callers, callers},
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -18,7 +18,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	shortBodyTimeout  = 10 * time.Second
-	stopTimeout       = 500 * time.Millisecond // all that was to be answered has been by then; the rest has had its drain
+	stopTimeout       = 500 * time.Millisecond             // all that was to be answered has been by then; the rest has had its drain
 	maxTransfer       = config.MaxTimeout + 10*time.Second // of one request or answer
 	serverIdleTimeout = 180 * time.Second
 	clientIdleTimeout = 60 * time.Second
