Say which objects of the store can't be read

Cause (read in the diff): objects and configurations that could not be read were left out without a line. Checked: TestUnreadableObjectsAreLeftOut.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -18,6 +18,7 @@
 	SubmissionAccepted  Code = 2003
 	SubmissionRejected  Code = 2004
 	ConfigInForce       Code = 2005
+	ObjectRefused       Code = 2006
 	LeaseTaken          Code = 3001
 	LeaseLost           Code = 3002
 	PlatformUnreachable Code = 3003
@@ -58,6 +59,7 @@
 	SubmissionAccepted:  "submission accepted",
 	SubmissionRejected:  "submission rejected",
 	ConfigInForce:       "configuration in force",
+	ObjectRefused:       "object refused",
 	LeaseTaken:          "lease taken",
 	LeaseLost:           "lease lost",
 	PlatformUnreachable: "platform unreachable",
