Send what is queued before a link is closed

Cause: peer.Link.Close cancelled the stream at once, so that the Leaving that the reducer sends before it closes a link never arrived (0 of 5 messages, in both directions). The other end then took the node for dead for a moment and placed nothing on its backend server. Two closings in the reducer sent no Leaving at all: before a Welcome, and of a link that fell silent.

Ruled out: a loss on the way (the writer goroutine never took the message).

Change: Close lets the writer send the queue, then half-closes (dialler) or ends the handler (acceptor); after 300 ms the stream is cancelled as before. A failed stream is still aborted at once. drop sends Leaving on every open link.

--- a/core/link.go
+++ b/core/link.go
@@ -83,13 +83,13 @@
 }
 
 // drop closes a link and forgets it. The other end is told that this node
-// lives on.
+// lives on, also before a Welcome: its own may be on the way.
 func (s *State) drop(id LinkID, reason string) {
 	l, ok := s.links[id]
 	if !ok {
 		return
 	}
-	if l.open && l.greeted {
+	if l.open {
 		s.send(id, message.Leaving{})
 	}
 	s.emit(CloseLink{Link: id, Reason: reason})
@@ -127,8 +127,7 @@
 		}
 		if s.now.Sub(l.heard) > limit {
 			s.log(notice.LinkSilent, Attr{"peer", l.peer}, Attr{"remote", l.node})
-			s.emit(CloseLink{Link: id, Reason: "silent"})
-			s.linkDown(id, "silent")
+			s.drop(id, "silent")
 			continue
 		}
 		if l.open && l.greeted && s.now.Sub(l.sent) >= s.cfg.HeartbeatEvery {
--- a/core/tree_test.go
+++ b/core/tree_test.go
@@ -360,3 +360,21 @@
 	is.True(asked)
 	is.Equal(child.State.HeldSet().Version, uint64(1))
 }
+
+// TestGivingUpOnAParentIsNoDeath lets a node that never hears a Welcome give
+// up: it says that it lives on, since the other end may have greeted it.
+func TestGivingUpOnAParentIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 2, 2, core.BreakNone)
+	root := roots(m)[0]
+	joiner := map[string]string{"a1": "a2", "a2": "a1"}[root]
+	m.Deafen(root, joiner)
+	m.Restart(joiner)
+	var told bool
+	m.OnSend = func(from, _ *coretest.Node, msg message.Message) {
+		_, ok := msg.(message.Leaving)
+		told = told || ok && from.Name == joiner
+	}
+	m.Run(5 * time.Second)
+	is.True(told)
+}
--- /dev/null
+++ b/peer/close_test.go
@@ -0,0 +1,85 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/peer"
+)
+
+// closeLimit is how long a test waits for what must come.
+const closeLimit = 10 * time.Second
+
+// openLink opens a link in the clear between two ends and returns both sides
+// of it.
+func openLink(t *testing.T, dialler, acceptor *end) (dialled, accepted *peer.Link) {
+	t.Helper()
+	is := is.New(t)
+	server := peer.NewTransport(peer.Config{}, acceptor)
+	client := peer.NewTransport(peer.Config{}, dialler)
+	t.Cleanup(server.Stop)
+	t.Cleanup(client.Stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	is.NoErr(client.Dial(ctx, serve(t, server), func(l *peer.Link) any {
+		dialled = l
+		return l
+	}))
+	return dialled, <-acceptor.accepted
+}
+
+// receivedUntilDown returns the number of messages that come before the link
+// is reported as ended.
+func receivedUntilDown(t *testing.T, e *end) int {
+	t.Helper()
+	limit := time.After(closeLimit)
+	for n := 0; ; {
+		select {
+		case <-e.received:
+			n++
+		case <-e.down:
+			return n + len(e.received)
+		case <-limit:
+			t.Fatal("the link did not end")
+		}
+	}
+}
+
+func TestWhatIsQueuedBeforeCloseArrives(t *testing.T) {
+	const messages, rounds = 5, 30
+	tests := []struct {
+		name    string
+		closing func(dialled, accepted *peer.Link) *peer.Link
+		told    func(dialler, acceptor *end) *end
+	}{
+		{
+			"closed by the dialler",
+			func(dialled, _ *peer.Link) *peer.Link { return dialled },
+			func(_, acceptor *end) *end { return acceptor },
+		},
+		{
+			"closed by the acceptor",
+			func(_, accepted *peer.Link) *peer.Link { return accepted },
+			func(dialler, _ *end) *end { return dialler },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for range rounds {
+				dialler, acceptor := newEnd(), newEnd()
+				link := tt.closing(openLink(t, dialler, acceptor))
+				for range messages {
+					is.NoErr(link.Send(message.Leaving{}))
+				}
+				link.Close()
+				is.Equal(receivedUntilDown(t, tt.told(dialler, acceptor)), messages)
+				is.True(link.Send(message.Leaving{}) != nil) // closed
+			}
+		})
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
@@ -21,6 +22,10 @@
 const (
 	maxFrameBytes  = 64 << 20
 	queuedMessages = 1024 // a link whose other end takes nothing for so long is closed
+
+	// closeWithin is how long a closed link may take to send what is queued:
+	// as long as a heartbeat of the shortest interval takes to be missed.
+	closeWithin = 300 * time.Millisecond
 )
 
 // Errors of this package.
@@ -45,12 +50,13 @@
 
 // Link is one open link.
 type Link struct {
-	cancel context.CancelFunc
-	mu     sync.Mutex
-	closed bool
-	pack   bool
-	queue  chan *pb.Frame
-	other  Identity // known from the first message on
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	closed  bool
+	closing chan struct{} // closed once nothing more is queued
+	pack    bool
+	queue   chan *pb.Frame
+	other   Identity // known from the first message on
 }
 
 // Other returns what the link knows of its other end. It may be called by
@@ -58,7 +64,7 @@
 func (l *Link) Other() Identity { return l.other }
 
 func newLink(cancel context.CancelFunc, pack bool) *Link {
-	return &Link{cancel: cancel, pack: pack, queue: make(chan *pb.Frame, queuedMessages)}
+	return &Link{cancel: cancel, pack: pack, queue: make(chan *pb.Frame, queuedMessages), closing: make(chan struct{})}
 }
 
 // Send queues a message. It does not block: a full queue closes the link.
@@ -87,14 +93,34 @@
 	}
 }
 
-// Close ends the link at once; messages still queued are dropped.
+// Close ends the link after the messages still queued: the last of them may
+// say why. An other end that takes none for closeWithin is not waited for.
 func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	l.closed = true
+	close(l.closing)
+	time.AfterFunc(closeWithin, l.cancel)
+}
+
+// abort ends the link at once, since its stream has failed.
+func (l *Link) abort() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	l.cancel()
 }
 
+// open reports whether the link is not closed.
+func (l *Link) open() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.closed
+}
+
 // stream is the part of both ends' gRPC streams that a link needs.
 type stream interface {
 	Context() context.Context
@@ -102,30 +128,53 @@
 	Recv() (*pb.Frame, error)
 }
 
-// write sends queued frames until the stream ends.
-func (l *Link) write(s stream) {
+// write sends queued frames until the stream ends or the link is closed; then
+// it calls finish, which ends this side of the stream behind what was sent.
+func (l *Link) write(s stream, finish func()) {
 	for {
 		select {
 		case f := <-l.queue:
 			if err := s.Send(f); err != nil {
-				l.Close()
+				l.abort()
 				return
 			}
+		case <-l.closing:
+			l.flush(s)
+			finish()
+			return
 		case <-s.Context().Done():
 			return
 		}
 	}
 }
 
+// flush sends what was queued before the link was closed.
+func (l *Link) flush(s stream) {
+	for {
+		select {
+		case f := <-l.queue:
+			if err := s.Send(f); err != nil {
+				l.abort()
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
 // read hands every message to the handler until the stream ends, and returns
 // why it ended.
 func (l *Link) read(s stream, link any, h Handler) string {
 	for first := true; ; first = false {
 		f, err := s.Recv()
 		if err != nil {
-			l.Close()
+			l.abort()
 			return err.Error()
 		}
+		if !l.open() {
+			continue // closed by the handler, which waits for nothing more
+		}
 		if first {
 			l.other = identityOf(s.Context())
 		}
@@ -200,7 +249,7 @@
 	defer cancel()
 	l := newLink(cancel, t.pack)
 	link := t.handler.Accepted(l)
-	go l.write(s)
+	go l.write(s, cancel)
 	ended := make(chan string, 1)
 	go func() { ended <- l.read(s, link, t.handler) }()
 	// Returning ends the stream, which ends read and write.
@@ -237,7 +286,7 @@
 	l := newLink(cancel, t.pack)
 	link := opened(l)
 	t.wg.Add(1)
-	go l.write(s)
+	go l.write(s, func() { _ = s.CloseSend() }) // fails only if the stream has ended
 	go func() {
 		defer t.wg.Done()
 		reason := l.read(s, link, t.handler)
