Close the links of a node that ends, and log the end of every link

Change: once drained, the reducer sends Leaving on every link behind the word that the backend server is gone, and closes them. The end of a link (4002) is logged by default: it is a lost dependency, and 5002 alone does not say why. The fake mesh closes a link behind the messages sent on it, as peer does; a crash still loses them.

--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -305,7 +305,7 @@
 	case core.CloseLink:
 		if l, ok := n.links[e.Link]; ok {
 			delete(n.links, e.Link)
-			m.hangUp(l)
+			m.closeLink(l)
 		}
 	case core.ProbeBackend:
 		life := n.Life
@@ -320,14 +320,26 @@
 	}
 }
 
-// hangUp tells the other end of a link that it is closed.
-func (m *Mesh) hangUp(l *end) {
+// closeLink closes a link behind the messages that were sent on it.
+func (m *Mesh) closeLink(l *end) {
+	var wait time.Duration
+	if l.peer != nil {
+		wait = l.peer.next.Sub(m.Now)
+	}
+	m.endLink(l, max(wait, m.random(m.Faults.LinkDelay)))
+}
+
+// hangUp ends a link at once: messages on the way may be lost.
+func (m *Mesh) hangUp(l *end) { m.endLink(l, m.random(m.Faults.LinkDelay)) }
+
+// endLink tells the other end of a link after some time that it is closed.
+func (m *Mesh) endLink(l *end, after time.Duration) {
 	l.closed = true
 	p := l.peer
 	if p == nil || m.cut[pair(l.node.Name, p.node.Name)] {
 		return
 	}
-	m.After(m.random(m.Faults.LinkDelay), func() {
+	m.After(after, func() {
 		if p.closed {
 			return
 		}
--- a/core/drain.go
+++ b/core/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -72,5 +73,19 @@
 	}
 	b.drained = true
 	s.announce(endpoint.Gone)
+	s.leaveLinks()
 	s.emit(Drained{})
 }
+
+// leaveLinks closes all links of a node that is about to end, without looking
+// for others in their place. What was sent before, that the backend server is
+// gone, arrives first.
+func (s *State) leaveLinks() {
+	for _, id := range sortedLinks(s.links) {
+		if s.links[id].open {
+			s.send(id, message.Leaving{})
+			s.emit(CloseLink{Link: id, Reason: "the process ends"})
+		}
+		delete(s.links, id)
+	}
+}
--- a/core/notice/level.go
+++ b/core/notice/level.go
@@ -24,7 +24,7 @@
 	case ConfigRefused, SubmissionRejected, PlatformUnreachable, RootWithoutLease, LinkSilent,
 		EndpointSuspected, LeaseLost, PeerRefused, ListenerFault, HeartbeatRefused, ObjectRefused, SettingsRefused, LinesDropped:
 		return Warn
-	case LinkUp, LinkDown:
+	case LinkUp:
 		return Debug
 	}
 	return Info
--- a/core/tree_test.go
+++ b/core/tree_test.go
@@ -12,6 +12,7 @@
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
 )
 
 // newTree starts n nodes a1, a2, … of one data centre, with a change in force.
@@ -378,3 +379,45 @@
 	m.Run(5 * time.Second)
 	is.True(told)
 }
+
+// TestEndedNodeIsNotSuspected stops a node that has a parent and one that has
+// children: neither suspects its neighbours when it ends, nor they it.
+func TestEndedNodeIsNotSuspected(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		which func(m *coretest.Mesh) string
+	}{
+		{"root", func(m *coretest.Mesh) string { return roots(m)[0] }},
+		{"leaf", func(m *coretest.Mesh) string {
+			for _, n := range m.Nodes() {
+				if n.Name != roots(m)[0] {
+					return n.Name
+				}
+			}
+			return ""
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newTree(t, 3, 2, core.BreakNone)
+			ending, suspicions := tt.which(m), 0
+			m.OnEffect = func(n *coretest.Node, e core.Effect) {
+				switch e := e.(type) {
+				case core.Drained:
+					m.After(0, func() { m.Crash(n.Name) })
+				case core.Log:
+					if e.Code == notice.EndpointSuspected {
+						suspicions++
+					}
+				}
+			}
+			m.Step(ending, core.Stop{})
+			is.True(m.RunUntil(40*time.Second, func() bool { return !m.Node(ending).Alive }))
+			m.Run(5 * time.Second)
+			is.Equal(suspicions, 0)
+			for _, n := range m.Nodes() {
+				is.True(!n.Alive || entryOf(n, ending).State == endpoint.Gone)
+			}
+		})
+	}
+}
