Take large answers in by the room on the host's link

Cause: on a grown deployment (90 hosts, links of 10 Mbit/s) downloads are asked for at three times what the links of their service's hosts carry. A gate ran as many as it had slots; each held its slot until the network had taken the answer, and the link's queue held up every short answer behind it.

Ruled out: processor (0.03 to 0.07 of 0.16 cores), slots (45 of 64 needed).

The setting linkMbps tells the link.

Downloads that are served are mostly late; to be looked at.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -33,6 +33,7 @@
 const (
 	Admitted     Reason = ""
 	QueueFull    Reason = "queue full"
+	LinkFull     Reason = "the host's link has no room for the answer in time"
 	TooLate      Reason = "deadline would pass before it could finish"
 	NotServing   Reason = "backend server takes no new requests"
 	Cancelled    Reason = "cancelled before it started"
@@ -55,6 +56,9 @@
 	// more of them.
 	Target   time.Duration
 	Interval time.Duration
+	// LinkBytes is what the host's network link carries in a second; zero: not
+	// known, and no attempt is refused for it.
+	LinkBytes float64
 }
 
 // DefaultConfig returns the settings used where none are given.
@@ -95,6 +99,7 @@
 	Request  string // of the caller, for the log
 	Class    Class
 	Deadline time.Time
+	Wanted   time.Time // by when the caller is content with the answer; zero: not told
 	arrived  time.Time
 }
 
@@ -107,7 +112,9 @@
 	passed   [classes]int           // starts of more urgent classes while this one waited
 	average  [classes]time.Duration // smoothed time of a run
 	overall  time.Duration          // the same over all classes
-	emptyAt  time.Time              // when the queue was empty last
+	bytes    [classes]float64       // smoothed size of an answer
+	link     Link
+	emptyAt  time.Time // when the queue was empty last
 	starts   []Waiting
 	droppeds []Waiting
 	fault    fault
@@ -116,13 +123,14 @@
 // fault turns single safeguards off. Tests set it to show that their checks
 // notice; it is zero otherwise.
 type fault struct {
-	strict     bool // no class lets another one go first
-	waitOn     bool // nothing is dropped for its wait
-	overCommit bool // one more runs than there are slots
+	strict      bool // no class lets another one go first
+	waitOn      bool // nothing is dropped for its wait
+	overCommit  bool // one more runs than there are slots
+	linkIgnored bool // the room on the link is not looked at
 }
 
 // New returns an empty Queue.
-func New(cfg Config) *Queue { return &Queue{cfg: cfg} }
+func New(cfg Config) *Queue { return &Queue{cfg: cfg, link: NewLink(cfg.LinkBytes)} }
 
 // SetSlots changes the number of attempts that run at once. Those that run
 // already are not touched.
@@ -146,6 +154,8 @@
 	switch {
 	case !now.Before(w.Deadline):
 		return Decision{Reason: TooLate}
+	case !q.hasRoom(now, w):
+		return Decision{Reason: LinkFull}
 	case q.canStart(w.Class) && q.nothingBefore(w.Class):
 		q.running = append(q.running, w)
 		return Decision{Run: true}
@@ -211,10 +221,10 @@
 	return false
 }
 
-// Done counts the end of a run that took the given time, and returns what
-// starts now and what was dropped because it waited too long or can't end by
+// Done counts the end of a run that took the given time and has an answer of so
+// many bytes, which goes out from now on. It returns what starts now and what was dropped because it waited too long or can't end by
 // its deadline. The slices are valid until the next call.
-func (q *Queue) Done(now time.Time, id ID, took time.Duration) (start, dropped []Waiting) {
+func (q *Queue) Done(now time.Time, id ID, took time.Duration, bytes int64) (start, dropped []Waiting) {
 	i := slices.IndexFunc(q.running, func(w Waiting) bool { return w.ID == id })
 	if i < 0 {
 		return nil, nil
@@ -223,6 +233,8 @@
 	q.running = slices.Delete(q.running, i, i+1)
 	q.average[c] += (took - q.average[c]) / smoothing
 	q.overall += (took - q.overall) / smoothing
+	q.bytes[c] += (float64(bytes) - q.bytes[c]) / smoothing
+	q.link.Send(now, bytes)
 	return q.fill(now)
 }
 
--- /dev/null
+++ b/core/admission/room_test.go
@@ -0,0 +1,179 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+)
+
+// A link that carries 10 Mbit/s, requests whose answers take 224 ms of it, and
+// short ones that need none of it to speak of.
+const (
+	linkBytes  = 1.25e6
+	largeBytes = 280_000
+	largeRun   = 140 * time.Millisecond
+	largeWant  = time.Second
+	shortRun   = 45 * time.Millisecond
+)
+
+// linkRun plays a backend server behind a link for a time and counts the large
+// answers that leave in time.
+type linkRun struct {
+	q       *admission.Queue
+	now     time.Time
+	next    uint64
+	ends    map[admission.ID]time.Time // of runs
+	wanted  map[admission.ID]time.Time // by when, of large ones
+	out     time.Time                  // when the link has sent all
+	asked   int
+	inTime  int
+	tooLate int
+	refused int
+}
+
+func newLinkRun(slots int) *linkRun {
+	cfg := admission.DefaultConfig(slots)
+	cfg.LinkBytes = linkBytes
+	return &linkRun{
+		q: admission.New(cfg), now: time.Unix(1000, 0), ends: map[admission.ID]time.Time{}, wanted: map[admission.ID]time.Time{},
+	}
+}
+
+func (r *linkRun) started(id admission.ID) {
+	takes := shortRun
+	if !r.wanted[id].IsZero() {
+		takes = largeRun
+	}
+	r.ends[id] = r.now.Add(takes)
+}
+
+func (r *linkRun) arrive(large bool) {
+	r.next++
+	w := admission.Waiting{ID: admission.ID{Origin: 1, Number: r.next}, Class: admission.Interactive, Deadline: r.now.Add(500 * time.Millisecond)}
+	if large {
+		r.asked++
+		w.Class, w.Deadline, w.Wanted = admission.Batch, r.now.Add(6*time.Second), r.now.Add(largeWant)
+		r.wanted[w.ID] = w.Wanted
+	}
+	switch d := r.q.Arrive(r.now, w); {
+	case d.Run:
+		r.started(w.ID)
+	case d.Reason == admission.LinkFull:
+		r.refused++
+	}
+}
+
+// end ends the runs that are due; their answers go over the link in turn.
+func (r *linkRun) end() {
+	for id, at := range r.ends {
+		if at.After(r.now) {
+			continue
+		}
+		delete(r.ends, id)
+		bytes, takes := int64(500), shortRun
+		if want := r.wanted[id]; !want.IsZero() {
+			bytes, takes = largeBytes, largeRun
+			r.send(want)
+		}
+		start, _ := r.q.Done(r.now, id, takes, bytes)
+		for _, w := range start {
+			r.started(w.ID)
+		}
+	}
+}
+
+func (r *linkRun) send(want time.Time) {
+	if r.out.Before(r.now) {
+		r.out = r.now
+	}
+	r.out = r.out.Add(time.Duration(largeBytes / linkBytes * float64(time.Second)))
+	if r.out.After(want) {
+		r.tooLate++
+	} else {
+		r.inTime++
+	}
+}
+
+// play lets so many large and short requests a second arrive for a minute.
+func (r *linkRun) play(large, short float64) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 60_000 {
+		r.now = r.now.Add(time.Millisecond)
+		r.end()
+		if rng.Float64() < large/1000 {
+			r.arrive(true)
+		}
+		if rng.Float64() < short/1000 {
+			r.arrive(false)
+		}
+	}
+}
+
+// TestLinkCarriesInTimeWhatItCan offers three times the large answers that
+// the link carries: nearly all of it is used, for answers that are in time.
+func TestLinkCarriesInTimeWhatItCan(t *testing.T) {
+	is := is.New(t)
+	const minute, carried = 60, linkBytes / largeBytes
+	r := newLinkRun(8)
+	r.play(3*carried, 80)
+	is.True(float64(r.inTime) > 0.8*minute*carried) // of what the link could carry
+	is.True(r.tooLate < r.inTime/20)
+	is.True(r.refused > r.asked/2)
+
+	broken := newLinkRun(8)
+	broken.q.BreakForTest(admission.LinkIgnored)
+	broken.play(3*carried, 80)
+	is.True(broken.inTime < r.inTime/10) // the check can fail
+}
+
+// TestLinkWithRoomRefusesNothing offers half of what the link carries.
+func TestLinkWithRoomRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	r := newLinkRun(8)
+	r.play(0.3*linkBytes/largeBytes, 80)
+	is.True(r.refused < r.asked/20)
+}
+
+func TestRoomOnTheLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		rate   float64
+		busy   int64 // bytes under way
+		wanted time.Duration
+		left   time.Duration
+		reason admission.Reason
+	}{
+		{"idle link, target passed", linkBytes, 0, 1, 6 * time.Second, admission.Admitted},
+		{"busy link, target passed", linkBytes, largeBytes, 1, 6 * time.Second, admission.LinkFull},
+		{"in time", linkBytes, largeBytes, time.Second, 6 * time.Second, admission.Admitted},
+		{"not in time", linkBytes, 4 * largeBytes, time.Second, 6 * time.Second, admission.LinkFull},
+		{"no target", linkBytes, 4 * largeBytes, 0, 6 * time.Second, admission.Admitted},
+		{"not by the deadline", linkBytes, 4 * largeBytes, 0, time.Second, admission.LinkFull},
+		{"rate not known", 0, 400 * largeBytes, time.Second, time.Second, admission.Admitted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := admission.DefaultConfig(8)
+			cfg.LinkBytes = tt.rate
+			q := admission.New(cfg)
+			for i := range uint64(40) { // it learns what answers are like
+				id := admission.ID{Number: i}
+				q.Arrive(now, admission.Waiting{ID: id, Class: admission.Batch, Deadline: now.Add(time.Minute)})
+				q.Done(now, id, largeRun, largeBytes)
+				now = now.Add(time.Minute)
+			}
+			q.Sent(now, tt.busy)
+			w := admission.Waiting{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(tt.left)}
+			if tt.wanted > 0 {
+				w.Wanted = now.Add(tt.wanted)
+			}
+			is.Equal(q.Arrive(now, w).Reason, tt.reason)
+		})
+	}
+}
--- a/core/admit.go
+++ b/core/admit.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
@@ -78,13 +80,22 @@
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
 	}
-	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget)})
+	d := b.queue.Arrive(s.now, admission.Waiting{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget), Wanted: s.wantedBy(e.Wanted)})
 	for _, w := range d.Pushed {
 		s.dropWaiting(w, admission.QueueFull)
 	}
 	return d.Run, d.Reason
 }
 
+// wantedBy returns when an answer is wanted that is wanted in so long; zero
+// stays zero, not told.
+func (s *State) wantedBy(in time.Duration) time.Time {
+	if in == 0 {
+		return time.Time{}
+	}
+	return s.now.Add(in)
+}
+
 // admitTick refuses what has waited too long while no run ended.
 func (s *State) admitTick() {
 	for _, w := range s.backend.queue.Expire(s.now) {
@@ -143,7 +154,7 @@
 	if !e.Cut && e.Status != 0 && e.Status < firstServerError {
 		b.servedAt = s.now
 	}
-	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took)
+	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took, e.Bytes)
 	running, waiting := b.queue.Load()
 	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heard.Backend},
 		Attr{"status", e.Status}, Attr{"cut", e.Cut}, Attr{"refused", e.Refused}, Attr{"tookMillis", e.Took.Milliseconds()},
--- a/core/effect.go
+++ b/core/effect.go
@@ -84,6 +84,7 @@
 	Local       bool   // it is the node's own
 	Class       admission.Class
 	Budget      time.Duration // time left until the call's deadline
+	Wanted      time.Duration // time left until the latency that callers are content with, the shortest if it has passed; zero: not told
 	Key         idempotency.Key
 	Repeats     bool // another attempt may follow, as long as nothing of an answer was passed on
 }
--- a/core/event.go
+++ b/core/event.go
@@ -155,6 +155,7 @@
 	Request string // as in CallArrived
 	Class   admission.Class
 	Budget  time.Duration // time left until the call's deadline
+	Wanted  time.Duration // as in Forward
 	For     endpoint.Incarnation
 	Key     idempotency.Key
 }
@@ -164,9 +165,10 @@
 	Attempt AttemptID
 	Request string // as in CallArrived
 	Took    time.Duration
-	Refused bool // the backend server's address refused the connection
-	Cut     bool // no whole answer came: what the backend server did is not known
-	Status  int  // HTTP status of the answer, zero: not known
+	Refused bool  // the backend server's address refused the connection
+	Cut     bool  // no whole answer came: what the backend server did is not known
+	Status  int   // HTTP status of the answer, zero: not known
+	Bytes   int64 // of its body, as declared
 }
 
 // AttemptCancelled asks that an attempt not run. It is answered by Refuse
--- a/core/request.go
+++ b/core/request.go
@@ -191,11 +191,21 @@
 		Attr{"leftMillis", c.deadline.Sub(s.now).Milliseconds()}, Attr{"version", s.configVersion()})
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
-		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Key: c.homeKey(),
+		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), Wanted: c.wanted(s.now), Key: c.homeKey(),
 		Repeats: c.repeats && c.idempotent(s) && c.arrivals+1 < c.route.Policy.MaxAttempts,
 	})
 }
 
+// wanted returns the time left until the latency that callers are content
+// with, the shortest there is once it has passed, zero if it is not told.
+func (c *call) wanted(now time.Time) time.Duration {
+	target := c.route.Policy.Target
+	if target == 0 {
+		return 0
+	}
+	return max(target-now.Sub(c.arrived), 1)
+}
+
 // homeKey returns the key that the target is to hold.
 func (c *call) homeKey() idempotency.Key {
 	if c.claim != nil {
@@ -273,6 +283,7 @@
 	if e.Arrived || e.Outcome != retry.NotRun {
 		c.arrivals++
 	}
+	s.backend.queue.Sent(s.now, e.Bytes) // it went out over the same link
 	if e.Held {
 		s.answerHeld(e, c)
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -60,6 +60,7 @@
 	StatusKeep time.Duration // time for which the status of a settled submission is kept
 	faults     publisherFaults
 
+	LinkBytes     float64       // what the host's network link carries in a second; zero: not known
 	QueueMaxWait  time.Duration // none waits longer for a slot
 	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
 	QueueInterval time.Duration
@@ -141,6 +142,7 @@
 	setDefault(&c.QueueTarget, a.Target)
 	setDefault(&c.QueueInterval, a.Interval)
 	a.StatusSlots, a.MaxQueue, a.MaxWait, a.Target, a.Interval = c.StatusSlots, c.MaxQueue, c.QueueMaxWait, c.QueueTarget, c.QueueInterval
+	a.LinkBytes = c.LinkBytes
 	return a
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -18,7 +18,8 @@
 	cfg := core.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
 		Service: s.Backend.Service, Slots: s.Backend.Slots, StatusSlots: s.Backend.StatusSlots,
-		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
+		LinkBytes: s.LinkMbps * bytesPerMegabit,
+		MaxQueue:  s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
 		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter),
@@ -40,6 +41,13 @@
 	return cfg.WithDefaults()
 }
 
+// bytesPerMegabit turns Mbit/s into bytes a second.
+const bytesPerMegabit = 1e6 / 8
+
+// aheadPart is the part of the memory, as a divisor, for large answers that
+// wait for the network.
+const aheadPart = 8
+
 // ProxyConfig returns the settings of a Proxy in the clear.
 func ProxyConfig(s settings.Settings) proxy.Config {
 	return proxy.Config{
@@ -47,6 +55,8 @@
 		Backend: s.Backend.Address, Connections: s.Backend.Connections,
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter: time.Duration(s.Requests.SilenceAfter),
+		AheadBytes:   int64(s.MemoryBytes / aheadPart),
+		LinkBytes:    s.LinkMbps * bytesPerMegabit,
 	}
 }
 
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -27,8 +27,8 @@
 
 // passOn sends the answer of the next hop to w. An answer without a declared
 // length is flushed as it comes; one that may be held up by a slow receiver
-// has until the request's deadline.
-func passOn(w http.ResponseWriter, resp *http.Response) error {
+// has until the request's deadline. A large one is paced.
+func (p *Proxy) passOn(w http.ResponseWriter, resp *http.Response) error {
 	h := w.Header()
 	copyHeader(h, resp.Header)
 	if _, ok := h["Content-Type"]; !ok {
@@ -43,7 +43,7 @@
 		}
 	}
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp); err != nil {
+	if err := copyBody(w, resp, p.pacerFor(resp)); err != nil {
 		return err
 	}
 	for k, vs := range resp.Trailer {
@@ -61,13 +61,24 @@
 	panic(http.ErrAbortHandler)
 }
 
-func copyBody(w http.ResponseWriter, resp *http.Response) error {
+// pacerFor returns the pacer for an answer, nil for a short one.
+func (p *Proxy) pacerFor(resp *http.Response) *pacer {
+	if resp.ContentLength <= copyBufBytes {
+		return nil
+	}
+	return p.pacer
+}
+
+func copyBody(w http.ResponseWriter, resp *http.Response, pace *pacer) error {
 	buf := copyBufs.Get().(*[copyBufBytes]byte)
 	defer copyBufs.Put(buf)
 	flusher, _ := w.(http.Flusher)
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
+			if err := pace.wait(resp.Request.Context(), n); err != nil {
+				return &answerError{caller: true, err: err}
+			}
 			if _, err := w.Write(buf[:n]); err != nil {
 				return &answerError{caller: true, err: err}
 			}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -60,7 +60,7 @@
 		c.proxy.core.Step(ended)
 		return
 	}
-	err := passOn(c.w, resp)
+	err := c.proxy.passOn(c.w, resp)
 	var cut *answerError
 	if err != nil {
 		cut = err.(*answerError)
@@ -86,7 +86,7 @@
 // backend server. cancel ends ctx.
 func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	h := hopHeader{
-		attempt: f.Attempt, class: f.Class, budget: f.Budget, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, wanted: f.Wanted, depth: c.depth + 1, meant: f.Incarnation, key: f.Key,
 	}
 	if f.Local {
 		h.entry = true
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -83,6 +83,7 @@
 	attempt core.AttemptID
 	class   admission.Class
 	budget  time.Duration // sent in microseconds
+	wanted  time.Duration // as core.Forward.Wanted; sent in microseconds
 	depth   int
 	meant   endpoint.Incarnation // zero: not told
 	key     idempotency.Key      // zero: none
@@ -95,6 +96,7 @@
 	b = append(b, formatAttempt(h.attempt)...)
 	b = strconv.AppendUint(append(b, ' '), uint64(h.class), 10)
 	b = strconv.AppendInt(append(b, ' '), h.budget.Microseconds(), 10)
+	b = strconv.AppendInt(append(b, ' '), wholeMicros(h.wanted), 10)
 	b = strconv.AppendInt(append(b, ' '), int64(h.depth), 10)
 	b = append(append(b, ' '), formatLife(h.meant)...)
 	if !h.key.IsZero() {
@@ -104,7 +106,18 @@
 }
 
 // hopFields is the number of fields without the key.
-const hopFields = 5
+const hopFields = 6
+
+// wholeMicros returns microseconds rounded up: what is told is never zero.
+func wholeMicros(d time.Duration) int64 { return int64((d + time.Microsecond - 1) / time.Microsecond) }
+
+func parseMicros(s string) (time.Duration, error) {
+	micros, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("header %s: %q is not a number", headerHop, s)
+	}
+	return time.Duration(micros) * time.Microsecond, nil
+}
 
 func parseHopHeader(s string) (h hopHeader, err error) {
 	fields := strings.Split(s, " ")
@@ -119,15 +132,16 @@
 		return h, fmt.Errorf("header %s: %q is not a class", headerHop, fields[1])
 	}
 	h.class = admission.Class(class)
-	micros, err := strconv.ParseInt(fields[2], 10, 64)
-	if err != nil {
-		return h, fmt.Errorf("header %s: %q is not a number", headerHop, fields[2])
+	if h.budget, err = parseMicros(fields[2]); err != nil {
+		return h, err
+	}
+	if h.wanted, err = parseMicros(fields[3]); err != nil {
+		return h, err
 	}
-	h.budget = time.Duration(micros) * time.Microsecond
-	if h.depth, err = parseDepth(fields[3]); err != nil {
+	if h.depth, err = parseDepth(fields[4]); err != nil {
 		return h, err
 	}
-	if h.meant, err = parseLife(fields[4]); err != nil {
+	if h.meant, err = parseLife(fields[5]); err != nil {
 		return h, err
 	}
 	if len(fields) == hopFields {
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -63,7 +63,7 @@
 // passHeld passes the answer on that is held.
 func (c *call) passHeld() {
 	c.held.resp.Body = io.NopCloser(bytes.NewReader(c.held.body))
-	if err := passOn(c.w, c.held.resp); err != nil {
+	if err := c.proxy.passOn(c.w, c.held.resp); err != nil {
 		cutOff(c.w)
 	}
 }
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -45,7 +45,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	w.Header()[headerQueue] = []string{strconv.Itoa(p.core.Waiting())}
-	if err := passOn(w, resp); err != nil && !p.broken.cutEndsCleanly {
+	if err := p.passOn(w, resp); err != nil && !p.broken.cutEndsCleanly {
 		cutOff(w)
 	}
 }
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -10,6 +10,7 @@
 const (
 	DefaultMaxBodyBytes = 64 << 20
 	DefaultMaxDepth     = 16
+	DefaultAheadBytes   = 16 << 20
 	DefaultSilenceAfter = 500 * time.Millisecond
 )
 
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,7 +22,7 @@
 		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
 	}
 	effects, fresh := p.core.OpenAttempt(core.AttemptArrived{
-		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class, Budget: h.budget, For: h.meant, Key: h.key,
+		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class, Budget: h.budget, Wanted: h.wanted, For: h.meant, Key: h.key,
 	})
 	if !fresh {
 		return nil, refusal(core.Refuse{Reason: admission.SeenBefore, Outcome: retry.Unknown})
@@ -57,11 +58,12 @@
 			err:     fmt.Errorf("backend server: %w", failed.err),
 		}
 	}
-	done.Status = resp.StatusCode
+	done.Status, done.Bytes = resp.StatusCode, max(resp.ContentLength, 0)
 	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(whole bool) {
 		done.Cut = !whole
 		end()
 	}}
+	resp.Body = p.ahead.read(resp.Body, resp.ContentLength)
 	return resp, nil
 }
 
@@ -89,6 +91,7 @@
 // holds no slot.
 type countedBody struct {
 	io.ReadCloser
+	once sync.Once // it may be closed while it is read
 	done func(whole bool)
 }
 
@@ -109,8 +112,5 @@
 }
 
 func (b *countedBody) end(whole bool) {
-	if b.done != nil {
-		b.done(whole)
-		b.done = nil
-	}
+	b.once.Do(func() { b.done(whole) })
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,6 +54,8 @@
 	MaxBodyBytes int64         // of a request
 	MaxDepth     int           // calls that backend servers of the mesh make for one another
 	SilenceAfter time.Duration // without an answer, the receiving node is asked about the attempt
+	AheadBytes   int64         // of large answers that are held until the network takes them
+	LinkBytes    float64       // what the host's network link carries in a second; zero: not known
 
 	Service string // of the own backend server, told where Names.Service says
 	Names   Names
@@ -78,6 +80,9 @@
 	if c.MaxDepth == 0 {
 		c.MaxDepth = DefaultMaxDepth
 	}
+	if c.AheadBytes == 0 {
+		c.AheadBytes = DefaultAheadBytes
+	}
 	if c.SilenceAfter == 0 {
 		c.SilenceAfter = DefaultSilenceAfter
 	}
@@ -95,6 +100,8 @@
 	calls    metrics.Timer
 	refused  metrics.Counter
 	maxBody  atomic.Int64 // bytes of a caller's request
+	ahead    ahead
+	pacer    *pacer
 	broken   breaks
 }
 
@@ -121,6 +128,8 @@
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
 	p.maxBody.Store(cfg.MaxBodyBytes)
+	p.ahead.limit = cfg.AheadBytes
+	p.pacer = newPacer(cfg.LinkBytes)
 	return p
 }
 
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -124,3 +125,68 @@
 		})
 	}
 }
+
+// A large answer whose receiver takes none of it holds no slot once the backend
+// server has made it, and can still be read whole. Without room in memory it
+// holds the slot: the check can fail.
+func TestLargeAnswerNotYetReadHoldsNoSlot(t *testing.T) {
+	const answerBytes = 24 << 20 // more than the buffers of the connections take
+	for _, tc := range []struct {
+		name string
+		room int64
+		free bool
+	}{{"room", 2 * answerBytes, true}, {"no room", answerBytes - 1, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(c *core.Config, p *proxy.Config) { c.Slots, p.AheadBytes = 1, tc.room }, "", "orders")
+			conn := m.raw(0, fmt.Sprintf("GET /once?answerBytes=%d HTTP/1.1\r\nHost: x\r\n\r\n", answerBytes))
+			answer := bufio.NewReader(conn)
+			_, err := answer.ReadString('\n') // the answer has begun
+			is.NoErr(err)
+			running := func() int { return m.nodes[1].node.Dump().Backend.Running }
+			if !tc.free {
+				is.Equal(running(), 1)
+				return
+			}
+			m.eventually("the slot is free", func() bool { return running() == 0 })
+			n, err := io.Copy(io.Discard, io.LimitReader(answer, answerBytes))
+			is.NoErr(err)
+			is.Equal(n, int64(answerBytes))
+		})
+	}
+}
+
+// A large answer goes out no faster than the link carries it, and a short one
+// passes it meanwhile. Without a link told, nothing is held back: the check can
+// fail.
+func TestShortAnswerPassesALargeOne(t *testing.T) {
+	const answerBytes = 1 << 20
+	for _, tc := range []struct {
+		name      string
+		linkBytes float64
+	}{{"paced", answerBytes / 20}, {"not paced", 0}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = tc.linkBytes }, "", "orders")
+			conn := m.raw(0, fmt.Sprintf("GET /?answerBytes=%d HTTP/1.1\r\nHost: x\r\n\r\n", answerBytes))
+			var came atomic.Int64
+			go func() {
+				buf := make([]byte, 4<<10)
+				for err := error(nil); err == nil; {
+					var n int
+					n, err = conn.Read(buf)
+					came.Add(int64(n))
+				}
+			}()
+			m.eventually("the large answer has begun", func() bool { return came.Load() > 0 })
+			if tc.linkBytes == 0 {
+				m.eventually("the large answer is whole", func() bool { return came.Load() >= answerBytes })
+				return
+			}
+			resp, _, err := m.do(0, "GET", "/", "")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.True(came.Load() < answerBytes/2) // it takes 20 s and more
+		})
+	}
+}
