Learn the size of answers and the time of runs from the first ones

Cause: smoothed figures began at zero, with a weight of an eighth for each new one.

Change: up to eight values, their mean.

Test: TestOneAnswerShowsHowLargeTheyAre, eight taken in before, two now.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -78,7 +78,8 @@
 // class can't push it out.
 const keptShare = 8
 
-// smoothing is the weight of the past in the smoothed time of a run.
+// smoothing is the weight of the past in the smoothed time of a run and size of
+// an answer. Before there are so many, it is their mean.
 const smoothing = 8
 
 // ID names an attempt in all of the mesh: a random number of the process that
@@ -113,6 +114,8 @@
 	average  [classes]time.Duration // smoothed time of a run
 	overall  time.Duration          // the same over all classes
 	bytes    [classes]float64       // smoothed size of an answer
+	ended    [classes]int           // runs, up to smoothing
+	endedAll int                    // the same over all classes
 	link     Link
 	emptyAt  time.Time // when the queue was empty last
 	starts   []Waiting
@@ -231,13 +234,19 @@
 	}
 	c := q.running[i].Class
 	q.running = slices.Delete(q.running, i, i+1)
-	q.average[c] += (took - q.average[c]) / smoothing
-	q.overall += (took - q.overall) / smoothing
-	q.bytes[c] += (float64(bytes) - q.bytes[c]) / smoothing
+	q.learn(c, took, bytes)
 	q.link.Send(now, bytes)
 	return q.fill(now)
 }
 
+// learn takes what a run showed into the smoothed figures.
+func (q *Queue) learn(c Class, took time.Duration, bytes int64) {
+	q.ended[c], q.endedAll = min(q.ended[c]+1, smoothing), min(q.endedAll+1, smoothing)
+	q.average[c] += (took - q.average[c]) / time.Duration(q.ended[c])
+	q.overall += (took - q.overall) / time.Duration(q.endedAll)
+	q.bytes[c] += (float64(bytes) - q.bytes[c]) / float64(q.ended[c])
+}
+
 func (q *Queue) fill(now time.Time) (start, dropped []Waiting) {
 	q.starts, q.droppeds = q.starts[:0], q.droppeds[:0]
 	for q.length > 0 {
--- a/core/admission/room_test.go
+++ b/core/admission/room_test.go
@@ -177,3 +177,28 @@
 		})
 	}
 }
+
+// TestOneAnswerShowsHowLargeTheyAre lets many ask at once after a single
+// answer: as many are taken in as the link can carry in time.
+func TestOneAnswerShowsHowLargeTheyAre(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	cfg := admission.DefaultConfig(8)
+	cfg.LinkBytes = linkBytes
+	q := admission.New(cfg)
+	ask := func(n uint64) admission.Decision {
+		return q.Arrive(now, admission.Waiting{
+			ID: admission.ID{Number: n}, Class: admission.Batch, Deadline: now.Add(6 * time.Second), Wanted: now.Add(largeWant),
+		})
+	}
+	is.True(ask(0).Run)
+	now = now.Add(largeRun)
+	q.Done(now, admission.ID{}, largeRun, largeBytes)
+	taken := 0
+	for n := range uint64(8) {
+		if ask(n+1).Reason == admission.Admitted {
+			taken++
+		}
+	}
+	is.Equal(taken, 2) // 224 ms of the link each, behind one that is going out, 140 ms to make it, 1 s in all
+}
