Leave three tenths of the link to what is not large

Ruled out: processor time of the gates (0.04 of 0.16 cores).

Change: large answers are modelled and paced by the same 0.7 of linkMbps. An answer of the own backend server to a caller at the same node counts once.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -56,8 +56,8 @@
 	// more of them.
 	Target   time.Duration
 	Interval time.Duration
-	// LinkBytes is what the host's network link carries in a second; zero: not
-	// known, and no attempt is refused for it.
+	// LinkBytes is what the host's network link carries of large answers in a
+	// second; zero: not known, and no attempt is refused for it.
 	LinkBytes float64
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -283,7 +283,9 @@
 	if e.Arrived || e.Outcome != retry.NotRun {
 		c.arrivals++
 	}
-	s.backend.queue.Sent(s.now, e.Bytes) // it went out over the same link
+	if c.target.Row.ID != s.cfg.Node {
+		s.backend.queue.Sent(s.now, e.Bytes) // it went out over the same link
+	}
 	if e.Held {
 		s.answerHeld(e, c)
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -60,7 +60,7 @@
 	StatusKeep time.Duration // time for which the status of a settled submission is kept
 	faults     publisherFaults
 
-	LinkBytes     float64       // what the host's network link carries in a second; zero: not known
+	LinkBytes     float64       // of large answers that the host's network link carries in a second; zero: not known
 	QueueMaxWait  time.Duration // none waits longer for a slot
 	QueueTarget   time.Duration // the longest wait once the queue stands for QueueInterval
 	QueueInterval time.Duration
--- a/node/config.go
+++ b/node/config.go
@@ -18,7 +18,7 @@
 	cfg := core.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
 		Service: s.Backend.Service, Slots: s.Backend.Slots, StatusSlots: s.Backend.StatusSlots,
-		LinkBytes: s.LinkMbps * bytesPerMegabit,
+		LinkBytes: largeBytes(s),
 		MaxQueue:  s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
@@ -44,6 +44,13 @@
 // bytesPerMegabit turns Mbit/s into bytes a second.
 const bytesPerMegabit = 1e6 / 8
 
+// largeShare is the part of the host's link that large answers may take. Short
+// answers, refusals and the links between nodes find the rest free.
+const largeShare = 0.7
+
+// largeBytes returns what the host's link carries of large answers in a second.
+func largeBytes(s settings.Settings) float64 { return s.LinkMbps * bytesPerMegabit * largeShare }
+
 // aheadPart is the part of the memory, as a divisor, for large answers that
 // wait for the network.
 const aheadPart = 8
@@ -56,7 +63,7 @@
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter: time.Duration(s.Requests.SilenceAfter),
 		AheadBytes:   int64(s.MemoryBytes / aheadPart),
-		LinkBytes:    s.LinkMbps * bytesPerMegabit,
+		LinkBytes:    largeBytes(s),
 	}
 }
 
--- a/proxy/pace.go
+++ b/proxy/pace.go
@@ -7,22 +7,17 @@
 	"golang.org/x/time/rate"
 )
 
-// pacedShare is the part of the host's link that large answers may take. Short
-// ones, and the links between nodes, find the rest free.
-const pacedShare = 0.9
-
 // pacer spreads large answers over time by what the host's link carries (a
 // token bucket). What the link has queued then stays short, and a short answer
 // does not wait behind large ones. The nil pacer holds nothing back.
 type pacer struct{ bucket *rate.Limiter }
 
-// newPacer returns the pacer for a link of so many bytes a second; zero: not
-// known.
+// newPacer returns the pacer for so many bytes a second; zero: not known.
 func newPacer(bytesPerSecond float64) *pacer {
 	if bytesPerSecond <= 0 {
 		return nil
 	}
-	return &pacer{bucket: rate.NewLimiter(rate.Limit(bytesPerSecond*pacedShare), copyBufBytes)}
+	return &pacer{bucket: rate.NewLimiter(rate.Limit(bytesPerSecond), copyBufBytes)}
 }
 
 // wait returns when n bytes, at most copyBufBytes, may go out.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -55,7 +55,7 @@
 	MaxDepth     int           // calls that backend servers of the mesh make for one another
 	SilenceAfter time.Duration // without an answer, the receiving node is asked about the attempt
 	AheadBytes   int64         // of large answers that are held until the network takes them
-	LinkBytes    float64       // what the host's network link carries in a second; zero: not known
+	LinkBytes    float64       // of large answers that the host's network link carries in a second; zero: not known
 
 	Service string // of the own backend server, told where Names.Service says
 	Names   Names
