Tell the wanted time in a header of its own

Change: Agatekeel-Wanted-Micros beside the hop header, which keeps its form. Older nodes drop it, and its absence means that nothing is told.

Tests: TestWantedTimeOnTheHop; TestSameAttemptRunsOnce as it was.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -97,7 +97,7 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
-	out.Header[headerHop] = []string{h.String()}
+	h.set(out.Header)
 	set(out.Header, c.proxy.cfg.Names.Service, c.proxy.cfg.Service)
 	if c.body.streams() {
 		out.Header["Expect"] = []string{"100-continue"} // the body stays here until the attempt runs
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,7 +32,8 @@
 	HeaderDepth = "Agatekeel-Depth"
 
 	headerPrefix  = "Agatekeel-"
-	headerHop     = "Agatekeel-Hop"     // a hopHeader
+	headerHop     = "Agatekeel-Hop" // a hopHeader
+	headerWanted  = "Agatekeel-Wanted-Micros"
 	headerAttempt = "Agatekeel-Attempt" // whose answer it is
 	headerArrived = "Agatekeel-Arrived" // the backend server may have seen the attempt
 	headerQueue   = "Agatekeel-Queue"
@@ -83,7 +84,7 @@
 	attempt core.AttemptID
 	class   admission.Class
 	budget  time.Duration // sent in microseconds
-	wanted  time.Duration // as core.Forward.Wanted; sent in microseconds
+	wanted  time.Duration // as core.Forward.Wanted; sent in a header of its own, which older nodes ignore
 	depth   int
 	meant   endpoint.Incarnation // zero: not told
 	key     idempotency.Key      // zero: none
@@ -96,7 +97,6 @@
 	b = append(b, formatAttempt(h.attempt)...)
 	b = strconv.AppendUint(append(b, ' '), uint64(h.class), 10)
 	b = strconv.AppendInt(append(b, ' '), h.budget.Microseconds(), 10)
-	b = strconv.AppendInt(append(b, ' '), wholeMicros(h.wanted), 10)
 	b = strconv.AppendInt(append(b, ' '), int64(h.depth), 10)
 	b = append(append(b, ' '), formatLife(h.meant)...)
 	if !h.key.IsZero() {
@@ -106,15 +106,33 @@
 }
 
 // hopFields is the number of fields without the key.
-const hopFields = 6
+const hopFields = 5
 
-// wholeMicros returns microseconds rounded up: what is told is never zero.
-func wholeMicros(d time.Duration) int64 { return int64((d + time.Microsecond - 1) / time.Microsecond) }
+// set writes the headers of an attempt.
+func (h hopHeader) set(to http.Header) {
+	to[headerHop] = []string{h.String()}
+	if h.wanted > 0 {
+		whole := (h.wanted + time.Microsecond - 1) / time.Microsecond // what is told is never zero
+		to[headerWanted] = []string{strconv.FormatInt(int64(whole), 10)}
+	}
+}
+
+// readHop reads what set wrote.
+func readHop(from http.Header) (hopHeader, error) {
+	h, err := parseHopHeader(from.Get(headerHop))
+	if err != nil {
+		return h, err
+	}
+	if told := from.Get(headerWanted); told != "" {
+		h.wanted, err = parseMicros(headerWanted, told)
+	}
+	return h, err
+}
 
-func parseMicros(s string) (time.Duration, error) {
+func parseMicros(name, s string) (time.Duration, error) {
 	micros, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("header %s: %q is not a number", headerHop, s)
+		return 0, fmt.Errorf("header %s: %q is not a number", name, s)
 	}
 	return time.Duration(micros) * time.Microsecond, nil
 }
@@ -132,16 +150,13 @@
 		return h, fmt.Errorf("header %s: %q is not a class", headerHop, fields[1])
 	}
 	h.class = admission.Class(class)
-	if h.budget, err = parseMicros(fields[2]); err != nil {
-		return h, err
-	}
-	if h.wanted, err = parseMicros(fields[3]); err != nil {
+	if h.budget, err = parseMicros(headerHop, fields[2]); err != nil {
 		return h, err
 	}
-	if h.depth, err = parseDepth(fields[4]); err != nil {
+	if h.depth, err = parseDepth(fields[3]); err != nil {
 		return h, err
 	}
-	if h.meant, err = parseLife(fields[5]); err != nil {
+	if h.meant, err = parseLife(fields[4]); err != nil {
 		return h, err
 	}
 	if len(fields) == hopFields {
--- /dev/null
+++ b/proxy/header_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+)
+
+// TestWantedTimeOnTheHop sends the time left to the latency that callers are
+// content with: never as zero, which means that it is not told.
+func TestWantedTimeOnTheHop(t *testing.T) {
+	tests := []struct {
+		name   string
+		sent   time.Duration
+		header string
+		read   time.Duration
+		fails  bool
+	}{
+		{"told", 250 * time.Millisecond, "250000", 250 * time.Millisecond, false},
+		{"passed", 1, "1", time.Microsecond, false},
+		{"not told", 0, "", 0, false},
+		{"not a number", 0, "soon", 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sent, headers := hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second, wanted: tt.sent}, http.Header{}
+			sent.set(headers)
+			if tt.fails {
+				headers.Set(headerWanted, tt.header)
+			}
+			is.Equal(headers.Get(headerWanted), tt.header)
+			got, err := readHop(headers)
+			is.Equal(err != nil, tt.fails)
+			is.Equal(got.wanted, tt.read)
+			is.Equal(got.attempt, sent.attempt)
+		})
+	}
+}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -16,7 +16,7 @@
 		p.serveQuery(w, r)
 		return
 	}
-	h, err := parseHopHeader(r.Header.Get(headerHop))
+	h, err := readHop(r.Header)
 	if err != nil {
 		p.fail(w, http.StatusBadRequest, retry.NotRun, err.Error())
 		return
