Part the publisher's histories from its fixed scenarios

The histories under random faults and the mesh they share stand in publisher_history_test.go now; nothing in them was changed.

--- /dev/null
+++ b/core/publisher_history_test.go
@@ -0,0 +1,153 @@
+package core_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+)
+
+// publishMesh starts a mesh of two data centres whose writes are checked.
+func publishMesh(seed uint64, broken func(core.Config) core.Config) (*coretest.Mesh, *publishChecker) {
+	m := coretest.New(seed)
+	c := newPublishChecker(m)
+	m.OnStep = func(*coretest.Node, core.Event) { c.look() }
+	m.OnStore = func(n *coretest.Node, e core.Effect) { c.stored(n, e) }
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		m.Start(name, broken(core.Config{DataCentre: name[:1], Service: "orders", Fanout: 2, SweepEvery: 20 * time.Second}))
+		m.Run(time.Second)
+	}
+	return m, c
+}
+
+func sound(c core.Config) core.Config { return c }
+
+func object(kind config.Kind, name, spec string) config.Object {
+	return config.Object{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
+}
+
+// hand submits, as an operator would.
+func (c *publishChecker) hand(sub config.Submission) {
+	data, err := json.Marshal(sub)
+	if err != nil {
+		panic(err)
+	}
+	c.dirty = true
+	_, _ = c.m.Store.Put(context.Background(), "submission/"+sub.ID, data, 0)
+}
+
+// racingSubmission draws an edit of one of a few objects, good or bad, that
+// was made from the set as it is now.
+func racingSubmission(t *rapid.T, c *publishChecker, id string) config.Submission {
+	name := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name")
+	prefix := rapid.SampledFrom([]string{"/x", "/y", "/z"}).Draw(t, "prefix")
+	service := object(config.KindService, "orders", `{}`)
+	route := object(config.KindRoute, name, fmt.Sprintf(`{ "pathPrefix": %q, "service": "orders" }`, prefix))
+	base := c.model.Objects[route.Key()].Version
+	sub := config.Submission{ID: id, Author: id}
+	switch rapid.IntRange(0, 6).Draw(t, "edit") {
+	case 0: // an edit that loses against any other of the same object
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}, {Object: route, Base: base}}
+	case 1:
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}, {Object: route, AnyBase: true}}
+	case 2:
+		sub.Deletes = []config.Delete{{Key: route.Key(), Base: base}}
+	case 3: // points at nothing
+		route.Spec = json.RawMessage(fmt.Sprintf(`{"pathPrefix":%q,"service":"gone"}`, prefix))
+		sub.Puts = []config.Put{{Object: route, AnyBase: true}}
+	case 4:
+		sub.Deletes = []config.Delete{{Key: service.Key(), AnyBase: true}}
+	case 5:
+		sub.Puts = []config.Put{{Object: object(config.KindService, "gateway", `{"policy":"none"}`), AnyBase: true}}
+	default:
+		sub.Puts = []config.Put{{Object: service, AnyBase: true}}
+	}
+	return sub
+}
+
+// publishHistory lets operators race while publishers crash, pause and lose
+// answers, ends all faults and returns the first broken promise.
+func publishHistory(t *rapid.T, broken func(core.Config) core.Config, heal func(*coretest.Mesh)) error {
+	m, c := publishMesh(rapid.Uint64().Draw(t, "seed"), broken)
+	names := []string{"a1", "a2", "b1", "b2"}
+	node := rapid.SampledFrom(names)
+	for i := range rapid.IntRange(4, 14).Draw(t, "steps") {
+		switch rapid.IntRange(0, 11).Draw(t, "step") {
+		case 0:
+			m.Restart(node.Draw(t, "restart"))
+		case 1:
+			c.pause(node.Draw(t, "pause"), rapid.SampledFrom([]time.Duration{time.Second, 9 * time.Second}).Draw(t, "for"))
+		case 2:
+			m.Faults.PlatformDown = !m.Faults.PlatformDown
+		case 3:
+			m.Faults.LoseAnswer = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "lose")
+		case 4:
+			m.Faults.PlatformDelay = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, time.Second}).Draw(t, "slow")
+		case 5:
+			m.DropWatches()
+		case 6:
+			if id := fmt.Sprintf("s%d", rapid.IntRange(0, 14).Draw(t, "repeat")); c.subs[id].ID != "" {
+				c.hand(c.subs[id])
+			}
+		case 7:
+			_, _ = m.Store.Put(context.Background(), fmt.Sprintf("submission/u%d", i), []byte(`{"puts":7}`), 0)
+		case 8:
+			c.read()
+		default:
+			c.hand(racingSubmission(t, c, fmt.Sprintf("s%d", i)))
+			c.hand(racingSubmission(t, c, fmt.Sprintf("r%d", i)))
+		}
+		m.Run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "millis")) * time.Millisecond)
+	}
+	m.Heal()
+	heal(m)
+	m.Faults.PlatformDelay = 5 * time.Millisecond
+	if c.err == nil && !m.RunUntil(time.Minute, func() bool { return c.err != nil || c.settledAll() }) {
+		c.fail("a minute after the faults ended not all is settled: %+v", c.statuses)
+	}
+	m.Run(80 * time.Second) // four sweeps
+	if c.err == nil {
+		c.garbageGone()
+	}
+	if c.err == nil && !c.linearizable() {
+		c.fail("the submissions have no order that explains their outcomes")
+	}
+	return c.err
+}
+
+// garbageGone checks that nothing is left that the head doesn't lead to.
+func (c *publishChecker) garbageGone() {
+	if c.head.Version == 0 {
+		return
+	}
+	manifests, _, _ := c.m.Store.List(context.Background(), "config/manifest/")
+	chunks, _, _ := c.m.Store.List(context.Background(), "config/chunk/")
+	if len(manifests) != 1 || len(chunks) != 1 {
+		c.fail("%d manifests and %d chunks are left of one each", len(manifests), len(chunks))
+	}
+}
+
+func TestSubmissionsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := publishHistory(t, sound, func(*coretest.Mesh) {}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestTwoHoldersUnderFaults is the same with a data centre whose nodes believe
+// for an hour that they hold what they once held.
+func TestTwoHoldersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := publishHistory(t, twoHolders, restartSound); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
