Tell how long each run had waited for a slot

The log told the time of a run and not the wait before it, and no metric had either apart; a refusal for the link was counted under other. Event 6203 has waitedMillis, the timer backend.wait counts it, and attempts.refused.link-full has its own name. Test: TestDoneTellsTheWait.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -225,18 +225,21 @@
 }
 
 // Done counts the end of a run that took the given time and has an answer of so
-// many bytes, which goes out from now on. It returns what starts now and what was dropped because it waited too long or can't end by
+// many bytes, which goes out from now on. It returns how long the attempt had
+// waited for a slot, what starts now and what was dropped because it waited too long or can't end by
 // its deadline. The slices are valid until the next call.
-func (q *Queue) Done(now time.Time, id ID, took time.Duration, bytes int64) (start, dropped []Waiting) {
+func (q *Queue) Done(now time.Time, id ID, took time.Duration, bytes int64) (waited time.Duration, start, dropped []Waiting) {
 	i := slices.IndexFunc(q.running, func(w Waiting) bool { return w.ID == id })
 	if i < 0 {
-		return nil, nil
+		return 0, nil, nil
 	}
 	c := q.running[i].Class
+	waited = max(now.Sub(q.running[i].arrived)-took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
 	q.learn(c, took, bytes)
 	q.link.Send(now, bytes)
-	return q.fill(now)
+	start, dropped = q.fill(now)
+	return waited, start, dropped
 }
 
 // learn takes what a run showed into the smoothed figures.
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -87,7 +87,7 @@
 		i := pick(len(r.running))
 		id := r.running[i]
 		r.running = append(r.running[:i:i], r.running[i+1:]...)
-		start, dropped := r.q.Done(r.now, id, 4*time.Millisecond, 0)
+		_, start, dropped := r.q.Done(r.now, id, 4*time.Millisecond, 0)
 		for _, w := range dropped {
 			delete(r.waiting, w.ID)
 		}
@@ -219,7 +219,7 @@
 			now := at.Add(time.Duration(i) * every)
 			if !ends.IsZero() && !now.Before(ends) {
 				ends = time.Time{}
-				started, _ := q.Done(now, running, takes, 0)
+				_, started, _ := q.Done(now, running, takes, 0)
 				for _, w := range started {
 					start(w.ID, now)
 				}
--- a/core/admission/room_test.go
+++ b/core/admission/room_test.go
@@ -79,7 +79,7 @@
 			bytes, takes = largeBytes, largeRun
 			r.send(want)
 		}
-		start, _ := r.q.Done(r.now, id, takes, bytes)
+		_, start, _ := r.q.Done(r.now, id, takes, bytes)
 		for _, w := range start {
 			r.started(w.ID)
 		}
--- /dev/null
+++ b/core/admission/wait_test.go
@@ -0,0 +1,27 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/admission"
+)
+
+// TestDoneTellsTheWait lets one attempt run at once and another wait for it.
+func TestDoneTellsTheWait(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := admission.New(admission.DefaultConfig(1))
+	first, second := admission.ID{Number: 1}, admission.ID{Number: 2}
+	for _, id := range []admission.ID{first, second} {
+		q.Arrive(now, admission.Waiting{ID: id, Class: admission.Interactive, Deadline: now.Add(time.Minute)})
+	}
+	now = now.Add(30 * time.Millisecond)
+	waited, start, _ := q.Done(now, first, 30*time.Millisecond, 0)
+	is.Equal(waited, time.Duration(0))
+	is.Equal(len(start), 1)
+	waited, _, _ = q.Done(now.Add(20*time.Millisecond), second, 20*time.Millisecond, 0)
+	is.Equal(waited, 30*time.Millisecond)
+}
--- a/core/admit.go
+++ b/core/admit.go
@@ -154,10 +154,10 @@
 	if !e.Cut && e.Status != 0 && e.Status < firstServerError {
 		b.servedAt = s.now
 	}
-	start, dropped := b.queue.Done(s.now, e.Attempt, e.Took, e.Bytes)
+	waited, start, dropped := b.queue.Done(s.now, e.Attempt, e.Took, e.Bytes)
 	running, waiting := b.queue.Load()
 	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heard.Backend},
-		Attr{"status", e.Status}, Attr{"cut", e.Cut}, Attr{"refused", e.Refused}, Attr{"tookMillis", e.Took.Milliseconds()},
+		Attr{"status", e.Status}, Attr{"cut", e.Cut}, Attr{"refused", e.Refused}, Attr{"waitedMillis", waited.Milliseconds()}, Attr{"tookMillis", e.Took.Milliseconds()},
 		Attr{"running", running}, Attr{"waiting", waiting})
 	for _, w := range dropped {
 		s.dropWaiting(w, admission.TooLate)
--- a/node/observe.go
+++ b/node/observe.go
@@ -31,7 +31,7 @@
 const otherReason admission.Reason = "other"
 
 var reasonNames = map[admission.Reason]string{
-	admission.QueueFull: "queue-full", admission.TooLate: "too-late", admission.NotServing: "not-serving",
+	admission.QueueFull: "queue-full", admission.LinkFull: "link-full", admission.TooLate: "too-late", admission.NotServing: "not-serving",
 	admission.Cancelled: "cancelled", admission.SeenBefore: "seen-before", admission.EarlierLife: "earlier-life",
 	admission.KeyUsed: "key-used", admission.KeysFull: "keys-full",
 	otherReason: "other",
--- a/node/tally.go
+++ b/node/tally.go
@@ -90,6 +90,7 @@
 		t.counter("service", cmp.Or(a.text("service"), otherName), "left").Inc(1)
 	case notice.AttemptRan:
 		t.timer("backend.time").Update(a.millis("tookMillis"))
+		t.timer("backend.wait").Update(a.millis("waitedMillis"))
 		t.counter("backend.status", a.text("status")).Inc(1)
 	}
 }
