Keep what may not run twice off connections that may be gone

Cause: read, and shown by a stand-in: a backend server that forgets idle connections resets the next request on each, and one that may not run twice then ends as 502, since nothing tells whether it ran. With a backend server that does so after each answer every second request failed.

Change: after a kept connection broke without an answer, such requests go over new connections for 30 s.

Test: TestForgottenConnectionsFailOneRequest, 5 of 10 failed before, 1 now.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -64,9 +64,10 @@
 func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request) (*http.Response, error) {
 	var conn *trackedConn
 	var before int64
+	var reused bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, _ = info.Conn.(*trackedConn)
-		before = conn.writes.Load()
+		before, reused = conn.writes.Load(), info.Reused
 	}}
 	if !p.broken.transportReplays {
 		preventReplay(out)
@@ -78,5 +79,5 @@
 	if conn == nil || conn.seal() == before {
 		return nil, &attemptError{outcome: retry.NotRun, err: err}
 	}
-	return nil, &attemptError{outcome: retry.Unknown, err: err}
+	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
--- /dev/null
+++ b/proxy/forgetful_test.go
@@ -0,0 +1,76 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// serveOnce answers the first request of each connection and resets the
+// connection when another one comes, as a backend server does that has
+// forgotten an idle connection without a word.
+func serveOnce(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			in := bufio.NewReader(conn)
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			_, _ = in.Peek(1)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}()
+	}
+}
+
+// TestForgottenConnectionsFailOneRequest sends requests that may not run twice
+// to a backend server that forgets idle connections: one finds out, and those
+// that follow go over new ones. Without that each second one fails: the check
+// can fail.
+func TestForgottenConnectionsFailOneRequest(t *testing.T) {
+	const requests = 10
+	for _, tc := range []struct {
+		name   string
+		broken bool
+		failed int
+	}{{"kept apart", false, 1}, {"broken", true, requests / 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
+				if p.Backend == "" {
+					return
+				}
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				t.Cleanup(func() { _ = l.Close() })
+				go serveOnce(l)
+				p.Backend = l.Addr().String()
+			}, "", "orders")
+			m.nodes[1].proxy.Break(proxy.Breaks{TrustsIdle: tc.broken})
+			failed := 0
+			for range requests {
+				resp, _, err := m.do(0, "POST", "/once", "x")
+				is.NoErr(err)
+				if resp.StatusCode != http.StatusOK {
+					is.Equal(resp.StatusCode, http.StatusBadGateway) // it may have run, for all that is known
+					failed++
+				}
+			}
+			is.Equal(failed, tc.failed)
+		})
+	}
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -39,7 +39,8 @@
 		set(out.Header, p.cfg.Names.Service, p.cfg.Service)
 	}
 	p.cfg.Names.tellBackend(out.Header, run.Backend, h.depth, time.Until(deadline))
-	resp, err := p.roundTrip(ctx, p.backend, out)
+	resp, err := p.roundTrip(ctx, p.toBackend(r), out)
+	p.noteLost(ctx, err)
 	if err == nil {
 		err = p.cfg.Names.checkAnswer(r, resp)
 	}
@@ -67,6 +68,30 @@
 	return resp, nil
 }
 
+// distrustIdle is how long kept connections carry nothing that may not run
+// twice, after one broke without an answer.
+const distrustIdle = 30 * time.Second
+
+// toBackend returns the connections for a request to the own backend server. A
+// backend server that forgets idle connections resets what is sent next, and
+// whether that ran is not known here: a request that may not run twice goes over
+// a new connection while such a loss is recent.
+func (p *Proxy) toBackend(r *http.Request) *http.Transport {
+	if time.Since(time.Unix(0, p.idleLost.Load())) > distrustIdle || p.core.MayRepeat(r.Method, r.Host, r.URL.Path) {
+		return p.backend
+	}
+	return p.fresh
+}
+
+// noteLost looks whether a kept connection broke without an answer, other than
+// by the end of the request here.
+func (p *Proxy) noteLost(ctx context.Context, err error) {
+	if err == nil || ctx.Err() != nil || p.broken.trustsIdle || !asAttemptError(err).reused {
+		return
+	}
+	p.idleLost.Store(time.Now().UnixNano())
+}
+
 // admitted waits until the attempt runs, is refused or is cancelled.
 func (p *Proxy) admitted(ctx context.Context, effects <-chan core.Effect, h hopHeader) (core.Run, error) {
 	cancelled := ctx.Done()
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -16,6 +16,7 @@
 	told    bool   // the receiving node said so, so there is no need to ask it
 	healthy bool   // the failure does not count against the endpoint
 	arrived bool   // the backend server may have seen the request
+	reused  bool   // it was sent over a connection that had carried others
 	status  int    // of the first answer, when outcome is Ran
 	reason  string // as the receiving node gave it
 	err     error
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -95,6 +95,8 @@
 	core     Decider
 	lastCall atomic.Uint64
 	backend  *http.Transport
+	fresh    *http.Transport // to it too, a new connection for each request
+	idleLost atomic.Int64    // when a kept connection to it broke without an answer, in Unix nanoseconds
 	hop      *http.Transport
 	query    *http.Transport // asks other nodes about attempts, on connections of its own
 	calls    metrics.Timer
@@ -113,6 +115,7 @@
 	transportReplays bool // the transport may repeat requests by itself
 	answersUnchecked bool // an answer need not be that of its attempt
 	neverAsks        bool // nodes are not asked about attempts of unknown outcome
+	trustsIdle       bool // a broken connection says nothing of others
 	resendsUnknown   bool // an attempt of unknown outcome is sent once more
 }
 
@@ -122,11 +125,13 @@
 	p := &Proxy{
 		cfg: cfg, core: d,
 		backend: newTransport(dialTCP, cfg.Connections),
+		fresh:   newTransport(dialTCP, cfg.Connections),
 		hop:     newTransport(cfg.HopDial, 0),
 		query:   newTransport(cfg.HopDial, 0),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
+	p.fresh.DisableKeepAlives = true
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.ahead.limit = cfg.AheadBytes
 	p.pacer = newPacer(cfg.LinkBytes)
@@ -149,7 +154,7 @@
 
 // Close closes idle connections.
 func (p *Proxy) Close() {
-	for _, t := range []*http.Transport{p.backend, p.hop, p.query} {
+	for _, t := range []*http.Transport{p.backend, p.fresh, p.hop, p.query} {
 		t.CloseIdleConnections()
 	}
 }
