Keep a body's deadlines on its own connection

Cause: gin hands its writers to later requests, and a body's reader may outlive its handler; its deadline could then be set on the connection of another request.

Change: the control is that of the connection's own writer, below gin's.

Test: TestDeadlineOfABodyStaysOnItsConnection, failed before.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -32,13 +32,23 @@
 	err  error // with which src ended
 }
 
+// connectionOf returns the control of a request's connection. gin uses its
+// writers again for other requests, and who sends a body on may outlive the
+// handler: the writer below is the connection's own.
+func connectionOf(w http.ResponseWriter) *http.ResponseController {
+	if wrapped, ok := w.(interface{ Unwrap() http.ResponseWriter }); ok {
+		w = wrapped.Unwrap()
+	}
+	return http.NewResponseController(w)
+}
+
 // newRequestBody returns the body of r, or nil when it has none. It fails when
 // a short body does not come whole.
 func newRequestBody(w http.ResponseWriter, r *http.Request, limit int64) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
-	b := &requestBody{length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
+	b := &requestBody{length: r.ContentLength, limit: limit, conn: connectionOf(w)}
 	if b.length < 0 || b.length > keptBodyBytes {
 		b.src = r.Body
 		return b, nil
--- /dev/null
+++ b/proxy/body_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// deadlined is a writer that counts the read deadlines set on it.
+type deadlined struct {
+	http.ResponseWriter
+	set int
+}
+
+func (d *deadlined) SetReadDeadline(time.Time) error {
+	d.set++
+	return nil
+}
+
+// pooled is a writer that a framework hands to one request after the other.
+type pooled struct{ http.ResponseWriter }
+
+func (p *pooled) Unwrap() http.ResponseWriter { return p.ResponseWriter }
+
+// TestDeadlineOfABodyStaysOnItsConnection lets the reader of a body outlive its
+// handler, whose writer serves another request by then.
+func TestDeadlineOfABodyStaysOnItsConnection(t *testing.T) {
+	is := is.New(t)
+	own, other := &deadlined{ResponseWriter: httptest.NewRecorder()}, &deadlined{ResponseWriter: httptest.NewRecorder()}
+	w := &pooled{own}
+	r := httptest.NewRequest("POST", "/", strings.NewReader("long"))
+	r.ContentLength = -1
+	body, err := newRequestBody(w, r, 100)
+	is.NoErr(err)
+	w.ResponseWriter = other
+	body.unlimit()
+	is.Equal(own.set, 1)
+	is.Equal(other.set, 0)
+}
