Keep one pool of connections to the backend server

Cause: the second pool of, for what may not run twice after a kept connection was lost, had a limit of its own, so that a node could hold twice the connections that the setting allows. Read, not seen.

Ruled out: one limit for two pools (idle ones of the first would block the second).

--- a/proxy/local.go
+++ b/proxy/local.go
@@ -39,7 +39,8 @@
 		set(out.Header, p.cfg.Names.Service, p.cfg.Service)
 	}
 	p.cfg.Names.tellBackend(out.Header, run.Backend, h.depth, time.Until(deadline))
-	resp, err := p.roundTrip(ctx, p.toBackend(r), out)
+	p.dropIdle(r)
+	resp, err := p.roundTrip(ctx, p.backend, out)
 	p.noteLost(ctx, err)
 	if err == nil {
 		err = p.cfg.Names.checkAnswer(r, resp)
@@ -68,19 +69,19 @@
 	return resp, nil
 }
 
-// distrustIdle is how long kept connections carry nothing that may not run
+// distrustIdle is how long idle connections carry nothing that may not run
 // twice, after one broke without an answer.
 const distrustIdle = 30 * time.Second
 
-// toBackend returns the connections for a request to the own backend server. A
-// backend server that forgets idle connections resets what is sent next, and
-// whether that ran is not known here: a request that may not run twice goes over
-// a new connection while such a loss is recent.
-func (p *Proxy) toBackend(r *http.Request) *http.Transport {
+// dropIdle closes idle connections to the own backend server before a request
+// that may not run twice, while the loss of one is recent. A backend server that
+// forgets idle connections resets what is sent next, and whether that ran is not
+// known here. One that becomes idle after this was in use just now.
+func (p *Proxy) dropIdle(r *http.Request) {
 	if time.Since(time.Unix(0, p.idleLost.Load())) > distrustIdle || p.core.MayRepeat(r.Method, r.Host, r.URL.Path) {
-		return p.backend
+		return
 	}
-	return p.fresh
+	p.backend.CloseIdleConnections()
 }
 
 // noteLost looks whether a kept connection broke without an answer, other than
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -95,8 +95,7 @@
 	core     Decider
 	lastCall atomic.Uint64
 	backend  *http.Transport
-	fresh    *http.Transport // to it too, a new connection for each request
-	idleLost atomic.Int64    // when a kept connection to it broke without an answer, in Unix nanoseconds
+	idleLost atomic.Int64 // when a kept connection to it broke without an answer, in Unix nanoseconds
 	hop      *http.Transport
 	query    *http.Transport // asks other nodes about attempts, on connections of its own
 	calls    metrics.Timer
@@ -125,13 +124,11 @@
 	p := &Proxy{
 		cfg: cfg, core: d,
 		backend: newTransport(dialTCP, cfg.Connections),
-		fresh:   newTransport(dialTCP, cfg.Connections),
 		hop:     newTransport(cfg.HopDial, 0),
 		query:   newTransport(cfg.HopDial, 0),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
-	p.fresh.DisableKeepAlives = true
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.ahead.limit = cfg.AheadBytes
 	p.pacer = newPacer(cfg.LinkBytes)
@@ -154,7 +151,7 @@
 
 // Close closes idle connections.
 func (p *Proxy) Close() {
-	for _, t := range []*http.Transport{p.backend, p.fresh, p.hop, p.query} {
+	for _, t := range []*http.Transport{p.backend, p.hop, p.query} {
 		t.CloseIdleConnections()
 	}
 }
