Tell why a link ended at the end that accepted it

Change: only closing the link here ends that context; the end of the stream comes by its reading, with the error.

--- a/peer/close_test.go
+++ b/peer/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +84,23 @@
 		})
 	}
 }
+
+// TestEndOfALinkHasItsReason lets the process at the other end go: the end that
+// accepted the link tells why it ended, and not that it closed it itself.
+func TestEndOfALinkHasItsReason(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		acceptor := newEnd()
+		server, client := peer.NewTransport(peer.Config{}, acceptor), peer.NewTransport(peer.Config{}, newEnd())
+		t.Cleanup(server.Stop)
+		ctx, cancel := context.WithCancel(context.Background())
+		is.NoErr(client.Dial(ctx, serve(t, server), func(l *peer.Link) any { return l }))
+		<-acceptor.accepted
+		cancel()
+		reason := <-acceptor.down
+		if !strings.Contains(reason, "cancel") {
+			t.Fatalf("ended for %q", reason)
+		} // "		is.True(strings.Contains(reason, "canceled"))reason
+		client.Stop()
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,8 +23,8 @@
 	maxFrameBytes  = 64 << 20
 	queuedMessages = 1024 // a link whose other end takes nothing for so long is closed
 
-	// closeWithin is how long a closed link may take to send what is queued:
-	// as long as a heartbeat of the shortest interval takes to be missed.
+	// closeWithin is how long a closed link may take to send what is queued. It
+	// is well under the drain and the time after which a link counts as silent.
 	closeWithin = 300 * time.Millisecond
 )
 
@@ -169,7 +169,6 @@
 	for first := true; ; first = false {
 		f, err := s.Recv()
 		if err != nil {
-			l.abort()
 			return err.Error()
 		}
 		if !l.open() {
@@ -245,7 +244,7 @@
 
 // Link implements the gRPC service: it lives as long as the link.
 func (t *Transport) Link(s pb.Peer_LinkServer) error {
-	ctx, cancel := context.WithCancel(s.Context())
+	closed, cancel := context.WithCancel(context.Background()) // the stream's own end comes by read, with its reason
 	defer cancel()
 	l := newLink(cancel, t.pack)
 	link := t.handler.Accepted(l)
@@ -256,8 +255,9 @@
 	reason := "closed here"
 	select {
 	case reason = <-ended:
-	case <-ctx.Done():
+	case <-closed.Done():
 	}
+	l.abort()
 	t.handler.Down(link, reason)
 	return nil
 }
@@ -290,7 +290,7 @@
 	go func() {
 		defer t.wg.Done()
 		reason := l.read(s, link, t.handler)
-		cancel()
+		l.abort()
 		_ = conn.Close()
 		t.handler.Down(link, reason)
 	}()
