Count no body for an answer to HEAD

Cause: read, not seen: the declared length of an answer to HEAD counted as bytes on the link, for the room there and for placing, though no body follows.

Change: answerBytes, one place for both. Test: TestAnswerBytes. The test of a link with room has a case that turns it red, and says what it offers (0.3).

--- a/core/admission/room_test.go
+++ b/core/admission/room_test.go
@@ -130,12 +130,20 @@
 	is.True(broken.inTime < r.inTime/10) // the check can fail
 }
 
-// TestLinkWithRoomRefusesNothing offers half of what the link carries.
+// TestLinkWithRoomRefusesNothing offers three tenths of what the link carries:
+// next to nothing is refused.
 func TestLinkWithRoomRefusesNothing(t *testing.T) {
 	is := is.New(t)
 	r := newLinkRun(8)
 	r.play(0.3*linkBytes/largeBytes, 80)
 	is.True(r.refused < r.asked/20)
+
+	slow := newLinkRun(8) // a link that is taken for a fifth of what it is: the check can fail
+	cfg := admission.DefaultConfig(8)
+	cfg.LinkBytes = linkBytes / 5
+	slow.q = admission.New(cfg)
+	slow.play(0.3*linkBytes/largeBytes, 80)
+	is.True(slow.refused > slow.asked/20)
 }
 
 func TestRoomOnTheLink(t *testing.T) {
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -25,6 +25,15 @@
 
 func (e *answerError) Unwrap() error { return e.err }
 
+// answerBytes returns the length of an answer's body as declared, zero for an
+// answer to HEAD, which has none, and for one that declares none.
+func answerBytes(r *http.Request, resp *http.Response) int64 {
+	if r.Method == http.MethodHead {
+		return 0
+	}
+	return max(resp.ContentLength, 0)
+}
+
 // passOn sends the answer of the next hop to w. An answer without a declared
 // length is flushed as it comes; one that may be held up by a slow receiver
 // has until the request's deadline. A large one is paced.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -52,7 +52,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	ended := core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueOf(resp),
-		Status: resp.StatusCode, Arrived: true, Bytes: max(resp.ContentLength, 0),
+		Status: resp.StatusCode, Arrived: true, Bytes: answerBytes(c.r, resp),
 		Failed: resp.StatusCode >= http.StatusInternalServerError,
 	}
 	if ended.Failed && f.Repeats && c.hold(resp) {
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -60,12 +60,12 @@
 			err:     fmt.Errorf("backend server: %w", failed.err),
 		}
 	}
-	done.Status, done.Bytes = resp.StatusCode, max(resp.ContentLength, 0)
+	done.Status, done.Bytes = resp.StatusCode, answerBytes(r, resp)
 	resp.Body = &countedBody{ReadCloser: resp.Body, done: func(whole bool) {
 		done.Cut = !whole
 		end()
 	}}
-	resp.Body = p.ahead.read(resp.Body, resp.ContentLength)
+	resp.Body = p.ahead.read(resp.Body, done.Bytes)
 	return resp, nil
 }
 
