--- /dev/null
+++ b/core/suspect_test.go
@@ -0,0 +1,125 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/notice"
+)
+
+// TestSuspicion lets a node crash, another move, and the first return.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 7, 2, core.BreakNone)
+	var leaf, relay string
+	for _, n := range m.Nodes() {
+		if p := parentOf(n); p != "" && p != roots(m)[0] {
+			leaf, relay = n.Name, p
+		}
+	}
+	m.Crash(relay)
+	m.Run(time.Second)
+	for _, n := range m.Nodes() {
+		is.True(!n.Alive || entryOf(n, relay).Suspect) // known everywhere within a second
+		is.True(!n.Alive || entryOf(n, leaf).Live())   // a child that moved is not suspected any more
+	}
+	m.Run(35 * time.Second)
+	is.Equal(entryOf(m.Node(leaf), relay).State, endpoint.Gone) // removed by the bound
+	m.Restart(relay)
+	m.Run(10 * time.Second)
+	is.Equal(entryOf(m.Node(leaf), relay).State, endpoint.Ready)
+}
+
+// TestEntriesWithoutNodeAreFound crashes a relay and all its children at
+// once, so that some have no neighbour left to suspect them.
+func TestEntriesWithoutNodeAreFound(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 10, 3, core.BreakNone)
+	root := roots(m)[0]
+	var dead []string
+	for _, n := range m.Nodes() {
+		if p := parentOf(n); p != "" && p != root {
+			dead = []string{p}
+		}
+	}
+	for _, n := range m.Nodes() {
+		if parentOf(n) == dead[0] {
+			dead = append(dead, n.Name)
+		}
+	}
+	is.True(len(dead) > 1)
+	for _, name := range dead {
+		m.Crash(name)
+	}
+	m.Run(2 * time.Minute)
+	for _, name := range dead {
+		is.Equal(entryOf(m.Node(root), name).State, endpoint.Gone)
+	}
+	is.Equal(m.Node(root).State.Dump().Endpoints[0].State == endpoint.Gone, entryOf(m.Node(root), "a1").State == endpoint.Gone)
+}
+
+// TestGivingUpOnAParentIsNoDeath lets a node that never hears a Welcome give
+// up: it says that it lives on, since the other end may have greeted it.
+func TestGivingUpOnAParentIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	m := newTree(t, 2, 2, core.BreakNone)
+	root := roots(m)[0]
+	joiner := map[string]string{"a1": "a2", "a2": "a1"}[root]
+	m.Deafen(root, joiner)
+	m.Restart(joiner)
+	var told bool
+	m.OnSend = func(from, _ *coretest.Node, msg message.Message) {
+		_, ok := msg.(message.Leaving)
+		told = told || ok && from.Name == joiner
+	}
+	m.Run(5 * time.Second)
+	is.True(told)
+}
+
+// TestEndedNodeIsNotSuspected stops a node that has a parent and one that has
+// children: neither suspects its neighbours when it ends, nor they it.
+func TestEndedNodeIsNotSuspected(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		which func(m *coretest.Mesh) string
+	}{
+		{"root", func(m *coretest.Mesh) string { return roots(m)[0] }},
+		{"leaf", func(m *coretest.Mesh) string {
+			for _, n := range m.Nodes() {
+				if n.Name != roots(m)[0] {
+					return n.Name
+				}
+			}
+			return ""
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newTree(t, 3, 2, core.BreakNone)
+			ending, suspicions := tt.which(m), 0
+			m.OnEffect = func(n *coretest.Node, e core.Effect) {
+				switch e := e.(type) {
+				case core.Drained:
+					m.After(0, func() { m.Crash(n.Name) })
+				case core.Log:
+					if e.Code == notice.EndpointSuspected {
+						suspicions++
+					}
+				}
+			}
+			m.Step(ending, core.Stop{})
+			is.True(m.RunUntil(40*time.Second, func() bool { return !m.Node(ending).Alive }))
+			m.Run(5 * time.Second)
+			is.Equal(suspicions, 0)
+			for _, n := range m.Nodes() {
+				is.True(!n.Alive || entryOf(n, ending).State == endpoint.Gone)
+			}
+		})
+	}
+}
