Log what a host sends over its link, sizes of answers and the link's wait

The incident's hypotheses can't be told apart by the log: it has neither the sizes of answers nor what a host's link carries while requests are refused for it.

Added: event 6003, once a second while there are large answers, with the bytes sent and the part of them that is large answers; counters uplink.sent and uplink.large; bytes on 6203; linkMillis (how long the link needs for what was admitted before) on 6202. The bytes are counted at each write to a caller or another node, without those of TLS and TCP and of the links between nodes, which have metrics of their own. Decisions are unchanged.

--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -49,7 +49,7 @@
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
 		return true
 	}
-	ahead := q.link.Backlog(now) + q.pendingTransfer()
+	ahead := q.LinkWait(now)
 	if ahead == 0 {
 		return true
 	}
@@ -57,6 +57,12 @@
 	return out.Before(w.Deadline) && (w.TargetTime.IsZero() || out.Before(w.TargetTime))
 }
 
+// LinkWait returns the expected time until the link has sent the large answers of
+// all attempts admitted so far.
+func (q *Queue) LinkWait(now time.Time) time.Duration {
+	return q.link.Backlog(now) + q.pendingTransfer()
+}
+
 // pendingTransfer returns how long it will take to send the large answers of the
 // attempts that are running or waiting.
 func (q *Queue) pendingTransfer() time.Duration {
--- a/core/admit.go
+++ b/core/admit.go
@@ -145,6 +145,7 @@
 	running, waiting := s.backend.queue.Load()
 	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
 		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
+		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()},
 		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heartbeat.Backend})
 	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
@@ -159,7 +160,7 @@
 	waited, start, dropped := b.queue.Done(s.now, e.Attempt, e.Took, e.Bytes)
 	running, waiting := b.queue.Load()
 	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heartbeat.Backend},
-		Attr{"status", e.Status}, Attr{"cut", e.Truncated}, Attr{"refused", e.Refused}, Attr{"waitedMillis", waited.Milliseconds()}, Attr{"tookMillis", e.Took.Milliseconds()},
+		Attr{"status", e.Status}, Attr{"cut", e.Truncated}, Attr{"refused", e.Refused}, Attr{"waitedMillis", waited.Milliseconds()}, Attr{"tookMillis", e.Took.Milliseconds()}, Attr{"bytes", e.Bytes},
 		Attr{"running", running}, Attr{"waiting", waiting})
 	for _, w := range dropped {
 		s.dropWaiting(w, admission.TooLate)
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -36,6 +36,7 @@
 	HeartbeatRefused    Code = 5003
 	RequestsRefused     Code = 6001
 	ListenerFault       Code = 6002
+	UplinkUsed          Code = 6003
 	AttemptSent         Code = 6101
 	AttemptEnded        Code = 6102
 	RequestAnswered     Code = 6103
@@ -77,6 +78,7 @@
 	HeartbeatRefused:    "heartbeat refused",
 	RequestsRefused:     "requests refused",
 	ListenerFault:       "listener fault",
+	UplinkUsed:          "network link used",
 	AttemptSent:         "attempt sent",
 	AttemptEnded:        "attempt ended without the last answer",
 	RequestAnswered:     "request answered",
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -167,7 +167,7 @@
 // log lines count too, as the trace may lack them.
 func isStateChange(c notice.Code) bool {
 	switch c {
-	case notice.LinkUp, notice.LinkDown, notice.RequestsRefused:
+	case notice.LinkUp, notice.LinkDown, notice.RequestsRefused, notice.UplinkUsed:
 		return false
 	}
 	return c < notice.AttemptSent || c == notice.LogLinesDropped
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -50,10 +50,17 @@
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.headerLimit = &io.LimitedReader{R: nc}
 	c.in = bufio.NewReaderSize(c.headerLimit, readBufferBytes)
-	c.out = bufio.NewWriterSize(nc, writeBufferBytes)
+	c.out = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
 }
 
+// Write implements io.Writer for the buffered writer out.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.net.Write(p)
+	c.server.cfg.OnSent(n)
+	return n, err
+}
+
 // abort closes the connection and cancels the requests that are handled for it.
 func (c *conn) abort() {
 	c.cancel()
--- a/h1/server.go
+++ b/h1/server.go
@@ -48,6 +48,9 @@
 	// OnError is called with errors of handlers, TLS handshakes and accept;
 	// nil: they are ignored.
 	OnError func(error)
+	// OnSent is called with the number of bytes of each write to a client;
+	// nil: they are not counted.
+	OnSent func(n int)
 }
 
 func (c Config) withDefaults() Config {
@@ -59,6 +62,9 @@
 	if c.OnError == nil {
 		c.OnError = func(error) {}
 	}
+	if c.OnSent == nil {
+		c.OnSent = func(int) {}
+	}
 	return c
 }
 
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -53,7 +53,7 @@
 		}
 	}
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp, p.pacerFor(resp)); err != nil {
+	if err := p.copyBody(w, resp); err != nil {
 		return err
 	}
 	for k, vs := range resp.Trailer {
@@ -72,23 +72,22 @@
 	panic(http.ErrAbortHandler)
 }
 
-// pacerFor returns the pacer for a response, nil for a short one.
-func (p *Proxy) pacerFor(resp *http.Response) *pacer {
-	if resp.ContentLength <= copyBufBytes {
-		return nil
-	}
-	return p.pacer
-}
+// isLarge reports whether a response is one that waits for the host's network link.
+func isLarge(resp *http.Response) bool { return resp.ContentLength > copyBufBytes }
 
-func copyBody(w http.ResponseWriter, resp *http.Response, pace *pacer) error {
+func (p *Proxy) copyBody(w http.ResponseWriter, resp *http.Response) error {
+	large := isLarge(resp)
 	buf := copyBufs.Get().(*[copyBufBytes]byte)
 	defer copyBufs.Put(buf)
 	flusher, _ := w.(http.Flusher)
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
-			if err := pace.wait(resp.Request.Context(), n); err != nil {
-				return &responseError{downstream: true, err: err}
+			if large {
+				if err := p.pacer.wait(resp.Request.Context(), n); err != nil {
+					return &responseError{downstream: true, err: err}
+				}
+				p.uplink.large.Inc(int64(n))
 			}
 			if _, err := w.Write(buf[:n]); err != nil {
 				return &responseError{downstream: true, err: err}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -46,6 +46,30 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
+// countingConn reports the number of bytes of each write.
+type countingConn struct {
+	net.Conn
+	onSent func(n int)
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.onSent(n)
+	return n, err
+}
+
+// counting returns a DialFunc whose connections report what they send.
+func counting(dial DialFunc, onSent func(n int)) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{Conn: conn, onSent: onSent}, nil
+	}
+}
+
 func newTransport(dial DialFunc, connections int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -34,9 +34,10 @@
 	node            *node.Node
 	arrivals        *arrivals
 	proxy           *proxy.Proxy
-	backend         *sample.Backend // nil: the node has no backend server
-	callers         string          // address of the listener for callers
-	hop             string          // address of the listener for other nodes
+	metrics         metrics.Registry // of proxy
+	backend         *sample.Backend  // nil: the node has no backend server
+	callers         string           // address of the listener for callers
+	hop             string           // address of the listener for other nodes
 	hopListener     *faultyListener
 	hopServer       *h1.Server
 	closers         []func()
@@ -122,7 +123,8 @@
 	cc = cc.WithDefaults()
 	mn.node = node.New(cc, node.SystemClock{}, m.store, &prober{address: mn.backendAddress}, eventlog.Nop())
 	mn.arrivals = &arrivals{Node: mn.node}
-	mn.proxy = proxy.New(pc, mn.arrivals, metrics.NewRegistry())
+	mn.metrics = metrics.NewRegistry()
+	mn.proxy = proxy.New(pc, mn.arrivals, mn.metrics)
 	transport := peer.NewTransport(peer.Config{}, mn.node)
 	callerServer, hopServer := mn.proxy.CallerServer(nil), mn.proxy.HopServer(nil)
 	mn.hopServer = hopServer
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -105,6 +105,7 @@
 	maxBody    atomic.Int64 // maximum size in bytes of a caller's request body
 	readAhead  readAhead
 	pacer      *pacer
+	uplink     uplinkCounters
 	injected   injectedFaults
 }
 
@@ -124,11 +125,13 @@
 // New returns a Proxy that passes events to d and registers its metrics in r.
 func New(cfg Config, d Dispatcher, r metrics.Registry) *Proxy {
 	cfg = cfg.withDefaults()
+	uplink := newUplinkCounters(r)
+	hopDial := counting(cfg.HopDial, uplink.countSent)
 	p := &Proxy{
-		cfg: cfg, core: d,
+		cfg: cfg, core: d, uplink: uplink,
 		backend: newTransport(dialTCP, cfg.Connections),
-		hop:     newTransport(cfg.HopDial, 0),
-		query:   newTransport(cfg.HopDial, 0),
+		hop:     newTransport(hopDial, 0),
+		query:   newTransport(hopDial, 0),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
@@ -181,14 +184,14 @@
 // CallerServer returns the server for callers with its limits set. Errors in
 // the server are passed to onError.
 func (p *Proxy) CallerServer(onError func(error)) *h1.Server {
-	return newServer(p.CallerHandler(), maxHeaderBytes, onError)
+	return p.newServer(p.CallerHandler(), maxHeaderBytes, onError)
 }
 
 // HopServer returns the server for other nodes with its limits set. Its header
 // limit leaves room for the largest request of a caller and the headers that
 // nodes add.
 func (p *Proxy) HopServer(onError func(error)) *h1.Server {
-	return newServer(p.HopHandler(), maxHopHeaderBytes, onError)
+	return p.newServer(p.HopHandler(), maxHopHeaderBytes, onError)
 }
 
 // Server is a server that StopServer can stop.
@@ -207,9 +210,9 @@
 	_ = s.Close()
 }
 
-func newServer(h http.Handler, headerBytes int, onError func(error)) *h1.Server {
+func (p *Proxy) newServer(h http.Handler, headerBytes int, onError func(error)) *h1.Server {
 	return h1.New(h1.Config{
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
-		WriteTimeout: maxTransfer, OnError: onError,
+		WriteTimeout: maxTransfer, OnError: onError, OnSent: p.uplink.countSent,
 	}, h)
 }
