Give large answers the bandwidth that short ones leave

Cause: a fixed share of the link, 0.7, for large answers: by a token bucket in the data path and by the model that refuses. It is right for one amount of other traffic. Besides, the bucket served all waiting answers in turn, so that each was as late as the last, while the model had promised their ends one after another.

Change: core/uplink schedules the link without a share: each write to a caller or another node is recorded, large answers get the rest of 0.95 of linkMbps in pieces of 16 KiB, the one that began first goes first, and one whose receiver takes nothing holds up no other. An attempt brings the scheduler's state, the bytes that are ready and the rate that short answers left in the last second, to the gate's decision; the model of the link in core/admission and the core's setting LinkBytes are gone.

The simulations of admission report the state of the link instead of setting its rate. TestShortResponseOvertakesLargeOne asks in another class: the node now knows the link in it, and a class is judged by its mean answer.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Class is a priority class of the queue. A smaller value is more urgent.
@@ -55,10 +57,6 @@
 	// increasing throughput.
 	Target   time.Duration
 	Interval time.Duration
-	// LinkBytes is the bandwidth of the host's network link for large answers,
-	// in bytes per second. If zero, it is unknown, and no attempt is refused
-	// because of the link.
-	LinkBytes float64
 }
 
 // DefaultConfig returns the default settings for a number of slots.
@@ -116,10 +114,10 @@
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
-	link          Link
-	emptyAt       time.Time // when the queue was last empty
-	started       []Attempt // returned by startWaiting; reused by the next call
-	dropped       []Attempt // returned by several methods; reused by the next call
+	link          uplink.Load               // state of the host's network link, as last reported
+	emptyAt       time.Time                 // when the queue was last empty
+	started       []Attempt                 // returned by startWaiting; reused by the next call
+	dropped       []Attempt                 // returned by several methods; reused by the next call
 	fault         fault
 }
 
@@ -133,7 +131,7 @@
 }
 
 // New returns an empty Queue.
-func New(cfg Config) *Queue { return &Queue{cfg: cfg, link: NewLink(cfg.LinkBytes)} }
+func New(cfg Config) *Queue { return &Queue{cfg: cfg} }
 
 // SetSlots sets the number of attempts that may run concurrently. Attempts that
 // are already running are not affected.
@@ -228,7 +226,7 @@
 // Run is the result of a run.
 type Run struct {
 	Took   time.Duration
-	Bytes  int64 // size of the answer, which is sent from the end of the run on
+	Bytes  int64 // size of the answer
 	Failed bool  // the answer is an error or incomplete: its size is not typical of the class
 }
 
@@ -244,7 +242,6 @@
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
 	q.updateAverages(c, run)
-	q.link.Send(now, run.Bytes)
 	start, dropped = q.startWaiting(now)
 	return waited, start, dropped
 }
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -1,45 +1,29 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/uplink"
+)
 
 // largeAnswerBytes is the average answer size from which a class counts as having
 // large answers. For such a class the bandwidth of the host's network link
 // determines how many answers arrive in time.
 const largeAnswerBytes = 32 << 10
 
-// Link is a fluid model of the host's network link: answers are sent one after
-// the other at a constant rate.
-type Link struct {
-	rate      float64 // bytes per second; zero: unknown, the link never counts as full
-	busyUntil time.Time
-}
-
-// NewLink returns an idle Link of the given rate.
-func NewLink(bytesPerSecond float64) Link { return Link{rate: bytesPerSecond} }
-
-// Send adds an answer to the link's backlog.
-func (l *Link) Send(now time.Time, bytes int64) {
-	if l.busyUntil.Before(now) {
-		l.busyUntil = now
-	}
-	l.busyUntil = l.busyUntil.Add(l.TransferTime(float64(bytes)))
-}
+// SetLink sets the state of the host's network link for the next arrivals. While its
+// rate is unknown, no attempt is refused because of the link.
+func (q *Queue) SetLink(l uplink.Load) { q.link = l }
 
-// Backlog returns the time that it takes to send the answers added so far.
-func (l *Link) Backlog(now time.Time) time.Duration { return max(l.busyUntil.Sub(now), 0) }
-
-// TransferTime returns the time that it takes to send a number of bytes.
-func (l *Link) TransferTime(bytes float64) time.Duration {
-	if l.rate == 0 {
+// transferTime returns the time that it takes to send a number of bytes of large
+// answers.
+func (q *Queue) transferTime(bytes float64) time.Duration {
+	if q.link.Rate == 0 {
 		return 0
 	}
-	return time.Duration(bytes / l.rate * float64(time.Second))
+	return time.Duration(bytes / q.link.Rate * float64(time.Second))
 }
 
-// RecordSent counts an answer that uses the host's link but did not pass through
-// this queue.
-func (q *Queue) RecordSent(now time.Time, bytes int64) { q.link.Send(now, bytes) }
-
 // linkHasRoom reports whether the answer of an attempt can be sent by its
 // deadline and by its target time. An answer that misses its target time would
 // use bandwidth at the expense of answers that could still meet theirs. If the
@@ -49,23 +33,23 @@
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
 		return true
 	}
-	ahead := q.LinkWait(now)
+	ahead := q.LinkWait()
 	if ahead == 0 {
 		return true
 	}
-	out := now.Add(ahead + q.avgRunTime[w.Class] + q.link.TransferTime(q.avgBytes[w.Class]))
+	out := now.Add(ahead + q.avgRunTime[w.Class] + q.transferTime(q.avgBytes[w.Class]))
 	return out.Before(w.Deadline) && (w.TargetTime.IsZero() || out.Before(w.TargetTime))
 }
 
-// LinkWait returns the expected time until the link has sent the large answers of
-// all attempts admitted so far.
-func (q *Queue) LinkWait(now time.Time) time.Duration {
-	return q.link.Backlog(now) + q.pendingTransfer()
+// LinkWait returns the expected time until the link has sent the large answers that
+// are ready and those of all attempts that run or wait.
+func (q *Queue) LinkWait() time.Duration {
+	return q.transferTime(float64(q.link.Backlog) + q.pendingBytes())
 }
 
-// pendingTransfer returns how long it will take to send the large answers of the
-// attempts that are running or waiting.
-func (q *Queue) pendingTransfer() time.Duration {
+// pendingBytes returns the expected size of the large answers of the attempts that
+// are running or waiting.
+func (q *Queue) pendingBytes() float64 {
 	var bytes float64
 	for i := range q.running {
 		bytes += q.largeAnswerSize(q.running[i].Class)
@@ -73,7 +57,7 @@
 	for c := range numClasses {
 		bytes += q.largeAnswerSize(c) * float64(q.waiting[c].len())
 	}
-	return q.link.TransferTime(bytes)
+	return bytes
 }
 
 // largeAnswerSize returns the average answer size of a class with large answers.
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // A 10 Mbit/s link, large answers that occupy it for 224 ms each, and small
@@ -24,6 +25,7 @@
 // that are sent in time.
 type linkSim struct {
 	q         *admission.Queue
+	rate      float64 // bytes per second that are reported to q
 	now       time.Time
 	next      uint64
 	ends      map[admission.ID]time.Time // end of each run
@@ -36,10 +38,8 @@
 }
 
 func newLinkSim(slots int) *linkSim {
-	cfg := admission.DefaultConfig(slots)
-	cfg.LinkBytes = linkBytes
 	return &linkSim{
-		q: admission.New(cfg), now: time.Unix(1000, 0), ends: map[admission.ID]time.Time{}, targets: map[admission.ID]time.Time{},
+		q: admission.New(admission.DefaultConfig(slots)), rate: linkBytes, now: time.Unix(1000, 0), ends: map[admission.ID]time.Time{}, targets: map[admission.ID]time.Time{},
 	}
 }
 
@@ -59,6 +59,7 @@
 		w.Class, w.Deadline, w.TargetTime = admission.Batch, r.now.Add(6*time.Second), r.now.Add(largeTarget)
 		r.targets[w.ID] = w.TargetTime
 	}
+	r.q.SetLink(uplink.Load{Backlog: int64(max(r.busyUntil.Sub(r.now), 0).Seconds() * linkBytes), Rate: r.rate})
 	switch d := r.q.Arrive(r.now, w); {
 	case d.Run:
 		r.startRun(w.ID)
@@ -139,10 +140,8 @@
 	r.run(0.3*linkBytes/largeBytes, 80)
 	is.True(r.refused < r.offered/20)
 
-	slow := newLinkSim(8) // configured with a fifth of the link's real bandwidth: the check detects it
-	cfg := admission.DefaultConfig(8)
-	cfg.LinkBytes = linkBytes / 5
-	slow.q = admission.New(cfg)
+	slow := newLinkSim(8) // reports a fifth of the link's real bandwidth: the check detects it
+	slow.rate = linkBytes / 5
 	slow.run(0.3*linkBytes/largeBytes, 80)
 	is.True(slow.refused > slow.offered/20)
 }
@@ -168,16 +167,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			cfg := admission.DefaultConfig(8)
-			cfg.LinkBytes = tt.rate
-			q := admission.New(cfg)
+			q := admission.New(admission.DefaultConfig(8))
 			for i := range uint64(40) { // fills the smoothed run time and answer size
 				id := admission.ID{Number: i}
 				q.Arrive(now, admission.Attempt{ID: id, Class: admission.Batch, Deadline: now.Add(time.Minute)})
 				q.Done(now, id, admission.Run{Took: largeRun, Bytes: largeBytes})
 				now = now.Add(time.Minute)
 			}
-			q.RecordSent(now, tt.busy)
+			q.SetLink(uplink.Load{Backlog: tt.busy, Rate: tt.rate})
 			w := admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(tt.left)}
 			if tt.targetLatency > 0 {
 				w.TargetTime = now.Add(tt.targetLatency)
@@ -193,9 +190,7 @@
 func TestOneAnswerSetsAverageSize(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	cfg := admission.DefaultConfig(8)
-	cfg.LinkBytes = linkBytes
-	q := admission.New(cfg)
+	q := admission.New(admission.DefaultConfig(8))
 	ask := func(n uint64) admission.Decision {
 		return q.Arrive(now, admission.Attempt{
 			ID: admission.ID{Number: n}, Class: admission.Batch, Deadline: now.Add(6 * time.Second), TargetTime: now.Add(largeTarget),
@@ -204,6 +199,7 @@
 	is.True(ask(0).Run)
 	now = now.Add(largeRun)
 	q.Done(now, admission.ID{}, admission.Run{Took: largeRun, Bytes: largeBytes})
+	q.SetLink(uplink.Load{Backlog: largeBytes, Rate: linkBytes})
 	taken := 0
 	for n := range uint64(8) {
 		if ask(n+1).Reason == admission.Admitted {
@@ -218,9 +214,8 @@
 func TestFailedRunsDoNotChangeAverageSize(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	cfg := admission.DefaultConfig(8)
-	cfg.LinkBytes = linkBytes
-	q := admission.New(cfg)
+	q := admission.New(admission.DefaultConfig(8))
+	q.SetLink(uplink.Load{Rate: linkBytes})
 	for n := range uint64(20) {
 		id := admission.ID{Number: n}
 		run := admission.Run{Took: largeRun, Bytes: largeBytes}
@@ -232,5 +227,5 @@
 		now = now.Add(time.Minute)
 	}
 	is.True(q.Arrive(now, admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(time.Minute)}).Run)
-	is.Equal(q.LinkWait(now), time.Duration(largeBytes/linkBytes*float64(time.Second)))
+	is.Equal(q.LinkWait(), time.Duration(largeBytes/linkBytes*float64(time.Second)))
 }
--- a/core/admit.go
+++ b/core/admit.go
@@ -81,6 +81,7 @@
 	case !e.Key.IsZero() && b.keys.Full():
 		return false, admission.KeysFull
 	}
+	b.queue.SetLink(e.Link)
 	d := b.queue.Arrive(s.now, admission.Attempt{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget), TargetTime: s.softDeadline(e.SoftBudget)})
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, admission.QueueFull)
@@ -145,7 +146,7 @@
 	running, waiting := s.backend.queue.Load()
 	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
 		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
-		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()},
+		Attr{"linkMillis", s.backend.queue.LinkWait().Milliseconds()},
 		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heartbeat.Backend})
 	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
--- a/core/event.go
+++ b/core/event.go
@@ -8,6 +8,7 @@
 	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Event is an input of Reduce: one of the types below.
@@ -162,6 +163,7 @@
 	SoftBudget     time.Duration // as in Forward
 	ForIncarnation endpoint.Incarnation
 	Key            idempotency.Key
+	Link           uplink.Load // state of the host's network link
 }
 
 // AttemptDone reports that an attempt that ran has ended.
--- a/core/request.go
+++ b/core/request.go
@@ -286,9 +286,6 @@
 	if e.ReachedBackend || e.Outcome != retry.NotRun {
 		c.backendAttempts++
 	}
-	if c.target.Row.ID != s.cfg.Node {
-		s.backend.queue.RecordSent(s.now, e.Bytes) // the answer went out over the same network link
-	}
 	if e.AnswerHeld {
 		s.retryHeldAnswer(e, c)
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -60,7 +60,6 @@
 	StatusKeep      time.Duration // how long the status of a settled submission is kept
 	publisherFaults publisherFaults
 
-	LinkBytes     float64       // bytes of large answers per second that the host's network link carries; zero if unknown
 	QueueMaxWait  time.Duration // longest wait of an attempt for a slot
 	QueueTarget   time.Duration // longest wait for a slot once the queue has not been empty for QueueInterval; not for status checks
 	QueueInterval time.Duration // as in QueueTarget
@@ -145,7 +144,6 @@
 	setDefault(&c.QueueTarget, a.Target)
 	setDefault(&c.QueueInterval, a.Interval)
 	a.StatusSlots, a.MaxQueue, a.MaxWait, a.Target, a.Interval = c.StatusSlots, c.MaxQueue, c.QueueMaxWait, c.QueueTarget, c.QueueInterval
-	a.LinkBytes = c.LinkBytes
 	return a
 }
 
--- /dev/null
+++ b/core/uplink/scheduler.go
@@ -0,0 +1,137 @@
+// Package uplink schedules what a host sends over its network link. Short responses
+// and requests to other nodes are sent at once. Large responses get the bandwidth
+// that these leave, one after another, so that the link is neither idle while a large
+// response waits nor has a queue in which short ones wait.
+package uplink
+
+import (
+	"math"
+	"time"
+)
+
+// PieceBytes is the largest part of a large response that is sent at once. A short
+// response waits behind at most one of them.
+const PieceBytes = 16 << 10
+
+const (
+	// maxDebt limits the time for which large responses wait after many short ones.
+	maxDebt = time.Second
+	// stalledAfter is the time after its last grant from which a transfer that has
+	// not asked for another one counts as held up by its receiver.
+	stalledAfter = 250 * time.Millisecond
+	// othersWindow is the time constant over which the rate of everything but large
+	// responses is averaged.
+	othersWindow = time.Second
+	// minLargeShare is the least share of the link that large responses are expected
+	// to get.
+	minLargeShare = 0.1
+)
+
+// Load is the state of the link as it matters to another large response.
+type Load struct {
+	Backlog int64   // bytes of large responses that are ready and not sent
+	Rate    float64 // bytes per second that large responses get; zero: unknown
+}
+
+// Scheduler decides when large responses may be sent: those that began first before
+// later ones, except that a transfer whose receiver is slow does not hold up the
+// others. It performs no I/O, and the time is passed to it.
+type Scheduler struct {
+	rate      float64 // bytes per second; zero: unknown, nothing waits
+	credit    float64 // bytes that may be sent now; negative: more was sent than the link carries
+	prepaid   float64 // bytes that were granted and have not been recorded as sent
+	refilled  time.Time
+	transfers []*Transfer // in the order in which they began
+	others    float64     // bytes of everything but large responses, decayed over othersWindow
+}
+
+// Transfer is a large response that is being sent.
+type Transfer struct {
+	left      int64 // bytes that are not sent yet, as far as known
+	wants     int   // bytes of the piece that waits to be sent; zero: none
+	grantedAt time.Time
+}
+
+// NewScheduler returns a Scheduler for a link that carries the given number of bytes
+// per second; zero if that is unknown.
+func NewScheduler(bytesPerSecond float64) *Scheduler { return &Scheduler{rate: bytesPerSecond} }
+
+// refill adds the bandwidth since the last call to the credit.
+func (s *Scheduler) refill(now time.Time) {
+	elapsed := max(now.Sub(s.refilled), 0).Seconds()
+	s.refilled = now
+	s.credit = min(s.credit+s.rate*elapsed, PieceBytes)
+	s.others *= math.Exp(-elapsed / othersWindow.Seconds())
+}
+
+// Sent records that n bytes were sent, of whatever kind.
+func (s *Scheduler) Sent(now time.Time, n int) {
+	s.refill(now)
+	granted := min(float64(n), s.prepaid)
+	s.prepaid -= granted
+	other := float64(n) - granted
+	s.others += other
+	s.credit = max(s.credit-other, -s.rate*maxDebt.Seconds())
+}
+
+// Begin adds a transfer behind those that began before.
+func (s *Scheduler) Begin() *Transfer {
+	t := &Transfer{}
+	s.transfers = append(s.transfers, t)
+	return t
+}
+
+// Want records that a transfer has a piece of n bytes to send, and that left bytes
+// are not sent yet, these included.
+func (s *Scheduler) Want(t *Transfer, n int, left int64) {
+	t.wants, t.left = n, max(left, int64(n))
+}
+
+// End removes a transfer that has ended or is given up.
+func (s *Scheduler) End(t *Transfer) {
+	for i, other := range s.transfers {
+		if other == t {
+			s.transfers = append(s.transfers[:i], s.transfers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Grant returns the transfer that may send its piece now. If none may, it returns how
+// long the first one has to wait, zero if none waits.
+func (s *Scheduler) Grant(now time.Time) (*Transfer, time.Duration) {
+	t := s.firstWaiting()
+	if t == nil {
+		return nil, 0
+	}
+	s.refill(now)
+	if s.rate > 0 && s.credit < 0 {
+		return nil, time.Duration(math.Ceil(-s.credit / s.rate * float64(time.Second)))
+	}
+	n := t.wants
+	s.credit -= float64(n)
+	s.prepaid = min(s.prepaid+float64(n), float64(len(s.transfers)*PieceBytes)) // a piece may be given up after its grant
+	t.wants, t.left, t.grantedAt = 0, t.left-int64(n), now
+	return t, 0
+}
+
+func (s *Scheduler) firstWaiting() *Transfer {
+	for _, t := range s.transfers {
+		if t.wants > 0 {
+			return t
+		}
+	}
+	return nil
+}
+
+// Load returns the state of the link for another large response.
+func (s *Scheduler) Load(now time.Time) Load {
+	s.refill(now)
+	l := Load{Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
+	for _, t := range s.transfers {
+		if t.wants > 0 || now.Sub(t.grantedAt) < stalledAfter {
+			l.Backlog += t.left
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/core/uplink/scheduler_test.go
@@ -0,0 +1,169 @@
+package uplink_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core/uplink"
+)
+
+// A link of 10 Mbit/s, of which the scheduler may use 95 %.
+const (
+	linkBytes   = 1.25e6 // bytes per second
+	usableShare = 0.95
+	shortBytes  = 900
+)
+
+// scheduler is what decides about large responses: the one tested, or a fault.
+type scheduler interface {
+	Sent(now time.Time, n int)
+	Begin() *uplink.Transfer
+	Want(t *uplink.Transfer, n int, left int64)
+	End(t *uplink.Transfer)
+	Grant(now time.Time) (*uplink.Transfer, time.Duration)
+}
+
+// fixedShare is a scheduler that leaves a fixed share of the link to large responses
+// and ignores what else is sent.
+type fixedShare struct{ *uplink.Scheduler }
+
+func (s fixedShare) Sent(now time.Time, n int) {
+	if n != shortBytes {
+		s.Scheduler.Sent(now, n)
+	}
+}
+
+// linkSim simulates a link behind which short responses arrive at random and large
+// ones without end.
+type linkSim struct {
+	s         scheduler
+	now       time.Time
+	busyUntil time.Time // when the link has sent all that was given to it
+	large     int       // bytes of large responses that were given to the link
+	waits     []time.Duration
+}
+
+func (r *linkSim) send(n int) {
+	r.s.Sent(r.now, n)
+	if r.busyUntil.Before(r.now) {
+		r.busyUntil = r.now
+	}
+	r.busyUntil = r.busyUntil.Add(time.Duration(float64(n) / linkBytes * float64(time.Second)))
+}
+
+// run simulates a minute in which short responses ask for a share of the link.
+func (r *linkSim) run(short float64) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	transfer := r.s.Begin()
+	r.s.Want(transfer, uplink.PieceBytes, 1<<30)
+	for range 60_000 {
+		r.now = r.now.Add(time.Millisecond)
+		if rng.Float64() < short*linkBytes/shortBytes/1000 {
+			r.waits = append(r.waits, max(r.busyUntil.Sub(r.now), 0))
+			r.send(shortBytes)
+		}
+		for granted, _ := r.s.Grant(r.now); granted != nil; granted, _ = r.s.Grant(r.now) {
+			r.send(uplink.PieceBytes)
+			r.large += uplink.PieceBytes
+			r.s.Want(transfer, uplink.PieceBytes, 1<<30)
+		}
+	}
+}
+
+func (r *linkSim) largeShare() float64 { return float64(r.large) / 60 / linkBytes }
+
+// longestWait returns the 99th percentile of the time for which a short response
+// waited for the link.
+func (r *linkSim) longestWait() time.Duration {
+	slices.Sort(r.waits)
+	return r.waits[len(r.waits)*99/100]
+}
+
+// TestLargeResponsesGetWhatShortOnesLeave checks that the link is neither idle while
+// large responses wait nor so full that short ones do.
+func TestLargeResponsesGetWhatShortOnesLeave(t *testing.T) {
+	const maxWait = 50 * time.Millisecond // a quarter of the shortest target latency of the users' requests
+	newSim := func(s scheduler) *linkSim { return &linkSim{s: s, now: time.Unix(1000, 0)} }
+	for _, short := range []float64{0.01, 0.1, 0.3, 0.6} {
+		is := is.New(t)
+		r := newSim(uplink.NewScheduler(usableShare * linkBytes))
+		r.run(short)
+		is.True(r.largeShare() > 0.95*(usableShare-short))
+		is.True(r.longestWait() < maxWait)
+
+		fixed := newSim(fixedShare{uplink.NewScheduler(0.7 * linkBytes)})
+		fixed.run(short)
+		idle := fixed.largeShare() <= 0.95*(usableShare-short)
+		is.True(idle || fixed.longestWait() >= maxWait) // the check detects a fixed share
+	}
+}
+
+// TestEarlierTransferIsSentFirst checks that of several large responses the first is
+// complete before the next begins.
+func TestEarlierTransferIsSentFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := uplink.NewScheduler(linkBytes)
+	const pieces = 5
+	transfers := []*uplink.Transfer{s.Begin(), s.Begin(), s.Begin()}
+	sent := map[*uplink.Transfer]int{}
+	for _, one := range transfers {
+		s.Want(one, uplink.PieceBytes, pieces*uplink.PieceBytes)
+	}
+	var order []*uplink.Transfer
+	for range 3 * pieces {
+		granted, wait := s.Grant(now)
+		if granted == nil {
+			now = now.Add(wait)
+			granted, _ = s.Grant(now)
+		}
+		s.Sent(now, uplink.PieceBytes)
+		if sent[granted]++; sent[granted] < pieces {
+			s.Want(granted, uplink.PieceBytes, int64(pieces-sent[granted])*uplink.PieceBytes)
+			continue
+		}
+		order = append(order, granted)
+		s.End(granted)
+	}
+	is.Equal(order, transfers)
+	granted, wait := s.Grant(now)
+	is.True(granted == nil && wait == 0) // nothing waits
+}
+
+// TestStalledTransferHoldsUpNothing checks that a response whose receiver takes
+// nothing neither delays others nor counts as a backlog of the link.
+func TestStalledTransferHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := uplink.NewScheduler(linkBytes)
+	stalled, other := s.Begin(), s.Begin()
+	s.Want(stalled, uplink.PieceBytes, 1<<20)
+	is.Equal(s.Load(now).Backlog, int64(1<<20))
+	granted, _ := s.Grant(now)
+	is.Equal(granted, stalled) // and its write to the receiver does not return
+	s.Want(other, uplink.PieceBytes, 4*uplink.PieceBytes)
+	now = now.Add(time.Second)
+	granted, _ = s.Grant(now)
+	is.Equal(granted, other)
+	is.Equal(s.Load(now).Backlog, int64(3*uplink.PieceBytes))
+}
+
+// TestLoadTellsTheRateThatShortResponsesLeave checks the rate that is reported for
+// another large response.
+func TestLoadTellsTheRateThatShortResponsesLeave(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := uplink.NewScheduler(linkBytes)
+	is.Equal(s.Load(now).Rate, linkBytes)
+	for range 5000 { // 20 % of the link for 5 s
+		now = now.Add(time.Millisecond)
+		s.Sent(now, linkBytes/5000)
+	}
+	rate := s.Load(now).Rate
+	is.True(0.78*linkBytes < rate && rate < 0.82*linkBytes)
+	is.Equal(uplink.NewScheduler(0).Load(now).Rate, 0.0) // unknown
+}
--- a/node/config.go
+++ b/node/config.go
@@ -18,8 +18,7 @@
 	cfg := core.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Peer: peer, Hop: hop,
 		Service: s.Backend.Service, Slots: s.Backend.Slots, StatusSlots: s.Backend.StatusSlots,
-		LinkBytes: largeAnswerRate(s),
-		MaxQueue:  s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
+		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
 		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter),
@@ -44,13 +43,9 @@
 // bytesPerMegabit converts Mbit/s to bytes per second.
 const bytesPerMegabit = 1e6 / 8
 
-// largeShare is the share of the host's network link that large answers may use.
-// The rest is left for short answers, refusals and the links between nodes.
-const largeShare = 0.7
-
-// largeAnswerRate returns the rate of large answers that the host's network link may
-// carry, in bytes per second.
-func largeAnswerRate(s settings.Settings) float64 { return s.LinkMbps * bytesPerMegabit * largeShare }
+// usableShare is the share of the host's network link that requests and answers may
+// use. The rest is left for the headers of TCP and IP and the links between nodes.
+const usableShare = 0.95
 
 // readAheadDivisor sets the memory for large answers that wait for the network:
 // it is the memory limit divided by this number.
@@ -64,7 +59,7 @@
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter:   time.Duration(s.Requests.SilenceAfter),
 		ReadAheadBytes: int64(s.MemoryBytes / readAheadDivisor),
-		LinkBytes:      largeAnswerRate(s),
+		LinkBytes:      s.LinkMbps * bytesPerMegabit * usableShare,
 	}
 }
 
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 var copyBufs = sync.Pool{New: func() any { return new([copyBufBytes]byte) }}
@@ -65,43 +67,35 @@
 	panic(http.ErrAbortHandler)
 }
 
-// copyBody copies the body of a response and returns its size. A response is large
-// once more than copyBufBytes were copied, whatever length it declares: then the
-// rest of it waits for the host's network link.
+// copyBody copies the body of a response and returns its size.
 func (p *Proxy) copyBody(w http.ResponseWriter, resp *http.Response) (int64, error) {
 	buf := copyBufs.Get().(*[copyBufBytes]byte)
 	defer copyBufs.Put(buf)
 	flusher, _ := w.(http.Flusher)
-	size := int64(0)
+	sending := bodyTransfer{proxy: p, declared: resp.ContentLength, body: resp.Body}
+	defer sending.end()
 	for {
-		n, err := resp.Body.Read(buf[:])
+		n, err := resp.Body.Read(buf[:uplink.PieceBytes])
 		if n > 0 {
-			large := resp.ContentLength > copyBufBytes || size+int64(n) > copyBufBytes
-			if err := p.passOn(w, resp, buf[:n], large); err != nil {
-				return size, &responseError{downstream: true, err: err}
+			if sending.becomesLarge(n) && flusher != nil {
+				flusher.Flush() // the head shows the other node that the answer exists
+			}
+			if err := sending.awaitLink(resp.Request.Context(), n); err != nil {
+				return sending.passedOn, &responseError{downstream: true, err: err}
 			}
-			size += int64(n)
+			if _, err := w.Write(buf[:n]); err != nil {
+				return sending.passedOn, &responseError{downstream: true, err: err}
+			}
+			sending.passedOn += int64(n)
 		}
 		if err == io.EOF {
-			return size, nil
+			return sending.passedOn, nil
 		}
 		if err != nil {
-			return size, &responseError{err: err}
+			return sending.passedOn, &responseError{err: err}
 		}
 		if resp.ContentLength < 0 && flusher != nil {
 			flusher.Flush()
 		}
 	}
 }
-
-// passOn writes a part of a response's body; if it is large, once the link is free.
-func (p *Proxy) passOn(w http.ResponseWriter, resp *http.Response, part []byte, large bool) error {
-	if large {
-		if err := p.pacer.wait(resp.Request.Context(), len(part)); err != nil {
-			return err
-		}
-		p.uplink.large.Inc(int64(len(part)))
-	}
-	_, err := w.Write(part)
-	return err
-}
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -43,6 +43,9 @@
 	// can be sent again.
 	keptBodyBytes = 64 << 10
 	copyBufBytes  = 32 << 10
+	// largeResponseBytes is the size over which a response waits for the host's
+	// network link.
+	largeResponseBytes = 32 << 10
 	// bufferedResponseBytes is the size of a response that a server buffers
 	// without waiting for the receiver.
 	bufferedResponseBytes = 2 << 10
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,7 +58,7 @@
 	MaxDepth       int           // maximum length of a chain of calls that backend servers make to one another through the mesh
 	SilenceAfter   time.Duration // time without a response after which the receiving node is asked about the attempt
 	ReadAheadBytes int64         // memory for large responses that are read before the network takes them
-	LinkBytes      float64       // bytes per second of large responses that the host's network link carries; zero: unknown
+	LinkBytes      float64       // bytes per second that the host's network link carries; zero: unknown
 
 	Service string // service of this node's backend server, sent in the header Names.Service
 	Names   Names
@@ -104,8 +104,8 @@
 	refused    metrics.Counter
 	maxBody    atomic.Int64 // maximum size in bytes of a caller's request body
 	readAhead  readAhead
-	pacer      *pacer
-	uplink     uplinkCounters
+	link       *link
+	sent       sentCounters
 	injected   injectedFaults
 }
 
@@ -125,19 +125,16 @@
 // New returns a Proxy that passes events to d and registers its metrics in r.
 func New(cfg Config, d Dispatcher, r metrics.Registry) *Proxy {
 	cfg = cfg.withDefaults()
-	uplink := newUplinkCounters(r)
-	hopDial := counting(cfg.HopDial, uplink.countSent)
 	p := &Proxy{
-		cfg: cfg, core: d, uplink: uplink,
+		cfg: cfg, core: d, link: newLink(cfg.LinkBytes), sent: newSentCounters(r),
 		backend: newTransport(dialTCP, cfg.Connections),
-		hop:     newTransport(hopDial, 0),
-		query:   newTransport(hopDial, 0),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
 	}
+	hopDial := counting(cfg.HopDial, p.recordSent)
+	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.readAhead.limit = cfg.ReadAheadBytes
-	p.pacer = newPacer(cfg.LinkBytes)
 	return p
 }
 
@@ -213,6 +210,6 @@
 func (p *Proxy) newServer(h http.Handler, headerBytes int, onError func(error)) *h1.Server {
 	return h1.New(h1.Config{
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
-		WriteTimeout: maxTransfer, OnError: onError, OnSent: p.uplink.countSent,
+		WriteTimeout: maxTransfer, OnError: onError, OnSent: p.recordSent,
 	}, h)
 }
--- a/proxy/readahead.go
+++ b/proxy/readahead.go
@@ -31,7 +31,7 @@
 // read returns a body that is read into memory ahead of its reader, as far as
 // there is memory. A body that is declared to be short is returned unchanged.
 func (a *readAhead) read(src io.ReadCloser, declared int64) io.ReadCloser {
-	if declared >= 0 && declared <= copyBufBytes {
+	if declared >= 0 && declared <= largeResponseBytes {
 		return src
 	}
 	b := &readAheadBody{owner: a, src: src}
@@ -106,6 +106,13 @@
 	b.owner.reserved.Add(-int64(n))
 }
 
+// buffered returns how many bytes are ready to be read.
+func (b *readAheadBody) buffered() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending.Len()
+}
+
 // Read implements io.Reader.
 func (b *readAheadBody) Read(p []byte) (int, error) {
 	b.start.Do(func() { go b.fill() })
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -203,7 +203,7 @@
 				m.eventually("the large response is complete", func() bool { return received.Load() >= responseBytes })
 				return
 			}
-			resp, _, err := m.do(0, "GET", "/", "")
+			resp, _, err := m.do(0, "GET", "/checks", "") // of another class: large answers are expected of that of the first
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, http.StatusOK)
 			is.True(received.Load() < responseBytes/2) // at the link's rate it takes at least 20 s
--- a/proxy/uplink_test.go
+++ b/proxy/uplink_test.go
@@ -1,12 +1,15 @@
 package proxy_test
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/proxy"
 )
 
@@ -76,3 +79,28 @@
 		})
 	}
 }
+
+// TestLargeResponseThatWaitsIsNotTakenForLost sends several large responses at once
+// over a slow link. The last one waits for longer than the entry node waits for a
+// sign of an answer, and must arrive all the same.
+func TestLargeResponseThatWaitsIsNotTakenForLost(t *testing.T) {
+	const responses, bytes, link = 4, 1 << 20, 4 << 20 // a quarter of a second each; the entry node asks after 100 ms
+	is := is.New(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+	failures := make(chan error, responses)
+	for range responses {
+		go func() {
+			resp, body, err := m.do(0, http.MethodPost, "/once?answerBytes="+strconv.Itoa(bytes), "x")
+			switch {
+			case err == nil && resp.StatusCode != http.StatusOK:
+				err = fmt.Errorf("status %d: %s", resp.StatusCode, body)
+			case err == nil && len(body) < bytes:
+				err = fmt.Errorf("body has %d bytes", len(body))
+			}
+			failures <- err
+		}()
+	}
+	for range responses {
+		is.NoErr(<-failures)
+	}
+}
