Limit the head of an answer

A backend server in trouble may send bytes that are no answer without end. In the head of an answer the client took 10 MB, its default, of each such request: a third of what a node may use for control, and more than a node of 112 MB has for a few of them at once.

Change: the head of an answer is limited like that of a request between nodes, 72 KiB. An endless body was bounded already: by the deadline, by the memory for reading ahead, and by the connection's end for bytes after an answer.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -80,7 +80,7 @@
 			return &trackedConn{Conn: conn}, nil
 		},
 		MaxConnsPerHost: connections, MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdleToHost, IdleConnTimeout: clientIdleTimeout,
-		DisableCompression: true, ExpectContinueTimeout: maxTransfer,
+		DisableCompression: true, ExpectContinueTimeout: maxTransfer, MaxResponseHeaderBytes: maxHopHeaderBytes,
 	}
 }
 
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -24,8 +24,8 @@
 	maxTransfer       = config.MaxTimeout + 10*time.Second // time to transfer one request or response
 	serverIdleTimeout = 180 * time.Second
 	clientIdleTimeout = 60 * time.Second
-	maxHeaderBytes    = 64 << 10 // header of a caller's request
-	maxHopHeaderBytes = maxHeaderBytes + 8<<10
+	maxHeaderBytes    = 64 << 10               // header of a caller's request
+	maxHopHeaderBytes = maxHeaderBytes + 8<<10 // header of a request from another node, or of a response
 )
 
 // Limits of the client side.
