Count the time of a run and the wait for the link once

What callers saw: downloads refused for the link at a gate whose link was half idle.

Cause: the gate added the run time to the wait for the link. Both go on at once: while an attempt runs, the link sends earlier answers. The slower the backend server, the fewer attempts were let in; one whose run takes about the target latency got one at a time, with the link idle during its run.

Change: the estimate follows each answer from its run's expected end over the link. An answer that not even an idle link could send by the target gets bandwidth that would be unused: behind at most one that is ready before it.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -99,6 +99,7 @@
 	Deadline   time.Time
 	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
 	arrived    time.Time
+	started    time.Time // start of its run
 }
 
 // Queue holds the running and waiting attempts of one backend server.
@@ -157,6 +158,7 @@
 	case !q.linkHasRoom(now, a):
 		return Decision{Reason: LinkFull}
 	case q.canStart(a.Class) && q.startsNext(a.Class):
+		a.started = now
 		q.running = append(q.running, a)
 		return Decision{Run: true}
 	}
@@ -272,6 +274,7 @@
 			continue
 		}
 		q.countBypassed(c)
+		w.started = now
 		q.running = append(q.running, w)
 		q.started = append(q.started, w)
 	}
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -11,6 +11,10 @@
 // determines how many answers arrive in time.
 const largeAnswerBytes = 32 << 10
 
+// passedTarget is the largest rest of the time until its target that an attempt may
+// have whose target has passed: a node reports at least a microsecond.
+const passedTarget = time.Microsecond
+
 // SetLink sets the state of the host's network link for the next arrivals. While its
 // rate is unknown, no attempt is refused because of the link.
 func (q *Queue) SetLink(l uplink.Load) { q.link = l }
@@ -26,38 +30,62 @@
 
 // linkHasRoom reports whether the answer of an attempt can be sent by its
 // deadline and by its target time. An answer that misses its target time would
-// use bandwidth at the expense of answers that could still meet theirs. If the
-// link is idle and no large answers are expected, the attempt is admitted in any
-// case, since the bandwidth is unused.
+// use bandwidth at the expense of answers that could still meet theirs. It is let
+// in only where they would leave the link idle: if no large answers are expected, or,
+// if not even an idle link could send it in time, behind at most one that is ready
+// before it.
 func (q *Queue) linkHasRoom(now time.Time, w Attempt) bool {
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
 		return true
 	}
-	ahead := q.LinkWait()
-	if ahead == 0 {
+	free := q.linkFreeAt(now)
+	if !free.After(now) {
+		return true
+	}
+	ready := now.Add(q.avgRunTime[w.Class])
+	sent, soonest := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
+	switch {
+	case !sent.Before(w.Deadline):
+		return false
+	case w.TargetTime.IsZero() || sent.Before(w.TargetTime):
 		return true
+	case w.TargetTime.Sub(now) <= passedTarget || soonest.Before(w.TargetTime):
+		return false
 	}
-	out := now.Add(ahead + q.avgRunTime[w.Class] + q.transferTime(q.avgBytes[w.Class]))
-	return out.Before(w.Deadline) && (w.TargetTime.IsZero() || out.Before(w.TargetTime))
+	return !free.After(soonest)
 }
 
 // LinkWait returns the expected time until the link has sent the large answers that
 // are ready and those of all attempts that run or wait.
-func (q *Queue) LinkWait() time.Duration {
-	return q.transferTime(float64(q.link.Backlog) + q.pendingBytes())
-}
+func (q *Queue) LinkWait(now time.Time) time.Duration { return q.linkFreeAt(now).Sub(now) }
 
-// pendingBytes returns the expected size of the large answers of the attempts that
-// are running or waiting.
-func (q *Queue) pendingBytes() float64 {
-	var bytes float64
+// linkFreeAt returns the time at which LinkWait ends. While an attempt runs, the link
+// sends the answers of those before it.
+func (q *Queue) linkFreeAt(now time.Time) time.Time {
+	free := now.Add(q.transferTime(float64(q.link.Backlog)))
 	for i := range q.running {
-		bytes += q.largeAnswerSize(q.running[i].Class)
+		w := &q.running[i]
+		free = q.sentAt(free, w.started.Add(q.avgRunTime[w.Class]), w.Class)
 	}
 	for c := range numClasses {
-		bytes += q.largeAnswerSize(c) * float64(q.waiting[c].len())
+		for range q.waiting[c].len() {
+			free = q.sentAt(free, now.Add(q.avgRunTime[c]), c)
+		}
+	}
+	return free
+}
+
+// sentAt returns when the link has sent an answer of a class that is ready at a given
+// time, if the link is free from another time on.
+func (q *Queue) sentAt(free, ready time.Time, c Class) time.Time {
+	bytes := q.largeAnswerSize(c)
+	if bytes == 0 {
+		return free
+	}
+	if ready.After(free) {
+		free = ready
 	}
-	return bytes
+	return free.Add(q.transferTime(bytes))
 }
 
 // largeAnswerSize returns the average answer size of a class with large answers.
--- a/core/admit.go
+++ b/core/admit.go
@@ -146,7 +146,7 @@
 	running, waiting := s.backend.queue.Load()
 	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
 		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
-		Attr{"linkMillis", s.backend.queue.LinkWait().Milliseconds()},
+		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()},
 		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heartbeat.Backend})
 	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
