Let the gate count the time that the entry node's link takes for an answer

What callers saw: of the downloads that were served two in three were late: let in as in time by the gate, and sent by it in time.

Cause: the gate took an answer for delivered once it had left its own link. The entry node sends it on over a link of the same kind, which takes as long again, more if it is busy.

Change: an attempt carries the state of the entry node's link (Agatekeel-Relay-Link: backlog and rate), and the gate adds the relay to its estimate. Tried and not kept: the entry node shortens the target by the size it has seen; an entry node sees a download in nine seconds, so that those who knew were refused for those who did not.

TestLinkAdmission has three cases for it (failing before: the field did not exist), TestHopHeaderCarriesRelayLink the header.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -97,7 +97,8 @@
 	Request    string // ID of the caller's request, for the log
 	Class      Class
 	Deadline   time.Time
-	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
+	TargetTime time.Time   // time at which the answer meets the request's target latency; zero: no target
+	Relay      uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
 	arrived    time.Time
 	started    time.Time // start of its run
 }
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -20,19 +20,19 @@
 func (q *Queue) SetLink(l uplink.Load) { q.link = l }
 
 // transferTime returns the time that it takes to send a number of bytes of large
-// answers.
-func (q *Queue) transferTime(bytes float64) time.Duration {
-	if q.link.Rate == 0 {
+// answers over a link, zero if its rate is unknown.
+func transferTime(l uplink.Load, bytes float64) time.Duration {
+	if l.Rate == 0 {
 		return 0
 	}
-	return time.Duration(bytes / q.link.Rate * float64(time.Second))
+	return time.Duration(bytes / l.Rate * float64(time.Second))
 }
 
-// linkHasRoom reports whether the answer of an attempt can be sent by its
-// deadline and by its target time. An answer that misses its target time would
+// linkHasRoom reports whether the answer of an attempt can be sent, and relayed by
+// the entry node, by its deadline and by its target time. An answer that misses its target time would
 // use bandwidth at the expense of answers that could still meet theirs. It is let
 // in only where they would leave the link idle: if no large answers are expected, or,
-// if not even an idle link could send it in time, behind at most one that is ready
+// if not even idle links could send it in time, behind at most one that is ready
 // before it.
 func (q *Queue) linkHasRoom(now time.Time, w Attempt) bool {
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
@@ -43,18 +43,28 @@
 		return true
 	}
 	ready := now.Add(q.avgRunTime[w.Class])
-	sent, soonest := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
+	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
+	relayFree := now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
+	delivered := later(q.sentAt(free, ready, w.Class), relayFree).Add(relayTime)
+	soonest := q.sentAt(ready, ready, w.Class)
 	switch {
-	case !sent.Before(w.Deadline):
+	case !delivered.Before(w.Deadline):
 		return false
-	case w.TargetTime.IsZero() || sent.Before(w.TargetTime):
+	case w.TargetTime.IsZero() || delivered.Before(w.TargetTime):
 		return true
-	case w.TargetTime.Sub(now) <= passedTarget || soonest.Before(w.TargetTime):
+	case w.TargetTime.Sub(now) <= passedTarget || soonest.Add(relayTime).Before(w.TargetTime):
 		return false
 	}
 	return !free.After(soonest)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // LinkWait returns the expected time until the link has sent the large answers that
 // are ready and those of all attempts that run or wait.
 func (q *Queue) LinkWait(now time.Time) time.Duration { return q.linkFreeAt(now).Sub(now) }
@@ -62,7 +72,7 @@
 // linkFreeAt returns the time at which LinkWait ends. While an attempt runs, the link
 // sends the answers of those before it.
 func (q *Queue) linkFreeAt(now time.Time) time.Time {
-	free := now.Add(q.transferTime(float64(q.link.Backlog)))
+	free := now.Add(transferTime(q.link, float64(q.link.Backlog)))
 	for i := range q.running {
 		w := &q.running[i]
 		free = q.sentAt(free, w.started.Add(q.avgRunTime[w.Class]), w.Class)
@@ -82,10 +92,7 @@
 	if bytes == 0 {
 		return free
 	}
-	if ready.After(free) {
-		free = ready
-	}
-	return free.Add(q.transferTime(bytes))
+	return later(free, ready).Add(transferTime(q.link, bytes))
 }
 
 // largeAnswerSize returns the average answer size of a class with large answers.
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -171,17 +171,21 @@
 		name          string
 		rate          float64
 		busy          int64         // bytes waiting to be sent over the link
+		relay         uplink.Load   // state of the entry node's link
 		targetLatency time.Duration // zero: none
 		left          time.Duration // time until the deadline
 		reason        admission.Reason
 	}{
-		{"idle link, target passed", linkBytes, 0, 1, 6 * time.Second, admission.Admitted},
-		{"busy link, target passed", linkBytes, largeBytes, 1, 6 * time.Second, admission.LinkFull},
-		{"in time", linkBytes, largeBytes, time.Second, 6 * time.Second, admission.Admitted},
-		{"not in time", linkBytes, 4 * largeBytes, time.Second, 6 * time.Second, admission.LinkFull},
-		{"no target", linkBytes, 4 * largeBytes, 0, 6 * time.Second, admission.Admitted},
-		{"not in time for the deadline", linkBytes, 4 * largeBytes, 0, time.Second, admission.LinkFull},
-		{"unknown rate", 0, 400 * largeBytes, time.Second, time.Second, admission.Admitted},
+		{"idle link, target passed", linkBytes, 0, uplink.Load{}, 1, 6 * time.Second, admission.Admitted},
+		{"busy link, target passed", linkBytes, largeBytes, uplink.Load{}, 1, 6 * time.Second, admission.LinkFull},
+		{"in time", linkBytes, largeBytes, uplink.Load{}, time.Second, 6 * time.Second, admission.Admitted},
+		{"not in time", linkBytes, 4 * largeBytes, uplink.Load{}, time.Second, 6 * time.Second, admission.LinkFull},
+		{"no target", linkBytes, 4 * largeBytes, uplink.Load{}, 0, 6 * time.Second, admission.Admitted},
+		{"not in time for the deadline", linkBytes, 4 * largeBytes, uplink.Load{}, 0, time.Second, admission.LinkFull},
+		{"in time for the entry node only", linkBytes, 2 * largeBytes, uplink.Load{Rate: linkBytes / 2}, time.Second, 6 * time.Second, admission.LinkFull},
+		{"in time for the caller", linkBytes, 2 * largeBytes, uplink.Load{Rate: 2 * linkBytes}, time.Second, 6 * time.Second, admission.Admitted},
+		{"entry node's link is busy", linkBytes, largeBytes, uplink.Load{Rate: 2 * linkBytes, Backlog: 10 * largeBytes}, time.Second, 6 * time.Second, admission.LinkFull},
+		{"unknown rate", 0, 400 * largeBytes, uplink.Load{}, time.Second, time.Second, admission.Admitted},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -194,7 +198,7 @@
 				now = now.Add(time.Minute)
 			}
 			q.SetLink(uplink.Load{Backlog: tt.busy, Rate: tt.rate})
-			w := admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(tt.left)}
+			w := admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(tt.left), Relay: tt.relay}
 			if tt.targetLatency > 0 {
 				w.TargetTime = now.Add(tt.targetLatency)
 			}
--- a/core/admit.go
+++ b/core/admit.go
@@ -82,7 +82,7 @@
 		return false, admission.KeysFull
 	}
 	b.queue.SetLink(e.Link)
-	d := b.queue.Arrive(s.now, admission.Attempt{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget), TargetTime: s.softDeadline(e.SoftBudget)})
+	d := b.queue.Arrive(s.now, admission.Attempt{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget), TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay})
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, admission.QueueFull)
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -164,6 +164,7 @@
 	ForIncarnation endpoint.Incarnation
 	Key            idempotency.Key
 	Link           uplink.Load // state of the host's network link
+	Relay          uplink.Load // state of the network link of the entry node's host; zero: it is this host, or unknown
 }
 
 // AttemptDone reports that an attempt that ran has ended.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -99,6 +99,7 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
+	h.relay = c.proxy.link.load()
 	h.set(out.Header)
 	set(out.Header, c.proxy.cfg.Names.Service, c.proxy.cfg.Service)
 	if c.body.streams() {
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -11,6 +11,7 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Headers between nodes, callers and backend servers. In requests of callers
@@ -36,6 +37,7 @@
 	headerPrefix      = "Agatekeel-"
 	headerHop         = "Agatekeel-Hop"           // encoded hopHeader
 	headerSoftBudget  = "Agatekeel-Wanted-Micros" // soft budget of an attempt
+	headerRelay       = "Agatekeel-Relay-Link"    // state of the entry node's network link: backlog in bytes, bytes per second
 	headerAttempt     = "Agatekeel-Attempt"       // attempt that a response belongs to
 	headerArrived     = "Agatekeel-Arrived"       // set if the backend server may have received the attempt
 	headerQueue       = "Agatekeel-Queue"         // number of attempts that wait at the node that responds
@@ -90,6 +92,7 @@
 	depth       int
 	incarnation endpoint.Incarnation // incarnation of the receiving node; zero: unknown
 	key         idempotency.Key      // zero: none
+	relay       uplink.Load          // state of the entry node's network link; sent in a separate header, which older nodes ignore
 	entry       bool                 // this node is the entry node; not sent
 }
 
@@ -117,6 +120,9 @@
 		micros := (h.softBudget + time.Microsecond - 1) / time.Microsecond // rounded up: zero would mean that none is set
 		to[headerSoftBudget] = []string{strconv.FormatInt(int64(micros), 10)}
 	}
+	if h.relay.Rate > 0 {
+		to[headerRelay] = []string{formatLoad(h.relay)}
+	}
 }
 
 // readHop parses the headers that set adds.
@@ -126,11 +132,30 @@
 		return h, err
 	}
 	if value := from.Get(headerSoftBudget); value != "" {
-		h.softBudget, err = parseMicros(headerSoftBudget, value)
+		if h.softBudget, err = parseMicros(headerSoftBudget, value); err != nil {
+			return h, err
+		}
+	}
+	if value := from.Get(headerRelay); value != "" {
+		h.relay, err = parseLoad(headerRelay, value)
 	}
 	return h, err
 }
 
+func formatLoad(l uplink.Load) string {
+	return strconv.FormatInt(l.Backlog, 10) + " " + strconv.FormatInt(max(int64(l.Rate), 1), 10)
+}
+
+func parseLoad(name, s string) (uplink.Load, error) {
+	backlog, rate, _ := strings.Cut(s, " ")
+	b, err := strconv.ParseInt(backlog, 10, 64)
+	r, err2 := strconv.ParseInt(rate, 10, 64)
+	if err != nil || err2 != nil || b < 0 || r <= 0 {
+		return uplink.Load{}, fmt.Errorf("header %s: %q is not a number of bytes and a rate", name, s)
+	}
+	return uplink.Load{Backlog: b, Rate: float64(r)}, nil
+}
+
 func parseMicros(name, s string) (time.Duration, error) {
 	micros, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
--- a/proxy/header_test.go
+++ b/proxy/header_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // TestHopHeaderCarriesSoftBudget checks that a soft budget is never sent as
@@ -42,3 +43,35 @@
 		})
 	}
 }
+
+// TestHopHeaderCarriesRelayLink checks that the state of the entry node's link reaches
+// the other node, and that an invalid one is refused.
+func TestHopHeaderCarriesRelayLink(t *testing.T) {
+	known := uplink.Load{Backlog: 280_000, Rate: 1_187_500}
+	tests := []struct {
+		name   string
+		sent   uplink.Load
+		header string
+		fails  bool
+	}{
+		{"known", known, "280000 1187500", false},
+		{"not known", uplink.Load{}, "", false},
+		{"no rate", uplink.Load{}, "280000", true},
+		{"negative", uplink.Load{}, "-1 1187500", true},
+		{"rate of zero", uplink.Load{}, "1 0", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			headers := http.Header{}
+			hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second, relay: tt.sent}.set(headers)
+			if tt.fails {
+				headers.Set(headerRelay, tt.header)
+			}
+			is.Equal(headers.Get(headerRelay), tt.header)
+			got, err := readHop(headers)
+			is.Equal(err != nil, tt.fails)
+			is.Equal(got.relay, tt.sent)
+		})
+	}
+}
