Inject a replay by the transport where it always shows

The fault "replayed by the transport" was looked for in six random histories.

The check is the same (a request that may run once ran more often). The history is directed: one request to have a connection, then one whose answer is dropped.

--- a/proxy/history_test.go
+++ b/proxy/history_test.go
@@ -331,7 +331,6 @@
 		{"unknown reported as not-run, by the model", proxy.Faults{ReportsUnknownAsNotRun: true}, notLinearizable},
 		{"sent again after unknown", proxy.Faults{ResendsUnknown: true}, ranTwice},
 		{"truncated response ended without an error", proxy.Faults{HidesTruncation: true}, truncated},
-		{"replayed by the transport", proxy.Faults{TransportReplays: true}, ranTwice},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var got []violation
@@ -346,6 +345,29 @@
 	}
 }
 
+// TestReplayByTheTransportIsDetected drops the answer to a request that was sent over
+// a reused connection, which is when a transport would send it again by itself.
+func TestReplayByTheTransportIsDetected(t *testing.T) {
+	for _, faulty := range []bool{false, true} {
+		t.Run(fmt.Sprint("fault injected ", faulty), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, nil, "orders")
+			node := m.nodes[0]
+			node.proxy.InjectFaults(proxy.Faults{TransportReplays: faulty})
+			first := &request{id: m.id(), method: "GET", path: "/once", entry: node.callers, once: true}
+			second := &request{id: m.id(), method: "GET", path: "/once", entry: node.callers, once: true}
+			m.send(first)
+			node.backend.SetFault(func(r *http.Request) sample.Fault {
+				return sample.Fault{Drop: r.Header.Get(sample.HeaderID) == second.id}
+			})
+			m.send(second)
+			m.waitIdle()
+			is.Equal(slices.Contains(violations([]*request{first, second}, m.runs), ranTwice), faulty)
+			is.Equal(len(m.runs.ForID(first.id)), 1)
+		})
+	}
+}
+
 // faultyHistories is the number of histories in which an injected fault is
 // looked for. Some faults show only if a fault of a backend server coincides
 // with a reused connection, which happens at most twice in a history.
