Say why an attempt whose connection went silent failed

The watch filled in the error and not the reason.

TestLostAnswerIsReportedWithItsReason failed before (empty reason).

--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -238,3 +238,24 @@
 		})
 	}
 }
+
+// TestLostAnswerIsReportedWithItsReason loses the answer of a request on a connection
+// that goes silent. The caller and the log must be told why the request failed.
+func TestLostAnswerIsReportedWithItsReason(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	n := m.nodes[1]
+	n.backend.SetFault(func(*http.Request) sample.Fault { return sample.Fault{HangAfter: true} })
+	answered := make(chan *http.Response, 1)
+	go func() {
+		resp, _, _ := m.do(0, "POST", "/once", "x")
+		answered <- resp
+	}()
+	m.eventually("the request runs", func() bool { return n.backend.RunCount() == 1 })
+	n.hopListener.silence()
+	n.backend.Release()
+	resp := <-answered
+	is.True(resp != nil)
+	is.Equal(resp.Header.Get(proxy.HeaderOutcome), "unknown")
+	is.True(strings.Contains(resp.Header.Get(proxy.HeaderReason), "silent"))
+}
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -139,14 +139,12 @@
 	case err != nil || outcome == outcomeOpen:
 		s.unknownReplies = 0
 	case outcome == retry.NotRun.String():
-		s.failAttempt(&attemptError{outcome: retry.NotRun, reported: true, err: fmt.Errorf(
-			"node %s never received the request: the connection is silent", s.forward.Target)})
+		s.failAttempt(retry.NotRun, fmt.Errorf("node %s never received the request: the connection is silent", s.forward.Target))
 		return
 	default:
 		s.unknownReplies++
 		if s.unknownReplies >= maxUnknownReplies {
-			s.failAttempt(&attemptError{outcome: retry.Unknown, reported: true, err: fmt.Errorf(
-				"node %s has ended the request, its answer did not come: the connection is silent", s.forward.Target)})
+			s.failAttempt(retry.Unknown, fmt.Errorf("node %s has ended the request, its answer did not come: the connection is silent", s.forward.Target))
 			return
 		}
 	}
@@ -155,8 +153,8 @@
 
 // failAttempt cancels the attempt. Idle connections may be silent as well, so
 // all of them are closed.
-func (s *silenceWatch) failAttempt(e *attemptError) {
-	s.stopped, s.failure = true, e
+func (s *silenceWatch) failAttempt(outcome retry.Outcome, err error) {
+	s.stopped, s.failure = true, &attemptError{outcome: outcome, reported: true, reason: err.Error(), err: err}
 	s.cancel()
 	s.proxy.hop.CloseIdleConnections()
 }
