--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -29,11 +29,11 @@
 }
 
 // linkHasRoom reports whether the answer of an attempt can be sent, and relayed by
-// the entry node, by its deadline and by its target time. An answer that misses its target time would
-// use bandwidth at the expense of answers that could still meet theirs. It is let
-// in only where they would leave the link idle: if no large answers are expected, or,
-// if not even idle links could send it in time, behind at most one that is ready
-// before it.
+// the entry node, by its deadline and by its target time. An answer that misses its
+// target time would use bandwidth at the expense of answers that could still meet
+// theirs. It is let in only where they would leave the link idle: if no large answers
+// are expected, or, if not even idle links could send it in time, behind at most one
+// that is ready before it.
 func (q *Queue) linkHasRoom(now time.Time, w Attempt) bool {
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
 		return true
@@ -43,19 +43,19 @@
 		return true
 	}
 	ready := now.Add(q.avgRunTime[w.Class])
+	sent, soonestSent := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
 	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
 	relayFree := now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
-	delivered := later(q.sentAt(free, ready, w.Class), relayFree).Add(relayTime)
-	soonest := q.sentAt(ready, ready, w.Class)
+	delivered, soonest := later(sent, relayFree).Add(relayTime), soonestSent.Add(relayTime)
 	switch {
 	case !delivered.Before(w.Deadline):
 		return false
 	case w.TargetTime.IsZero() || delivered.Before(w.TargetTime):
 		return true
-	case w.TargetTime.Sub(now) <= passedTarget || soonest.Add(relayTime).Before(w.TargetTime):
+	case w.TargetTime.Sub(now) <= passedTarget || soonest.Before(w.TargetTime):
 		return false
 	}
-	return !free.After(soonest)
+	return !free.After(soonestSent)
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/admit.go
+++ b/core/admit.go
@@ -82,7 +82,10 @@
 		return false, admission.KeysFull
 	}
 	b.queue.SetLink(e.Link)
-	d := b.queue.Arrive(s.now, admission.Attempt{ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget), TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay})
+	d := b.queue.Arrive(s.now, admission.Attempt{
+		ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget),
+		TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay,
+	})
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, admission.QueueFull)
 	}
@@ -163,7 +166,8 @@
 	})
 	running, waiting := b.queue.Load()
 	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heartbeat.Backend},
-		Attr{"status", e.Status}, Attr{"cut", e.Truncated}, Attr{"refused", e.Refused}, Attr{"waitedMillis", waited.Milliseconds()}, Attr{"tookMillis", e.Took.Milliseconds()}, Attr{"bytes", e.Bytes},
+		Attr{"status", e.Status}, Attr{"cut", e.Truncated}, Attr{"refused", e.Refused},
+		Attr{"waitedMillis", waited.Milliseconds()}, Attr{"tookMillis", e.Took.Milliseconds()}, Attr{"bytes", e.Bytes},
 		Attr{"running", running}, Attr{"waiting", waiting})
 	for _, w := range dropped {
 		s.dropWaiting(w, admission.TooLate)
--- a/proxy/transfer.go
+++ b/proxy/transfer.go
@@ -33,8 +33,8 @@
 	p.link.recordSent(n)
 }
 
-// bodyTransfer is the sending of a response's body over the host's network link. It
-// begins with the first part that makes the response a large one.
+// bodyTransfer is the sending of a response's body. It takes part in the scheduling of
+// the host's network link from the part on that makes the response a large one.
 type bodyTransfer struct {
 	proxy    *Proxy
 	declared int64 // declared length of the body, -1: not declared
@@ -45,32 +45,32 @@
 
 // becomesLarge reports whether a response is large from the next part on, which has n
 // bytes: because of its declared length, or of what was passed on so far.
-func (l *bodyTransfer) becomesLarge(n int) bool {
-	return l.transfer == nil && max(l.declared, l.passedOn+int64(n)) > largeResponseBytes
+func (b *bodyTransfer) becomesLarge(n int) bool {
+	return b.transfer == nil && max(b.declared, b.passedOn+int64(n)) > largeResponseBytes
 }
 
 // awaitLink waits until a part of n bytes may be sent.
-func (l *bodyTransfer) awaitLink(ctx context.Context, n int) error {
-	if l.becomesLarge(n) {
-		l.transfer = l.proxy.link.begin()
+func (b *bodyTransfer) awaitLink(ctx context.Context, n int) error {
+	if b.becomesLarge(n) {
+		b.transfer = b.proxy.link.begin()
 	}
-	if l.transfer == nil {
+	if b.transfer == nil {
 		return nil
 	}
-	l.proxy.sent.large.Inc(int64(n))
-	return l.proxy.link.wait(ctx, l.transfer, n, l.left(n))
+	b.proxy.sent.large.Inc(int64(n))
+	return b.proxy.link.wait(ctx, b.transfer, n, b.left(n))
 }
 
 // left returns how many bytes are known to be left to send, with n of them at hand.
-func (l *bodyTransfer) left(n int) int64 {
-	if ahead, ok := l.body.(interface{ buffered() int }); ok && l.declared < 0 {
+func (b *bodyTransfer) left(n int) int64 {
+	if ahead, ok := b.body.(interface{ buffered() int }); ok && b.declared < 0 {
 		return int64(n + ahead.buffered())
 	}
-	return max(l.declared-l.passedOn, int64(n))
+	return max(b.declared-b.passedOn, int64(n))
 }
 
-func (l *bodyTransfer) end() {
-	if l.transfer != nil {
-		l.proxy.link.end(l.transfer)
+func (b *bodyTransfer) end() {
+	if b.transfer != nil {
+		b.proxy.link.end(b.transfer)
 	}
 }
