Let no large answer keep the link for longer than a second

A backend server in trouble may send without end. First come, first served would give such an answer the whole link of its host, and of the entry node's, until its deadline, with every other large answer waiting behind it; and its declared length, as backlog, would have all others refused.

Change: an answer that has taken the link for a second goes behind those that wait, and counts in the backlog with what it may send in such a turn. At 10 Mbit/s that is 1.2 MB; the users' downloads are 280 kB on average, 1.7 MB at most.

TestEndlessTransferDoesNotBlockOthers failed before (nothing for ten seconds).

--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -14,6 +14,9 @@
 const PieceBytes = 16 << 10
 
 const (
+	// maxTurn is the time for which the link sends one response before another one
+	// that waits gets its turn: a response may be without end.
+	maxTurn = time.Second
 	// maxDebt limits the time for which large responses wait after many short ones.
 	maxDebt = time.Second
 	// stalledAfter is the time after its last grant from which a transfer that has
@@ -29,19 +32,20 @@
 
 // Load is the state of the link as it matters to another large response.
 type Load struct {
-	Backlog int64   // bytes of large responses that are ready and not sent
+	Backlog int64   // bytes of large responses that are ready and not sent, of each at most what it may send in its turn
 	Rate    float64 // bytes per second that large responses get; zero: unknown
 }
 
 // Scheduler decides when large responses may be sent: those that began first before
-// later ones, except that a transfer whose receiver is slow does not hold up the
-// others. It performs no I/O, and the time is passed to it.
+// later ones, except that one whose receiver is slow does not hold up the others, and
+// one that has taken the link for maxTurn goes behind them. It performs no I/O, and the
+// time is passed to it.
 type Scheduler struct {
 	rate      float64 // bytes per second; zero: unknown, nothing waits
 	credit    float64 // bytes that may be sent now; negative: more was sent than the link carries
 	prepaid   float64 // bytes that were granted and have not been recorded as sent
 	refilled  time.Time
-	transfers []*Transfer // in the order in which they began
+	transfers []*Transfer // in the order in which they are sent
 	others    float64     // bytes of everything but large responses, decayed over othersWindow
 }
 
@@ -49,6 +53,7 @@
 type Transfer struct {
 	left      int64 // bytes that are not sent yet, as far as known
 	wants     int   // bytes of the piece that waits to be sent; zero: none
+	turn      int64 // bytes granted since it was put behind the others
 	grantedAt time.Time
 }
 
@@ -112,9 +117,21 @@
 	s.credit -= float64(n)
 	s.prepaid = min(s.prepaid+float64(n), float64(len(s.transfers)*PieceBytes)) // a piece may be given up after its grant
 	t.wants, t.left, t.grantedAt = 0, t.left-int64(n), now
+	s.countTurn(t, n)
 	return t, 0
 }
 
+// countTurn puts a transfer behind the others once it has taken the link for maxTurn.
+func (s *Scheduler) countTurn(t *Transfer, n int) {
+	t.turn += int64(n)
+	if float64(t.turn) < s.rate*maxTurn.Seconds() {
+		return
+	}
+	t.turn = 0
+	s.End(t)
+	s.transfers = append(s.transfers, t)
+}
+
 func (s *Scheduler) firstWaiting() *Transfer {
 	for _, t := range s.transfers {
 		if t.wants > 0 {
@@ -130,7 +147,7 @@
 	l := Load{Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
 	for _, t := range s.transfers {
 		if t.wants > 0 || now.Sub(t.grantedAt) < stalledAfter {
-			l.Backlog += t.left
+			l.Backlog += min(t.left, int64(s.rate*maxTurn.Seconds()))
 		}
 	}
 	return l
--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -167,3 +167,34 @@
 	is.True(0.78*linkBytes < rate && rate < 0.82*linkBytes)
 	is.Equal(uplink.NewScheduler(0).Load(now).Rate, 0.0) // unknown
 }
+
+// TestEndlessTransferDoesNotBlockOthers sends a response that does not end, and others
+// that begin after it. They must not wait until it is given up.
+func TestEndlessTransferDoesNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	began := now
+	s := uplink.NewScheduler(linkBytes)
+	endless, other := s.Begin(), s.Begin()
+	s.Want(endless, uplink.PieceBytes, 1<<40)
+	s.Want(other, uplink.PieceBytes, 10*uplink.PieceBytes)
+	is.True(s.Load(now).Backlog < 2*linkBytes) // what another response would have to wait for
+	for left := 10; left > 0; {
+		granted, wait := s.Grant(now)
+		if granted == nil {
+			now = now.Add(wait)
+			continue
+		}
+		s.Sent(now, uplink.PieceBytes)
+		if granted == other {
+			left--
+			s.Want(other, uplink.PieceBytes, int64(left)*uplink.PieceBytes)
+		} else {
+			s.Want(endless, uplink.PieceBytes, 1<<40)
+		}
+		if now.Sub(began) > 10*time.Second {
+			t.Fatal("the other response got nothing for ten seconds")
+		}
+	}
+	is.True(now.Sub(began) < 2*time.Second)
+}
