Keep the limit of requests that a backend server names

Cause: nobody read the limit.

The node beside the backend server is the one place that every request passes, calls and repeats too, so it keeps the limit, by a token bucket of one second. An attempt takes a token as it starts; one that waits for a slot has one reserved. What has no token is refused at once, a part of the bucket is kept for more urgent classes, and an urgent attempt takes the place of a waiting one that is less so. The used part of the bucket counts as queue, so entry nodes use each backend server up to its limit before they are refused. Entry nodes remember what a backend server said and bring it along, so a node that was restarted keeps the limit before its first answer. An answer that names none ends it.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -34,6 +34,7 @@
 const (
 	Admitted         Reason = ""
 	QueueFull        Reason = "queue full"
+	RateLimited      Reason = "the limit of requests that the backend server named leaves no room"
 	LinkFull         Reason = "the host's link has no room for the answer in time"
 	TooLate          Reason = "deadline would pass before it could finish"
 	NotServing       Reason = "backend server takes no new requests"
@@ -116,6 +117,7 @@
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
+	rate          rate                      // limit on starts
 	link          uplink.Load               // state of the host's network link, as last reported
 	emptyAt       time.Time                 // when the queue was last empty
 	started       []Attempt                 // returned by startWaiting; reused by the next call
@@ -130,6 +132,7 @@
 	noWaitLimit bool // no attempt is dropped because of its wait
 	overCommit  bool // one more attempt runs than there are slots
 	linkIgnored bool // link capacity is not checked
+	rateIgnored bool // the rate limit is not checked
 }
 
 // New returns an empty Queue.
@@ -141,9 +144,10 @@
 
 // Decision is the result of an arrival.
 type Decision struct {
-	Run     bool      // the attempt starts now; if false and it is admitted, it waits
-	Reason  Reason    // Admitted for an attempt that starts or waits
-	Evicted []Attempt // less urgent attempts removed from the queue for this one
+	Run      bool      // the attempt starts now; if false and it is admitted, it waits
+	Reason   Reason    // Admitted for an attempt that starts or waits
+	Evicted  []Attempt // less urgent attempts removed from the queue for this one
+	EvictFor Reason    // why they were removed
 }
 
 // Arrive admits an attempt or refuses it. The slice Decision.Evicted is valid
@@ -156,12 +160,15 @@
 	switch {
 	case !now.Before(a.Deadline):
 		return Decision{Reason: TooLate}
+	case !q.rateHasRoom(now, a.Class):
+		return Decision{Reason: RateLimited}
 	case !q.linkHasRoom(now, a):
 		return Decision{Reason: LinkFull}
 	case q.canStart(a.Class) && q.startsNext(a.Class):
-		a.started = now
-		q.running = append(q.running, a)
-		return Decision{Run: true}
+		q.dropped = q.dropped[:0]
+		q.evictBeyondRate(1)
+		q.begin(now, a)
+		return Decision{Run: true, Evicted: q.dropped, EvictFor: RateLimited}
 	}
 	wait := q.expectedWait(a.Class)
 	switch {
@@ -174,9 +181,21 @@
 	if q.numWaiting >= q.cfg.MaxQueue && !q.evictFor(a.Class) {
 		return Decision{Reason: QueueFull}
 	}
+	reason := QueueFull
+	if len(q.dropped) == 0 {
+		q.evictBeyondRate(1)
+		reason = RateLimited
+	}
 	q.waiting[a.Class].push(a)
 	q.numWaiting++
-	return Decision{Evicted: q.dropped}
+	return Decision{Evicted: q.dropped, EvictFor: reason}
+}
+
+// begin starts an attempt.
+func (q *Queue) begin(now time.Time, a Attempt) {
+	q.takeToken()
+	a.started = now
+	q.running = append(q.running, a)
 }
 
 // canStart reports whether a slot is free for an attempt of a class.
@@ -275,8 +294,7 @@
 			continue
 		}
 		q.countBypassed(c)
-		w.started = now
-		q.running = append(q.running, w)
+		q.begin(now, w)
 		q.started = append(q.started, w)
 	}
 	if q.numWaiting == 0 {
--- a/core/admission/export_test.go
+++ b/core/admission/export_test.go
@@ -9,9 +9,13 @@
 	NoWaitLimit Fault = "no attempt dropped because of its wait"
 	OverCommit  Fault = "one more attempt running than slots"
 	LinkIgnored Fault = "link capacity not checked"
+	RateIgnored Fault = "rate limit not checked"
 )
 
 // InjectFault disables a safeguard.
 func (q *Queue) InjectFault(f Fault) {
-	q.fault = fault{noBypass: f == NoBypass, noWaitLimit: f == NoWaitLimit, overCommit: f == OverCommit, linkIgnored: f == LinkIgnored}
+	q.fault = fault{
+		noBypass: f == NoBypass, noWaitLimit: f == NoWaitLimit, overCommit: f == OverCommit,
+		linkIgnored: f == LinkIgnored, rateIgnored: f == RateIgnored,
+	}
 }
--- a/core/admit.go
+++ b/core/admit.go
@@ -28,6 +28,7 @@
 	unlimitedRetries    bool // retries have no budget
 	serveWhileDraining  bool // a draining backend server accepts new attempts
 	skipDrainWait       bool // a drain does not wait for requests in flight
+	forgetNotices       bool // a node ignores what others know of its backend server
 	retryNonIdempotent  bool // non-idempotent calls are retried after an unknown outcome
 }
 
@@ -85,12 +86,13 @@
 		return false, admission.KeysFull
 	}
 	b.queue.SetLink(e.Link)
+	s.noticeTold(e.Said, e.Request)
 	d := b.queue.Arrive(s.now, admission.Attempt{
 		ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget),
 		TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay,
 	})
 	for _, w := range d.Evicted {
-		s.dropWaiting(w, admission.QueueFull)
+		s.dropWaiting(w, d.EvictFor)
 	}
 	return d.Run, d.Reason
 }
@@ -152,7 +154,7 @@
 	running, waiting := s.backend.queue.Load()
 	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
 		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
-		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()},
+		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()}, Attr{"limitRoom", s.backend.queue.RateRoom(s.now)},
 		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heartbeat.Backend})
 	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
 }
@@ -207,9 +209,9 @@
 	s.refuseAttempt("", e.Attempt, admission.Cancelled, retry.NotRun)
 }
 
-// Waiting returns the number of attempts that wait for a slot of the local
-// backend server.
+// Waiting returns the length of the queue at the local backend server: the attempts
+// that wait for a slot, and more where a limit on its requests is nearly used up.
 func (s *State) Waiting() int {
 	_, waiting := s.backend.queue.Load()
-	return waiting
+	return waiting + s.backend.queue.RateQueue(s.now)
 }
--- a/core/announce.go
+++ b/core/announce.go
@@ -31,7 +31,8 @@
 	keys         *idempotency.Registry
 	heartbeat    BackendReported // newest one of the current instance
 	heartbeatAt  time.Time       // when it was received
-	notice       BackendNotice   // what the newest answer of this instance says of it
+	notice       BackendNotice   // what this instance says of itself
+	answered     bool            // this instance has answered this process
 }
 
 func newBackend(cfg Config) backend {
--- a/core/antientropy.go
+++ b/core/antientropy.go
@@ -190,4 +190,5 @@
 	}
 	s.member.collectedAt = s.now
 	s.table.Collect(s.now.Add(-s.cfg.TombstoneFor))
+	s.forgetGoneTargets()
 }
--- a/core/backend_heartbeat.go
+++ b/core/backend_heartbeat.go
@@ -18,6 +18,9 @@
 		return
 	}
 	b.heartbeat, b.heartbeatAt = e, s.now
+	if newInstance {
+		s.forgetNotice()
+	}
 	b.queue.SetSlots(e.Slots)
 	b.entry.Slots = e.Slots
 	if newInstance && !b.stopping {
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -72,6 +72,9 @@
 	OnSent func(f core.Forward)
 	// ReportedQueue, if set, replaces the queue length reported by an answer.
 	ReportedQueue func(node string, queue int) int
+	// Notice, if set, returns what the backend server of a node says of itself in an answer,
+	// without its instance.
+	Notice func(node string) core.BackendNotice
 	// BlackholedNode is the name of a node for which requests, and the answers to them, are
 	// dropped without notification.
 	BlackholedNode string
@@ -81,6 +84,13 @@
 	mesh     *Mesh
 	calls    map[core.CallID]*Call
 	attempts map[core.AttemptID]*attempt
+	notices  map[string]lastNotice // by node
+}
+
+// lastNotice is the notice in the last answer that a node got from its backend server.
+type lastNotice struct {
+	generation int // of the node
+	notice     core.BackendNotice
 }
 
 // NewTraffic attaches simulated traffic to a mesh.
@@ -88,7 +98,7 @@
 	t := &Traffic{
 		Faults:  TrafficFaults{Delay: time.Millisecond},
 		RunTime: func(string, *Call) time.Duration { return 5 * time.Millisecond },
-		mesh:    m, calls: map[core.CallID]*Call{}, attempts: map[core.AttemptID]*attempt{},
+		mesh:    m, calls: map[core.CallID]*Call{}, attempts: map[core.AttemptID]*attempt{}, notices: map[string]lastNotice{},
 	}
 	m.OnEffect = t.effect
 	return t
@@ -135,7 +145,7 @@
 	case core.Finish:
 		t.finish(e.Call, e.Outcome, e.Reason)
 	case core.Run:
-		t.run(n, e.Attempt)
+		t.run(n, e)
 	case core.Refuse:
 		t.refused(n, e)
 	case core.Drained:
@@ -246,7 +256,7 @@
 	f := a.forward
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
-		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key,
+		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
 	})
 }
 
@@ -276,21 +286,26 @@
 		queue = t.ReportedQueue(n.Name, queue)
 	}
 	t.deliver(func() {
-		t.end(a, core.AttemptEnded{Outcome: e.Outcome, Queue: queue, Reason: string(e.Reason)})
+		t.end(a, core.AttemptEnded{Outcome: e.Outcome, Queue: queue, Reason: string(e.Reason), Said: t.said(n)})
 	})
 }
 
 // run executes an attempt at the backend server. The execution continues if the node stops.
-func (t *Traffic) run(n *Node, id core.AttemptID) {
-	a := t.attempts[id]
+func (t *Traffic) run(n *Node, r core.Run) {
+	a := t.attempts[r.Attempt]
 	if !n.BackendUp {
 		gen := n.Generation
 		t.mesh.After(time.Millisecond, func() { t.backendRefused(n, gen, a) })
 		return
 	}
-	a.call.Runs = append(a.call.Runs, Run{Node: n.Name, Attempt: id, At: t.mesh.Now})
+	a.call.Runs = append(a.call.Runs, Run{Node: n.Name, Attempt: r.Attempt, At: t.mesh.Now})
 	gen, started := n.Generation, t.mesh.Now
-	done := func(answers bool) { t.runEnded(n, gen, a, started, answers) }
+	done := func(answers bool) {
+		if answers && n.Generation == gen {
+			t.notice(n, r)
+		}
+		t.runEnded(n, gen, a, started, answers)
+	}
 	if t.Nested != nil && t.Nested(n.Name, a.call, done) {
 		return
 	}
@@ -311,6 +326,25 @@
 	}
 }
 
+// notice passes to a node what its backend server says of itself in the answer to a run.
+func (t *Traffic) notice(n *Node, r core.Run) {
+	if t.Notice == nil {
+		return
+	}
+	said := t.Notice(n.Name)
+	said.Backend, said.StartMillis = r.Backend, r.StartMillis
+	t.notices[n.Name] = lastNotice{generation: n.Generation, notice: said}
+	t.mesh.step(n, n.Generation, core.BackendAnswered{BackendNotice: said})
+}
+
+// said returns what a node tells the senders of attempts about its backend server.
+func (t *Traffic) said(n *Node) core.BackendNotice {
+	if last := t.notices[n.Name]; last.generation == n.Generation && last.notice.SaysSomething() {
+		return last.notice
+	}
+	return core.BackendNotice{}
+}
+
 // runEnded ends a run. Without an answer, the entry node gets a broken connection.
 func (t *Traffic) runEnded(n *Node, gen int, a *attempt, started time.Time, answers bool) {
 	done := core.AttemptDone{Attempt: a.forward.Attempt, Took: t.mesh.Now.Sub(started), Status: answerStatus, Truncated: !answers}
@@ -326,6 +360,6 @@
 	if t.ReportedQueue != nil {
 		queue = t.ReportedQueue(n.Name, queue)
 	}
-	e := core.AttemptEnded{Outcome: retry.Ran, Queue: queue, AnswerStarted: true, Status: answerStatus}
+	e := core.AttemptEnded{Outcome: retry.Ran, Queue: queue, AnswerStarted: true, Status: answerStatus, Said: t.said(n)}
 	t.deliver(func() { t.end(a, e) })
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -88,7 +88,8 @@
 	Budget      time.Duration // time left until the call's deadline
 	SoftBudget  time.Duration // time left until the policy's target latency, at least 1 ns if that has passed; zero if the policy has none
 	Key         idempotency.Key
-	MayRetry    bool // another attempt may follow, as long as no part of an answer was sent to the caller
+	Said        BackendNotice // what the backend server said in the last answer from there
+	MayRetry    bool          // another attempt may follow, as long as no part of an answer was sent to the caller
 }
 
 // ReleaseAnswer sends the held answer to the caller, which ends the call.
--- a/core/event.go
+++ b/core/event.go
@@ -132,15 +132,16 @@
 	Call              CallID
 	Attempt           AttemptID
 	Outcome           retry.Outcome
-	Failed            bool  // counts against the endpoint's health
-	Queue             int   // queue length at the target, from the answer; -1 if not given
-	Bytes             int64 // size of the answer's body as far as it was passed on
-	AnswerStarted     bool  // part of the answer was already sent to the caller
-	AnswerHeld        bool  // the answer is a complete failure response that is held back until ReleaseAnswer or another Forward follows
-	ReachedBackend    bool  // the backend server may have seen the request, whether or not it ran it
-	ConnectionRefused bool  // Outcome is NotRun because the target's address refused the connection: no process listens there
-	BodyDiscarded     bool  // the request body can't be sent again
-	Status            int   // HTTP status of the answer; zero if unknown
+	Failed            bool          // counts against the endpoint's health
+	Queue             int           // queue length at the target, from the answer; -1 if not given
+	Bytes             int64         // size of the answer's body as far as it was passed on
+	AnswerStarted     bool          // part of the answer was already sent to the caller
+	AnswerHeld        bool          // the answer is a complete failure response that is held back until ReleaseAnswer or another Forward follows
+	ReachedBackend    bool          // the backend server may have seen the request, whether or not it ran it
+	ConnectionRefused bool          // Outcome is NotRun because the target's address refused the connection: no process listens there
+	BodyDiscarded     bool          // the request body can't be sent again
+	Said              BackendNotice // what the backend server says of itself, according to its node; the zero value if that did not tell
+	Status            int           // HTTP status of the answer; zero if unknown
 	Reason            string
 }
 
@@ -163,8 +164,9 @@
 	SoftBudget     time.Duration // as in Forward
 	ForIncarnation endpoint.Incarnation
 	Key            idempotency.Key
-	Link           uplink.Load // state of the host's network link
-	Relay          uplink.Load // state of the network link of the entry node's host; zero: it is this host, or unknown
+	Link           uplink.Load   // state of the host's network link
+	Relay          uplink.Load   // state of the network link of the entry node's host; zero: it is this host, or unknown
+	Said           BackendNotice // as in Forward
 }
 
 // AttemptDone reports that an attempt that ran has ended.
--- a/core/request.go
+++ b/core/request.go
@@ -20,6 +20,7 @@
 	calls       map[CallID]*call
 	freeCalls   []*call // for reuse
 	claims      claims
+	notices     map[string]BackendNotice // by target: what its backend server says of itself
 	lastAttempt uint64
 	origin      uint64 // random number of this process, part of every attempt ID
 }
@@ -57,9 +58,9 @@
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
 		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
-		budgets: map[string]*retry.Budget{},
-		claims:  claims{tokens: claimBurst},
-		origin:  uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
+		budgets: map[string]*retry.Budget{}, notices: map[string]BackendNotice{},
+		claims: claims{tokens: claimBurst},
+		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
 	}
 }
 
@@ -193,6 +194,7 @@
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
 		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), SoftBudget: c.softBudget(s.now), Key: c.homeKey(),
+		Said:     s.requests.notices[p.Row.ID],
 		MayRetry: c.replayable && c.idempotent(s) && c.backendAttempts+1 < c.route.Policy.MaxAttempts,
 	})
 }
@@ -283,6 +285,7 @@
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
 		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
 	}
+	s.learnNotice(c.target.Row.ID, e)
 	if e.ReachedBackend || e.Outcome != retry.NotRun {
 		c.backendAttempts++
 	}
--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -21,6 +21,7 @@
 	SkipDrainWait       RequestFault = "a drain does not wait for what is in flight"
 	ForgetKeys          RequestFault = "a node does not remember idempotency keys"
 	AcceptUnknownClaims RequestFault = "a claim with an unknown write result counts as held"
+	ForgetNotices       RequestFault = "a node ignores what others know of its backend server"
 	IgnoreClaims        RequestFault = "a claim of another request counts as held"
 )
 
@@ -31,7 +32,7 @@
 		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreIncarnation: f == IgnoreIncarnation,
 		copiesNotRun: f == CopiesNotRun, forgetUnknown: f == ForgetUnknown, retryNonIdempotent: f == RetryNonIdempotent,
 		unlimitedRetries: f == UnlimitedRetries, serveWhileDraining: f == ServeWhileDraining, skipDrainWait: f == SkipDrainWait,
-		forgetKeys: f == ForgetKeys, acceptUnknownClaims: f == AcceptUnknownClaims, ignoreClaims: f == IgnoreClaims,
+		forgetNotices: f == ForgetNotices, forgetKeys: f == ForgetKeys, acceptUnknownClaims: f == AcceptUnknownClaims, ignoreClaims: f == IgnoreClaims,
 	}
 }
 
--- /dev/null
+++ b/core/requests_limit_test.go
@@ -0,0 +1,147 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// What a backend server that names a limit gets at most, in any time of limitWindow:
+// limitFactor times the limit, and limitSlack requests.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// limitedMesh is a mesh under load whose backend servers send heartbeats, and some of
+// which name a limit in their answers.
+type limitedMesh struct {
+	*coretest.SteadyLoad
+	limits map[string]float64 // requests per second, by node
+}
+
+func newLimitedMesh(t *testing.T, seed uint64) *limitedMesh {
+	m := newMesh(seed, 3, 3)
+	for _, n := range m.Nodes() {
+		cfg := n.Config
+		cfg.Announced = true
+		m.Crash(n.Name)
+		m.Start(n.Name, cfg)
+		sendHeartbeats(m, n.Name, 1)
+	}
+	submitRoute(t, m, "s1", "/orders")
+	m.Run(20 * time.Second)
+	l := &limitedMesh{SteadyLoad: coretest.NewSteadyLoad(m, "/orders/1", 20*time.Millisecond), limits: map[string]float64{}}
+	l.Traffic.Notice = func(node string) core.BackendNotice {
+		limit, limited := l.limits[node]
+		return core.BackendNotice{Limited: limited, RateLimit: limit}
+	}
+	return l
+}
+
+// sendHeartbeats makes the backend server of a node send heartbeats.
+func sendHeartbeats(m *coretest.Mesh, node string, sequence uint64) {
+	m.Step(node, core.BackendReported{
+		Backend: "i-" + node, Service: "orders", StartMillis: 1, Sequence: sequence, State: endpoint.Ready, Slots: 6,
+	})
+	m.After(200*time.Millisecond, func() { sendHeartbeats(m, node, sequence+1) })
+}
+
+// runsAt returns when a node's backend server began the runs of calls that entered
+// elsewhere since a time.
+func (l *limitedMesh) runsAt(node string, since time.Time) (at []time.Time) {
+	for _, c := range l.Traffic.Calls {
+		for _, r := range c.Runs {
+			if r.Node == node && c.Entry != node && !r.At.Before(since) {
+				at = append(at, r.At)
+			}
+		}
+	}
+	return at
+}
+
+// servedSince returns the share of the calls since a time that were answered.
+func (l *limitedMesh) servedSince(since time.Time) float64 {
+	served, all := 0, 0
+	for _, c := range l.Traffic.Calls {
+		if c.Key != "" || c.Started.Before(since) || l.Now.Sub(c.Started) < time.Second || !l.Node(c.Entry).Alive {
+			continue // a call with a key has one backend server
+		}
+		all++
+		if c.Outcome == retry.Ran {
+			served++
+		}
+	}
+	return float64(served) / float64(all)
+}
+
+func mostRunsInWindow(at []time.Time) int {
+	most, first := 0, 0
+	for i := range at {
+		for at[i].Sub(at[first]) >= limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestBackendServerGetsMoreThanNamedLimit names limits at four of six backend servers
+// and ends them again.
+func TestBackendServerGetsMoreThanNamedLimit(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for seed := range uint64(3) {
+		l := newLimitedMesh(t, seed)
+		limited := map[string]float64{"a1": 30, "a2": 12, "b1": 20, "b2": 3}
+		for node, limit := range limited {
+			l.limits[node] = limit
+		}
+		l.Run(500 * time.Millisecond)
+		named := l.Now
+		l.Run(20 * time.Second)
+		for node, limit := range limited {
+			runs := l.runsAt(node, named)
+			t.Logf("seed %d, %s: %d of %.0f runs in %v", seed, node, mostRunsInWindow(runs), limit*limitWindow.Seconds(), limitWindow)
+			is.True(float64(mostRunsInWindow(runs)) <= limitFactor*limit*limitWindow.Seconds()+limitSlack)
+			is.True(float64(len(runs)) >= 0.5*20*limit) // it is still used
+		}
+		is.True(l.servedSince(named) > 0.999) // the others take the rest
+		clear(l.limits)
+		l.Run(2 * time.Second)
+		ended := l.Now
+		l.Run(5 * time.Second)
+		is.True(len(l.runsAt("b2", ended)) > 5*40) // as much as any
+	}
+}
+
+// TestRestartedNodeForgetsNamedLimit restarts the node beside a backend server that
+// names a limit, again and again.
+func TestRestartedNodeForgetsNamedLimit(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []core.RequestFault{"", core.ForgetNotices} {
+		t.Run(fmt.Sprintf("fault %q", fault), func(t *testing.T) {
+			is := is.New(t)
+			l := newLimitedMesh(t, 1)
+			const node, limit = "a1", 4.0
+			l.limits[node] = limit
+			l.Run(3 * time.Second)
+			named := l.Now
+			for range 12 {
+				l.Restart(node).State.InjectRequestFault(fault)
+				l.Run(700 * time.Millisecond)
+			}
+			most := mostRunsInWindow(l.runsAt(node, named))
+			t.Logf("%d runs in %v", most, limitWindow)
+			is.Equal(float64(most) <= limitFactor*limit*limitWindow.Seconds()+limitSlack, fault == "")
+		})
+	}
+}
--- a/node/observe.go
+++ b/node/observe.go
@@ -34,7 +34,7 @@
 const otherReason admission.Reason = "other"
 
 var reasonNames = map[admission.Reason]string{
-	admission.QueueFull: "queue-full", admission.LinkFull: "link-full", admission.TooLate: "too-late", admission.NotServing: "not-serving",
+	admission.QueueFull: "queue-full", admission.LinkFull: "link-full", admission.RateLimited: "rate-limited", admission.TooLate: "too-late", admission.NotServing: "not-serving",
 	admission.Cancelled: "cancelled", admission.DuplicateAttempt: "seen-before", admission.WrongIncarnation: "earlier-life",
 	admission.KeyUsed: "key-used", admission.KeysFull: "keys-full",
 	otherReason: "other",
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -37,7 +37,7 @@
 	failed := c.cancelUnknown(f, asAttemptError(err))
 	c.proxy.core.Step(core.AttemptEnded{
 		ReachedBackend: failed.arrived,
-		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1,
+		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1, Said: failed.said,
 		Status: failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
 		ConnectionRefused: failed.outcome == retry.NotRun && !failed.reported && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
@@ -54,7 +54,7 @@
 	ended := core.AttemptEnded{
 		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueLength(resp),
 		Status: resp.StatusCode, ReachedBackend: true,
-		Failed: resp.StatusCode >= http.StatusInternalServerError,
+		Failed: resp.StatusCode >= http.StatusInternalServerError, Said: saidIn(resp.Header),
 	}
 	if ended.Failed && f.MayRetry && c.holdResponse(resp) {
 		ended.AnswerStarted, ended.AnswerHeld = false, true
@@ -88,7 +88,7 @@
 // node's backend server. cancel cancels ctx.
 func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	h := hopHeader{
-		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key,
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said,
 	}
 	if f.Local {
 		h.entry = true
@@ -135,6 +135,7 @@
 func reportedError(f core.Forward, outcome string, resp *http.Response) *attemptError {
 	e := &attemptError{
 		outcome: retry.Unknown, reported: true, reason: resp.Header.Get(HeaderReason), arrived: resp.Header.Get(headerArrived) != "",
+		said: saidIn(resp.Header),
 	}
 	e.err = fmt.Errorf("node %s: %s", f.Target, e.reason)
 	switch outcome {
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -38,6 +38,7 @@
 	headerHop         = "Agatekeel-Hop"           // encoded hopHeader
 	headerSoftBudget  = "Agatekeel-Wanted-Micros" // soft budget of an attempt
 	headerRelay       = "Agatekeel-Relay-Link"    // state of the entry node's network link: backlog in bytes, bytes per second
+	headerSaid        = "Agatekeel-Backend-Says"  // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
 	headerAttempt     = "Agatekeel-Attempt"       // attempt that a response belongs to
 	headerArrived     = "Agatekeel-Arrived"       // set if the backend server may have received the attempt
 	headerQueue       = "Agatekeel-Queue"         // number of attempts that wait at the node that responds
@@ -93,6 +94,7 @@
 	incarnation endpoint.Incarnation // incarnation of the receiving node; zero: unknown
 	key         idempotency.Key      // zero: none
 	relay       uplink.Load          // state of the entry node's network link; sent in a separate header, which older nodes ignore
+	said        core.BackendNotice   // see core.Forward.Said; sent in a separate header, which older nodes ignore
 	entry       bool                 // this node is the entry node; not sent
 }
 
@@ -123,6 +125,7 @@
 	if h.relay.Rate > 0 {
 		to[headerRelay] = []string{formatLoad(h.relay)}
 	}
+	setNotice(to, h.said)
 }
 
 // readHop parses the headers that set adds.
@@ -137,8 +140,11 @@
 		}
 	}
 	if value := from.Get(headerRelay); value != "" {
-		h.relay, err = parseLoad(headerRelay, value)
+		if h.relay, err = parseLoad(headerRelay, value); err != nil {
+			return h, err
+		}
 	}
+	h.said, err = readSaid(from)
 	return h, err
 }
 
--- a/proxy/header_test.go
+++ b/proxy/header_test.go
@@ -75,3 +75,37 @@
 		})
 	}
 }
+
+// TestBackendNoticeCrossesTheHop checks that what a backend server says of itself is read
+// as it was sent, in both directions, and that an invalid header is refused.
+func TestBackendNoticeCrossesTheHop(t *testing.T) {
+	for _, sent := range []core.BackendNotice{
+		{},
+		{Backend: "i-1"}, // says nothing, so nothing is sent
+		{Backend: "i 1/%", StartMillis: -7, Limited: true, RateLimit: 41.52},
+		{Backend: "", Limited: true, RateLimit: 0},
+		{Backend: "i-1", StartMillis: 1_800_000_000_000, Leaving: true},
+		{Backend: "i-1", Limited: true, RateLimit: 1e-9, Leaving: true},
+	} {
+		is := is.New(t)
+		headers := http.Header{}
+		hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second, said: sent}.set(headers)
+		want := sent
+		if !sent.SaysSomething() {
+			want = core.BackendNotice{}
+		}
+		got, err := readHop(headers)
+		is.NoErr(err)
+		is.Equal(got.said, want)
+		is.Equal(saidIn(headers), want)
+	}
+	for _, text := range []string{"i-1", "i-1 x - true", "i-1 1 many true", "i-1 1 -4 true", "i-1 1 NaN true", "i-1 1 - perhaps", "%zz 1 - true"} {
+		is := is.New(t)
+		headers := http.Header{}
+		hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second}.set(headers)
+		headers.Set(headerSaid, text)
+		_, err := readHop(headers)
+		is.True(err != nil)
+		is.Equal(saidIn(headers), core.BackendNotice{})
+	}
+}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -31,6 +31,7 @@
 	defer cancel()
 	body.limitUpload(h.budget)
 	resp, err := p.runLocal(ctx, r, body, h)
+	setNotice(w.Header(), p.notices.current())
 	if err != nil {
 		failed := asAttemptError(err)
 		if failed.outcome == retry.Ran {
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -1,10 +1,13 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/agatekeel/agatekeel/core"
@@ -49,10 +52,86 @@
 		e.Limited, e.RateLimit = false, 0
 		return
 	}
-	limit, err := strconv.ParseFloat(text, 64)
-	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
-		e.Fault = fmt.Sprintf("header %s: %q is not a number of requests per second", n.RateLimit, text)
+	limit, err := parseRate(text)
+	if err != nil {
+		e.Fault = fmt.Sprintf("header %s: %v", n.RateLimit, err)
 		return
 	}
 	e.Limited, e.RateLimit = true, limit
 }
+
+// current returns what this node's backend server said last.
+func (n *notices) current() core.BackendNotice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.last == nil {
+		return core.BackendNotice{}
+	}
+	return n.last.BackendNotice
+}
+
+// noLimit stands for a limit that is not named in headerSaid.
+const noLimit = "-"
+
+// saidFields is the number of fields of headerSaid.
+const saidFields = 4
+
+// setNotice adds headerSaid to a header, if the notice says something: the instance's
+// ID and start, its limit, and whether it is leaving.
+func setNotice(h http.Header, n core.BackendNotice) {
+	if !n.SaysSomething() {
+		return
+	}
+	limit := noLimit
+	if n.Limited {
+		limit = strconv.FormatFloat(n.RateLimit, 'g', -1, 64)
+	}
+	h[headerSaid] = []string{strings.Join([]string{
+		url.QueryEscape(n.Backend), strconv.FormatInt(n.StartMillis, 10), limit, strconv.FormatBool(n.Leaving),
+	}, " ")}
+}
+
+// readSaid parses headerSaid. Without it the notice says nothing.
+func readSaid(h http.Header) (core.BackendNotice, error) {
+	text := h.Get(headerSaid)
+	if text == "" {
+		return core.BackendNotice{}, nil
+	}
+	fields := strings.Split(text, " ")
+	if len(fields) != saidFields {
+		return core.BackendNotice{}, fmt.Errorf("header %s: %q has not %d fields", headerSaid, text, saidFields)
+	}
+	backend, err := url.QueryUnescape(fields[0])
+	start, err2 := strconv.ParseInt(fields[1], 10, 64)
+	leaving, err3 := strconv.ParseBool(fields[3])
+	if err := errors.Join(err, err2, err3); err != nil {
+		return core.BackendNotice{}, fmt.Errorf("header %s: %q: %w", headerSaid, text, err)
+	}
+	n := core.BackendNotice{Backend: backend, StartMillis: start, Leaving: leaving}
+	if fields[2] == noLimit {
+		return n, nil
+	}
+	if n.RateLimit, err = parseRate(fields[2]); err != nil {
+		return core.BackendNotice{}, fmt.Errorf("header %s: %w", headerSaid, err)
+	}
+	n.Limited = true
+	return n, nil
+}
+
+// saidIn returns what the node that sent a response knows of its backend server. What
+// can't be read counts as nothing: the response itself is good.
+func saidIn(h http.Header) core.BackendNotice {
+	n, err := readSaid(h)
+	if err != nil {
+		return core.BackendNotice{}
+	}
+	return n
+}
+
+func parseRate(text string) (float64, error) {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return 0, fmt.Errorf("%q is not a number of requests per second", text)
+	}
+	return rate, nil
+}
