Tell entry nodes the queue in refusals too

Under a named limit callers were refused although another backend server had room: an entry node learns from answers how full a backend server is, a few times a second, and a refusal told nothing. Over a hop it has the queue now, as the simulated data path of core's tests always assumed, and a node knows that of its own backend server without a header.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -37,7 +37,7 @@
 	failed := c.cancelUnknown(f, asAttemptError(err))
 	c.proxy.core.Step(core.AttemptEnded{
 		ReachedBackend: failed.arrived,
-		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: -1, Said: failed.said,
+		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: c.queueAt(f, failed.header), Said: saidIn(failed.header),
 		Status: failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
 		ConnectionRefused: failed.outcome == retry.NotRun && !failed.reported && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
@@ -52,7 +52,7 @@
 func (c *call) respond(resp *http.Response, f core.Forward) {
 	defer func() { _ = resp.Body.Close() }()
 	ended := core.AttemptEnded{
-		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: queueLength(resp),
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Ran, AnswerStarted: true, Queue: c.queueAt(f, resp.Header),
 		Status: resp.StatusCode, ReachedBackend: true,
 		Failed: resp.StatusCode >= http.StatusInternalServerError, Said: saidIn(resp.Header),
 	}
@@ -75,10 +75,13 @@
 	}
 }
 
-// queueLength returns the number of attempts that wait at the node that sent a
-// response, or -1 if the response does not say.
-func queueLength(resp *http.Response) int {
-	if q, err := strconv.Atoi(resp.Header.Get(headerQueue)); err == nil {
+// queueAt returns the length of the queue at the target of an attempt after its end,
+// or -1 if the header of the target's response does not say.
+func (c *call) queueAt(f core.Forward, h http.Header) int {
+	if f.Local {
+		return c.proxy.core.Waiting()
+	}
+	if q, err := strconv.Atoi(get(h, headerQueue)); err == nil {
 		return q
 	}
 	return -1
@@ -135,7 +138,7 @@
 func reportedError(f core.Forward, outcome string, resp *http.Response) *attemptError {
 	e := &attemptError{
 		outcome: retry.Unknown, reported: true, reason: resp.Header.Get(HeaderReason), arrived: resp.Header.Get(headerArrived) != "",
-		said: saidIn(resp.Header),
+		header: resp.Header,
 	}
 	e.err = fmt.Errorf("node %s: %s", f.Target, e.reason)
 	switch outcome {
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -32,6 +32,7 @@
 	body.limitUpload(h.budget)
 	resp, err := p.runLocal(ctx, r, body, h)
 	setNotice(w.Header(), p.notices.current())
+	w.Header()[headerQueue] = []string{strconv.Itoa(p.core.Waiting())}
 	if err != nil {
 		failed := asAttemptError(err)
 		if failed.outcome == retry.Ran {
@@ -45,7 +46,6 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	w.Header()[headerQueue] = []string{strconv.Itoa(p.core.Waiting())}
 	if _, err := p.relayResponse(w, resp); err != nil && !p.injected.hidesTruncation {
 		abortResponse(w)
 	}
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -93,7 +93,7 @@
 
 // readSaid parses headerSaid. Without it the notice says nothing.
 func readSaid(h http.Header) (core.BackendNotice, error) {
-	text := h.Get(headerSaid)
+	text := get(h, headerSaid)
 	if text == "" {
 		return core.BackendNotice{}, nil
 	}
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -14,13 +14,13 @@
 // about it.
 type attemptError struct {
 	outcome  retry.Outcome
-	reported bool               // the receiving node reported the outcome, so it need not be asked
-	healthy  bool               // the failure does not count against the endpoint
-	arrived  bool               // the backend server may have received the request
-	reused   bool               // sent over a connection that had carried other requests
-	status   int                // status of the first response if outcome is Ran
-	reason   string             // reason that the receiving node gave
-	said     core.BackendNotice // what the receiving node knows of its backend server
+	reported bool        // the receiving node reported the outcome, so it need not be asked
+	healthy  bool        // the failure does not count against the endpoint
+	arrived  bool        // the backend server may have received the request
+	reused   bool        // sent over a connection that had carried other requests
+	status   int         // status of the first response if outcome is Ran
+	reason   string      // reason that the receiving node gave
+	header   http.Header // of the response in which the receiving node reported it; nil: none
 	err      error
 }
 
