Send nothing more to a backend server that says in an answer that it leaves

A backend server whose heartbeat came late, or whose node was restarted after it had left its list, got requests for as long as its heartbeats said that it was ready.

The node beside it begins the drain with the first such answer, as with a heartbeat that says so, and heartbeats of the same instance do not take it back. Entry nodes leave it out, and bring what they know along, so that a restarted node refuses before its backend server has answered it.

It showed one more fault while it was written: an attempt that brought the notice ran itself.

--- a/core/admit.go
+++ b/core/admit.go
@@ -79,6 +79,7 @@
 // admit decides on an attempt that was not seen before.
 func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
+	s.noticeTold(e.Said, e.Request)
 	switch {
 	case (b.draining || !b.entry.State.Serves()) && !s.requestFaults.serveWhileDraining:
 		return false, admission.NotServing
@@ -86,7 +87,6 @@
 		return false, admission.KeysFull
 	}
 	b.queue.SetLink(e.Link)
-	s.noticeTold(e.Said, e.Request)
 	d := b.queue.Arrive(s.now, admission.Attempt{
 		ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget),
 		TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay,
--- a/core/backendnotice.go
+++ b/core/backendnotice.go
@@ -75,7 +75,8 @@
 		Attr{"leaving", n.Leaving}, Attr{"toldBy", request}, Attr{"fault", fault})
 }
 
-// applyNotice puts a limit in force. If it is not the backend server's own answer
+// applyNotice puts a limit in force, and ends the service of an instance that is leaving.
+// Its heartbeats do not take that back. If it is not the backend server's own answer
 // that names it, requests may have run which this process does not know of, so it
 // begins with nothing saved up.
 func (s *State) applyNotice(n BackendNotice, own bool) {
@@ -85,6 +86,9 @@
 	for _, w := range b.queue.SetRateLimit(s.now, limit, own) {
 		s.dropWaiting(w, admission.RateLimited)
 	}
+	if n.Leaving {
+		s.beginDrain()
+	}
 }
 
 // forgetNotice drops what an instance of the backend server that has ended said.
--- a/core/request.go
+++ b/core/request.go
@@ -286,6 +286,9 @@
 		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
 	}
 	s.learnNotice(c.target.Row.ID, e)
+	if e.Said.Leaving {
+		s.requests.balancer.MarkLeaving(s.now, c.target)
+	}
 	if e.ReachedBackend || e.Outcome != retry.NotRun {
 		c.backendAttempts++
 	}
--- a/core/requests_limit_test.go
+++ b/core/requests_limit_test.go
@@ -21,38 +21,44 @@
 	limitSlack  = 5
 )
 
+// answerDelay is longer than an answer takes to its caller.
+const answerDelay = 2 * time.Millisecond
+
 // limitedMesh is a mesh under load whose backend servers send heartbeats, and some of
 // which name a limit in their answers.
 type limitedMesh struct {
 	*coretest.SteadyLoad
-	limits map[string]float64 // requests per second, by node
+	limits    map[string]float64 // requests per second, by node
+	leaving   map[string]bool    // by node
+	instances map[string]int64   // number of the current instance, by node
 }
 
 func newLimitedMesh(t *testing.T, seed uint64) *limitedMesh {
 	m := newMesh(seed, 3, 3)
+	l := &limitedMesh{limits: map[string]float64{}, instances: map[string]int64{}}
 	for _, n := range m.Nodes() {
 		cfg := n.Config
 		cfg.Announced = true
 		m.Crash(n.Name)
 		m.Start(n.Name, cfg)
-		sendHeartbeats(m, n.Name, 1)
+		l.sendHeartbeats(m, n.Name, 1)
 	}
 	submitRoute(t, m, "s1", "/orders")
 	m.Run(20 * time.Second)
-	l := &limitedMesh{SteadyLoad: coretest.NewSteadyLoad(m, "/orders/1", 20*time.Millisecond), limits: map[string]float64{}}
+	l.SteadyLoad = coretest.NewSteadyLoad(m, "/orders/1", 20*time.Millisecond)
 	l.Traffic.Notice = func(node string) core.BackendNotice {
 		limit, limited := l.limits[node]
-		return core.BackendNotice{Limited: limited, RateLimit: limit}
+		return core.BackendNotice{Limited: limited, RateLimit: limit, Leaving: l.leaving[node]}
 	}
 	return l
 }
 
 // sendHeartbeats makes the backend server of a node send heartbeats.
-func sendHeartbeats(m *coretest.Mesh, node string, sequence uint64) {
+func (l *limitedMesh) sendHeartbeats(m *coretest.Mesh, node string, sequence uint64) {
 	m.Step(node, core.BackendReported{
-		Backend: "i-" + node, Service: "orders", StartMillis: 1, Sequence: sequence, State: endpoint.Ready, Slots: 6,
+		Backend: "i-" + node, Service: "orders", StartMillis: 1 + l.instances[node], Sequence: sequence, State: endpoint.Ready, Slots: 6,
 	})
-	m.After(200*time.Millisecond, func() { sendHeartbeats(m, node, sequence+1) })
+	m.After(200*time.Millisecond, func() { l.sendHeartbeats(m, node, sequence+1) })
 }
 
 // runsAt returns when a node's backend server began the runs of calls that entered
@@ -68,6 +74,37 @@
 	return at
 }
 
+// toldAt returns when each entry node passed on the first answer that a node's backend
+// server gave after a time.
+func (l *limitedMesh) toldAt(node string, since time.Time) map[string]time.Time {
+	told := map[string]time.Time{}
+	for _, c := range l.Traffic.Calls {
+		if n := len(c.Runs); n == 0 || c.Outcome != retry.Ran || c.Runs[n-1].Node != node || c.Ended.Before(since) {
+			continue
+		}
+		if at, known := told[c.Entry]; !known || c.Ended.Before(at) {
+			told[c.Entry] = c.Ended
+		}
+	}
+	return told
+}
+
+// runsAfter counts the runs at a node that began over a second after their entry node
+// passed on an answer of its backend server that it gave after a time.
+func (l *limitedMesh) runsAfter(node string, since time.Time) (runs int) {
+	told := l.toldAt(node, since)
+	for entry, at := range told {
+		for _, c := range l.Traffic.Calls {
+			for _, r := range c.Runs {
+				if c.Entry == entry && entry != node && r.Node == node && r.At.Sub(at) > time.Second {
+					runs++
+				}
+			}
+		}
+	}
+	return runs
+}
+
 // servedSince returns the share of the calls since a time that were answered.
 func (l *limitedMesh) servedSince(since time.Time) float64 {
 	served, all := 0, 0
@@ -145,3 +182,31 @@
 		})
 	}
 }
+
+// TestBackendServerThatLeavesGetsRequests lets a backend server say in its answers that
+// it is leaving, while its heartbeats do not, and restarts its node.
+func TestBackendServerThatLeavesGetsRequests(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []core.RequestFault{"", core.ForgetNotices} {
+		t.Run(fmt.Sprintf("fault %q", fault), func(t *testing.T) {
+			is := is.New(t)
+			l := newLimitedMesh(t, 1)
+			const node = "a1"
+			l.leaving = map[string]bool{node: true}
+			left := l.Now
+			l.Run(3 * time.Second)
+			is.True(len(l.toldAt(node, left.Add(answerDelay))) > 0)
+			is.Equal(l.runsAfter(node, left.Add(answerDelay)), 0)
+			for range 3 {
+				l.Restart(node).State.InjectRequestFault(fault)
+				l.Run(2 * time.Second)
+			}
+			is.Equal(l.runsAfter(node, left.Add(answerDelay)) == 0, fault == "")
+			is.True(l.servedSince(left) > 0.999)
+			l.leaving = nil
+			l.instances[node]++ // another one takes its place
+			l.Run(time.Second)
+			is.True(len(l.runsAt(node, l.Now.Add(-500*time.Millisecond))) > 0)
+		})
+	}
+}
