--- a/core/notice/level.go
+++ b/core/notice/level.go
@@ -21,7 +21,7 @@
 	switch c {
 	case CertificatesRefused:
 		return Error
-	case ConfigRefused, SubmissionRejected, PlatformUnreachable, RootWithoutLease, LinkSilent,
+	case ConfigRefused, SubmissionRejected, PlatformUnreachable, RootWithoutLease, PlatformRestored, LinkSilent,
 		EndpointSuspected, LeaseLost, PeerRefused, ListenerFault, HeartbeatRefused, ObjectRefused, SettingsRefused, LogLinesDropped:
 		return Warn
 	case LinkUp:
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -24,6 +24,7 @@
 	PlatformUnreachable Code = 3003
 	PlatformReachable   Code = 3004
 	RootWithoutLease    Code = 3005
+	PlatformRestored    Code = 3006
 	LinkUp              Code = 4001
 	LinkDown            Code = 4002
 	JoinedParent        Code = 4003
@@ -67,6 +68,7 @@
 	PlatformUnreachable: "platform unreachable",
 	PlatformReachable:   "platform reachable",
 	RootWithoutLease:    "acts as root without a lease",
+	PlatformRestored:    "platform restored from a copy",
 	LinkUp:              "link up",
 	LinkDown:            "link down",
 	JoinedParent:        "joined parent",
