--- a/store/store.go
+++ b/store/store.go
@@ -17,7 +17,9 @@
 )
 
 // Object is one stored value. Version is the store-wide revision of its last
-// write, so the versions of a key only increase.
+// write, so the versions of a key only increase. Whoever reads from a platform that
+// can lose what it has acknowledged relies on that too: a client for it returns
+// higher versions for all that it reads after the loss.
 type Object struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
