Write a root lease again that the platform has lost

Cause: a holder renews on the condition of the version that it wrote. When the object is gone the write fails, and nobody noticed that a lease is missing from the list: a root looked for the holder of its own lease there, not for the lease. So it went on as root without one (no 3001 after the restore in the log), and a new root of another data centre, which finds roots by their leases, never linked to it.

A list of leases without the own one now shows that it is lost (lease.Missing), unless the list is older than the last write; a root then acquires it again, as does whoever looks for a root. Epochs rise over all that a process has seen, so that an older holder that lives, or a record that went back, does not make one valid twice.

TestPublisherChecksDetectFaults/epochs_ignored restarts all processes after the lease is deleted: one that remembers the epoch is not fooled any more, and the check needs one that is.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -68,7 +68,8 @@
 func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
 
 // Observe applies the result of a read; version zero means that no object
-// exists. If the record is that of a write whose answer was lost, the lease
+// exists. If the platform has lost writes, the record may be older than one that was
+// observed before: epochs rise all the same. If the record is that of a write whose answer was lost, the lease
 // counts as held from when that write was sent.
 func (m *Machine) Observe(now time.Time, r Record, version uint64) {
 	if m.observed && version < m.version {
@@ -77,6 +78,7 @@
 	if !m.observed || version != m.version {
 		m.seenAt = now
 	}
+	m.epochFloor = max(m.epochFloor, m.record.Epoch)
 	m.observed, m.record, m.version = true, r, version
 	if r.Holder != m.cfg.Holder {
 		m.held = false
@@ -85,11 +87,24 @@
 		m.holdFrom(m.unconfirmed.sentAt)
 		m.unconfirmed = nil
 	}
+	if r.Epoch < m.epochFloor {
+		m.held = false // it has to be acquired again, with a higher epoch
+	}
 	if m.faults.trustRecord && r.Holder == m.cfg.Holder {
 		m.holdFrom(now)
 	}
 }
 
+// Missing applies a read at a revision that found no object. Unlike Observe with
+// version zero it also counts if an object was observed before: it has been lost.
+func (m *Machine) Missing(now time.Time, revision uint64) {
+	if m.observed && revision < m.version {
+		return // the answer arrived after a newer one
+	}
+	m.observed = false
+	m.Observe(now, Record{}, 0)
+}
+
 // holdFrom marks the lease as held because of a write that was sent at a time.
 func (m *Machine) holdFrom(at time.Time) {
 	m.held, m.heldUntil, m.renewAt, m.retryAt = true, at.Add(m.cfg.TTL-m.cfg.Margin), at.Add(m.cfg.Renew), time.Time{}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -56,6 +56,33 @@
 	is.Equal(w.Base, uint64(0))
 }
 
+// TestEpochRisesAfterLeaseIsLost checks that a platform which loses a lease, or returns an
+// older record of it, makes no process use an epoch again that this one has seen.
+func TestEpochRisesAfterLeaseIsLost(t *testing.T) {
+	for name, lose := range map[string]func(m *lease.Machine){
+		"lost":               func(m *lease.Machine) { m.Missing(start, 40) },
+		"of another holder":  func(m *lease.Machine) { m.Observe(start, lease.Record{Holder: "b", Epoch: 3}, 40) },
+		"older, of this one": func(m *lease.Machine) { m.Observe(start, lease.Record{Holder: "a", Epoch: 2, Round: 9}, 40) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := machine("a")
+			m.Observe(start.Add(-2*ttl), lease.Record{Holder: "b", Epoch: 4}, 9)
+			_, due := m.Next(start, true)
+			is.True(due)
+			m.Written(start, 10)
+			is.True(m.Held(start))
+			m.Missing(start, 9) // read before the write
+			is.True(m.Held(start))
+			lose(m)
+			is.True(!m.Held(start))
+			w, due := m.Next(start.Add(ttl), true)
+			is.True(due)
+			is.Equal(w.Record.Epoch, uint64(6))
+		})
+	}
+}
+
 func TestFailedWritesAreRetriedAtIntervals(t *testing.T) {
 	is := is.New(t)
 	m := machine("a")
--- a/core/member.go
+++ b/core/member.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -134,7 +135,11 @@
 		}
 		return
 	}
-	m.lease.Observe(s.now, rec, version)
+	if version == 0 && seeks { // another answer can't have come since: a node that seeks has one read or write in progress
+		m.lease.Missing(s.now, math.MaxUint64)
+	} else {
+		m.lease.Observe(s.now, rec, version)
+	}
 	if !seeks {
 		return
 	}
@@ -171,9 +176,13 @@
 		s.retrySeeking()
 		return
 	}
+	before := m.lease.Epoch()
 	m.lease.Written(s.now, done.Version)
-	if m.phase != phaseRoot || s.root.withoutLease {
+	switch {
+	case m.phase != phaseRoot || s.root.withoutLease:
 		s.becomeRootWithLease()
+	case m.lease.Epoch() > before:
+		s.logLeaseTaken() // it had been lost, and is written again
 	}
 }
 
--- a/core/publisher_test.go
+++ b/core/publisher_test.go
@@ -211,6 +211,9 @@
 	if err := m.Store.Delete(ctx, "lease/publisher", o.Version); err != nil {
 		c.fail("lease: %w", err)
 	}
+	for _, n := range m.Nodes() {
+		m.Restart(n.Name) // no process remembers the epochs of the lease
+	}
 	m.Run(15 * time.Second)
 }
 
--- a/core/root.go
+++ b/core/root.go
@@ -59,13 +59,17 @@
 }
 
 func (s *State) becomeRootWithLease() {
-	s.log(notice.LeaseTaken, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
+	s.logLeaseTaken()
 	s.enterRoot(false)
 	if !s.cfg.Source {
 		s.readHead()
 	}
 }
 
+func (s *State) logLeaseTaken() {
+	s.log(notice.LeaseTaken, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
+}
+
 // enterRoot makes this node a root, with the lease or, in fallback, without it.
 func (s *State) enterRoot(fallback bool) {
 	if s.member.phase == phaseRoot {
--- a/core/roots.go
+++ b/core/roots.go
@@ -25,7 +25,7 @@
 	}
 	s.root.nextList = s.now.Add(s.listInterval())
 	others := map[string]lease.Record{}
-	publisherSeen := false
+	publisherSeen, ownSeen := false, false
 	for _, o := range done.Objects {
 		var rec lease.Record
 		if json.Unmarshal(o.Data, &rec) != nil {
@@ -37,13 +37,17 @@
 			publisherSeen = true
 			s.publisher.lease.Observe(s.now, rec, o.Version)
 		case isRoot && dc == s.cfg.DataCentre:
+			ownSeen = true
 			s.member.lease.Observe(s.now, rec, o.Version)
 		case isRoot:
 			others[dc] = rec
 		}
 	}
 	if !publisherSeen {
-		s.publisher.lease.Observe(s.now, lease.Record{}, 0)
+		s.publisher.lease.Missing(s.now, done.Revision)
+	}
+	if !ownSeen {
+		s.member.lease.Missing(s.now, done.Revision)
 	}
 	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node {
 		s.resignRoot("held by " + rec.Holder)
--- a/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -201,6 +203,34 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of the objects of a Store.
+type Copy struct{ objects map[string]store.Object }
+
+// Copy returns a copy of the objects.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: maps.Clone(s.objects)}
+}
+
+// Restore brings the objects back from a copy, as a platform does that loses what it has
+// acknowledged since. All of them get higher versions, and watches have to list again, as
+// store.Object requires of a client for such a platform.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects = maps.Clone(c.objects)
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		s.revision++
+		o := s.objects[key]
+		o.Version = s.revision
+		s.objects[key] = o
+	}
+	s.revision++
+	s.history, s.oldest = nil, s.revision
+	s.notifyWatches()
+}
+
 // notifyWatches makes every waiting watch check for changes. The caller holds mu.
 func (s *Store) notifyWatches() {
 	close(s.changed)
