--- a/core/request_bench_test.go
+++ b/core/request_bench_test.go
@@ -51,7 +51,10 @@
 			for b.Loop() {
 				id++
 				now = now.Add(time.Microsecond)
-				forward := s.Reduce(now, core.CallArrived{Call: id, Method: "GET", Path: "/orders/7", Replayable: true})[0].(core.Forward)
+				forward, ok := firstEffect[core.Forward](s.Reduce(now, core.CallArrived{Call: id, Method: "GET", Path: "/orders/7", Replayable: true}))
+				if !ok {
+					b.Fatal("the call is not forwarded")
+				}
 				s.Reduce(now, core.AttemptArrived{Attempt: forward.Attempt, Class: forward.Class, Budget: forward.Budget})
 				s.Reduce(now, core.AttemptDone{Attempt: forward.Attempt, Took: time.Millisecond})
 				s.Reduce(now, core.AttemptEnded{Call: id, Attempt: forward.Attempt, Outcome: retry.Ran})
