Save nothing up under a limit that may be older than the process

Found in reading the change again: a node that was restarted, and whose own backend server named the limit before an entry node did, began with a second's worth of requests, as if the limit had begun then. It begins with one request now unless this process has had an answer without the limit.

No test of the whole fails without this: entry nodes bring the limit first.

--- a/core/backendnotice.go
+++ b/core/backendnotice.go
@@ -54,8 +54,9 @@
 	if e.Fault != "" || !e.saysSame(s.backend.notice) {
 		s.logNotice(e.BackendNotice, "", e.Fault)
 	}
+	begins := s.backend.answered // otherwise it may have been in force before this process started
 	s.backend.answered = true
-	s.applyNotice(e.BackendNotice, true)
+	s.applyNotice(e.BackendNotice, begins)
 }
 
 // noticeTold applies what an entry node has seen in answers of the backend server.
@@ -76,14 +77,13 @@
 }
 
 // applyNotice puts a limit in force, and ends the service of an instance that is leaving.
-// Its heartbeats do not take that back. If it is not the backend server's own answer
-// that names it, requests may have run which this process does not know of, so it
-// begins with nothing saved up.
-func (s *State) applyNotice(n BackendNotice, own bool) {
+// Its heartbeats do not take that back. Unless the limit is known to begin now, requests
+// may have run which this process does not know of, so it begins with nothing saved up.
+func (s *State) applyNotice(n BackendNotice, begins bool) {
 	b := &s.backend
 	b.notice = n
 	limit := admission.RateLimit{PerSecond: n.RateLimit, Named: n.Limited}
-	for _, w := range b.queue.SetRateLimit(s.now, limit, own) {
+	for _, w := range b.queue.SetRateLimit(s.now, limit, begins) {
 		s.dropWaiting(w, admission.RateLimited)
 	}
 	if n.Leaving {
--- a/core/requests_limit_test.go
+++ b/core/requests_limit_test.go
@@ -168,7 +168,7 @@
 		t.Run(fmt.Sprintf("fault %q", fault), func(t *testing.T) {
 			is := is.New(t)
 			l := newLimitedMesh(t, 1)
-			const node, limit = "a1", 4.0
+			const node, limit = "a1", 1.0
 			l.limits[node] = limit
 			l.Run(3 * time.Second)
 			named := l.Now
