--- a/core/restored_test.go
+++ b/core/restored_test.go
@@ -13,6 +13,7 @@
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/status"
 )
 
 // rootLease returns the record of the root lease of a data centre in the store.
@@ -121,3 +122,22 @@
 		})
 	}
 }
+
+// TestPublisherStallsAfterRestore restores the store from a copy that is older than the
+// last published version.
+func TestPublisherStallsAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	m := newMesh(1, 3, 3)
+	submitRoute(t, m, "s1", "/one")
+	m.Run(20 * time.Second)
+	backup := m.Store.Copy()
+	submitRoute(t, m, "s2", "/two")
+	m.Run(10 * time.Second)
+	is.Equal(readStatus(t, m, "s2").Phase, status.InForce)
+	m.Store.Restore(backup)
+	m.Run(5 * time.Second)
+	submitRoute(t, m, "s3", "/three")
+	m.Run(time.Minute)
+	is.Equal(readStatus(t, m, "s3").Phase, status.InForce)
+}
