--- a/core/admission/rate_test.go
+++ b/core/admission/rate_test.go
@@ -9,31 +9,12 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core/admission"
-)
-
-// What a backend server that names a limit gets at most, in any time of rateWindow:
-// rateFactor times the limit, and rateSlack requests.
-const (
-	rateWindow = 4 * time.Second
-	rateFactor = 1.5
-	rateSlack  = 5
+	"github.com/agatekeel/agatekeel/core/coretest"
 )
 
 // meanRun is the mean run time of a rateSim: 8 slots run more than any of the limits allows.
 const meanRun = 15 * time.Millisecond
 
-// mostInWindow returns the largest number of times within rateWindow.
-func mostInWindow(at []time.Time) int {
-	most, first := 0, 0
-	for i := range at {
-		for at[i].Sub(at[first]) >= rateWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // rateSim is a load on a Queue with a rate limit.
 type rateSim struct {
 	q       *admission.Queue
@@ -110,8 +91,7 @@
 				r.started = map[admission.Class][]time.Time{}
 				r.q.SetRateLimit(r.now, admission.RateLimit{PerSecond: limit, Named: true}, true)
 				r.run(30*time.Second, map[admission.Class]float64{0: limit / 4, 1: 300, 4: 20})
-				allowed := rateFactor*limit*rateWindow.Seconds() + rateSlack
-				is.Equal(float64(mostInWindow(r.all())) <= allowed, fault == "")
+				is.Equal(float64(coretest.MostInWindow(r.all())) <= coretest.AllowedInWindow(limit), fault == "")
 				is.True(float64(len(r.all())) >= 0.9*30*limit)
 			})
 		}
--- a/core/requests_limit_test.go
+++ b/core/requests_limit_test.go
@@ -13,14 +13,6 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// What a backend server that names a limit gets at most, in any time of limitWindow:
-// limitFactor times the limit, and limitSlack requests.
-const (
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
-)
-
 // answerDelay is longer than an answer takes to its caller.
 const answerDelay = 2 * time.Millisecond
 
@@ -120,17 +112,6 @@
 	return float64(served) / float64(all)
 }
 
-func mostRunsInWindow(at []time.Time) int {
-	most, first := 0, 0
-	for i := range at {
-		for at[i].Sub(at[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // TestBackendServerGetsMoreThanNamedLimit names limits at four of six backend servers
 // and ends them again.
 func TestBackendServerGetsMoreThanNamedLimit(t *testing.T) {
@@ -147,8 +128,9 @@
 		l.Run(20 * time.Second)
 		for node, limit := range limited {
 			runs := l.runsAt(node, named)
-			t.Logf("seed %d, %s: %d of %.0f runs in %v", seed, node, mostRunsInWindow(runs), limit*limitWindow.Seconds(), limitWindow)
-			is.True(float64(mostRunsInWindow(runs)) <= limitFactor*limit*limitWindow.Seconds()+limitSlack)
+			most, allowed := coretest.MostInWindow(runs), coretest.AllowedInWindow(limit)
+			t.Logf("seed %d, %s: %d of %.0f allowed", seed, node, most, allowed)
+			is.True(float64(most) <= allowed)
 			is.True(float64(len(runs)) >= 0.5*20*limit) // it is still used
 		}
 		is.True(l.servedSince(named) > 0.999) // the others take the rest
@@ -176,9 +158,9 @@
 				l.Restart(node).State.InjectRequestFault(fault)
 				l.Run(700 * time.Millisecond)
 			}
-			most := mostRunsInWindow(l.runsAt(node, named))
-			t.Logf("%d runs in %v", most, limitWindow)
-			is.Equal(float64(most) <= limitFactor*limit*limitWindow.Seconds()+limitSlack, fault == "")
+			most := coretest.MostInWindow(l.runsAt(node, named))
+			t.Logf("%d of %.0f allowed", most, coretest.AllowedInWindow(limit))
+			is.Equal(float64(most) <= coretest.AllowedInWindow(limit), fault == "")
 		})
 	}
 }
