--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -144,10 +144,10 @@
 
 // Decision is the result of an arrival.
 type Decision struct {
-	Run      bool      // the attempt starts now; if false and it is admitted, it waits
-	Reason   Reason    // Admitted for an attempt that starts or waits
-	Evicted  []Attempt // less urgent attempts removed from the queue for this one
-	EvictFor Reason    // why they were removed
+	Run        bool      // the attempt starts now; if false and it is admitted, it waits
+	Reason     Reason    // Admitted for an attempt that starts or waits
+	Evicted    []Attempt // less urgent attempts removed from the queue for this one
+	EvictedFor Reason    // why they were removed
 }
 
 // Arrive admits an attempt or refuses it. The slice Decision.Evicted is valid
@@ -168,7 +168,7 @@
 		q.dropped = q.dropped[:0]
 		q.evictBeyondRate(1)
 		q.begin(now, a)
-		return Decision{Run: true, Evicted: q.dropped, EvictFor: RateLimited}
+		return Decision{Run: true, Evicted: q.dropped, EvictedFor: RateLimited}
 	}
 	wait := q.expectedWait(a.Class)
 	switch {
@@ -188,7 +188,7 @@
 	}
 	q.waiting[a.Class].push(a)
 	q.numWaiting++
-	return Decision{Evicted: q.dropped, EvictFor: reason}
+	return Decision{Evicted: q.dropped, EvictedFor: reason}
 }
 
 // begin starts an attempt.
--- a/core/admission/rate_test.go
+++ b/core/admission/rate_test.go
@@ -132,7 +132,7 @@
 		d := q.Arrive(now, attempt(n, 0))
 		is.Equal(d.Reason, admission.Admitted)
 		for _, w := range d.Evicted {
-			is.Equal(d.EvictFor, admission.RateLimited)
+			is.Equal(d.EvictedFor, admission.RateLimited)
 			evicted = append(evicted, w.ID.Number)
 		}
 	}
--- a/core/admit.go
+++ b/core/admit.go
@@ -79,7 +79,7 @@
 // admit decides on an attempt that was not seen before.
 func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
 	b := &s.backend
-	s.noticeTold(e.Said, e.Request)
+	s.noticeReceived(e.Said, e.Request)
 	switch {
 	case (b.draining || !b.entry.State.Serves()) && !s.requestFaults.serveWhileDraining:
 		return false, admission.NotServing
@@ -92,7 +92,7 @@
 		TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay,
 	})
 	for _, w := range d.Evicted {
-		s.dropWaiting(w, d.EvictFor)
+		s.dropWaiting(w, d.EvictedFor)
 	}
 	return d.Run, d.Reason
 }
--- a/core/backendnotice.go
+++ b/core/backendnotice.go
@@ -24,7 +24,7 @@
 // SaysSomething reports whether a notice has a consequence.
 func (n BackendNotice) SaysSomething() bool { return n.Limited || n.Leaving }
 
-// says reports whether two notices say the same.
+// saysSame reports whether two notices say the same.
 func (n BackendNotice) saysSame(o BackendNotice) bool {
 	return n.Limited == o.Limited && n.RateLimit == o.RateLimit && n.Leaving == o.Leaving
 }
@@ -59,21 +59,21 @@
 	s.applyNotice(e.BackendNotice, begins)
 }
 
-// noticeTold applies what an entry node has seen in answers of the backend server.
+// noticeReceived applies what an attempt's entry node knows from answers of the backend server.
 // It counts until the backend server has answered this process: a node that was
-// restarted, or has not yet had an answer, keeps what other nodes were told.
-func (s *State) noticeTold(n BackendNotice, by string) {
+// restarted, or has not yet had an answer, keeps what other nodes know.
+func (s *State) noticeReceived(n BackendNotice, request string) {
 	b := &s.backend
 	if b.answered || !n.SaysSomething() || n.Backend == "" || !n.IsOf(b.instance()) || n.saysSame(b.notice) || s.requestFaults.forgetNotices {
 		return
 	}
-	s.logNotice(n, by, "")
+	s.logNotice(n, request, "")
 	s.applyNotice(n, false)
 }
 
 func (s *State) logNotice(n BackendNotice, request, fault string) {
 	s.log(notice.BackendNoticed, Attr{"backend", n.Backend}, Attr{"limited", n.Limited}, Attr{"perSecond", n.RateLimit},
-		Attr{"leaving", n.Leaving}, Attr{"toldBy", request}, Attr{"fault", fault})
+		Attr{"leaving", n.Leaving}, Attr{"fromRequest", request}, Attr{"fault", fault})
 }
 
 // applyNotice puts a limit in force, and ends the service of an instance that is leaving.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -68,9 +68,9 @@
 func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
 
 // Observe applies the result of a read; version zero means that no object
-// exists. If the platform has lost writes, the record may be older than one that was
-// observed before: epochs rise all the same. If the record is that of a write whose answer was lost, the lease
-// counts as held from when that write was sent.
+// exists. If the record is that of a write whose answer was lost, the lease
+// counts as held from when that write was sent. If the platform has lost writes,
+// the record may be older than one observed before; epochs rise all the same.
 func (m *Machine) Observe(now time.Time, r Record, version uint64) {
 	if m.observed && version < m.version {
 		return // the answer arrived after a newer one
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -79,7 +79,7 @@
 	EndpointState:       "endpoint state changed",
 	EndpointSuspected:   "endpoint suspected",
 	HeartbeatRefused:    "heartbeat refused",
-	BackendNoticed:      "backend server speaks of itself",
+	BackendNoticed:      "notice of the backend server changed",
 	RequestsRefused:     "requests refused",
 	ListenerFault:       "listener fault",
 	UplinkUsed:          "network link used",
