Publish a version again that the platform has lost

Cause, the same as for lost leases: what this process has written was taken to be there. The publisher holds a newer version than the head it read, takes the read for an old one and reads again, for ever. A read is linearizable, though, so a head that is older than what this node held when the read was sent has gone back. The publisher now publishes the held set again, under its number, on the condition of the head it read.

--- a/core/publisher.go
+++ b/core/publisher.go
@@ -49,6 +49,7 @@
 	headVersion uint64    // version of the head object
 	head        config.Head
 	headRead    bool
+	heldAtRead  uint64 // version that this node held when the read of the head was sent
 	revision    uint64 // revision of the platform from which the next watch continues
 	listed      bool   // the submissions have been listed
 	watching    bool   // a watch for submissions is in progress
@@ -101,6 +102,7 @@
 	}
 	if !p.retryAt.IsZero() && !s.now.Before(p.retryAt) {
 		p.retryAt = time.Time{}
+		p.heldAtRead = s.configVersion()
 		s.storeList(keyspace.Head, s.publisherCall(stepHead, ""))
 	}
 	if p.listed && !p.watching {
@@ -256,6 +258,10 @@
 		s.restartPublisher(s.nextTry(&p.backoff))
 		return
 	}
+	if p.head.Version < p.heldAtRead {
+		s.publishAgain()
+		return
+	}
 	s.storeList(keyspace.Submissions, s.publisherCall(stepList, ""))
 	s.recoverStatuses()
 }
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -148,8 +148,25 @@
 	s.writePart(s.publisher.job, c.name, base)
 }
 
+// publishAgain publishes the held set, which is newer than the head: it was published
+// before this node held it, so the platform has lost it since.
+func (s *State) publishAgain() {
+	p := &s.publisher
+	held, err := s.encodedSet()
+	if err != nil {
+		s.refuseConfig(err.Error())
+		s.restartPublisher(s.nextTry(&p.backoff))
+		return
+	}
+	p.job = &job{lost: true, next: s.holder.set, encoded: held, head: p.head}
+	p.job.head.Epoch = p.lease.Epoch()
+	s.writeParts(p.job)
+}
+
 func (s *State) commit(j *job) {
-	j.head.Recent = s.recent(j.settled)
+	if !j.lost {
+		j.head.Recent = s.recent(j.settled)
+	}
 	s.storePut(keyspace.Head, mustJSON(j.head), s.publisher.headVersion, s.publisherCall(stepCommit, ""))
 }
 
@@ -181,6 +198,10 @@
 		return
 	}
 	p.head, p.headVersion = j.head, done.Version
+	if j.lost {
+		s.restartPublisher(s.now)
+		return
+	}
 	s.pruneRecorded()
 	if j.next != nil && j.next.Version > s.configVersion() {
 		s.holder.encoded = j.encoded
--- a/core/publisher_queue.go
+++ b/core/publisher_queue.go
@@ -23,6 +23,7 @@
 // job is the submission being processed.
 type job struct {
 	queuedSubmission
+	lost    bool // no submission: next was published before, and the platform has lost it
 	next    *config.Set
 	delta   config.Delta
 	encoded *config.Encoded
--- a/core/restored_test.go
+++ b/core/restored_test.go
@@ -139,5 +139,7 @@
 	m.Run(5 * time.Second)
 	submitRoute(t, m, "s3", "/three")
 	m.Run(time.Minute)
-	is.Equal(readStatus(t, m, "s3").Phase, status.InForce)
+	st := readStatus(t, m, "s3")
+	is.Equal(st.Phase, status.InForce)
+	is.Equal(st.Version, uint64(3)) // not a version that nodes hold with other contents
 }
