--- a/cmd/agatekeel/apply.go
+++ b/cmd/agatekeel/apply.go
@@ -42,6 +42,17 @@
 	return operator.New(store), nil
 }
 
+// published reads the published objects.
+func (o platformOption) published() (*config.Set, error) {
+	client, err := o.client()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	return client.Current(ctx)
+}
+
 // editOption is embedded in the commands that compare files with the published
 // objects.
 type editOption struct {
--- a/cmd/agatekeel/diff.go
+++ b/cmd/agatekeel/diff.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 
 	"github.com/agatekeel/agatekeel/core/config"
@@ -26,13 +25,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
-	current, err := client.Current(ctx)
+	current, err := c.published()
 	if err != nil {
 		return err
 	}
--- a/cmd/agatekeel/get.go
+++ b/cmd/agatekeel/get.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"strconv"
@@ -21,13 +20,7 @@
 
 // Execute implements flags.Commander.
 func (c *getCommand) Execute([]string) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
-	defer cancel()
-	current, err := client.Current(ctx)
+	current, err := c.published()
 	if err != nil {
 		return err
 	}
