--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -133,3 +133,25 @@
 	}
 	is.Equal(run, 2)
 }
+
+// TestNextBackendServerInheritsLimit checks that what a backend server said of itself
+// ends with it.
+func TestNextBackendServerInheritsLimit(t *testing.T) {
+	is := is.New(t)
+	h := newAnnouncedNode(t)
+	report := core.BackendReported{Backend: "i-1", Service: "orders", StartMillis: 1, Sequence: 1, State: endpoint.Ready, Slots: 4}
+	h.step(report)
+	h.step(core.BackendAnswered{BackendNotice: core.BackendNotice{Backend: "i-1", StartMillis: 1, Limited: true}})
+	_, refused := h.sendAttempt()
+	for refused == "" { // one is let through from time to time
+		_, refused = h.sendAttempt()
+	}
+	is.Equal(refused, admission.RateLimited)
+	report.Backend, report.StartMillis = "i-2", 2
+	h.step(report)
+	for range 20 {
+		backend, refused := h.sendAttempt()
+		is.Equal(refused, admission.Reason(""))
+		is.Equal(backend, "i-2")
+	}
+}
--- a/core/requests_limit_test.go
+++ b/core/requests_limit_test.go
@@ -192,3 +192,29 @@
 		})
 	}
 }
+
+// TestEndedLimitIsBroughtAlong checks that an entry node brings along what a backend
+// server said until an answer of it says nothing; a refusal of its node says nothing of it.
+func TestEndedLimitIsBroughtAlong(t *testing.T) {
+	is := is.New(t)
+	e := newEntryNode(t, core.Config{}, 1, ordersObjects(`{"maxAttempts":1}`)...)
+	said := core.BackendNotice{Backend: "i-1", StartMillis: 1, Limited: true, RateLimit: 3}
+	for _, tt := range []struct {
+		outcome retry.Outcome
+		says    core.BackendNotice
+		next    core.BackendNotice
+	}{
+		{retry.Ran, core.BackendNotice{}, core.BackendNotice{}},
+		{retry.Ran, said, said},
+		{retry.NotRun, core.BackendNotice{}, said},
+		{retry.Unknown, core.BackendNotice{}, said},
+		{retry.Ran, core.BackendNotice{}, core.BackendNotice{}},
+		{retry.NotRun, said, said},
+	} {
+		f := e.call("GET")
+		e.step(core.AttemptEnded{Call: f.Call, Attempt: f.Attempt, Outcome: tt.outcome, Status: 200, Queue: -1, Said: tt.says})
+		f = e.call("GET")
+		is.Equal(f.Said, tt.next)
+		e.step(core.CallClosed{Call: f.Call})
+	}
+}
