Grant a large response after the wait that was named for it

In the data path the same sets a timer once more, for a nanosecond.

Cause: Grant returns the time until the debt of the link is paid, rounded up to a nanosecond. Where the processor fuses multiply and add, refilling the credit over that time leaves a debt of some 1e-10 bytes, and nothing is granted.

Change: Grant promises the grant after its wait, and a debt of less than a byte counts as paid. TestGrantFollowsItsWait failed before on arm64, as TestEarlierTransferIsSentFirst did; both pass there with and without fused operations.

--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -25,6 +25,9 @@
 	// othersWindow is the time constant over which the rate of everything but large
 	// responses is averaged.
 	othersWindow = time.Second
+	// minOwedBytes is the debt from which a transfer waits. Less than a byte is a
+	// rounding error.
+	minOwedBytes = 1
 	// minLargeShare is the least share of the link that large responses are expected
 	// to get.
 	minLargeShare = 0.1
@@ -103,14 +106,15 @@
 }
 
 // Grant returns the transfer that may send its piece now. If none may, it returns how
-// long the first one has to wait, zero if none waits.
+// long the first one has to wait, zero if none waits: after that wait, with nothing else
+// sent meanwhile, Grant returns it, whatever the processor's rounding.
 func (s *Scheduler) Grant(now time.Time) (*Transfer, time.Duration) {
 	t := s.firstWaiting()
 	if t == nil {
 		return nil, 0
 	}
 	s.refill(now)
-	if s.rate > 0 && s.credit < 0 {
+	if s.rate > 0 && s.credit <= -minOwedBytes {
 		return nil, time.Duration(math.Ceil(-s.credit / s.rate * float64(time.Second)))
 	}
 	n := t.wants
--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -134,6 +134,30 @@
 	is.True(granted == nil && wait == 0) // nothing waits
 }
 
+// TestGrantFollowsItsWait checks that a transfer gets its grant after the wait that was
+// named, also where debts take a whole number of nanoseconds.
+func TestGrantFollowsItsWait(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(27, 1))
+	for range 2000 {
+		now := time.Unix(rng.Int64N(1e9), rng.Int64N(1e9))
+		s := uplink.NewScheduler(linkBytes * float64(1+rng.IntN(100)))
+		one := s.Begin()
+		for range 20 {
+			n := 1 + rng.IntN(uplink.PieceBytes)
+			s.Want(one, n, int64(n))
+			granted, wait := s.Grant(now)
+			if granted == nil {
+				is.True(wait > 0)
+				now = now.Add(wait)
+				granted, _ = s.Grant(now)
+			}
+			is.Equal(granted, one)
+			s.Sent(now, n)
+		}
+	}
+}
+
 // TestStalledTransferHoldsUpNothing checks that a response whose receiver takes
 // nothing neither delays others nor counts as a backlog of the link.
 func TestStalledTransferHoldsUpNothing(t *testing.T) {
