Play downloads at three times what thin links carry, from entry node to caller

The users' load (answers of 280 kB whose sizes differ, links of 10 Mbit/s, callers who come back twice) on the reducers of twenty nodes, four of which have the answers, with simulated links that the scheduler of the data path rules. Until now each part was tested alone: the scheduler, the gate's decision, the choice; none saw what callers get.

--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -6,6 +6,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // TrafficFaults are the faults to inject into requests between nodes. Probabilities are per
@@ -36,6 +37,7 @@
 	Ended      time.Time
 	Outcome    retry.Outcome // zero: the entry node stopped before the call ended
 	Reason     string
+	RetryAfter time.Duration // when the caller may retry, if it was told
 	Forwards   int
 	Runs       []Run
 	Abandoned  bool // the caller left before the call ended
@@ -78,6 +80,8 @@
 	// BlackholedNode is the name of a node for which requests, and the answers to them, are
 	// dropped without notification.
 	BlackholedNode string
+	// Links, if set, are the hosts' network links, over which large answers are sent.
+	Links *Links
 
 	Calls []*Call
 
@@ -143,6 +147,9 @@
 	case core.Forward:
 		t.forward(n, e)
 	case core.Finish:
+		if c, ok := t.calls[e.Call]; ok {
+			c.RetryAfter = e.RetryAfter
+		}
 		t.finish(e.Call, e.Outcome, e.Reason)
 	case core.Run:
 		t.run(n, e)
@@ -257,9 +264,19 @@
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
 		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
+		SoftBudget: f.SoftBudget, Link: t.Links.load(target), Relay: t.relay(a),
 	})
 }
 
+// relay returns the state of the link over which the entry node of an attempt passes on
+// its answer; zero if that is the link of the target.
+func (t *Traffic) relay(a *attempt) uplink.Load {
+	if a.forward.Local {
+		return uplink.Load{}
+	}
+	return t.Links.load(t.mesh.nodes[a.call.Entry])
+}
+
 // end passes the outcome of an attempt to its entry node, unless the attempt has ended
 // already or its answer is dropped at BlackholedNode.
 func (t *Traffic) end(a *attempt, e core.AttemptEnded) {
@@ -281,6 +298,7 @@
 	if !ok {
 		return
 	}
+	t.Links.refused(n, a.forward.Local)
 	queue := n.State.Waiting()
 	if t.ReportedQueue != nil {
 		queue = t.ReportedQueue(n.Name, queue)
@@ -348,6 +366,9 @@
 // runEnded ends a run. Without an answer, the entry node gets a broken connection.
 func (t *Traffic) runEnded(n *Node, gen int, a *attempt, started time.Time, answers bool) {
 	done := core.AttemptDone{Attempt: a.forward.Attempt, Took: t.mesh.Now.Sub(started), Status: answerStatus, Truncated: !answers}
+	if t.Links != nil {
+		done.Bytes = t.Links.AnswerBytes(a.call)
+	}
 	t.mesh.step(n, gen, done)
 	if n.Generation != gen || !n.Alive {
 		return
@@ -361,5 +382,9 @@
 		queue = t.ReportedQueue(n.Name, queue)
 	}
 	e := core.AttemptEnded{Outcome: retry.Ran, Queue: queue, AnswerStarted: true, Status: answerStatus, Said: t.said(n)}
+	if t.Links != nil {
+		t.answerOver(n, a, done.Bytes, e)
+		return
+	}
 	t.deliver(func() { t.end(a, e) })
 }
