Send a request that may run once to no server that refused it

Callers were told "not run, try again" (503) for a request that was running. A faulty backend server refused a request, got it once more, wrote the refusal a second time and ran the request. Both attempts of a request bear the same X-Request-Id, so the copy passed for the answer to the second one. With more attempts left, the request then went to another backend server and ran twice.

The cause: when all backend servers of a service were tried or excluded, the balancer selected any of them, also one that had refused the request. Now a backend server that has seen a call that is not idempotent is barred for it. If no other is left, the call ends as not run at once and costs no retry budget. Each backend server thus gets such a request once, and a refusal with its ID can only be the answer to that one attempt. Idempotent calls go on as before: they may run more than once.

TestRepeatedRefusalOfTheSameRequest failed before with "2 != 1" (arrivals of a request answered 503), TestRefusingBackendServerGetsNoSecondAttempt with "3 != 2" (attempts of a POST at two backend servers); TestBarredIsNeverSelected covers the selection.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -88,6 +88,7 @@
 	Kind   string        // requests of a kind have similar run times and answer sizes
 	Target time.Duration // the request's target latency; zero: none
 	Tried  []string      // IDs of endpoints to avoid unless there is no other
+	Barred []string      // IDs of endpoints that must not be selected, all of them in Tried too
 }
 
 // Pick selects an endpoint for a request of unknown kind and target, as PickFor does.
@@ -95,20 +96,36 @@
 	return b.PickFor(now, g, Request{Tried: tried})
 }
 
-// PickFor selects an endpoint of a group. It returns false if the group is empty.
+// PickFor selects an endpoint of a group. It returns false if the group has none that
+// may be selected.
 func (b *Balancer) PickFor(now time.Time, g *Group, r Request) (*Endpoint, bool) {
 	g.restore(now)
 	if e := b.pickUntried(now, g, r); e != nil {
 		return e, true
 	}
 	for _, s := range []*set{&g.local, &g.remote} {
-		if n := len(s.endpoints); n > 0 { // all endpoints are excluded or were tried
-			return s.endpoints[b.rng.IntN(n)], true
+		if e := b.drawExcluded(s, r.Barred); e != nil { // all endpoints are excluded or were tried
+			return e, true
 		}
 	}
 	return nil, false
 }
 
+// drawExcluded returns a random endpoint, whether or not it is excluded or was tried.
+func (b *Balancer) drawExcluded(s *set, barred []string) *Endpoint {
+	n := len(s.endpoints)
+	if n == 0 {
+		return nil
+	}
+	first := b.rng.IntN(n)
+	for i := range n {
+		if e := s.endpoints[(first+i)%n]; !contains(barred, e.Row.ID) {
+			return e
+		}
+	}
+	return nil
+}
+
 func (b *Balancer) pickUntried(now time.Time, g *Group, r Request) *Endpoint {
 	near := b.pickTwoChoices(now, &g.local, r.Tried)
 	if near != nil && (g.remote.healthy == 0 || b.withinTarget(now, g, near, r)) {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -87,6 +87,22 @@
 	is.Equal(len(countPicks(b, g, now, 100, "n0000", "n0001", "n0002")), 3) // all were tried, so any may be selected
 }
 
+// TestBarredIsNeverSelected guards against an endpoint being selected for want of another
+// although the request must not go there again.
+func TestBarredIsNeverSelected(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(2))
+	tried := []string{"n0000", "n0001"}
+	for range 100 {
+		e, ok := b.PickFor(now, g, balance.Request{Tried: tried, Barred: tried[:1]})
+		is.True(ok)
+		is.Equal(e.Row.ID, "n0001")
+	}
+	_, ok := b.PickFor(now, g, balance.Request{Tried: tried, Barred: tried})
+	is.True(!ok)
+}
+
 func TestPrefersOwnDataCentre(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer()
--- a/core/request.go
+++ b/core/request.go
@@ -46,6 +46,7 @@
 	attempts        int
 	backendAttempts int      // attempts that a backend server may have seen
 	tried           []string // IDs of the backend servers of earlier attempts
+	barred          []string // those of them that must not get the call again
 	target          *balance.Endpoint
 	attempt         AttemptID
 	sent            time.Time // when the current attempt was sent
@@ -102,7 +103,7 @@
 	c := s.newCall()
 	*c = call{
 		request: e.Request, arrived: s.now, method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy),
-		deadline: s.now.Add(budget), replayable: e.Replayable, tried: c.tried[:0],
+		deadline: s.now.Add(budget), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
 	}
 	s.requests.calls[e.Call] = c
 	s.budget(c.service).AddCall()
@@ -146,7 +147,7 @@
 	g := s.group(c.service)
 	if c.homeKey().IsZero() {
 		return s.requests.balancer.PickFor(s.now, g, balance.Request{
-			Kind: c.route.Name, Target: c.route.Policy.Target, Tried: c.tried,
+			Kind: c.route.Name, Target: c.route.Policy.Target, Tried: c.tried, Barred: c.barred,
 		})
 	}
 	var home *balance.Endpoint
@@ -303,6 +304,9 @@
 	}
 	c.maybeRan = c.maybeRan || e.Outcome == retry.Unknown
 	c.replayable = c.replayable && !e.BodyDiscarded
+	if e.ReachedBackend && !c.idempotent(s) {
+		c.barred = append(c.barred, c.target.Row.ID) // it may repeat its refusal, which would look like that of another attempt
+	}
 	retried := s.takeRetry(c, e)
 	s.logAttemptEnded(c, e, retried)
 	if !retried {
--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -191,3 +191,28 @@
 	}
 	is.Equal(sent, 4)
 }
+
+// TestRefusingBackendServerGetsNoSecondAttempt guards against a request that may not
+// run twice going again to a backend server that refused it. Others go on.
+func TestRefusingBackendServerGetsNoSecondAttempt(t *testing.T) {
+	for _, tt := range []struct {
+		method string
+		sent   int
+	}{{"POST", 2}, {"GET", 3}} {
+		t.Run(tt.method, func(t *testing.T) {
+			is := is.New(t)
+			e := newEntryNode(t, core.Config{RetryShare: 1, RerunShare: 1}, 2, ordersObjects(`{"maxAttempts":3}`)...)
+			f, again := e.call(tt.method), true
+			sent, before := 0, e.state.Dump().RetryTokens
+			for effects := []core.Effect(nil); again; f, again = firstEffect[core.Forward](effects) {
+				sent++
+				effects = e.step(core.AttemptEnded{Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, ReachedBackend: true, Queue: -1})
+				if end, ended := firstEffect[core.Finish](effects); ended {
+					is.Equal(end.Outcome, retry.NotRun)
+				}
+			}
+			is.Equal(sent, tt.sent)
+			is.Equal(before-e.state.Dump().RetryTokens, float64(tt.sent-1)) // what is not sent costs no budget
+		})
+	}
+}
--- a/core/retry.go
+++ b/core/retry.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -68,6 +70,20 @@
 	return c.backendAttempts < maxAttempts && c.attempts < maxAttempts+extraRefusedAttempts && s.now.Before(c.deadline)
 }
 
+// hasBackendLeft reports whether there is a backend server that may get
+// another attempt of a call.
+func (s *State) hasBackendLeft(c *call) bool {
+	if len(c.barred) == 0 {
+		return true
+	}
+	for p := range s.group(c.service).All() {
+		if !slices.Contains(c.barred, p.Row.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeRetry reports whether a call gets another attempt, and charges the
 // budget for it.
 func (s *State) takeRetry(c *call, e AttemptEnded) bool {
@@ -77,7 +93,7 @@
 	if !c.homeKey().IsZero() && admission.Reason(e.Reason) != admission.NotServing && !e.ConnectionRefused {
 		return false // keys move to another home only if theirs is draining or dead
 	}
-	if !s.hasAttemptLeft(c) {
+	if !s.hasAttemptLeft(c) || !s.hasBackendLeft(c) {
 		return false
 	}
 	after := e.Outcome
