Believe a refusal only with the request's ID, and no other

Only the first value of the ID header was compared, and two absent ones counted as equal.

Now a response belongs to a request if it is a final one and its ID header, if any, has the request's ID as its only value; a refusal without an ID is not believed. The outcome is unknown then (502), and a request that may run once is not sent again.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -64,21 +64,36 @@
 	}
 }
 
-// belongsTo reports whether a response is that to the request.
+// belongsTo reports whether a response is that to the request: it is a final one and
+// bears the request's ID, and no other.
 func (n Names) belongsTo(r *http.Request, resp *http.Response) bool {
-	return n.RequestID == "" || get(resp.Header, n.RequestID) == get(r.Header, n.RequestID)
+	if resp.StatusCode < http.StatusOK {
+		return false
+	}
+	if n.RequestID == "" {
+		return true
+	}
+	ids := resp.Header[n.RequestID]
+	return len(ids) <= 1 && get(resp.Header, n.RequestID) == get(r.Header, n.RequestID)
+}
+
+// saysNotRun reports whether a response says that its request did not run.
+func (n Names) saysNotRun(resp *http.Response) bool {
+	return n.NotRun != "" && (get(resp.Header, n.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest)
 }
 
 // checkResponse reports why a backend server's response is not accepted for the
 // request: it belongs to another request, or it says that the request did not
-// run.
+// run. Nothing shows that a response without an ID belongs to the request, so one
+// that says so is not believed.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
-	if !n.belongsTo(r, resp) {
+	notRun := n.saysNotRun(resp)
+	if !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "" {
 		_ = resp.Body.Close()
 		err := fmt.Errorf("answer with status %d is that of another request", resp.StatusCode)
 		return &attemptError{outcome: retry.Unknown, err: err}
 	}
-	if n.NotRun == "" || get(resp.Header, n.NotRun) == "" && resp.StatusCode != http.StatusMisdirectedRequest {
+	if !notRun {
 		return nil
 	}
 	_ = resp.Body.Close()
