Close a connection that brought the answer to another request

Once a faulty backend server had repeated a short answer on a kept connection, callers of later requests on that connection got 502 too, one after the other, though the backend server ran each of them and answered: every answer came when the one after it was due. The answers were discarded, but an answer without a body has given its connection back to net/http's pool before it is looked at, so closing its body does not close the connection.

Now the check of a response is part of roundTrip, which closes the connection itself if the response is that of another request, at the backend server and at the hop between nodes alike. Most backend servers then also drop the request that they were running. Looked at and left out: calling such a request not run if nothing of it was written yet.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -109,7 +109,7 @@
 		out.Header["Expect"] = []string{"100-continue"} // the body is kept at this node until the attempt runs
 	}
 	watch := c.proxy.watchSilence(f, cancel)
-	resp, err := c.proxy.roundTrip(ctx, c.proxy.hop, out)
+	resp, err := c.proxy.roundTrip(ctx, c.proxy.hop, out, func(resp *http.Response) error { return c.checkHopResponse(f, resp) })
 	silent := watch.stop()
 	switch {
 	case err != nil && silent != nil:
@@ -120,12 +120,6 @@
 			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
 		}
 	}
-	if resp.Header.Get(headerAttempt) != formatAttempt(f.Attempt) && !c.proxy.injected.skipsResponseCheck {
-		_ = resp.Body.Close()
-		c.proxy.hop.CloseIdleConnections()
-		err := fmt.Errorf("node %s: an answer with status %d is not that of the attempt", f.Target, resp.StatusCode)
-		return nil, &attemptError{outcome: retry.Unknown, reason: err.Error(), err: err}
-	}
 	if outcome := resp.Header.Get(HeaderOutcome); outcome != "" {
 		defer func() { _ = resp.Body.Close() }()
 		return nil, reportedError(f, outcome, resp)
@@ -133,6 +127,15 @@
 	return resp, nil
 }
 
+// checkHopResponse reports whether a response of another node is that to the attempt.
+func (c *call) checkHopResponse(f core.Forward, resp *http.Response) error {
+	if resp.Header.Get(headerAttempt) == formatAttempt(f.Attempt) || c.proxy.injected.skipsResponseCheck {
+		return nil
+	}
+	c.proxy.hop.CloseIdleConnections() // another process may have the node's address
+	return &attemptError{outcome: retry.Unknown, err: fmt.Errorf("an answer with status %d is not that of the attempt", resp.StatusCode)}
+}
+
 // reportedError converts what the receiving node reports about an attempt into
 // an error.
 func reportedError(f core.Forward, outcome string, resp *http.Response) *attemptError {
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -84,9 +84,12 @@
 	}
 }
 
-// roundTrip sends one request. If it fails, the outcome of its attemptError is
-// NotRun only if not a single byte of the request was written.
-func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request) (*http.Response, error) {
+// roundTrip sends one request. check returns an attemptError for a response that is
+// not accepted; if its outcome is Unknown, the response is that of another request.
+// The connection is closed then, because later responses on it may be so too. If
+// there is no response, the outcome is NotRun only if not a single byte of the
+// request was written.
+func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request, check func(*http.Response) error) (*http.Response, error) {
 	var conn *trackedConn
 	var before int64
 	var reused bool
@@ -99,10 +102,22 @@
 	}
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		return resp, nil
+		return checked(resp, check(resp), conn)
 	}
 	if conn == nil || conn.seal() == before {
 		return nil, &attemptError{outcome: retry.NotRun, err: err}
 	}
 	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
+
+// checked returns a response, or the error for which it is not accepted.
+func checked(resp *http.Response, err error, conn *trackedConn) (*http.Response, error) {
+	if err == nil {
+		return resp, nil
+	}
+	if asAttemptError(err).outcome == retry.Unknown && conn != nil {
+		conn.seal()
+	}
+	_ = resp.Body.Close()
+	return nil, err
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -44,12 +44,11 @@
 	}
 	p.cfg.Names.setBackendHeaders(out.Header, run.Backend, h.depth, time.Until(deadline))
 	p.closeSuspectIdle(r)
-	resp, err := p.roundTrip(ctx, p.backend, out)
-	p.recordIdleLoss(ctx, err)
-	if err == nil {
+	resp, err := p.roundTrip(ctx, p.backend, out, func(resp *http.Response) error {
 		p.noteAnswer(r, resp, run)
-		err = p.cfg.Names.checkResponse(r, resp)
-	}
+		return p.cfg.Names.checkResponse(r, resp)
+	})
+	p.recordIdleLoss(ctx, err)
 	done := core.AttemptDone{Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID)}
 	end := func() {
 		done.Took = time.Since(started)
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -89,14 +89,12 @@
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	if !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "" {
-		_ = resp.Body.Close()
 		err := fmt.Errorf("answer with status %d is that of another request", resp.StatusCode)
 		return &attemptError{outcome: retry.Unknown, err: err}
 	}
 	if !notRun {
 		return nil
 	}
-	_ = resp.Body.Close()
 	err := fmt.Errorf("answer with status %d says that it did not run", resp.StatusCode)
 	return &attemptError{outcome: retry.NotRun, healthy: true, arrived: true, err: err}
 }
