Believe what a node says of an attempt only if it names the attempt

Callers could be told "not run, try again" (503) for a request that was running, if what came on a connection between nodes was about another attempt. The answer at the hop was checked for its attempt and discarded, refusals included; but then the node is asked about the attempt over another connection, and that reply named none: any "not-run" was believed, so also one to the question about an earlier attempt, or of another process at the node's address.

Now the reply to a question names the attempt, and the node that asks accepts only the one it asked about, closes the connection otherwise, and leaves the outcome unknown. A node of an older version names none: what it says is not believed, so during an upgrade an attempt of unknown outcome stays unknown. At the hop an answer that names two attempts is no longer accepted either.

TestRefusalOfAnotherAttemptIsNotBelieved failed before in both cases with "503 not-run != 502 unknown". No such reply has been seen between our own nodes, whose server writes one answer to each request; this closes the one place where "not run" was believed unnamed.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -129,10 +129,21 @@
 
 // checkHopResponse reports whether a response of another node is that to the attempt.
 func (c *call) checkHopResponse(f core.Forward, resp *http.Response) error {
-	if resp.Header.Get(headerAttempt) == formatAttempt(f.Attempt) || c.proxy.injected.skipsResponseCheck {
+	if c.proxy.injected.skipsResponseCheck {
+		return nil
+	}
+	err := checkAttempt(f, resp)
+	if err != nil {
+		c.proxy.hop.CloseIdleConnections() // another process may have the node's address
+	}
+	return err
+}
+
+// checkAttempt reports whether a response of another node is about the attempt.
+func checkAttempt(f core.Forward, resp *http.Response) error {
+	if ids := resp.Header[headerAttempt]; len(ids) == 1 && ids[0] == formatAttempt(f.Attempt) {
 		return nil
 	}
-	c.proxy.hop.CloseIdleConnections() // another process may have the node's address
 	return &attemptError{outcome: retry.Unknown, err: fmt.Errorf("an answer with status %d is not that of the attempt", resp.StatusCode)}
 }
 
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -39,7 +39,7 @@
 	headerSoftBudget  = "Agatekeel-Wanted-Micros" // soft budget of an attempt
 	headerRelay       = "Agatekeel-Relay-Link"    // state of the entry node's network link: backlog in bytes, bytes per second
 	headerSaid        = "Agatekeel-Backend-Says"  // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
-	headerAttempt     = "Agatekeel-Attempt"       // attempt that a response belongs to
+	headerAttempt     = "Agatekeel-Attempt"       // attempt that a response is about
 	headerArrived     = "Agatekeel-Arrived"       // set if the backend server may have received the attempt
 	headerQueue       = "Agatekeel-Queue"         // number of attempts that wait at the node that responds
 	headerQuery       = "Agatekeel-Query"         // ID of the attempt that is asked about
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -52,7 +52,7 @@
 		Method: http.MethodDelete, URL: &url.URL{Scheme: "http", Host: f.Hop, Path: "/"},
 		Header: http.Header{header: {formatAttempt(f.Attempt)}, headerIncarnation: {formatIncarnation(f.Incarnation)}},
 	}).WithContext(ctx)
-	resp, err := p.query.RoundTrip(req)
+	resp, err := p.roundTrip(ctx, p.query, req, func(resp *http.Response) error { return checkAttempt(f, resp) })
 	if err != nil {
 		p.query.CloseIdleConnections() // the next query opens a new connection
 		return "", fmt.Errorf("ask node %s about an attempt: %w", f.Target, err)
@@ -84,6 +84,7 @@
 	case p.core.CancelAttempt(core.AttemptCancelled{Attempt: id, ForIncarnation: incarnation}):
 		outcome = retry.NotRun.String()
 	}
+	w.Header()[headerAttempt] = []string{formatAttempt(id)}
 	w.Header().Set(HeaderOutcome, outcome)
 	w.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/proxy/stale_hop_test.go
@@ -0,0 +1,52 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+// TestRefusalOfAnotherAttemptIsNotBelieved guards against an attempt that runs being
+// reported as not run, because another one's refusal, or the reply to the query about
+// another one, came on its connection between nodes.
+func TestRefusalOfAnotherAttemptIsNotBelieved(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		hop, queried string // values of the header that names the attempt; empty: none
+	}{{"both of another attempt", "1-1", "1-1"}, {"both without an attempt", "", ""}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.SilenceAfter = testDeadline }, "", "orders")
+			_ = m.nodes[1].hopServer.Close()
+			l, err := net.Listen("tcp", m.nodes[1].hop)
+			is.NoErr(err)
+			var runs, queries atomic.Int64
+			faulty := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				count, attempt, status := &queries, tc.queried, http.StatusNoContent
+				if r.Header.Get("Agatekeel-Hop") != "" {
+					count, attempt, status = &runs, tc.hop, http.StatusServiceUnavailable
+				}
+				count.Add(1)
+				if attempt != "" {
+					w.Header().Set("Agatekeel-Attempt", attempt)
+				}
+				w.Header().Set(proxy.HeaderOutcome, "not-run")
+				w.WriteHeader(status)
+			})}
+			go func() { _ = faulty.Serve(l) }()
+			defer func() { _ = faulty.Close() }()
+			resp, _, err := m.do(0, "POST", "/once", "x")
+			is.NoErr(err)
+			is.Equal(fmt.Sprint(resp.StatusCode, " ", resp.Header.Get(proxy.HeaderOutcome)), "502 unknown")
+			is.Equal(runs.Load(), int64(1))
+			is.Equal(queries.Load(), int64(1))
+		})
+	}
+}
