Answer 502 to a body that stalls after part of it was passed on

A caller whose request body stopped coming got status 408 at the deadline, with Agatekeel-Outcome: unknown. On the users' platform 408 promises, like 429 and 503, that the request has not run and never will. But a long body is passed on as it arrives, so the backend server had the header and part of the body by then and may have begun to work.

The status is now the one of every unknown outcome, 502. A short body is read before anything is passed on; it keeps 408, and so does a header that does not come.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -164,7 +164,7 @@
 		c.proxy.fail(c.w, http.StatusRequestEntityTooLarge, retry.Unknown, fmt.Sprintf(
 			"request body has more than %d bytes", c.proxy.maxBody.Load()))
 	case errors.As(err, &timeout) && timeout.Timeout():
-		c.proxy.fail(c.w, http.StatusRequestTimeout, retry.Unknown, "request body did not come in time")
+		c.proxy.fail(c.w, statusOf(retry.Unknown), retry.Unknown, "request body did not come in time") // status 408 would say that it has not run
 	default:
 		panic(http.ErrAbortHandler) // the caller broke off its request
 	}
