--- a/proxy/names.go
+++ b/proxy/names.go
@@ -27,7 +27,7 @@
 	// Service is the service of the host where a request originated.
 	Service string
 	// NotRun marks the response of a backend server that did not run the
-	// request.
+	// request. It counts only beside the request's RequestID.
 	NotRun string
 	// RateLimit is the number of requests per second, a decimal number, that the
 	// backend server which answers takes from all hosts together. Without it the
