Keep the connection to a backend server that refuses a request

Cause: as between nodes: the body of the refusal was closed unread, and http.Transport closes the connection with it.

Its connection is used again; an answer of another request ends it as before.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -133,7 +133,11 @@
 	if err == nil {
 		return resp, nil
 	}
-	if asAttemptError(err).outcome == retry.Unknown && conn != nil {
+	if asAttemptError(err).outcome != retry.Unknown {
+		discardBody(resp)
+		return nil, err
+	}
+	if conn != nil {
 		conn.seal()
 	}
 	_ = resp.Body.Close()
