Handle no request behind the response that closes its connection

A draining server announces the close of a connection in the response to the last request received so far. A pipelined request that arrived while that response was being sent, after its head, was still read and handled: it was passed on to a backend server, and its own response was then dropped, since an earlier one had closed the connection. The caller saw the connection close behind the first response, took the request as not read and sent it again. Thus a request could run twice, and one that had run got no answer. The same held for a response that closes the connection for another reason.

TestRequestBehindClosingResponseIsNotHandled failed before in both cases: handled were "/1 /2", wanted was "/1".

The decision that a response is the last one and the acceptance of a request are now made under one lock: a request is either counted before the decision, so that the response does not close the connection, or it is not handled.

--- /dev/null
+++ b/h1/closing_test.go
@@ -0,0 +1,69 @@
+package h1_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/h1"
+)
+
+// TestRequestBehindClosingResponseIsNotHandled checks that a request is not handled if it
+// arrives while a response that announces the close of its connection is still being sent:
+// its own response could not be sent, and its client repeats it.
+func TestRequestBehindClosingResponseIsNotHandled(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		drains        bool
+		closes, wants string // paths: one whose response closes the connection, and those handled at the end
+	}{
+		{"drain", true, "/", "/1 "},
+		{"response that closes", false, "/1", "/1 "},
+		{"neither", false, "/", "/1 /2 "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			handled, release := make(chan string, 2), make(chan struct{})
+			s, c := start(t, h1.Config{}, func(w http.ResponseWriter, r *http.Request) {
+				handled <- r.URL.Path
+				if r.URL.Path == tt.closes {
+					w.Header().Set("Connection", "close")
+				}
+				_, _ = io.WriteString(w, "begun ")
+				w.(http.Flusher).Flush()
+				<-release
+				_, _ = io.WriteString(w, "ended")
+			})
+			if tt.drains {
+				s.Drain()
+			}
+			_, err := io.WriteString(c, getRequest("/1"))
+			is.NoErr(err)
+			in := bufio.NewReader(c)
+			first, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			_, err = io.WriteString(c, getRequest("/2"))
+			is.NoErr(err)
+			time.Sleep(20 * time.Millisecond) // the server reads the second request, if it is going to
+			close(release)
+			body, err := io.ReadAll(first.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "begun ended")
+			if tt.wants == "/1 /2 " {
+				_, _ = readResponse(t, in)
+			} else {
+				_, err = in.ReadByte()
+				is.Equal(err, io.EOF)
+			}
+			got := ""
+			for len(handled) > 0 {
+				got += <-handled + " "
+			}
+			is.Equal(got, tt.wants)
+		})
+	}
+}
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -42,6 +43,10 @@
 	pending     atomic.Int32  // number of requests read whose responses are not complete
 	last        *exchange     // the most recent exchange; nil: none
 	closing     atomic.Bool   // a response announced that the connection closes
+
+	// accepting is held while a request is added to pending, and while a response
+	// decides whether it is the last one.
+	accepting sync.Mutex
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -128,12 +133,27 @@
 	case <-c.ctx.Done():
 		return false
 	}
+	if !c.accept() {
+		return false
+	}
 	c.last = e
-	c.pending.Add(1)
 	go e.run()
 	return e.awaitBodyRead()
 }
 
+// accept counts a request that was read as pending. It returns false if a response has
+// announced that the connection closes: the request must not be handled then, as its
+// response could not be sent and the client repeats it.
+func (c *conn) accept() bool {
+	c.accepting.Lock()
+	defer c.accepting.Unlock()
+	if c.closing.Load() {
+		return false
+	}
+	c.pending.Add(1)
+	return true
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest() bool {
 	c.headerLimit.N = int64(c.server.limits.Load().MaxHeaderBytes)
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -116,12 +116,21 @@
 	return w.exchange.conn.server.draining.Load() && w.exchange.conn.pending.Load() <= 1
 }
 
-func (w *writer) sendHeader() {
-	out, c := w.exchange.conn.out, w.exchange.conn
+// decideClose determines whether the connection is closed after this response. No
+// request is accepted after that.
+func (w *writer) decideClose() {
+	c := w.exchange.conn
+	c.accepting.Lock()
+	defer c.accepting.Unlock()
 	w.closesConn = w.mustClose()
 	if w.closesConn {
 		c.closing.Store(true)
 	}
+}
+
+func (w *writer) sendHeader() {
+	out := w.exchange.conn.out
+	w.decideClose()
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 %03d %s\r\n", w.status, http.StatusText(w.status))
 	trailers := w.trailers()
 	for name, values := range w.header {
