Take no call that cannot be answered before the process ends

A node that is asked to stop took every call until drain.atLeast had passed, without regard to the time that was left until drain.atMost. Calls that ran longer were passed on to a backend server and cut when the process ended, with no answer; among them were calls that are not idempotent, whose outcome the caller then did not know. With a grace period of 6 s (drain.atMost 5.3 s) this took calls of over 2.3 s; with a shorter grace period, where both times are the same, any call that came late.

A stopping node now takes a call if its budget, or four times the usual time of its route, ends before the process does, and refuses it as not run otherwise. The deadline of each call is at most the process's end, which the backend server is told, so that it answers in time.

--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -126,6 +126,9 @@
 	return max(k.latency, 1)
 }
 
+// UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
+func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[name].latency }
+
 // Group builds the group of rows. The state of each endpoint whose incarnation has
 // not changed is taken over. old is the previous group or nil; it must not be used
 // afterwards.
--- a/core/drain.go
+++ b/core/drain.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
@@ -20,6 +22,38 @@
 	s.emit(DrainStarted{})
 	s.beginDrain()
 	s.backend.drainSince = s.now
+	for _, c := range s.requests.calls {
+		c.deadline = earlier(c.deadline, s.exitAt()) // also that of later attempts
+	}
+}
+
+// exitAt returns the time at which a stopping process ends in any case.
+func (s *State) exitAt() time.Time { return s.backend.drainSince.Add(s.cfg.DrainAtMost) }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// longRunFactor is the run time, as a multiple of the usual one, that a call is
+// given before the process ends. Few calls take longer.
+const longRunFactor = 4
+
+// limitToExit shortens a new call's budget to the time until the process ends. It
+// returns false if the call might not be answered by then: not within its budget,
+// nor within longRunFactor times the usual time of its kind.
+func (s *State) limitToExit(service, kind string, budget time.Duration) (time.Duration, bool) {
+	if !s.backend.stopping || s.requestFaults.ignoreExit {
+		return budget, true
+	}
+	left := s.exitAt().Sub(s.now)
+	need := budget
+	if usual := s.group(service).UsualLatency(kind); usual > 0 {
+		need = min(need, longRunFactor*usual)
+	}
+	return min(budget, left), need <= left
 }
 
 func (s *State) beginDrain() {
--- a/core/request.go
+++ b/core/request.go
@@ -99,9 +99,15 @@
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
+	service := route.ServiceFor(s.rng.Float64())
+	budget, ok = s.limitToExit(service, route.Name, budget)
+	if !ok {
+		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node ends before the answer is due", RetryAfter: s.retryAfter(e.Budget)})
+		return
+	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, method: e.Method, route: route, service: route.ServiceFor(s.rng.Float64()), class: classOf(route.Policy),
+		request: e.Request, arrived: s.now, method: e.Method, route: route, service: service, class: classOf(route.Policy),
 		deadline: s.now.Add(budget), replayable: e.Replayable, tried: c.tried[:0],
 	}
 	s.requests.calls[e.Call] = c
--- /dev/null
+++ b/core/requests_exit_test.go
@@ -0,0 +1,123 @@
+package core_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/coretest"
+	"github.com/agatekeel/agatekeel/core/retry"
+)
+
+// Times of the calls in TestStoppingNodeTakesOnlyCallsItCanAnswer.
+const (
+	quickRun  = 20 * time.Millisecond
+	callEvery = 10 * time.Millisecond
+)
+
+// stopUnderCalls stops a node to which callers send quick and slow calls, half of them
+// not idempotent, before and throughout its drain. It returns the calls sent since, and
+// when the drain began and the node ended.
+func stopUnderCalls(t *testing.T, atMost, slowRun time.Duration, fault core.RequestFault) (began, ended time.Time, sent []*coretest.Call) {
+	m := coretest.New(5)
+	for _, name := range []string{"a1", "a2", "a3"} {
+		m.Start(name, core.Config{DataCentre: "a", Service: "orders", Slots: 200, DrainAtLeast: min(3*time.Second, atMost), DrainAtMost: atMost})
+	}
+	m.Run(time.Second)
+	submitSlowRoute(t, m)
+	m.Run(20 * time.Second)
+	tr := coretest.NewTraffic(m)
+	slow := map[core.CallID]bool{}
+	tr.RunTime = func(_ string, c *coretest.Call) time.Duration {
+		if slow[c.ID] {
+			return slowRun
+		}
+		return quickRun
+	}
+	n := m.Node("a1")
+	send := func(i int) *coretest.Call {
+		path := []string{"/quick/1", "/slow/1"}[i%2]
+		slow[core.CallID(len(tr.Calls)+1)] = i%2 == 1
+		return tr.Call("a1", core.CallArrived{Method: []string{"GET", "POST"}[i/2%2], Path: path, Budget: slowRun * 3 / 2, Replayable: true})
+	}
+	for i := range 400 {
+		send(i)
+		m.Run(callEvery)
+	}
+	n.State.InjectRequestFault(fault)
+	m.Step("a1", core.Stop{})
+	began = m.Now
+	for i := 0; n.Alive && m.Now.Sub(began) < 2*atMost; i++ {
+		sent = append(sent, send(i))
+		m.RunUntil(callEvery, func() bool { return !n.Alive })
+	}
+	ended = m.Now
+	m.Run(5 * time.Second)
+	if err := coretest.CheckOutcomes(tr.Calls); err != nil {
+		t.Error(err)
+	}
+	return began, ended, sent
+}
+
+// submitSlowRoute submits a service with one route for quick calls and one for slow ones.
+func submitSlowRoute(t *testing.T, m *coretest.Mesh) {
+	var sub config.Submission
+	sub.ID = "s1"
+	put := func(kind config.Kind, name, spec string) {
+		sub.Puts = append(sub.Puts, config.Put{Object: config.Object{Kind: kind, Name: name, Spec: json.RawMessage(spec)}, AnyBase: true})
+	}
+	put(config.KindService, "orders", `{}`)
+	put(config.KindRoute, "quick", `{"pathPrefix":"/quick","service":"orders"}`)
+	put(config.KindRoute, "slow", `{"pathPrefix":"/slow","service":"orders"}`)
+	data, err := json.Marshal(sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.CreateObject("submission/"+sub.ID, data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStoppingNodeTakesOnlyCallsItCanAnswer checks that every call that a stopping node
+// takes is answered before the node ends, and that all others are refused as not run.
+func TestStoppingNodeTakesOnlyCallsItCanAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		atMost, slowRun time.Duration
+		fault           core.RequestFault
+		wantCut         bool
+	}{
+		{atMost: 5300 * time.Millisecond, slowRun: 1500 * time.Millisecond},
+		{atMost: 5300 * time.Millisecond, slowRun: 4 * time.Second},
+		{atMost: 5300 * time.Millisecond, slowRun: 4 * time.Second, fault: core.IgnoreExit, wantCut: true},
+		{atMost: 2500 * time.Millisecond, slowRun: 1500 * time.Millisecond},
+		{atMost: 2500 * time.Millisecond, slowRun: 1500 * time.Millisecond, fault: core.IgnoreExit, wantCut: true},
+		{atMost: time.Second, slowRun: 1500 * time.Millisecond},
+		{atMost: time.Second, slowRun: 1500 * time.Millisecond, fault: core.IgnoreExit, wantCut: true},
+	} {
+		t.Run(fmt.Sprint(tt.atMost, " ", tt.slowRun, " ", tt.fault), func(t *testing.T) {
+			is := is.New(t)
+			began, ended, sent := stopUnderCalls(t, tt.atMost, tt.slowRun, tt.fault)
+			cut, ran := []string{}, 0
+			for _, c := range sent {
+				switch {
+				case c.Outcome == retry.Ran && !c.Ended.After(ended):
+					ran++
+				case c.Outcome != retry.NotRun || len(c.Runs) > 0:
+					cut = append(cut, fmt.Sprintf("%s call sent %v after the stop: outcome %v, %d runs, %s",
+						c.Method, c.Started.Sub(began), c.Outcome, len(c.Runs), c.Reason))
+				}
+			}
+			t.Logf("%d calls, %d answered, %d cut", len(sent), ran, len(cut))
+			if !tt.wantCut {
+				is.Equal(cut, []string{})
+			}
+			is.Equal(len(cut) > 0, tt.wantCut)
+			is.True(ran > 40) // callers learn of a stop by polling readiness
+		})
+	}
+}
--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -19,6 +19,7 @@
 	UnlimitedRetries    RequestFault = "retries have no budget"
 	ServeWhileDraining  RequestFault = "a draining backend server accepts new attempts"
 	SkipDrainWait       RequestFault = "a drain does not wait for what is in flight"
+	IgnoreExit          RequestFault = "a stopping node accepts calls without regard to the time left"
 	ForgetKeys          RequestFault = "a node does not remember idempotency keys"
 	AcceptUnknownClaims RequestFault = "a claim with an unknown write result counts as held"
 	ForgetNotices       RequestFault = "a node ignores what others know of its backend server"
@@ -32,7 +33,7 @@
 		forgetCancelled: f == ForgetCancelled, forgetSeen: f == ForgetSeen, ignoreIncarnation: f == IgnoreIncarnation,
 		copiesNotRun: f == CopiesNotRun, forgetUnknown: f == ForgetUnknown, retryNonIdempotent: f == RetryNonIdempotent,
 		unlimitedRetries: f == UnlimitedRetries, serveWhileDraining: f == ServeWhileDraining, skipDrainWait: f == SkipDrainWait,
-		forgetNotices: f == ForgetNotices, forgetKeys: f == ForgetKeys, acceptUnknownClaims: f == AcceptUnknownClaims, ignoreClaims: f == IgnoreClaims,
+		ignoreExit: f == IgnoreExit, forgetNotices: f == ForgetNotices, forgetKeys: f == ForgetKeys, acceptUnknownClaims: f == AcceptUnknownClaims, ignoreClaims: f == IgnoreClaims,
 	}
 }
 
