Let a drain wait for large answers that go to another node

A node reads a large answer of its backend server into memory as fast as the backend server makes it, so that its slot is free while the answer waits for the host's link. A drain counted slots only: the node took itself for idle, ended half a second after drain.atLeast, and cut what it had read but not sent. The entry node had passed on the head by then, so that callers got an incomplete answer, also to requests that are not idempotent and had run.

The reducer now counts the large answers that are being sent to other nodes, and a drain ends when there are none, or at drain.atMost.

--- a/core/announce.go
+++ b/core/announce.go
@@ -26,6 +26,7 @@
 	drainSince   time.Time // when the drain, or the stop of the process, began
 	drained      bool      // the drain has finished
 	servedAt     time.Time // when the last complete answer without error was received
+	relays       int       // large answers that are being sent to other nodes
 	queue        *admission.Queue
 	dedup        *admission.DedupWindow
 	keys         *idempotency.Registry
--- a/core/drain.go
+++ b/core/drain.go
@@ -101,9 +101,8 @@
 	if !b.stopping || b.drained {
 		return
 	}
-	running, waiting := b.queue.Load()
 	since := s.now.Sub(b.drainSince)
-	idle := running == 0 && waiting == 0 && len(s.requests.calls) == 0 || s.requestFaults.skipDrainWait
+	idle := s.idle() || s.requestFaults.skipDrainWait
 	if since < s.cfg.DrainAtLeast || !idle && since < s.cfg.DrainAtMost {
 		return
 	}
@@ -113,6 +112,12 @@
 	s.emit(Drained{})
 }
 
+// idle reports whether no request is in flight.
+func (s *State) idle() bool {
+	running, waiting := s.backend.queue.Load()
+	return running == 0 && waiting == 0 && s.backend.relays == 0 && len(s.requests.calls) == 0
+}
+
 // closeLinks closes all links of a node that is about to exit and opens no
 // others. Messages sent before, such as the announcement that the backend
 // server is gone, are delivered first.
--- a/core/event.go
+++ b/core/event.go
@@ -180,6 +180,15 @@
 	Bytes     int64         // size of the answer's body as far as it was received
 }
 
+// RelayBegan reports that this node begins to send a large answer of its
+// backend server to another node. Its attempt may be done long before the
+// answer is sent: the backend server is read as fast as it answers. RelayEnded
+// follows.
+type RelayBegan struct{}
+
+// RelayEnded reports the end of what RelayBegan reported.
+type RelayEnded struct{}
+
 // AttemptCancelled requests that an attempt not run. It is answered with
 // Refuse if it is certain that the attempt does not run, and not answered
 // otherwise. ForIncarnation is as in AttemptArrived: a node has no record
@@ -205,3 +214,5 @@
 func (AttemptArrived) isEvent()        {}
 func (AttemptDone) isEvent()           {}
 func (AttemptCancelled) isEvent()      {}
+func (RelayBegan) isEvent()            {}
+func (RelayEnded) isEvent()            {}
--- a/core/requests_exit_test.go
+++ b/core/requests_exit_test.go
@@ -121,3 +121,30 @@
 		})
 	}
 }
+
+// TestDrainWaitsForRelays checks that a node whose backend server has answered does not
+// end while it sends the answer to another node, but ends at DrainAtMost.
+func TestDrainWaitsForRelays(t *testing.T) {
+	for _, tt := range []struct {
+		ends bool // the answer is sent completely
+		want time.Duration
+	}{{true, 5 * time.Second}, {false, 10 * time.Second}} {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		s := core.New(core.Config{Service: "orders", DrainAtLeast: time.Second, DrainAtMost: 10 * time.Second})
+		s.Reduce(start, core.RelayBegan{})
+		s.Reduce(start, core.Stop{})
+		drained := time.Duration(0)
+		for after := time.Duration(0); drained == 0 && after <= 20*time.Second; after += 500 * time.Millisecond {
+			if tt.ends && after == 5*time.Second {
+				s.Reduce(start.Add(after), core.RelayEnded{})
+			}
+			for _, effect := range s.Reduce(start.Add(after), core.Tick{}) {
+				if _, ok := effect.(core.Drained); ok {
+					drained = after
+				}
+			}
+		}
+		is.Equal(drained, tt.want)
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -234,6 +234,10 @@
 		s.attemptArrived(e)
 	case AttemptDone:
 		s.attemptDone(e)
+	case RelayBegan:
+		s.backend.relays++
+	case RelayEnded:
+		s.backend.relays--
 	case AttemptCancelled:
 		s.attemptCancelled(e)
 	case BackendAnswered:
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
@@ -46,6 +47,10 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if mayBeLarge(resp) {
+		p.core.Step(core.RelayBegan{})
+		defer p.core.Step(core.RelayEnded{})
+	}
 	if _, err := p.relayResponse(w, resp); err != nil && !p.injected.hidesTruncation {
 		abortResponse(w)
 	}
--- a/proxy/transfer.go
+++ b/proxy/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -43,6 +44,11 @@
 	transfer *uplink.Transfer // nil: the response is not large so far
 }
 
+// mayBeLarge reports whether a response is large or does not declare its length.
+func mayBeLarge(resp *http.Response) bool {
+	return resp.ContentLength < 0 || resp.ContentLength > largeResponseBytes
+}
+
 // becomesLarge reports whether a response is large from the next part on, which has n
 // bytes: because of its declared length, or of what was passed on so far.
 func (b *bodyTransfer) becomesLarge(n int) bool {
