--- a/core/drain.go
+++ b/core/drain.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
@@ -20,6 +22,42 @@
 	s.emit(DrainStarted{})
 	s.beginDrain()
 	s.backend.drainSince = s.now
+	for _, c := range s.requests.calls {
+		c.deadline = earlier(c.deadline, s.exitAt()) // also that of later attempts
+	}
+}
+
+// exitAt returns the time at which a stopping process ends in any case.
+func (s *State) exitAt() time.Time { return s.backend.drainSince.Add(s.cfg.DrainAtMost) }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// longRunFactor is the run time, as a multiple of the usual one, that a call is
+// given before the process ends. Few calls take longer.
+const longRunFactor = 4
+
+// answerMargin is the part of the time left that is not counted on: answers have to be
+// passed on, and a host may stall.
+const answerMargin = 200 * time.Millisecond
+
+// limitToExit shortens a new call's budget to the time until the process ends. It
+// returns false if the call might not be answered by then: not within its budget, nor
+// within longRunFactor times the usual time of its kind, and answerMargin.
+func (s *State) limitToExit(service, kind string, budget time.Duration) (time.Duration, bool) {
+	if !s.backend.stopping || s.requestFaults.ignoreExit {
+		return budget, true
+	}
+	left := s.exitAt().Sub(s.now)
+	need := budget
+	if usual := s.group(service).UsualLatency(kind); usual > 0 {
+		need = min(need, longRunFactor*usual)
+	}
+	return min(budget, left), need <= left-answerMargin
 }
 
 func (s *State) beginDrain() {
@@ -67,9 +105,8 @@
 	if !b.stopping || b.drained {
 		return
 	}
-	running, waiting := b.queue.Load()
 	since := s.now.Sub(b.drainSince)
-	idle := running == 0 && waiting == 0 && len(s.requests.calls) == 0 || s.requestFaults.skipDrainWait
+	idle := s.idle() || s.requestFaults.skipDrainWait
 	if since < s.cfg.DrainAtLeast || !idle && since < s.cfg.DrainAtMost {
 		return
 	}
@@ -79,6 +116,12 @@
 	s.emit(Drained{})
 }
 
+// idle reports whether no request is in flight.
+func (s *State) idle() bool {
+	running, waiting := s.backend.queue.Load()
+	return running == 0 && waiting == 0 && s.backend.relays == 0 && len(s.requests.calls) == 0
+}
+
 // closeLinks closes all links of a node that is about to exit and opens no
 // others. Messages sent before, such as the announcement that the backend
 // server is gone, are delivered first.
