--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -168,7 +168,7 @@
 		least    time.Duration // for which small ones that begin later pass the large one
 		most     time.Duration
 	}{
-		{"caller waits for long", time.Minute, 500 * time.Millisecond, 1600 * time.Millisecond}, // twice its own time, and its own
+		{"caller waits for long", time.Minute, 500 * time.Millisecond, 1600 * time.Millisecond},             // twice its own time, and its own
 		{"caller waits for little more", 1300 * time.Millisecond, 0, (1300 - 524 + 104) * time.Millisecond}, // leaves the next link as long, but for two small ones
 	} {
 		t.Run(tt.name, func(t *testing.T) {
