Let a large answer spend only a part of its spare time in front of the link

Cause: the gate let an answer in if by its estimate it ended exactly at the target. The estimate is of averages: sizes differ by 0.55 (standard deviation of the logarithm), run times too, and the network and the processor come on top. So about half of those at the limit were late, and the queue in front of the link was as long as the estimate allowed.

Change: three quarters of the time that an answer can spare until its target may be spent waiting for earlier answers. One that would be late even over an idle link is let in as before.

Three quarters is kept: fewer served weigh against more in time.

TestOneAnswerSetsAverageSize expected three answers of the time until the target; two fit into the time that is planned now, and a third is refused.

--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -11,6 +11,11 @@
 // determines how many answers arrive in time.
 const largeAnswerBytes = 32 << 10
 
+// waitShare is the part of the time that a large answer can spare until its target which
+// it may spend waiting for the link. The rest is for what the estimate lacks: the spread
+// of sizes and run times, the network, the wait for a processor.
+const waitShare = 0.75
+
 // passedTarget is the largest rest of the time until its target that an attempt may
 // have whose target has passed: a node reports at least a microsecond.
 const passedTarget = time.Microsecond
@@ -47,10 +52,11 @@
 	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
 	relayFree := now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
 	delivered, soonest := later(sent, relayFree).Add(relayTime), soonestSent.Add(relayTime)
+	planned := soonest.Add(time.Duration(waitShare * float64(w.TargetTime.Sub(soonest))))
 	switch {
 	case !delivered.Before(w.Deadline):
 		return false
-	case w.TargetTime.IsZero() || delivered.Before(w.TargetTime):
+	case w.TargetTime.IsZero() || soonest.Before(w.TargetTime) && !delivered.After(planned):
 		return true
 	case w.TargetTime.Sub(now) <= passedTarget || soonest.Before(w.TargetTime):
 		return false
