Tell entry nodes when a link will have room, and ask no node before

What callers saw: a download asked at up to four hosts and refused by each, three times over; two refusals and more on the scarce links for each download asked for, and callers told to come back at a random time.

Cause: a refusal told no more than its reason. An entry node chose by queue and latency, which say nothing of a link, and asked the same full hosts for the next request a few milliseconds later.

Change: a refusal for the link tells when the link will have room if nothing else comes (Agatekeel-Link-Opens-Micros), which the gate knows exactly. Until then, a second at most, the entry node sends that host no request with a large answer; if no host is left the call ends at once, and its caller is told to come back when the first link opens. The choice for short answers is unchanged.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -144,16 +144,18 @@
 
 // Decision is the result of an arrival.
 type Decision struct {
-	Run        bool      // the attempt starts now; if false and it is admitted, it waits
-	Reason     Reason    // Admitted for an attempt that starts or waits
-	Evicted    []Attempt // less urgent attempts removed from the queue for this one
-	EvictedFor Reason    // why they were removed
+	Run         bool          // the attempt starts now; if false and it is admitted, it waits
+	Reason      Reason        // Admitted for an attempt that starts or waits
+	LinkOpensIn time.Duration // if Reason is LinkFull: time until the link will have room if no other attempt comes
+	Evicted     []Attempt     // less urgent attempts removed from the queue for this one
+	EvictedFor  Reason        // why they were removed
 }
 
 // Arrive admits an attempt or refuses it. The slice Decision.Evicted is valid
 // until the next call.
 func (q *Queue) Arrive(now time.Time, a Attempt) Decision {
 	a.arrived = now
+	linkOpensIn := q.linkOpensIn(now, a)
 	if q.numWaiting == 0 {
 		q.emptyAt = now
 	}
@@ -162,8 +164,8 @@
 		return Decision{Reason: TooLate}
 	case !q.rateHasRoom(now, a.Class):
 		return Decision{Reason: RateLimited}
-	case !q.linkHasRoom(now, a):
-		return Decision{Reason: LinkFull}
+	case linkOpensIn > 0:
+		return Decision{Reason: LinkFull, LinkOpensIn: linkOpensIn}
 	case q.canStart(a.Class) && q.startsNext(a.Class):
 		q.dropped = q.dropped[:0]
 		q.evictBeyondRate(1)
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -33,19 +33,19 @@
 	return time.Duration(bytes / l.Rate * float64(time.Second))
 }
 
-// linkHasRoom reports whether the answer of an attempt can be sent, and relayed by
-// the entry node, by its deadline and by its target time. An answer that misses its
-// target time would use bandwidth at the expense of answers that could still meet
-// theirs. It is let in only where they would leave the link idle: if no large answers
-// are expected, or, if not even idle links could send it in time, behind at most one
-// that is ready before it.
-func (q *Queue) linkHasRoom(now time.Time, w Attempt) bool {
+// linkOpensIn returns zero if the answer of an attempt can be sent, and relayed by the
+// entry node, by its deadline and by its target time. Otherwise it returns the time until
+// it could if no other attempt came. An answer that misses its target time would use
+// bandwidth at the expense of answers that could still meet theirs. It is let in only
+// where they would leave the link idle: if no large answers are expected, or, if not even
+// idle links could send it in time, behind at most one that is ready before it.
+func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
-		return true
+		return 0
 	}
 	free := q.linkFreeAt(now)
 	if !free.After(now) {
-		return true
+		return 0
 	}
 	ready := now.Add(q.avgRunTime[w.Class])
 	sent, soonestSent := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
@@ -55,13 +55,15 @@
 	planned := soonest.Add(time.Duration(waitShare * float64(w.TargetTime.Sub(soonest))))
 	switch {
 	case !delivered.Before(w.Deadline):
-		return false
+		return delivered.Sub(w.Deadline) + 1
 	case w.TargetTime.IsZero() || soonest.Before(w.TargetTime) && !delivered.After(planned):
-		return true
-	case w.TargetTime.Sub(now) <= passedTarget || soonest.Before(w.TargetTime):
-		return false
+		return 0
+	case w.TargetTime.Sub(now) <= passedTarget:
+		return free.Sub(now)
+	case soonest.Before(w.TargetTime):
+		return delivered.Sub(planned)
 	}
-	return !free.After(soonestSent)
+	return max(free.Sub(soonestSent), 0)
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -252,3 +252,45 @@
 	is.True(q.Arrive(now, admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(time.Minute)}).Run)
 	is.Equal(q.LinkWait(now), largeRun+time.Duration(largeBytes/linkBytes*float64(time.Second)))
 }
+
+// TestFullLinkTellsWhenItHasRoom checks that a request is refused for the time that a
+// refusal named, and let in after it.
+func TestFullLinkTellsWhenItHasRoom(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		target, left time.Duration
+	}{
+		{"in time", largeTarget, 6 * time.Second},
+		{"late even over an idle link", 200 * time.Millisecond, 6 * time.Second},
+		{"target passed", passedTarget, 6 * time.Second},
+		{"no target", 0, time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			q := admission.New(admission.DefaultConfig(8))
+			q.Arrive(now, admission.Attempt{Class: admission.Batch, Deadline: now.Add(time.Minute)})
+			q.Done(now, admission.ID{}, admission.Run{Took: largeRun, Bytes: largeBytes})
+			const backlog = 6 * largeBytes
+			next := uint64(0)
+			arrive := func(after time.Duration) admission.Decision {
+				next++
+				at := now.Add(after)
+				q.SetLink(uplink.Load{Backlog: backlog - int64(after.Seconds()*linkBytes), Rate: linkBytes})
+				a := admission.Attempt{ID: admission.ID{Number: next}, Class: admission.Batch, Deadline: at.Add(tt.left)}
+				if tt.target > 0 {
+					a.TargetTime = at.Add(tt.target)
+				}
+				return q.Arrive(at, a)
+			}
+			d := arrive(0)
+			is.Equal(d.Reason, admission.LinkFull)
+			is.True(d.LinkOpensIn > 0)
+			is.Equal(arrive(d.LinkOpensIn-time.Millisecond).Reason, admission.LinkFull)
+			is.Equal(arrive(d.LinkOpensIn+time.Millisecond).Reason, admission.Admitted)
+		})
+	}
+}
+
+// passedTarget is what is left of a target that has passed, as a node reports it.
+const passedTarget = time.Microsecond
--- a/core/admit.go
+++ b/core/admit.go
@@ -53,17 +53,17 @@
 		s.emit(Refuse{Attempt: e.Attempt, Reason: admission.KeyUsed, Outcome: first.Outcome, Status: first.Status})
 		return
 	}
-	run, reason := s.admit(e)
-	if reason != admission.Admitted {
+	d := s.admit(e)
+	if d.Reason != admission.Admitted {
 		b.dedup.Add(e.Attempt, admission.Refused)
-		s.refuseAttempt(e.Request, e.Attempt, reason, retry.NotRun)
+		s.refuse(e.Request, Refuse{Attempt: e.Attempt, Reason: d.Reason, Outcome: retry.NotRun, LinkOpensIn: d.LinkOpensIn})
 		return
 	}
 	b.dedup.Add(e.Attempt, admission.Pending)
 	if !e.Key.IsZero() {
 		b.keys.Begin(s.now, e.Key, e.Attempt)
 	}
-	if run {
+	if d.Run {
 		s.emit(s.run(e.Attempt))
 		return
 	}
@@ -78,14 +78,14 @@
 }
 
 // admit decides on an attempt that was not seen before.
-func (s *State) admit(e AttemptArrived) (run bool, reason admission.Reason) {
+func (s *State) admit(e AttemptArrived) admission.Decision {
 	b := &s.backend
 	s.noticeReceived(e.Said, e.Request)
 	switch {
 	case (b.draining || !b.entry.State.Serves()) && !s.requestFaults.serveWhileDraining:
-		return false, admission.NotServing
+		return admission.Decision{Reason: admission.NotServing}
 	case !e.Key.IsZero() && b.keys.Full():
-		return false, admission.KeysFull
+		return admission.Decision{Reason: admission.KeysFull}
 	}
 	b.queue.SetLink(e.Link)
 	d := b.queue.Arrive(s.now, admission.Attempt{
@@ -95,7 +95,7 @@
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, d.EvictedFor)
 	}
-	return d.Run, d.Reason
+	return d
 }
 
 // softDeadline returns the time at which a soft budget ends, zero for none.
@@ -152,12 +152,16 @@
 }
 
 func (s *State) refuseAttempt(request string, id AttemptID, reason admission.Reason, o retry.Outcome) {
+	s.refuse(request, Refuse{Attempt: id, Reason: reason, Outcome: o})
+}
+
+func (s *State) refuse(request string, r Refuse) {
 	running, waiting := s.backend.queue.Load()
-	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", id.String()}, Attr{"reason", string(reason)},
-		Attr{"outcome", o.String()}, Attr{"running", running}, Attr{"waiting", waiting},
+	s.log(notice.AttemptRefused, Attr{"request", request}, Attr{"attempt", r.Attempt.String()}, Attr{"reason", string(r.Reason)},
+		Attr{"outcome", r.Outcome.String()}, Attr{"running", running}, Attr{"waiting", waiting},
 		Attr{"linkMillis", s.backend.queue.LinkWait(s.now).Milliseconds()}, Attr{"limitRoom", s.backend.queue.RateRoom(s.now)},
 		Attr{"state", s.backend.entry.State.String()}, Attr{"backend", s.backend.heartbeat.Backend})
-	s.emit(Refuse{Attempt: id, Reason: reason, Outcome: o})
+	s.emit(r)
 }
 
 func (s *State) attemptDone(e AttemptDone) {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -97,12 +97,16 @@
 }
 
 // PickFor selects an endpoint of a group. It returns false if the group has none that
-// may be selected.
+// may be selected, or none whose link is open if the answer is large (see LinkOpensIn).
 func (b *Balancer) PickFor(now time.Time, g *Group, r Request) (*Endpoint, bool) {
 	g.restore(now)
-	if e := b.pickUntried(now, g, r); e != nil {
+	large := g.kinds[r.Kind].isLarge()
+	if e := b.pickUntried(now, g, r, large); e != nil {
 		return e, true
 	}
+	if large && g.anyLinkClosed(now) {
+		return nil, false
+	}
 	for _, s := range []*set{&g.local, &g.remote} {
 		if e := b.drawExcluded(s, r.Barred); e != nil { // all endpoints are excluded or were tried
 			return e, true
@@ -126,12 +130,12 @@
 	return nil
 }
 
-func (b *Balancer) pickUntried(now time.Time, g *Group, r Request) *Endpoint {
-	near := b.pickTwoChoices(now, &g.local, r.Tried)
+func (b *Balancer) pickUntried(now time.Time, g *Group, r Request, large bool) *Endpoint {
+	near := b.pickTwoChoices(now, &g.local, r.Tried, large)
 	if near != nil && (g.remote.healthy == 0 || b.withinTarget(now, g, near, r)) {
 		return near
 	}
-	far := b.pickTwoChoices(now, &g.remote, r.Tried)
+	far := b.pickTwoChoices(now, &g.remote, r.Tried, large)
 	if near == nil || far != nil && b.load(now, far)+b.cfg.SpillOverGain < b.load(now, near) {
 		return far
 	}
@@ -145,7 +149,7 @@
 func (b *Balancer) withinTarget(now time.Time, g *Group, e *Endpoint, r Request) bool {
 	load, k := b.load(now, e), g.kinds[r.Kind]
 	factor := 1.0
-	if k.bytes >= largeAnswerBytes {
+	if k.isLarge() {
 		factor = b.cfg.SpillLargeFactor
 	}
 	if r.Target == 0 || k.latency == 0 {
@@ -158,33 +162,38 @@
 // pickTwoChoices returns the less loaded of two random endpoints (Mitzenmacher, "The
 // Power of Two Choices in Randomized Load Balancing"). Whatever load an endpoint
 // reports, it is a candidate in at most 2/n of the selections among n endpoints.
-func (b *Balancer) pickTwoChoices(now time.Time, s *set, tried []string) *Endpoint {
-	first := b.draw(now, s, tried, nil)
-	second := b.draw(now, s, tried, first)
+func (b *Balancer) pickTwoChoices(now time.Time, s *set, tried []string, large bool) *Endpoint {
+	first := b.draw(now, s, tried, nil, large)
+	second := b.draw(now, s, tried, first, large)
 	if first == nil || second == nil || b.load(now, second) >= b.load(now, first) {
 		return first
 	}
 	return second
 }
 
-// draw returns a random endpoint that is not excluded, other than except. A warming
-// endpoint is replaced by another draw with a probability that decreases during its
-// slow start.
-func (b *Balancer) draw(now time.Time, s *set, tried []string, except *Endpoint) *Endpoint {
-	e := b.drawAny(s, tried, except)
+// draw returns a random endpoint that is not excluded, other than except, for a large
+// answer one whose link is open. A warming endpoint is replaced by another draw with a
+// probability that decreases during its slow start.
+func (b *Balancer) draw(now time.Time, s *set, tried []string, except *Endpoint, large bool) *Endpoint {
+	e := b.drawAny(now, s, tried, except, large)
 	if e != nil && e.Row.State == endpoint.Warming && b.rng.Float64() > b.slowStartShare(now, e) {
-		return b.drawAny(s, tried, except)
+		return b.drawAny(now, s, tried, except, large)
 	}
 	return e
 }
 
-func (b *Balancer) drawAny(s *set, tried []string, except *Endpoint) *Endpoint {
+func (b *Balancer) drawAny(now time.Time, s *set, tried []string, except *Endpoint, large bool) *Endpoint {
 	if s.healthy == 0 {
 		return nil
 	}
+	steps := min(s.healthy, len(tried)+2)
+	if large {
+		steps = s.healthy // any number of links may be closed
+	}
 	i := b.rng.IntN(s.healthy)
-	for range min(s.healthy, len(tried)+2) {
-		if e := s.endpoints[i]; e != except && !contains(tried, e.Row.ID) {
+	for range steps {
+		e := s.endpoints[i]
+		if e != except && !contains(tried, e.Row.ID) && !(large && e.linkClosed(now)) {
 			return e
 		}
 		if i++; i == s.healthy {
@@ -267,6 +276,7 @@
 	ErrorAnswer bool          // the backend server answered with an error, or that it did not run the request
 	Queue       int           // queue length reported by the answer; -1: none reported
 	Took        time.Duration // latency of a complete answer; zero: no complete answer
+	LinkOpensIn time.Duration // refused for lack of room on the host's link: time until there may be room for such a request; zero: not for that
 	Kind        string        // kind of the request
 	Bytes       int64         // size of a complete answer
 }
@@ -278,6 +288,9 @@
 	if res.Queue >= 0 {
 		e.queue, e.answeredAt = res.Queue, now
 	}
+	if res.LinkOpensIn > 0 {
+		e.closeLink(now, res)
+	}
 	if res.Took > 0 && !res.Failed && !res.ErrorAnswer {
 		e.answeredAt = now
 		e.observe(res)
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -32,6 +32,7 @@
 	ejections       int       // consecutive ejections without an answer in between
 	leaving         bool      // excluded because it announced that it is leaving, regardless of MaxEjected
 	excludedUntil   time.Time // zero: not excluded
+	linkOpensAt     time.Time // until then the host's link has no room for large answers, as its last refusal said
 }
 
 // Excluded reports whether an endpoint is currently not selected because it is
@@ -98,10 +99,14 @@
 
 // kind holds smoothed figures on the answers to one kind of request.
 type kind struct {
-	latency time.Duration
-	bytes   float64
+	latency     time.Duration // zero: unknown
+	bytes       float64
+	linkRefused bool // a request was refused for lack of room on a host's link
 }
 
+// isLarge reports whether answers to a kind of request are large.
+func (k kind) isLarge() bool { return k.bytes >= largeAnswerBytes || k.latency == 0 && k.linkRefused }
+
 // maxKinds bounds the number of kinds per group. Further kinds share one entry.
 const maxKinds = 64
 
@@ -112,9 +117,9 @@
 	if _, known := g.kinds[name]; !known && len(g.kinds) >= maxKinds {
 		name = ""
 	}
-	k, known := g.kinds[name]
-	if !known {
-		k = kind{latency: res.Took, bytes: float64(res.Bytes)}
+	k := g.kinds[name]
+	if k.latency == 0 {
+		k.latency, k.bytes = res.Took, float64(res.Bytes)
 	}
 	k.latency += (res.Took - k.latency) / groupSmoothing
 	k.bytes += (float64(res.Bytes) - k.bytes) / groupSmoothing
--- /dev/null
+++ b/core/balance/link.go
@@ -0,0 +1,42 @@
+package balance
+
+import "time"
+
+// maxLinkClosed bounds how long a refusal closes a host's link to large answers, since
+// what it foretold gets less certain with time.
+const maxLinkClosed = time.Second
+
+// linkClosed reports whether a host's link has no room for a large answer, as far as is
+// known here.
+func (e *Endpoint) linkClosed(now time.Time) bool { return now.Before(e.linkOpensAt) }
+
+// closeLink records a refusal for lack of room on the host's link.
+func (e *Endpoint) closeLink(now time.Time, res Result) {
+	e.linkOpensAt = now.Add(min(res.LinkOpensIn, maxLinkClosed))
+	if e.group == nil {
+		return
+	}
+	if k, known := e.group.kinds[res.Kind]; known || len(e.group.kinds) < maxKinds {
+		k.linkRefused = true
+		e.group.kinds[res.Kind] = k
+	}
+}
+
+func (g *Group) anyLinkClosed(now time.Time) bool {
+	_, closed := g.LinkOpensIn(now)
+	return closed
+}
+
+// LinkOpensIn returns the time until the first closed link of a group's hosts may have
+// room for a large answer again. It returns false if none is closed.
+func (g *Group) LinkOpensIn(now time.Time) (opens time.Duration, closed bool) {
+	for e := range g.All() {
+		if !e.linkClosed(now) {
+			continue
+		}
+		if in := e.linkOpensAt.Sub(now); !closed || in < opens {
+			opens, closed = in, true
+		}
+	}
+	return opens, closed
+}
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -304,7 +304,7 @@
 		queue = t.ReportedQueue(n.Name, queue)
 	}
 	t.deliver(func() {
-		t.end(a, core.AttemptEnded{Outcome: e.Outcome, Queue: queue, Reason: string(e.Reason), Said: t.said(n)})
+		t.end(a, core.AttemptEnded{Outcome: e.Outcome, Queue: queue, LinkOpensIn: e.LinkOpensIn, Reason: string(e.Reason), Said: t.said(n)})
 	})
 }
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -122,10 +122,11 @@
 // request with the same Idempotency-Key ran; Status is the status of that
 // earlier answer, zero if unknown.
 type Refuse struct {
-	Attempt AttemptID
-	Reason  admission.Reason
-	Outcome retry.Outcome
-	Status  int
+	Attempt     AttemptID
+	Reason      admission.Reason
+	Outcome     retry.Outcome
+	Status      int
+	LinkOpensIn time.Duration // if Reason is LinkFull: time until the link will have room if no other request comes
 }
 
 // LimitCallers sets the limits that apply to callers from now on.
--- a/core/event.go
+++ b/core/event.go
@@ -134,6 +134,7 @@
 	Outcome           retry.Outcome
 	Failed            bool          // counts against the endpoint's health
 	Queue             int           // queue length at the target, from the answer; -1 if not given
+	LinkOpensIn       time.Duration // as in Refuse, from the answer; zero if not given
 	Bytes             int64         // size of the answer's body as far as it was passed on
 	AnswerStarted     bool          // part of the answer was already sent to the caller
 	AnswerHeld        bool          // the answer is a complete failure response that is held back until ReleaseAnswer or another Forward follows
--- a/core/request.go
+++ b/core/request.go
@@ -88,7 +88,7 @@
 
 func (s *State) callArrived(e CallArrived) {
 	if ok, why := s.acceptsCalls(); !ok {
-		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why, RetryAfter: s.retryAfter(e.Budget)})
+		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why, RetryAfter: s.retryAfter(0, e.Budget)})
 		return
 	}
 	route, ok := s.holder.snapshot.Match(e.Method, e.Host, e.Path)
@@ -103,7 +103,7 @@
 	service := route.ServiceFor(s.rng.Float64())
 	budget, ok = s.limitToExit(service, route.Name, budget)
 	if !ok {
-		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node ends before the answer is due", RetryAfter: s.retryAfter(e.Budget)})
+		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node ends before the answer is due", RetryAfter: s.retryAfter(0, e.Budget)})
 		return
 	}
 	c := s.newCall()
@@ -187,7 +187,7 @@
 func (s *State) forward(id CallID, c *call) {
 	p, ok := s.chooseBackend(c)
 	if !ok {
-		s.finish(id, retry.NotRun, "no backend server of service "+c.service+" takes requests")
+		s.finishUnplaced(id, c)
 		return
 	}
 	c.attempts++
@@ -206,6 +206,15 @@
 	})
 }
 
+// finishUnplaced ends a call for which there is no backend server.
+func (s *State) finishUnplaced(id CallID, c *call) {
+	if opens, closed := s.group(c.service).LinkOpensIn(s.now); closed {
+		s.finishWith(Finish{Call: id, Outcome: retry.NotRun, Reason: string(admission.LinkFull), RetryAfter: opens})
+		return
+	}
+	s.finish(id, retry.NotRun, "no backend server of service "+c.service+" takes requests")
+}
+
 // softBudget returns the time left until the policy's target latency, at
 // least 1 ns once that has passed, and zero if the policy has none.
 func (c *call) softBudget(now time.Time) time.Duration {
@@ -235,7 +244,7 @@
 		f.Outcome = retry.Unknown
 	}
 	if f.Outcome == retry.NotRun {
-		f.RetryAfter = s.retryAfter(c.deadline.Sub(s.now))
+		f.RetryAfter = s.retryAfter(f.RetryAfter, c.deadline.Sub(s.now))
 	}
 	s.logEnded(c, f)
 	s.endCall(f.Call, c, f.Outcome, f.Status)
@@ -260,9 +269,9 @@
 )
 
 // retryAfter returns how long a caller with the given time left should wait
-// before it retries.
-func (s *State) retryAfter(left time.Duration) time.Duration {
-	after := minRetryAfter + s.jitter(maxRetryAfter-minRetryAfter)
+// before it retries a request that can't be served before earliest.
+func (s *State) retryAfter(earliest, left time.Duration) time.Duration {
+	after := earliest + minRetryAfter + s.jitter(maxRetryAfter-minRetryAfter)
 	if left > 0 {
 		after = min(after, left/retryAfterDivisor)
 	}
@@ -287,7 +296,7 @@
 	}
 	s.requests.balancer.Done(s.now, c.target, balance.Result{
 		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
-		Queue: e.Queue, Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
+		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
 	})
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
 		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
--- a/core/requests_links_test.go
+++ b/core/requests_links_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -178,3 +179,38 @@
 	is.True(mean.served > 0.9)
 	is.True(mean.inTime > 2.0/3)
 }
+
+// TestLinkThatIsKnownToBeFullIsAsked checks that no entry node asks a node for a large
+// answer again before the time at which that node's link may have room, and that a call
+// for which no link has room ends at once and tells when one will.
+func TestLinkThatIsKnownToBeFullIsAsked(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDownloads(t, 1)
+	type pair struct{ entry, target string }
+	asked, closed := map[core.AttemptID]pair{}, map[pair]time.Time{}
+	early, ended := 0, 0
+	d.OnStep = func(n *coretest.Node, e core.Event) {
+		if e, ok := e.(core.AttemptEnded); ok && e.LinkOpensIn > 0 {
+			closed[asked[e.Attempt]] = d.Now.Add(min(e.LinkOpensIn, time.Second))
+		}
+	}
+	d.traffic.OnSent = func(f core.Forward) {
+		p := pair{d.traffic.Calls[f.Call-1].Entry, f.Target}
+		if asked[f.Attempt] = p; d.Now.Before(closed[p]) {
+			early++
+		}
+	}
+	d.load(20 * time.Second)
+	is.True(len(closed) > 0)
+	is.Equal(early, 0)
+	for _, c := range d.traffic.Calls {
+		if c.Forwards == 0 && c.Outcome == retry.NotRun {
+			ended++
+			is.Equal(c.Reason, string(admission.LinkFull))
+			is.Equal(c.Ended, c.Started)
+			is.True(c.RetryAfter > 0)
+		}
+	}
+	is.True(ended > 0)
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -38,7 +38,8 @@
 	c.proxy.core.Step(core.AttemptEnded{
 		ReachedBackend: failed.arrived,
 		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: c.queueAt(f, failed.header), Said: saidIn(failed.header),
-		Status: failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
+		LinkOpensIn: failed.linkOpensIn,
+		Status:      failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
 		ConnectionRefused: failed.outcome == retry.NotRun && !failed.reported && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
 	if failed.outcome == retry.Ran {
@@ -158,6 +159,7 @@
 	switch outcome {
 	case retry.NotRun.String():
 		e.outcome, e.healthy = retry.NotRun, true
+		e.linkOpensIn = linkOpensIn(resp.Header)
 	case retry.Ran.String():
 		e.outcome, e.healthy = retry.Ran, true
 		e.status, _ = strconv.Atoi(resp.Header.Get(HeaderFirstStatus))
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -35,16 +35,17 @@
 	HeaderDepth = "Agatekeel-Depth"
 
 	headerPrefix      = "Agatekeel-"
-	headerHop         = "Agatekeel-Hop"           // encoded hopHeader
-	headerSoftBudget  = "Agatekeel-Wanted-Micros" // soft budget of an attempt
-	headerRelay       = "Agatekeel-Relay-Link"    // state of the entry node's network link: backlog in bytes, bytes per second
-	headerSaid        = "Agatekeel-Backend-Says"  // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
-	headerAttempt     = "Agatekeel-Attempt"       // attempt that a response is about
-	headerArrived     = "Agatekeel-Arrived"       // set if the backend server may have received the attempt
-	headerQueue       = "Agatekeel-Queue"         // number of attempts that wait at the node that responds
-	headerQuery       = "Agatekeel-Query"         // ID of the attempt that is asked about
-	headerCancel      = "Agatekeel-Cancel"        // ID of the attempt to cancel
-	headerIncarnation = "Agatekeel-For"           // incarnation of the node that a query is meant for
+	headerHop         = "Agatekeel-Hop"               // encoded hopHeader
+	headerSoftBudget  = "Agatekeel-Wanted-Micros"     // soft budget of an attempt
+	headerRelay       = "Agatekeel-Relay-Link"        // state of the entry node's network link: backlog in bytes, bytes per second
+	headerSaid        = "Agatekeel-Backend-Says"      // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
+	headerAttempt     = "Agatekeel-Attempt"           // attempt that a response is about
+	headerArrived     = "Agatekeel-Arrived"           // set if the backend server may have received the attempt
+	headerQueue       = "Agatekeel-Queue"             // number of attempts that wait at the node that responds
+	headerLinkOpens   = "Agatekeel-Link-Opens-Micros" // core.Refuse.LinkOpensIn
+	headerQuery       = "Agatekeel-Query"             // ID of the attempt that is asked about
+	headerCancel      = "Agatekeel-Cancel"            // ID of the attempt to cancel
+	headerIncarnation = "Agatekeel-For"               // incarnation of the node that a query is meant for
 )
 
 // hopByHop lists the headers that apply to a single connection.
@@ -119,8 +120,7 @@
 func (h hopHeader) set(to http.Header) {
 	to[headerHop] = []string{h.String()}
 	if h.softBudget > 0 {
-		micros := (h.softBudget + time.Microsecond - 1) / time.Microsecond // rounded up: zero would mean that none is set
-		to[headerSoftBudget] = []string{strconv.FormatInt(int64(micros), 10)}
+		to[headerSoftBudget] = []string{formatMicros(h.softBudget)}
 	}
 	if h.relay.Rate > 0 {
 		to[headerRelay] = []string{formatLoad(h.relay)}
@@ -162,6 +162,25 @@
 	return uplink.Load{Backlog: b, Rate: float64(r)}, nil
 }
 
+// formatMicros rounds up: zero would mean that nothing is set.
+func formatMicros(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Microsecond-1)/time.Microsecond), 10)
+}
+
+// linkOpensIn returns what the refusal of another node says of its host's link, zero if
+// it says nothing that can be read: the refusal itself is good.
+func linkOpensIn(h http.Header) time.Duration {
+	value := get(h, headerLinkOpens)
+	if value == "" {
+		return 0
+	}
+	opens, err := parseMicros(headerLinkOpens, value)
+	if err != nil {
+		return 0
+	}
+	return max(opens, 0)
+}
+
 func parseMicros(name, s string) (time.Duration, error) {
 	micros, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -43,6 +43,9 @@
 		if failed.arrived {
 			w.Header()[headerArrived] = []string{"1"}
 		}
+		if failed.linkOpensIn > 0 {
+			w.Header()[headerLinkOpens] = []string{formatMicros(failed.linkOpensIn)}
+		}
 		p.failHop(w, statusOf(failed.outcome), failed.outcome, failed.Error())
 		return
 	}
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -14,14 +15,16 @@
 // about it.
 type attemptError struct {
 	outcome  retry.Outcome
-	reported bool        // the receiving node reported the outcome, so it need not be asked
-	healthy  bool        // the failure does not count against the endpoint
-	arrived  bool        // the backend server may have received the request
-	reused   bool        // sent over a connection that had carried other requests
-	status   int         // status of the first response if outcome is Ran
-	reason   string      // reason that the receiving node gave
-	header   http.Header // of the response in which the receiving node reported it; nil: none
-	err      error
+	reported bool   // the receiving node reported the outcome, so it need not be asked
+	healthy  bool   // the failure does not count against the endpoint
+	arrived  bool   // the backend server may have received the request
+	reused   bool   // sent over a connection that had carried other requests
+	status   int    // status of the first response if outcome is Ran
+	reason   string // reason that the receiving node gave
+	// linkOpensIn is as in core.Refuse; zero if the receiving node did not tell it.
+	linkOpensIn time.Duration
+	header      http.Header // of the response in which the receiving node reported it; nil: none
+	err         error
 }
 
 func (e *attemptError) Error() string { return e.err.Error() }
@@ -31,7 +34,7 @@
 // refusal returns the error for an attempt that admission refused.
 func refusal(e core.Refuse) *attemptError {
 	return &attemptError{
-		outcome: e.Outcome, reported: true, healthy: true, status: e.Status, reason: string(e.Reason),
+		outcome: e.Outcome, reported: true, healthy: true, status: e.Status, reason: string(e.Reason), linkOpensIn: e.LinkOpensIn,
 		err: fmt.Errorf("%s", e.Reason),
 	}
 }
