Run a request with a large answer at its entry node's own backend server

Cause: the choice knows data centres and load, not that an answer from the own host crosses no other host's link.

Change: for kinds of request with large answers the endpoint on the own host is chosen, if it is in use, its link open, and it is less than twice as slow or failing as its group. Short answers go where they went.

TestLargeAnswerCrossesTwoThinLinks is new with the setting Node.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -15,6 +15,7 @@
 // Config holds the settings of a Balancer. Loads are expressed as requests per slot.
 type Config struct {
 	DataCentre        string
+	Node              string        // ID of the endpoint on this host; empty: none
 	EjectAfter        int           // consecutive failures after which an endpoint is ejected
 	EjectFor          time.Duration // duration of an endpoint's first ejection
 	MaxEjected        float64       // maximum share of a group that is ejected at a time; the others stay in use even if they fail
@@ -101,6 +102,11 @@
 func (b *Balancer) PickFor(now time.Time, g *Group, r Request) (*Endpoint, bool) {
 	g.restore(now)
 	large := g.kinds[r.Kind].isLarge()
+	if large {
+		if own := b.ownEndpoint(now, g, r); own != nil {
+			return own, true
+		}
+	}
 	if e := b.pickUntried(now, g, r, large); e != nil {
 		return e, true
 	}
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -40,3 +40,20 @@
 	}
 	return opens, closed
 }
+
+// maxOwnPenalty is the factor by which the own endpoint may be worse than its group and
+// still get large answers: those of others take two links instead of one.
+const maxOwnPenalty = 2
+
+// ownEndpoint returns the endpoint on this host if it can be used for a large answer,
+// which from there crosses no other host's link.
+func (b *Balancer) ownEndpoint(now time.Time, g *Group, r Request) *Endpoint {
+	e, ok := b.endpoints[b.cfg.Node]
+	if !ok || e.group != g || e.index >= e.set.healthy || e.linkClosed(now) || contains(r.Tried, e.Row.ID) {
+		return nil
+	}
+	if b.slowdown(now, e)*b.errorFactor(now, e) >= maxOwnPenalty {
+		return nil
+	}
+	return e
+}
--- a/core/balance/link_test.go
+++ b/core/balance/link_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -76,3 +77,42 @@
 	_, ok = b.PickFor(now.Add(time.Second), g, balance.Request{Kind: largeKind})
 	is.True(ok)
 }
+
+// TestLargeAnswerCrossesTwoThinLinks checks that a node whose own backend server can give
+// a large answer asks no other, and asks others once its own link is closed.
+func TestLargeAnswerCrossesTwoThinLinks(t *testing.T) {
+	is := is.New(t)
+	rows := local(4)
+	cfg := balance.DefaultConfig("dc0")
+	cfg.Node = rows[2].ID
+	b := balance.New(cfg, rand.New(rand.NewPCG(1, 1)))
+	g := b.Group(nil, rows)
+	learnKinds(b, g)
+	others := map[string]int{}
+	for range 100 {
+		e, _ := b.PickFor(now, g, balance.Request{Kind: largeKind})
+		is.Equal(e.Row.ID, cfg.Node)
+		e, _ = b.PickFor(now, g, balance.Request{Kind: smallKind})
+		others[e.Row.ID]++
+	}
+	is.Equal(len(others), 4) // short answers go anywhere
+	refuseForLink(b, endpointOf(g, cfg.Node), 100*time.Millisecond)
+	e, ok := b.PickFor(now, g, balance.Request{Kind: largeKind})
+	is.True(ok && e.Row.ID != cfg.Node)
+	e, _ = b.PickFor(now, g, balance.Request{Kind: largeKind, Tried: []string{cfg.Node}})
+	is.True(e.Row.ID != cfg.Node)
+
+	failing := b.Group(nil, rows)
+	for range 20 {
+		for e := range failing.All() {
+			b.Sent(now, e)
+			b.Done(now, e, balance.Result{Queue: -1, Took: 100 * time.Millisecond, Kind: largeKind, Bytes: 280_000, ErrorAnswer: e.Row.ID == cfg.Node})
+		}
+	}
+	picks := map[string]int{}
+	for range 100 {
+		e, _ := b.PickFor(now.Add(time.Second), failing, balance.Request{Kind: largeKind})
+		picks[e.Row.ID]++
+	}
+	is.True(picks[cfg.Node] < 25) // its answers are errors
+}
--- a/core/state.go
+++ b/core/state.go
@@ -134,7 +134,7 @@
 
 func (c Config) balance() balance.Config {
 	b := balance.DefaultConfig(c.DataCentre)
-	b.SlowStart = c.SlowStart
+	b.Node, b.SlowStart = c.Node, c.SlowStart
 	return b
 }
 
