Tell what a host sends over its link by purpose

6003 and the counters told large answers from the rest, but not whether a large answer came from the own backend server or was relayed by the entry node, whether it was sent whole, nor what refusals between nodes cost. Callers saw nothing of it; where links are short, these are the bytes that have to be weighed against each other.

Each is one atomic addition for a piece or a refusal. The size of a refusal is computed from its header as h1 writes it; TestRefusalsAreCountedAsTheyAreSent compares it to the byte with what was sent.

--- a/node/observe.go
+++ b/node/observe.go
@@ -10,7 +10,6 @@
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
-	"github.com/agatekeel/agatekeel/proxy"
 )
 
 // refusalLogInterval is the shortest time between two log lines with the number
@@ -40,10 +39,6 @@
 	otherReason: "other",
 }
 
-// uplinkLogInterval is the shortest time between two log lines about the use of the
-// host's network link.
-const uplinkLogInterval = time.Second
-
 // maxTimedSubmissions is the largest number of submissions whose time until in
 // force is being measured.
 const maxTimedSubmissions = 1024
@@ -70,9 +65,7 @@
 	noRoute          int       // calls without a matching route
 	attemptsRefused  int       // attempts refused at the node's backend server
 
-	uplinkSent, uplinkLarge metrics.Counter // bytes; counted by the proxy
-	uplinkLoggedAt          time.Time       // when the use of the link was last logged; the values below are of that time
-	loggedSent, loggedLarge int64
+	uplink uplinkLog
 }
 
 func newObserver(r metrics.Registry, log *eventlog.Logger, clock Clock) *observer {
@@ -83,8 +76,7 @@
 		attemptsRun: metrics.GetOrRegisterCounter("attempts.run", r),
 		applied:     metrics.GetOrRegisterCounter("config.applied", r),
 		convergence: metrics.GetOrRegisterTimer("config.convergence", r),
-		uplinkSent:  metrics.GetOrRegisterCounter(proxy.UplinkSentMetric, r),
-		uplinkLarge: metrics.GetOrRegisterCounter(proxy.UplinkLargeMetric, r),
+		uplink:      newUplinkLog(r),
 		classes:     map[core.CallID]string{}, acceptedAt: map[string]time.Time{}, tally: newTally(r),
 	}
 	for _, class := range []string{"status", "interactive", "batch", unrouted} {
@@ -109,7 +101,7 @@
 		o.log.Write(notice.LinkUp, core.Attr{Key: "link", Value: e.Link}, core.Attr{Key: "dialled", Value: e.Dialled})
 	case core.Tick:
 		o.logRefusals()
-		o.logUplink()
+		o.uplink.write(o.log, o.clock.Now())
 	}
 }
 
@@ -213,20 +205,3 @@
 		core.Attr{Key: "noRoute", Value: o.noRoute}, core.Attr{Key: "attempts", Value: o.attemptsRefused})
 	o.notRun, o.unknown, o.noRoute, o.attemptsRefused = 0, 0, 0, 0
 }
-
-// logUplink writes one log line for the bytes sent since the previous one, if large
-// responses were among them.
-func (o *observer) logUplink() {
-	now := o.clock.Now()
-	elapsed := now.Sub(o.uplinkLoggedAt)
-	if elapsed < uplinkLogInterval {
-		return
-	}
-	sent, large := o.uplinkSent.Count(), o.uplinkLarge.Count()
-	if large > o.loggedLarge {
-		o.log.Write(notice.UplinkUsed,
-			core.Attr{Key: "elapsedMillis", Value: elapsed.Milliseconds()},
-			core.Attr{Key: "sentBytes", Value: sent - o.loggedSent}, core.Attr{Key: "largeBytes", Value: large - o.loggedLarge})
-	}
-	o.uplinkLoggedAt, o.loggedSent, o.loggedLarge = now, sent, large
-}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
@@ -30,9 +32,9 @@
 // relayResponse copies the response of the next hop to w. A response without a
 // declared length is flushed as it arrives. A slow receiver can block this
 // response and one that exceeds the server's buffers; their write deadline is
-// the request's deadline. A large response is paced. It returns the size of the
-// body that was passed on.
-func (p *Proxy) relayResponse(w http.ResponseWriter, resp *http.Response) (int64, error) {
+// the request's deadline. A large response is paced, and its bytes are counted in
+// origin too. It returns the size of the body that was passed on.
+func (p *Proxy) relayResponse(w http.ResponseWriter, resp *http.Response, origin metrics.Counter) (int64, error) {
 	h := w.Header()
 	copyHeader(h, resp.Header)
 	if _, ok := h["Content-Type"]; !ok {
@@ -47,7 +49,7 @@
 		}
 	}
 	w.WriteHeader(resp.StatusCode)
-	size, err := p.copyBody(w, resp)
+	size, err := p.copyBody(w, resp, origin)
 	if err != nil {
 		return size, err
 	}
@@ -68,12 +70,13 @@
 }
 
 // copyBody copies the body of a response and returns its size.
-func (p *Proxy) copyBody(w http.ResponseWriter, resp *http.Response) (int64, error) {
+func (p *Proxy) copyBody(w http.ResponseWriter, resp *http.Response, origin metrics.Counter) (int64, error) {
 	buf := copyBufs.Get().(*[copyBufBytes]byte)
 	defer copyBufs.Put(buf)
 	flusher, _ := w.(http.Flusher)
-	sending := bodyTransfer{proxy: p, declared: resp.ContentLength, body: resp.Body}
-	defer sending.end()
+	sending := bodyTransfer{proxy: p, declared: resp.ContentLength, body: resp.Body, origin: origin}
+	whole := false
+	defer func() { sending.end(whole) }()
 	for {
 		n, err := resp.Body.Read(buf[:uplink.PieceBytes])
 		if n > 0 {
@@ -89,6 +92,7 @@
 			sending.passedOn += int64(n)
 		}
 		if err == io.EOF {
+			whole = true
 			return sending.passedOn, nil
 		}
 		if err != nil {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -56,12 +56,12 @@
 		Status: resp.StatusCode, ReachedBackend: true,
 		Failed: resp.StatusCode >= http.StatusInternalServerError, Said: saidIn(resp.Header),
 	}
-	if ended.Failed && f.MayRetry && c.holdResponse(resp) {
+	if ended.Failed && f.MayRetry && c.holdResponse(resp, f.Local) {
 		ended.AnswerStarted, ended.AnswerHeld = false, true
 		c.proxy.core.Step(ended)
 		return
 	}
-	size, err := c.proxy.relayResponse(c.w, resp)
+	size, err := c.proxy.relayResponse(c.w, resp, c.proxy.sent.origin(f.Local))
 	ended.Bytes = size
 	var failure *responseError
 	if err != nil {
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -14,8 +14,9 @@
 // heldResponse is a complete response that is relayed only if no later attempt
 // gives a better one.
 type heldResponse struct {
-	resp *http.Response
-	body []byte
+	resp  *http.Response
+	body  []byte
+	local bool // of this node's backend server
 }
 
 // bufferResponse reads a response completely while the call may still be sent
@@ -49,7 +50,7 @@
 func (b *prefixedBody) Close() error { return b.rest.Close() }
 
 // holdResponse keeps a response that bufferResponse has read completely.
-func (c *call) holdResponse(resp *http.Response) bool {
+func (c *call) holdResponse(resp *http.Response, local bool) bool {
 	if _, long := resp.Body.(*prefixedBody); long || resp.ContentLength > maxHeldBytes {
 		return false
 	}
@@ -57,14 +58,14 @@
 	if err != nil {
 		return false
 	}
-	c.held = &heldResponse{resp: resp, body: body}
+	c.held = &heldResponse{resp: resp, body: body, local: local}
 	return true
 }
 
 // relayHeld relays the response that is held.
 func (c *call) relayHeld() {
 	c.held.resp.Body = io.NopCloser(bytes.NewReader(c.held.body))
-	if _, err := c.proxy.relayResponse(c.w, c.held.resp); err != nil {
+	if _, err := c.proxy.relayResponse(c.w, c.held.resp, c.proxy.sent.origin(c.held.local)); err != nil {
 		abortResponse(c.w)
 	}
 }
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -43,10 +43,13 @@
 			w.Header()[headerArrived] = []string{"1"}
 		}
 		p.fail(w, statusOf(failed.outcome), failed.outcome, failed.Error())
+		if failed.outcome == retry.NotRun {
+			p.sent.refusals.Inc(responseBytes(statusOf(failed.outcome), w.Header(), len(failed.Error())+len("\n")))
+		}
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := p.relayResponse(w, resp); err != nil && !p.injected.hidesTruncation {
+	if _, err := p.relayResponse(w, resp, p.sent.own); err != nil && !p.injected.hidesTruncation {
 		abortResponse(w)
 	}
 }
--- a/proxy/transfer.go
+++ b/proxy/transfer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"strconv"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -10,23 +12,53 @@
 )
 
 // Names of the counters of bytes that the proxy sends over the host's network
-// link: all of them, and those of large responses.
+// link: all of them, and parts of them by purpose.
 const (
-	UplinkSentMetric  = "uplink.sent"
-	UplinkLargeMetric = "uplink.large"
+	UplinkSentMetric     = "uplink.sent"
+	UplinkLargeMetric    = "uplink.large"         // large responses, whether own or relayed
+	UplinkOwnMetric      = "uplink.large.own"     // large responses of this node's backend server
+	UplinkRelayedMetric  = "uplink.large.relayed" // large responses of other nodes, sent on as the entry node
+	UplinkCutMetric      = "uplink.large.cut"     // the part of UplinkLargeMetric that belongs to responses that were not sent whole
+	UplinkRefusalsMetric = "uplink.refusals"      // responses to other nodes with the outcome not-run
 )
 
 // sentCounters count the bytes sent to callers and to other nodes, without those
 // of TLS and TCP.
-type sentCounters struct{ all, large metrics.Counter }
+type sentCounters struct{ all, large, own, relayed, cut, refusals metrics.Counter }
 
 func newSentCounters(r metrics.Registry) sentCounters {
 	return sentCounters{
-		all:   metrics.GetOrRegisterCounter(UplinkSentMetric, r),
-		large: metrics.GetOrRegisterCounter(UplinkLargeMetric, r),
+		all:      metrics.GetOrRegisterCounter(UplinkSentMetric, r),
+		large:    metrics.GetOrRegisterCounter(UplinkLargeMetric, r),
+		own:      metrics.GetOrRegisterCounter(UplinkOwnMetric, r),
+		relayed:  metrics.GetOrRegisterCounter(UplinkRelayedMetric, r),
+		cut:      metrics.GetOrRegisterCounter(UplinkCutMetric, r),
+		refusals: metrics.GetOrRegisterCounter(UplinkRefusalsMetric, r),
 	}
 }
 
+// origin returns the counter of large responses from this node's backend server, or
+// of those from other nodes.
+func (c sentCounters) origin(ownBackend bool) metrics.Counter {
+	if ownBackend {
+		return c.own
+	}
+	return c.relayed
+}
+
+// responseBytes returns the size of a response with the given header and body length,
+// as h1 writes it.
+func responseBytes(status int, h http.Header, body int) int64 {
+	line := len("HTTP/1.1 000 \r\n\r\n") + len(http.StatusText(status))
+	n := line + len("Content-Length: \r\n") + len(strconv.Itoa(body)) + body
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	return int64(n)
+}
+
 // recordSent records bytes that were written to a caller or another node.
 func (p *Proxy) recordSent(n int) {
 	p.sent.all.Inc(int64(n))
@@ -39,6 +71,8 @@
 	proxy    *Proxy
 	declared int64 // declared length of the body, -1: not declared
 	body     io.Reader
+	origin   metrics.Counter  // bytes of large responses from the same origin
+	counted  int64            // bytes that were counted as those of a large response
 	passedOn int64            // bytes of the body that were passed on
 	transfer *uplink.Transfer // nil: the response is not large so far
 }
@@ -57,8 +91,13 @@
 	if b.transfer == nil {
 		return nil
 	}
+	if err := b.proxy.link.wait(ctx, b.transfer, n, b.left(n)); err != nil {
+		return err
+	}
+	b.counted += int64(n)
 	b.proxy.sent.large.Inc(int64(n))
-	return b.proxy.link.wait(ctx, b.transfer, n, b.left(n))
+	b.origin.Inc(int64(n))
+	return nil
 }
 
 // left returns how many bytes are known to be left to send, with n of them at hand.
@@ -69,7 +108,11 @@
 	return max(b.declared-b.passedOn, int64(n))
 }
 
-func (b *bodyTransfer) end() {
+// end ends the transfer. whole says whether all of the response was sent.
+func (b *bodyTransfer) end(whole bool) {
+	if !whole {
+		b.proxy.sent.cut.Inc(b.counted)
+	}
 	if b.transfer != nil {
 		b.proxy.link.end(b.transfer)
 	}
--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -13,11 +14,15 @@
 	"github.com/agatekeel/agatekeel/proxy"
 )
 
+// counted returns the value of one of a node's counters.
+func (mn *meshNode) counted(metric string) int64 {
+	return metrics.GetOrRegisterCounter(metric, mn.metrics).Count()
+}
+
 // sentBytes returns how many bytes a node has sent over its network link, and the
 // part of them that is large responses.
 func (mn *meshNode) sentBytes() (sent, large int64) {
-	return metrics.GetOrRegisterCounter(proxy.UplinkSentMetric, mn.metrics).Count(),
-		metrics.GetOrRegisterCounter(proxy.UplinkLargeMetric, mn.metrics).Count()
+	return mn.counted(proxy.UplinkSentMetric), mn.counted(proxy.UplinkLargeMetric)
 }
 
 // TestSentBytesAreCounted checks that both nodes on the way of a response count
@@ -42,6 +47,7 @@
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, http.StatusOK)
 			size := int64(len(body))
+			entry, target := m.nodes[0], m.nodes[1]
 			for _, node := range m.nodes {
 				m.eventually("the response is counted", func() bool {
 					sent, _ := node.sentBytes()
@@ -57,11 +63,51 @@
 				default:
 					is.True(size-firstPart <= large && large <= size)
 				}
+				is.Equal(node.counted(proxy.UplinkCutMetric), int64(0))
+				is.Equal(node.counted(proxy.UplinkRefusalsMetric), int64(0))
 			}
+			is.Equal(entry.counted(proxy.UplinkRelayedMetric), entry.counted(proxy.UplinkLargeMetric))
+			is.Equal(entry.counted(proxy.UplinkOwnMetric), int64(0))
+			is.Equal(target.counted(proxy.UplinkOwnMetric), target.counted(proxy.UplinkLargeMetric))
+			is.Equal(target.counted(proxy.UplinkRelayedMetric), int64(0))
 		})
 	}
 }
 
+// TestRefusalsAreCountedAsTheyAreSent checks that all that a node sends while it only
+// refuses is counted as refusals, to the byte.
+func TestRefusalsAreCountedAsTheyAreSent(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, "", "orders")
+	m.nodes[1].backend.Close()
+	resp, _, err := m.do(0, http.MethodGet, "/", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	refusals := m.nodes[1].counted(proxy.UplinkRefusalsMetric)
+	is.True(refusals > 0)
+	m.eventually("the refusals are sent", func() bool { return m.nodes[1].counted(proxy.UplinkSentMetric) >= refusals })
+	is.Equal(m.nodes[1].counted(proxy.UplinkSentMetric), m.nodes[1].counted(proxy.UplinkRefusalsMetric))
+	is.Equal(m.nodes[0].counted(proxy.UplinkRefusalsMetric), int64(0))
+}
+
+// TestLargeResponseWhoseCallerLeftIsCountedAsCut has a caller leave in the middle of a
+// large response.
+func TestLargeResponseWhoseCallerLeftIsCountedAsCut(t *testing.T) {
+	const link = 1 << 20 // bytes per second
+	is := is.New(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+	url := "http://" + m.nodes[0].callers + "/?answerBytes=" + strconv.Itoa(4*link)
+	resp, err := m.client.Get(url)
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, resp.Body, link/4)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	for _, node := range m.nodes {
+		m.eventually("the response is given up", func() bool { return node.counted(proxy.UplinkCutMetric) > 0 })
+		is.Equal(node.counted(proxy.UplinkCutMetric), node.counted(proxy.UplinkLargeMetric))
+	}
+}
+
 // TestResponseSizeIsMeasuredNotDeclared checks that the reducer gets the size of a
 // response whether or not the backend server declares it.
 func TestResponseSizeIsMeasuredNotDeclared(t *testing.T) {
