--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -47,6 +47,9 @@
 			w.Header()[headerLinkOpens] = []string{formatMicros(failed.linkOpensIn)}
 		}
 		p.failHop(w, statusOf(failed.outcome), failed.outcome, failed.Error())
+		if failed.outcome == retry.NotRun {
+			p.sent.refusals.Inc(responseBytes(statusOf(failed.outcome), w.Header(), 0))
+		}
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -54,7 +57,7 @@
 		p.core.Step(core.RelayBegan{})
 		defer p.core.Step(core.RelayEnded{})
 	}
-	if _, err := p.relayResponse(w, resp); err != nil && !p.injected.hidesTruncation {
+	if _, err := p.relayResponse(w, resp, p.sent.own); err != nil && !p.injected.hidesTruncation {
 		abortResponse(w)
 	}
 }
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -87,7 +87,6 @@
 		o = retry.NotRun
 	}
 	setOutcome(w.Header(), o, reason)
-	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
 }
 
