Send no 100 Continue once the response has begun

A backend server may answer before it has read a request's body. Over a hop the body comes with Expect: 100-continue, so the node beside the backend server began to send the answer while the first read of the body sent 100 Continue, over the same buffered writer and without a lock. The race detector shows the two writers. A caller that itself expects 100 Continue could get a whole answer with wrong bytes: TestNoContinueInsideResponse failed with "abHTTP != abcdef".

An exchange now has a lock under which 100 Continue is sent and the response is marked as begun; from then on 100 Continue is left out. The body can still be read, if the client sends it all the same.

--- a/h1/body.go
+++ b/h1/body.go
@@ -59,11 +59,17 @@
 	defer b.mu.Unlock()
 }
 
-// sendContinue asks the client to send the body.
+// sendContinue asks the client to send the body, unless the response has begun: the
+// client can't expect it any more.
 func (b *body) sendContinue() error {
 	if err := b.exchange.awaitTurn(); err != nil {
 		return err
 	}
+	b.exchange.head.Lock()
+	defer b.exchange.head.Unlock()
+	if b.exchange.begun {
+		return nil
+	}
 	c := b.exchange.conn
 	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)) // the deadline of an earlier response may have passed
 	out := c.out
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -219,6 +220,9 @@
 	done     chan struct{}            // closed once the response has been sent
 	body     *body                    // nil: no body, or one read completely before the handler runs
 	cancel   context.CancelFunc
+
+	head  sync.Mutex // held while 100 Continue is sent; guards the field below
+	begun bool       // the response is being sent
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -296,6 +300,13 @@
 	c.server.handler.ServeHTTP(w, e.request)
 }
 
+// begin marks the response as begun. 100 Continue is not sent from then on.
+func (e *exchange) begin() {
+	e.head.Lock()
+	defer e.head.Unlock()
+	e.begun = true
+}
+
 // awaitTurn waits until all earlier responses have been sent.
 func (e *exchange) awaitTurn() error {
 	previous := e.previous.Load()
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -87,6 +87,7 @@
 		w.failed = true
 		return err
 	}
+	w.exchange.begin()
 	w.active = true
 	deadline := w.deadline
 	if deadline.IsZero() {
