Cut an answer whose connection was reset during the upload

A backend server's answer may have no length and end with its connection; one that is reset on the way is not complete. Callers got such an answer as a whole one if the connection was reset while the request's body was still being sent: of 200 of them 16 to 28 looked whole, in five runs (TestResetDuringUploadCutsAnswer: "22 != 0").

The system reports a reset once only, to the first read or write after it. If that was the write of the request's body, the next read returned the end of the stream, as if the backend server had ended its answer. Only answers without a length that come before the request's body has been sent are concerned: with a length or chunks an early end is always seen.

A connection now keeps the error of a write that says that it broke, and a read at the end of the stream returns that error. It first ends a write in progress and waits for it, as that may be the one that got the error. EPIPE does not count, because the backend server had then ended the stream before it reset the connection; nor do the deadline that ends the write and the node's own close.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/agatekeel/agatekeel/core/retry"
 )
@@ -14,11 +20,32 @@
 var errSealed = fmt.Errorf("connection is sealed after a failed request")
 
 // trackedConn counts writes, so that a request of which nothing was written can
-// be distinguished from one that was sent in part.
+// be distinguished from one that was sent in part. It also tells a reset from the
+// end of the stream.
 type trackedConn struct {
 	net.Conn
 	writes atomic.Int64
 	sealed atomic.Bool
+
+	writing  sync.Mutex // held during a write; guards the field below
+	writeErr error      // the first error of a write that says that the connection broke
+}
+
+// Read implements net.Conn. The system reports a reset once only: if a write gets
+// it, a read gets io.EOF afterwards, with which an answer without a length would
+// look complete.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress, whose error may tell of the reset
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return n, fmt.Errorf("connection broke: %w", c.writeErr)
+	}
+	return n, err
 }
 
 // Write implements net.Conn. It increments the count before it checks sealed,
@@ -28,7 +55,19 @@
 	if c.sealed.Load() {
 		return 0, errSealed
 	}
-	return c.Conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil && breaksConn(err) {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// breaksConn reports whether an error of a write says that the connection broke.
+// EPIPE does not: the server had ended the stream before.
+func breaksConn(err error) bool {
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed)
 }
 
 // seal prevents further writes, closes the connection and returns the number of
--- /dev/null
+++ b/proxy/cut_upload_test.go
@@ -0,0 +1,90 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/proxy"
+)
+
+const earlyAnswer = "the beginning"
+
+// answerEarly answers a request without a length while its body still arrives, and then
+// has end end the connection.
+func answerEarly(c net.Conn, end func(*net.TCPConn)) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+earlyAnswer)
+	time.Sleep(time.Millisecond)
+	end(c.(*net.TCPConn))
+	<-read
+	_ = c.Close()
+}
+
+// endlessBody is a request body without an end.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) {
+	time.Sleep(100 * time.Microsecond)
+	return min(len(p), 16<<10), nil
+}
+
+// TestResetDuringUploadCutsAnswer guards against answers without a length that look whole
+// though their connection was reset, since the error went to the writer of the request.
+func TestResetDuringUploadCutsAnswer(t *testing.T) {
+	const requests = 200
+	for _, tt := range []struct {
+		name  string
+		end   func(*net.TCPConn)
+		whole int
+	}{
+		{"reset", func(c *net.TCPConn) { _, _ = c.SetLinger(0), c.Close() }, 0},
+		{"ended in one direction", func(c *net.TCPConn) { _ = c.CloseWrite() }, requests},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+					go answerEarly(c, tt.end)
+				}
+			}()
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
+				if p.Backend != "" {
+					p.Backend = l.Addr().String()
+				}
+			}, "", "orders")
+			whole := 0
+			for i := range requests {
+				req, err := http.NewRequest(http.MethodPost, "http://"+m.nodes[i%2].callers+"/once", endlessBody{})
+				is.NoErr(err)
+				resp, err := m.client.Do(req)
+				if err != nil {
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err == nil && resp.StatusCode == http.StatusOK && string(body) == earlyAnswer {
+					whole++
+				}
+			}
+			is.Equal(whole, tt.whole)
+		})
+	}
+}
