Refuse a success that lacks its signature

The users' rules forbid a success (2xx) without the backend server's signature, which is in all of its successes. An answer that was right by its request ID and lacked the signature was passed on as a success: TestInvalidBackendAnswers failed with "200 != 502". The node beside the backend server now takes it for no answer, with an unknown outcome, as one that belongs to another request: the request may have run. Answers with another status need none, and in the product's own form no header is named for it.

Whether a backend server of the users sends such an answer isn't known; it would be one that left out a part of its head and not one that stopped in it.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -29,6 +29,9 @@
 	// NotRun marks the response of a backend server that did not run the
 	// request.
 	NotRun string
+	// Signature is in every success that a backend server sends. A success without
+	// it is not accepted as its answer.
+	Signature string
 	// RateLimit is the number of requests per second, a decimal number, that the
 	// backend server which answers takes from all hosts together. Without it the
 	// backend server has no limit.
@@ -69,15 +72,25 @@
 	return n.RequestID == "" || get(resp.Header, n.RequestID) == get(r.Header, n.RequestID)
 }
 
+// isSigned reports whether a response has the signature that its status requires.
+func (n Names) isSigned(resp *http.Response) bool {
+	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
+}
+
 // checkResponse reports why a backend server's response is not accepted for the
-// request: it belongs to another request, or it says that the request did not
-// run.
+// request: it belongs to another request, it is a success without a signature, or
+// it says that the request did not run.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	if !n.belongsTo(r, resp) {
 		_ = resp.Body.Close()
 		err := fmt.Errorf("answer with status %d is that of another request", resp.StatusCode)
 		return &attemptError{outcome: retry.Unknown, err: err}
 	}
+	if !n.isSigned(resp) {
+		_ = resp.Body.Close()
+		err := fmt.Errorf("answer with status %d has no signature", resp.StatusCode)
+		return &attemptError{outcome: retry.Unknown, err: err}
+	}
 	if n.NotRun == "" || get(resp.Header, n.NotRun) == "" && resp.StatusCode != http.StatusMisdirectedRequest {
 		return nil
 	}
