Reset the connection of a cut response that its end would complete

A client of HTTP/1.0 gets a response without a declared length in neither chunks nor with a length; the end of the connection ends it. A response that was cut off (the backend server's answer broke off, the deadline passed, the node stopped) ended with an ordinary close, so it looked whole: TestAbortedResponseWithoutLengthIsReset got the end of the stream and no error. While such a response is being sent, the connection is now closed with a reset, also below TLS, where closing would announce the end; one that was sent whole is closed as before. Clients of HTTP/1.1 are not concerned: they get chunks without the last one. A process that is killed still ends its connections in the ordinary way.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -43,6 +43,7 @@
 	pending     atomic.Int32  // number of requests read whose responses are not complete
 	last        *exchange     // the most recent exchange; nil: none
 	closing     atomic.Bool   // a response announced that the connection closes
+	endsBody    atomic.Bool   // the end of the connection would end the body of the response that is being sent
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -62,12 +63,29 @@
 	return n, err
 }
 
-// abort closes the connection and cancels the requests that are handled for it.
+// abort closes the connection and cancels the requests that are handled for it. It
+// resets the connection if a response that is cut off would look complete otherwise.
 func (c *conn) abort() {
 	c.cancel()
+	if c.endsBody.Load() {
+		c.reset()
+	}
 	_ = c.net.Close()
 }
 
+// reset closes the connection so that the client gets an error instead of the end of
+// the stream.
+func (c *conn) reset() {
+	transport := c.net
+	if secured, ok := transport.(*tls.Conn); ok {
+		transport = secured.NetConn() // closing the TLS connection would announce the end
+	}
+	if tcp, ok := transport.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = transport.Close()
+}
+
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -147,6 +147,8 @@
 	case w.exchange.request.ProtoAtLeast(1, 1):
 		w.chunked = w.hasBody()
 		_, _ = out.WriteString("Transfer-Encoding: chunked\r\n")
+	default:
+		c.endsBody.Store(w.hasBody())
 	}
 	if w.closesConn {
 		_, _ = out.WriteString("Connection: close\r\n")
@@ -222,7 +224,11 @@
 		w.sendTrailer()
 		_, _ = w.exchange.conn.out.WriteString("\r\n")
 	}
-	return w.exchange.conn.out.Flush()
+	if err := w.exchange.conn.out.Flush(); err != nil {
+		return err
+	}
+	w.exchange.conn.endsBody.Store(false)
+	return nil
 }
 
 // trailers returns the names of the fields that the Trailer header announces.
