Refuse an answer whose head holds another status line

A backend server that breaks off the head of an answer and sends the next answer on the same connection makes one head of the two: the broken line goes on with the status line of the next. With a head broken off after "HTTP/1.1 200 OK", or in a field before the request ID, a failure with the right ID and signature arrived as a success, with the failure's empty body and length: "broken off after \"HTTP/1.1 200 OK\": status 200, header map[Content-Length:[0] X-Request-Id:[broken-15] X-Response-Stamp:[s]]". Breaking off two heads after each of their bytes, TestAnswerBehindBrokenHeadIsNoSuccess found 18 such answers; the others were refused already, as no header lines or as answers to another request.

The node beside the backend server now refuses an answer whose reason or a field of whose head ends with a status line, with an unknown outcome. That is the mark of every such head, since a status line goes to the end of its line. A field that quotes a status line at its end is refused too; no field of the protocol does.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -72,15 +75,42 @@
 	return n.RequestID == "" || get(resp.Header, n.RequestID) == get(r.Header, n.RequestID)
 }
 
+// statusLine matches a status line at the end of a line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
+
+// holdsStatusLine reports whether a line in the head of a response ends with another
+// status line. The backend server has then broken off a head and sent another
+// response on the same connection: the head is made up of both.
+func holdsStatusLine(resp *http.Response) bool {
+	if endsWithStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, endsWithStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func endsWithStatusLine(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first spares the time of the second
+}
+
 // isSigned reports whether a response has the signature that its status requires.
 func (n Names) isSigned(resp *http.Response) bool {
 	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
 }
 
 // checkResponse reports why a backend server's response is not accepted for the
-// request: it belongs to another request, it is a success without a signature, or
-// it says that the request did not run.
+// request: its head is made up of two, it belongs to another request, it is a
+// success without a signature, or it says that the request did not run.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
+	if holdsStatusLine(resp) {
+		_ = resp.Body.Close()
+		err := fmt.Errorf("answer with status %d has another status line in its head", resp.StatusCode)
+		return &attemptError{outcome: retry.Unknown, err: err}
+	}
 	if !n.belongsTo(r, resp) {
 		_ = resp.Body.Close()
 		err := fmt.Errorf("answer with status %d is that of another request", resp.StatusCode)
