--- a/h1/conn.go
+++ b/h1/conn.go
@@ -43,6 +43,7 @@
 	pending     atomic.Int32  // number of requests read whose responses are not complete
 	last        *exchange     // the most recent exchange; nil: none
 	closing     atomic.Bool   // a response announced that the connection closes
+	endsBody    atomic.Bool   // the end of the connection would end the body of the response that is being sent
 
 	// accepting is held while a request is added to pending, and while a response
 	// decides whether it is the last one.
@@ -66,12 +67,29 @@
 	return n, err
 }
 
-// abort closes the connection and cancels the requests that are handled for it.
+// abort closes the connection and cancels the requests that are handled for it. It
+// resets the connection if a response that is cut off would look complete otherwise.
 func (c *conn) abort() {
 	c.cancel()
+	if c.endsBody.Load() {
+		c.reset()
+	}
 	_ = c.net.Close()
 }
 
+// reset closes the connection so that the client gets an error instead of the end of
+// the stream.
+func (c *conn) reset() {
+	transport := c.net
+	if secured, ok := transport.(*tls.Conn); ok {
+		transport = secured.NetConn() // closing the TLS connection would announce the end
+	}
+	if tcp, ok := transport.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = transport.Close()
+}
+
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
@@ -239,6 +257,9 @@
 	done     chan struct{}            // closed once the response has been sent
 	body     *body                    // nil: no body, or one read completely before the handler runs
 	cancel   context.CancelFunc
+
+	head  sync.Mutex // held while 100 Continue is sent; guards the field below
+	begun bool       // the response is being sent
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -316,6 +337,13 @@
 	c.server.handler.ServeHTTP(w, e.request)
 }
 
+// begin marks the response as begun. 100 Continue is not sent from then on.
+func (e *exchange) begin() {
+	e.head.Lock()
+	defer e.head.Unlock()
+	e.begun = true
+}
+
 // awaitTurn waits until all earlier responses have been sent.
 func (e *exchange) awaitTurn() error {
 	previous := e.previous.Load()
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -87,6 +87,7 @@
 		w.failed = true
 		return err
 	}
+	w.exchange.begin()
 	w.active = true
 	deadline := w.deadline
 	if deadline.IsZero() {
@@ -129,7 +130,7 @@
 }
 
 func (w *writer) sendHeader() {
-	out := w.exchange.conn.out
+	out, c := w.exchange.conn.out, w.exchange.conn
 	w.decideClose()
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 %03d %s\r\n", w.status, http.StatusText(w.status))
 	trailers := w.trailers()
@@ -155,6 +156,8 @@
 	case w.exchange.request.ProtoAtLeast(1, 1):
 		w.chunked = w.hasBody()
 		_, _ = out.WriteString("Transfer-Encoding: chunked\r\n")
+	default:
+		c.endsBody.Store(w.hasBody())
 	}
 	if w.closesConn {
 		_, _ = out.WriteString("Connection: close\r\n")
@@ -230,7 +233,11 @@
 		w.sendTrailer()
 		_, _ = w.exchange.conn.out.WriteString("\r\n")
 	}
-	return w.exchange.conn.out.Flush()
+	if err := w.exchange.conn.out.Flush(); err != nil {
+		return err
+	}
+	w.exchange.conn.endsBody.Store(false)
+	return nil
 }
 
 // trailers returns the names of the fields that the Trailer header announces.
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -29,6 +32,9 @@
 	// NotRun marks the response of a backend server that did not run the
 	// request. It counts only beside the request's RequestID.
 	NotRun string
+	// Signature is in every success that a backend server sends. A success without
+	// it is not accepted as its answer.
+	Signature string
 	// RateLimit is the number of requests per second, a decimal number, that the
 	// backend server which answers takes from all hosts together. Without it the
 	// backend server has no limit.
@@ -82,19 +88,55 @@
 	return n.NotRun != "" && (get(resp.Header, n.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest)
 }
 
+// statusLine matches a status line at the end of a line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
+
+// holdsStatusLine reports whether a line in the head of a response ends with another
+// status line. The backend server has then broken off a head and sent another
+// response on the same connection: the head is made up of both.
+func holdsStatusLine(resp *http.Response) bool {
+	if endsWithStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, endsWithStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func endsWithStatusLine(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first spares the time of the second
+}
+
+// isSigned reports whether a response has the signature that its status requires.
+func (n Names) isSigned(resp *http.Response) bool {
+	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
+}
+
 // checkResponse reports why a backend server's response is not accepted for the
-// request: it belongs to another request, or it says that the request did not
-// run. Nothing shows that a response without an ID belongs to the request, so one
-// that says so is not believed.
+// request: its head is made up of two, it belongs to another request, it is a
+// success without a signature, or it says that the request did not run. Nothing shows
+// that a response without an ID belongs to the request, so one that says so is not
+// believed.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
-	if !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "" {
-		err := fmt.Errorf("answer with status %d is that of another request", resp.StatusCode)
-		return &attemptError{outcome: retry.Unknown, err: err}
-	}
-	if !notRun {
+	switch {
+	case holdsStatusLine(resp):
+		return notItsAnswer(resp, "has another status line in its head")
+	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
+		return notItsAnswer(resp, "is that of another request")
+	case !n.isSigned(resp):
+		return notItsAnswer(resp, "has no signature")
+	case !notRun:
 		return nil
 	}
 	err := fmt.Errorf("answer with status %d says that it did not run", resp.StatusCode)
 	return &attemptError{outcome: retry.NotRun, healthy: true, arrived: true, err: err}
 }
+
+// notItsAnswer returns the error for a response that is not taken for the answer.
+func notItsAnswer(resp *http.Response, why string) error {
+	return &attemptError{outcome: retry.Unknown, err: fmt.Errorf("answer with status %d %s", resp.StatusCode, why)}
+}
