Let entry nodes tell a gate how large answers are until it has seen some

What callers saw: late downloads after a host was stopped and started.

Cause: sizes are learned from answers and lost with the process, while every entry node knows them.

Change: an attempt of a kind with large answers says how large they usually are (Agatekeel-Answer-Bytes), and a gate that has seen none takes that as four of its eight smoothed answers. Older nodes ignore it, and a gate that has seen answers does too.

TestRestartedGateKnowsNoSizes fails without it: eight attempts are let in where the link sends four answers in a second. The trace found no link idle for this cause; the gain is answers in time.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -98,10 +98,13 @@
 	Request    string // ID of the caller's request, for the log
 	Class      Class
 	Deadline   time.Time
-	TargetTime time.Time   // time at which the answer meets the request's target latency; zero: no target
-	Relay      uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
-	arrived    time.Time
-	started    time.Time // start of its run
+	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
+	// AnswerBytes is the usual size of the answers to this kind of request, as the entry
+	// node knows it; zero: unknown.
+	AnswerBytes int64
+	Relay       uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
+	arrived     time.Time
+	started     time.Time // start of its run
 }
 
 // Queue holds the running and waiting attempts of one backend server.
@@ -155,6 +158,7 @@
 // until the next call.
 func (q *Queue) Arrive(now time.Time, a Attempt) Decision {
 	a.arrived = now
+	q.expectBytes(a)
 	linkOpensIn := q.linkOpensIn(now, a)
 	if q.numWaiting == 0 {
 		q.emptyAt = now
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -33,6 +33,20 @@
 	return time.Duration(bytes / l.Rate * float64(time.Second))
 }
 
+// expectedWeight is the number of answers as many as which the size counts that an entry
+// node has told: a gate that has just started has seen none, and a single one can be
+// several times as large as usual.
+const expectedWeight = smoothingWindow / 2
+
+// expectBytes takes the size of answers that the entry node knows while this process has
+// seen none.
+func (q *Queue) expectBytes(a Attempt) {
+	if q.answers[a.Class] > 0 || a.AnswerBytes < largeAnswerBytes {
+		return
+	}
+	q.answers[a.Class], q.avgBytes[a.Class] = expectedWeight, float64(a.AnswerBytes)
+}
+
 // linkOpensIn returns zero if the answer of an attempt can be sent, and relayed by the
 // entry node, by its deadline and by its target time. Otherwise it returns the time until
 // it could if no other attempt came. An answer that misses its target time would use
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -294,3 +294,27 @@
 
 // passedTarget is what is left of a target that has passed, as a node reports it.
 const passedTarget = time.Microsecond
+
+// TestRestartedGateKnowsNoSizes sends a burst to a gate that has just started, whose
+// entry nodes know how large the answers are, and lets its first answer be an unusual one.
+func TestRestartedGateKnowsNoSizes(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := admission.New(admission.DefaultConfig(8))
+	q.SetLink(uplink.Load{Rate: linkBytes})
+	ask := func(n uint64) admission.Reason {
+		return q.Arrive(now, admission.Attempt{
+			ID: admission.ID{Number: n}, Class: admission.Batch, Deadline: now.Add(6 * time.Second), TargetTime: now.Add(largeTarget), AnswerBytes: largeBytes,
+		}).Reason
+	}
+	taken := 0
+	for n := range uint64(8) {
+		if ask(n) == admission.Admitted {
+			taken++
+		}
+	}
+	is.True(0 < taken && taken <= 4) // what the link sends in a second
+	q.Done(now, admission.ID{}, admission.Run{Took: largeRun, Bytes: 4 * largeBytes})
+	usual := time.Duration(largeBytes / linkBytes * float64(time.Second))
+	is.True(q.LinkWait(now) < largeRun+time.Duration(taken-1)*2*usual) // those that run still count as less than twice as large
+}
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// LargeAnswerBytes returns the usual size of the answers to a kind of request if they are
+// large. Otherwise, and if it is unknown, it returns zero.
+func (g *Group) LargeAnswerBytes(name string) int64 {
+	if k := g.kinds[name]; k.bytes >= largeAnswerBytes {
+		return int64(k.bytes)
+	}
+	return 0
+}
+
 func (g *Group) anyLinkClosed(now time.Time) bool {
 	_, closed := g.LinkOpensIn(now)
 	return closed
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -92,7 +92,7 @@
 // node's backend server. cancel cancels ctx.
 func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	h := hopHeader{
-		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said,
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said,
 	}
 	if f.Local {
 		h.entry = true
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -37,6 +37,7 @@
 	headerPrefix      = "Agatekeel-"
 	headerHop         = "Agatekeel-Hop"               // encoded hopHeader
 	headerSoftBudget  = "Agatekeel-Wanted-Micros"     // soft budget of an attempt
+	headerAnswerBytes = "Agatekeel-Answer-Bytes"      // core.Forward.AnswerBytes
 	headerRelay       = "Agatekeel-Relay-Link"        // state of the entry node's network link: backlog in bytes, bytes per second
 	headerSaid        = "Agatekeel-Backend-Says"      // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
 	headerAttempt     = "Agatekeel-Attempt"           // attempt that a response is about
@@ -91,6 +92,7 @@
 	class       admission.Class
 	budget      time.Duration // remaining time of the call, sent in microseconds
 	softBudget  time.Duration // see core.Forward.SoftBudget; sent in a separate header, which older nodes ignore
+	answerBytes int64         // see core.Forward.AnswerBytes; sent in a separate header, which older nodes ignore
 	depth       int
 	incarnation endpoint.Incarnation // incarnation of the receiving node; zero: unknown
 	key         idempotency.Key      // zero: none
@@ -122,6 +124,9 @@
 	if h.softBudget > 0 {
 		to[headerSoftBudget] = []string{formatMicros(h.softBudget)}
 	}
+	if h.answerBytes > 0 {
+		to[headerAnswerBytes] = []string{strconv.FormatInt(h.answerBytes, 10)}
+	}
 	if h.relay.Rate > 0 {
 		to[headerRelay] = []string{formatLoad(h.relay)}
 	}
@@ -139,6 +144,11 @@
 			return h, err
 		}
 	}
+	if value := from.Get(headerAnswerBytes); value != "" {
+		if h.answerBytes, err = strconv.ParseInt(value, 10, 64); err != nil || h.answerBytes < 0 {
+			return h, fmt.Errorf("header %s: %q is not a number of bytes", headerAnswerBytes, value)
+		}
+	}
 	if value := from.Get(headerRelay); value != "" {
 		if h.relay, err = parseLoad(headerRelay, value); err != nil {
 			return h, err
--- a/proxy/header_test.go
+++ b/proxy/header_test.go
@@ -109,3 +109,25 @@
 		is.Equal(saidIn(headers), core.BackendNotice{})
 	}
 }
+
+// TestHopHeaderCarriesAnswerBytes checks that the usual size of answers reaches the other
+// node, and that one that can't be read is an error.
+func TestHopHeaderCarriesAnswerBytes(t *testing.T) {
+	for value, want := range map[string]int64{"": 0, "280000": 280_000} {
+		is := is.New(t)
+		headers := http.Header{}
+		hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second, answerBytes: want}.set(headers)
+		is.Equal(headers.Get(headerAnswerBytes), value)
+		got, err := readHop(headers)
+		is.NoErr(err)
+		is.Equal(got.answerBytes, want)
+	}
+	for _, value := range []string{"-1", "many"} {
+		is := is.New(t)
+		headers := http.Header{}
+		hopHeader{attempt: core.AttemptID{Origin: 7, Number: 1}, budget: time.Second}.set(headers)
+		headers.Set(headerAnswerBytes, value)
+		_, err := readHop(headers)
+		is.True(err != nil)
+	}
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -25,7 +25,7 @@
 	}
 	effects, opened := p.core.OpenAttempt(core.AttemptArrived{
 		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class,
-		Budget: h.budget, SoftBudget: h.softBudget, ForIncarnation: h.incarnation, Key: h.key,
+		Budget: h.budget, SoftBudget: h.softBudget, AnswerBytes: h.answerBytes, ForIncarnation: h.incarnation, Key: h.key,
 		Link: p.link.load(), Relay: h.relay, Said: h.said,
 	})
 	if !opened {
