Send large answers ahead of the link while the process is late

Cause: the scheduler grants one piece of 16 KiB ahead of the link, 13 ms of 10 Mbit/s. At 0.16 of a core a process with work waiting gets to send each 50 to 200 ms, so whatever was not granted meanwhile was lost: a link that is shared by time needs a process that is in time. The order of the answers, and who is let in, have no say in it.

Change: the scheduler sees how long after the wait that it named it is asked again, and lets large answers go ahead of the link by that, 100 ms at most, forgotten within seconds. A process that is in time sends nothing ahead.

--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -20,6 +20,12 @@
 	// maxStretch bounds how long a response waits for smaller ones that began after it,
 	// as a multiple of the time that the link needs for what is left of it.
 	maxStretch = 2
+	// maxAhead bounds how far large responses may be sent ahead of the link where the
+	// process gets to send too rarely. Short responses wait behind what is sent ahead.
+	maxAhead = 100 * time.Millisecond
+	// lateWindow is the time constant with which an observed delay of the process is
+	// forgotten.
+	lateWindow = time.Second
 	// maxDebt limits the time for which large responses wait after many short ones.
 	maxDebt = time.Second
 	// stalledAfter is the time after its last grant from which a transfer that has
@@ -52,6 +58,9 @@
 	credit    float64 // bytes that may be sent now; negative: more was sent than the link carries
 	prepaid   float64 // bytes that were granted and have not been recorded as sent
 	refilled  time.Time
+	awaited   *Transfer   // for which Grant has named a wait; nil: none since the last grant
+	awaitedAt time.Time   // when that wait ends
+	late      float64     // seconds by which the process was late for that, decayed over lateWindow
 	transfers []*Transfer // in the order in which they began
 	others    float64     // bytes of everything but large responses, decayed over othersWindow
 }
@@ -76,6 +85,20 @@
 	s.refilled = now
 	s.credit = min(s.credit+s.rate*elapsed, PieceBytes)
 	s.others *= math.Exp(-elapsed / othersWindow.Seconds())
+	s.late *= math.Exp(-elapsed / lateWindow.Seconds())
+}
+
+// ahead returns how many bytes may be sent beyond what the link carries until now: as
+// much as it carries while the process is late, as it would be idle for that long.
+func (s *Scheduler) ahead() float64 { return s.late * s.rate }
+
+// observeDelay notes how long after the wait that Grant had named it is called.
+func (s *Scheduler) observeDelay(now time.Time) {
+	if s.awaited == nil || s.awaited.wants == 0 || !now.After(s.awaitedAt) {
+		return
+	}
+	s.late = max(s.late, min(now.Sub(s.awaitedAt), maxAhead).Seconds())
+	s.awaited = nil
 }
 
 // Sent records that n bytes were sent, of whatever kind.
@@ -106,6 +129,7 @@
 	for i, other := range s.transfers {
 		if other == t {
 			s.transfers = append(s.transfers[:i], s.transfers[i+1:]...)
+			t.wants = 0
 			return
 		}
 	}
@@ -120,8 +144,11 @@
 		return nil, 0
 	}
 	s.refill(now)
-	if s.rate > 0 && s.credit <= -minOwedBytes {
-		return nil, time.Duration(math.Ceil(-s.credit / s.rate * float64(time.Second)))
+	s.observeDelay(now)
+	if owed := -s.credit - s.ahead(); s.rate > 0 && owed >= minOwedBytes {
+		wait := time.Duration(math.Ceil(owed / s.rate * float64(time.Second)))
+		s.awaited, s.awaitedAt = t, now.Add(wait)
+		return nil, wait
 	}
 	n := t.wants
 	s.credit -= float64(n)
--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -45,6 +45,7 @@
 	busyUntil time.Time // when the link has sent all that was given to it
 	large     int       // bytes of large responses that were given to the link
 	waits     []time.Duration
+	runsEach  time.Duration // how often the process gets the processor; zero: at once
 }
 
 func (r *linkSim) send(n int) {
@@ -66,6 +67,9 @@
 			r.waits = append(r.waits, max(r.busyUntil.Sub(r.now), 0))
 			r.send(shortBytes)
 		}
+		if r.runsEach > 0 && r.now.UnixNano()%int64(r.runsEach) != 0 {
+			continue
+		}
 		for granted, _ := r.s.Grant(r.now); granted != nil; granted, _ = r.s.Grant(r.now) {
 			r.send(uplink.PieceBytes)
 			r.large += uplink.PieceBytes
@@ -102,6 +106,29 @@
 	}
 }
 
+// TestLinkIsIdleWhileProcessIsLate checks that a process which gets to send only each so
+// many milliseconds leaves the link idle for little, and that short responses wait little
+// longer than they do for the process.
+func TestLinkIsIdleWhileProcessIsLate(t *testing.T) {
+	const short = 0.13
+	for _, tt := range []struct {
+		late time.Duration
+		used float64 // share of what short responses leave
+	}{
+		{20 * time.Millisecond, 0.95},
+		{50 * time.Millisecond, 0.95},
+		{100 * time.Millisecond, 0.95},
+		{200 * time.Millisecond, 0.5},
+	} {
+		is := is.New(t)
+		r := &linkSim{s: uplink.NewScheduler(usableShare * linkBytes), now: time.Unix(1000, 0), runsEach: tt.late}
+		r.run(short)
+		t.Logf("late by %v: %.3f of %.3f, short ones wait %v", tt.late, r.largeShare(), usableShare-short, r.longestWait())
+		is.True(r.largeShare() > tt.used*(usableShare-short))
+		is.True(r.longestWait() < tt.late+50*time.Millisecond)
+	}
+}
+
 // TestEarlierTransferIsSentFirst checks that of several large responses the first is
 // complete before the next begins.
 func TestEarlierTransferIsSentFirst(t *testing.T) {
