Move one request of a connection out of the file of the connection

A reader who looked for the order of responses had to read past the reading of headers.

exchange and what a handler asks of it (IsPipelined, AwaitTurn) are in h1/exchange.go.

--- /dev/null
+++ b/h1/exchange.go
@@ -0,0 +1,158 @@
+package h1
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// exchange is one request and its response.
+type exchange struct {
+	conn     *conn
+	request  *http.Request
+	previous atomic.Pointer[exchange] // the exchange whose response is sent before this one; nil: none is pending
+	done     chan struct{}            // closed once the response has been sent
+	body     *body                    // nil: no body, or one read completely before the handler runs
+	cancel   context.CancelFunc
+
+	head  sync.Mutex // held while 100 Continue is sent; guards the field below
+	begun bool       // the response is being sent
+}
+
+func newExchange(c *conn, r *http.Request) *exchange {
+	e := &exchange{conn: c, done: make(chan struct{})}
+	e.previous.Store(c.last)
+	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, e))
+	e.cancel = cancel
+	e.request = r.WithContext(ctx)
+	return e
+}
+
+// prepareBody reads a short body completely and sets up the reading of a longer
+// one.
+func (e *exchange) prepareBody() error {
+	r := e.request
+	if r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	expects := r.Header.Get("Expect") != ""
+	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects {
+		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
+		data := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, data); err != nil {
+			return fmt.Errorf("read request body: %w", err)
+		}
+		_ = e.conn.net.SetReadDeadline(time.Time{})
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		return nil
+	}
+	e.body = &body{exchange: e, src: r.Body, expectsContinue: expects, ended: make(chan struct{})}
+	r.Body = e.body
+	return nil
+}
+
+// awaitBodyRead waits until the body has been read. It returns false if nothing
+// more is to be read from the connection.
+func (e *exchange) awaitBodyRead() bool {
+	if e.body == nil {
+		return !e.conn.closing.Load()
+	}
+	select {
+	case <-e.body.ended:
+		return true
+	case <-e.done:
+		return e.body.isComplete()
+	case <-e.conn.ctx.Done():
+		return false
+	}
+}
+
+// run runs the handler and sends the response when it is its turn.
+func (e *exchange) run() {
+	c := e.conn
+	w := newWriter(e)
+	defer func() {
+		if v := recover(); v != nil {
+			w.failed = true
+			if v != http.ErrAbortHandler {
+				c.server.cfg.OnError(fmt.Errorf("handler: %v\n%s", v, debug.Stack()))
+			}
+		}
+		e.body.release() // before the client sees the end of the response
+		err := w.finish()
+		if (err != nil || w.failed) && (w.active || !c.closing.Load()) {
+			c.abort() // unless an earlier response was the last one and is still being sent
+		}
+		e.cancel()
+		c.pending.Add(-1)
+		<-c.inFlight
+		close(e.done)
+		if w.closesConn {
+			_ = c.net.SetReadDeadline(time.Unix(1, 0)) // interrupts the reader, which then closes the connection
+		}
+	}()
+	c.server.handler.ServeHTTP(w, e.request)
+}
+
+// begin marks the response as begun. 100 Continue is not sent from then on.
+func (e *exchange) begin() {
+	e.head.Lock()
+	defer e.head.Unlock()
+	e.begun = true
+}
+
+// awaitTurn waits until all earlier responses have been sent.
+func (e *exchange) awaitTurn() error {
+	previous := e.previous.Load()
+	if previous == nil {
+		return nil
+	}
+	select {
+	case <-previous.done:
+		e.previous.Store(nil) // lets the garbage collector free the chain
+	case <-e.conn.ctx.Done():
+		return ErrClosed
+	}
+	if e.conn.closing.Load() {
+		return ErrClosed // an earlier response was the last one
+	}
+	return nil
+}
+
+type exchangeKey struct{}
+
+// IsPipelined reports whether earlier requests of the same connection have not
+// been answered yet. A client sends such a request again if the connection
+// closes before its response, so a request that may not run twice has to call
+// AwaitTurn first.
+func IsPipelined(r *http.Request) bool {
+	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
+	if !ok {
+		return false
+	}
+	previous := e.previous.Load()
+	if previous == nil {
+		return false
+	}
+	select {
+	case <-previous.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// AwaitTurn waits until all earlier requests of the same connection have been
+// answered.
+func AwaitTurn(r *http.Request) error {
+	if e, ok := r.Context().Value(exchangeKey{}).(*exchange); ok {
+		return e.awaitTurn()
+	}
+	return nil
+}
