--- a/core/dump.go
+++ b/core/dump.go
@@ -4,11 +4,59 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/balance"
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/status"
 )
 
+// Dump is the state of a node in a form for people and scripts.
+type Dump struct {
+	Node          string           `json:"node"`
+	DataCentre    string           `json:"dataCentre"`
+	Time          time.Time        `json:"time"`
+	Ready         bool             `json:"ready"`
+	NotReady      string           `json:"notReady,omitempty"`
+	Phase         string           `json:"phase"` // "seeking", "joining", "joined" or "root"
+	Path          []string         `json:"path"`  // IDs of the nodes from this one up to its root
+	ConfigVersion uint64           `json:"configVersion"`
+	ConfigHash    uint64           `json:"configHash"`
+	ConfigAge     time.Duration    `json:"configAge,omitempty"` // time since the version was last confirmed to be the newest of its source
+	Routes        int              `json:"routes"`
+	Publisher     bool             `json:"publisher"` // this node holds the publisher's lease
+	Links         []DumpLink       `json:"links"`
+	Reports       []message.Report `json:"reports,omitempty"`
+	Endpoints     []endpoint.Entry `json:"endpoints"`
+	Backend       DumpBackend      `json:"backend"`
+	Calls         int              `json:"calls"`       // callers' requests in progress
+	RetryTokens   float64          `json:"retryTokens"` // retries saved in the retry budget
+
+	DumpRoles
+}
+
+// DumpLink describes one link in a Dump.
+type DumpLink struct {
+	ID        LinkID    `json:"id"`
+	Role      string    `json:"role"`
+	Node      string    `json:"node"`
+	Peer      string    `json:"peer"`
+	LastHeard time.Time `json:"lastHeard"` // time of the last message received
+}
+
+// DumpBackend describes the local backend server in a Dump.
+type DumpBackend struct {
+	Service  string `json:"service,omitempty"`
+	State    string `json:"state"`
+	Running  int    `json:"running"`
+	Waiting  int    `json:"waiting"`
+	Slots    int    `json:"slots"`
+	Stopping bool   `json:"stopping"` // this process is shutting down
+
+	LimitPerSecond *float64 `json:"limitPerSecond,omitempty"` // requests per second that it says it takes; nil: it names no limit
+	Leaving        bool     `json:"leaving,omitempty"`        // it says that it takes no new requests
+}
+
 // DumpRoles is the part of a Dump that describes the roles of a node and
 // its operations in progress.
 type DumpRoles struct {
@@ -74,6 +122,30 @@
 // maxDumpedCalls bounds the requests in a Dump.
 const maxDumpedCalls = 1000
 
+// Dump returns a copy of the state for display.
+func (s *State) Dump() Dump {
+	ready, why := s.Ready()
+	d := Dump{
+		Node: s.cfg.Node, DataCentre: s.cfg.DataCentre, Time: s.now, Ready: ready, NotReady: why,
+		Phase: s.member.phase.String(), Path: s.path(), Publisher: s.publisher.lease.Held(s.now),
+		Endpoints: s.table.Entries(), Calls: len(s.requests.calls), RetryTokens: s.retryTokens(),
+		Backend:       s.backend.dump(s.cfg),
+		ConfigVersion: s.holder.set.Version, ConfigHash: s.holder.set.Hash(), Routes: s.holder.snapshot.Routes(),
+	}
+	for _, id := range sortedLinks(s.links) {
+		l := s.links[id]
+		d.Links = append(d.Links, DumpLink{ID: id, Role: l.role.String(), Node: l.node, Peer: l.peer, LastHeard: l.receivedAt})
+	}
+	if age := s.sourceAge(); age != nil {
+		d.ConfigAge = time.Duration(*age)
+	}
+	d.DumpRoles = s.dumpRoles()
+	for _, dc := range sortedNames(s.root.reports) {
+		d.Reports = append(d.Reports, s.root.reports[dc])
+	}
+	return d
+}
+
 func (s *State) dumpRoles() DumpRoles {
 	d := DumpRoles{
 		Leases: []DumpLease{
