Split the simulated mesh and its traffic by job

core/coretest/mesh.go (397 lines) held the nodes and their clock, the faults that a test injects and the links between nodes; traffic.go (390) the way of a request and the backend servers that run it.

Faults and Heal are in faults.go, the links between nodes in nodelink.go (links.go has the links of hosts), backend servers in backend.go, and a watch beside the calls to the platform in store.go. Text is moved only; what any test does is unchanged.

--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -16,19 +16,6 @@
 	"github.com/agatekeel/agatekeel/store/storetest"
 )
 
-// Faults are the faults to inject. Probabilities are per call or message.
-type Faults struct {
-	PlatformDown  bool
-	PlatformDelay time.Duration // maximum of the random delay in each direction
-	FailBefore    float64       // probability that a call fails without effect
-	LoseAnswer    float64       // probability that a call takes effect but its answer is lost
-	LinkDelay     time.Duration // maximum of the random delay of a link message
-	Duplicate     float64       // probability that a link message is delivered twice
-}
-
-// platformTimeout is the time after which a call to an unreachable platform fails.
-const platformTimeout = 500 * time.Millisecond
-
 // Mesh holds the nodes and the simulated environment of one run.
 type Mesh struct {
 	Now    time.Time
@@ -70,24 +57,6 @@
 	lastLink    core.LinkID
 }
 
-// linkEnd is one end of a link.
-type linkEnd struct {
-	node        *Node
-	generation  int
-	peer        *linkEnd
-	id          core.LinkID
-	closed      bool
-	blackholed  bool      // messages to this end are dropped
-	nextArrival time.Time // earliest arrival of the next message, since links preserve order
-}
-
-type watch struct {
-	node       *Node
-	generation int
-	effect     core.StoreWatch
-	done       bool
-}
-
 // New returns an empty Mesh. seed determines its random numbers.
 func New(seed uint64) *Mesh {
 	return &Mesh{
@@ -170,64 +139,6 @@
 	}
 }
 
-// Partition drops all traffic between two nodes: messages on open links are lost and new
-// links fail. Neither node is notified.
-func (m *Mesh) Partition(a, b string) { m.partitioned[pair(a, b)] = true }
-
-// BlackholeOpenLinks permanently drops what a sends to b on the links that are open now.
-// New links work. Neither node is notified.
-func (m *Mesh) BlackholeOpenLinks(a, b string) {
-	for _, l := range m.nodes[a].links {
-		if l.peer != nil && l.peer.node.Name == b {
-			l.peer.blackholed = true
-		}
-	}
-}
-
-// PartitionDataCentres partitions the nodes of two data centres from each other.
-func (m *Mesh) PartitionDataCentres(a, b string) {
-	for _, x := range m.nodes {
-		for _, y := range m.nodes {
-			if x.Config.DataCentre == a && y.Config.DataCentre == b {
-				m.Partition(x.Name, y.Name)
-			}
-		}
-	}
-}
-
-// DropLinkMessages drops link messages between two nodes without notification. Requests
-// still pass.
-func (m *Mesh) DropLinkMessages(a, b string) { m.linkMessagesDropped[pair(a, b)] = true }
-
-// PartitionStore partitions a node from the platform: its calls time out without effect, and
-// pending watches fail.
-func (m *Mesh) PartitionStore(name string) {
-	m.storePartitioned[name] = true
-	for _, w := range m.watches {
-		if w.node.Name == name && !w.done {
-			w.done = true
-			m.After(platformTimeout, func() { m.step(w.node, w.generation, failed(w.effect)) })
-		}
-	}
-}
-
-// Heal ends all partitions between nodes, pauses and injected faults. Delays stay.
-func (m *Mesh) Heal() {
-	m.partitioned, m.linkMessagesDropped = map[[2]string]bool{}, map[[2]string]bool{}
-	m.Faults.PlatformDown, m.Faults.FailBefore, m.Faults.LoseAnswer, m.Faults.Duplicate = false, 0, 0, 0
-	for _, n := range m.Nodes() {
-		n.pausedUntil = time.Time{}
-		m.resume(n)
-	}
-}
-
-func pair(a, b string) [2]string {
-	if a > b {
-		a, b = b, a
-	}
-	return [2]string{a, b}
-}
-
 // Run advances the simulated time by d.
 func (m *Mesh) Run(d time.Duration) { m.RunUntil(d, func() bool { return false }) }
 
@@ -318,80 +229,3 @@
 		}
 	}
 }
-
-// closeLink closes a link after the messages already sent on it have been delivered.
-func (m *Mesh) closeLink(l *linkEnd) {
-	var wait time.Duration
-	if l.peer != nil {
-		wait = l.peer.nextArrival.Sub(m.Now)
-	}
-	m.notifyPeerClosed(l, max(wait, m.random(m.Faults.LinkDelay)))
-}
-
-// abortLink closes a link immediately. Messages in transit may be lost.
-func (m *Mesh) abortLink(l *linkEnd) { m.notifyPeerClosed(l, m.random(m.Faults.LinkDelay)) }
-
-// notifyPeerClosed notifies the other end of a link, after some time, that it is closed.
-func (m *Mesh) notifyPeerClosed(l *linkEnd, after time.Duration) {
-	l.closed = true
-	p := l.peer
-	if p == nil || m.partitioned[pair(l.node.Name, p.node.Name)] {
-		return
-	}
-	m.After(after, func() {
-		if p.closed {
-			return
-		}
-		p.closed = true
-		delete(p.node.links, p.id)
-		m.step(p.node, p.generation, core.LinkDown{Link: p.id, Reason: "closed by the other end"})
-	})
-}
-
-func (m *Mesh) dial(n *Node, e core.Dial) {
-	gen := n.Generation
-	m.After(m.random(m.Faults.LinkDelay), func() {
-		to, ok := m.nodes[e.Address]
-		if !ok || !to.Alive || m.partitioned[pair(n.Name, e.Address)] || to == n {
-			m.step(n, gen, core.LinkDown{Link: e.Link, Reason: "connection failed"})
-			return
-		}
-		if n.Generation != gen || !n.Alive {
-			return
-		}
-		to.lastLink += 2
-		near := &linkEnd{node: n, generation: gen, id: e.Link}
-		far := &linkEnd{node: to, generation: to.Generation, id: to.lastLink, peer: near}
-		near.peer = far
-		n.links[near.id], to.links[far.id] = near, far
-		m.step(to, far.generation, core.LinkUp{Link: far.id})
-		m.step(n, gen, core.LinkUp{Link: near.id, Dialled: true})
-	})
-}
-
-func (m *Mesh) send(n *Node, e core.Send) {
-	l, ok := n.links[e.Link]
-	if !ok || l.closed {
-		return
-	}
-	if m.OnSend != nil {
-		m.OnSend(n, l.peer.node, e.Message)
-	}
-	copies := 1
-	if m.Rand.Float64() < m.Faults.Duplicate {
-		copies = 2
-	}
-	p := l.peer
-	for range copies {
-		at := m.Now.Add(m.random(m.Faults.LinkDelay))
-		if at.Before(p.nextArrival) {
-			at = p.nextArrival
-		}
-		p.nextArrival = at
-		m.After(at.Sub(m.Now), func() {
-			if between := pair(n.Name, p.node.Name); !p.closed && !p.blackholed && !m.partitioned[between] && !m.linkMessagesDropped[between] {
-				m.step(p.node, p.generation, core.LinkMessage{Link: p.id, Message: e.Message})
-			}
-		})
-	}
-}
--- a/core/coretest/store.go
+++ b/core/coretest/store.go
@@ -9,6 +9,13 @@
 	"github.com/agatekeel/agatekeel/store"
 )
 
+type watch struct {
+	node       *Node
+	generation int
+	effect     core.StoreWatch
+	done       bool
+}
+
 // callStore executes a platform call of a node, subject to the injected faults.
 func (m *Mesh) callStore(n *Node, gen int, effect core.Effect) {
 	if m.OnStore != nil {
