Split admission into attempts, admission and what waits

core/admission/admission.go (385 lines) held the names of classes, reasons and attempts, the decision on an arrival, and what starts or leaves the queue later.

Arrive was 41 lines in two parts; the second, for an attempt that can not start at once, is enqueue. The order of the checks is as before; nothing else changed.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -5,47 +5,11 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
-// Class is a priority class of the queue. A smaller value is more urgent.
-type Class uint8
-
-// The named priority classes. Those between Batch and MaxClass have no name; the
-// higher the value, the less urgent the class.
-const (
-	Status Class = iota
-	Interactive
-	Batch
-
-	MaxClass   Class = 7
-	numClasses       = MaxClass + 1
-)
-
-// Reason is the reason for which an attempt was refused.
-type Reason string
-
-// The reasons for a refusal. With DuplicateAttempt and WrongIncarnation, another
-// copy of the attempt may have run; with KeyUsed, another request with the same
-// key may have run. With any other reason the attempt has not run.
-const (
-	Admitted         Reason = ""
-	QueueFull        Reason = "queue full"
-	RateLimited      Reason = "the limit of requests that the backend server named leaves no room"
-	LinkFull         Reason = "the host's link has no room for the answer in time"
-	TooLate          Reason = "deadline would pass before it could finish"
-	NotServing       Reason = "backend server takes no new requests"
-	Cancelled        Reason = "cancelled before it started"
-	DuplicateAttempt Reason = "attempt was seen before"
-	KeyUsed          Reason = "a request with this Idempotency-Key came before"
-	KeysFull         Reason = "too many idempotency keys are held"
-	WrongIncarnation Reason = "attempt was meant for an earlier life of this node"
-	UnknownRoute     Reason = "no route"
-)
-
 // Config holds the settings of a Queue.
 type Config struct {
 	Slots       int           // attempts that run concurrently
@@ -68,11 +32,6 @@
 	}
 }
 
-// maxBypassed is how many starts of more urgent classes may bypass the attempt
-// at the head of a class. A class with waiting attempts therefore gets at least
-// one of every maxBypassed+1 starts, which prevents starvation.
-const maxBypassed = 8
-
 // reservedDivisor is the divisor of MaxQueue that gives the part of the queue
 // reserved for each class. More urgent classes can't evict attempts from it.
 const reservedDivisor = 8
@@ -81,32 +40,6 @@
 // are exponentially smoothed. Until there are as many, the plain mean is used.
 const smoothingWindow = 8
 
-// ID identifies an attempt across the whole mesh.
-type ID struct {
-	Origin uint64 // random number of the process that created the attempt
-	Number uint64 // sequence number of the attempt within that process
-}
-
-// String formats the ID as in headers and logs.
-func (id ID) String() string {
-	return strconv.FormatUint(id.Origin, 16) + "-" + strconv.FormatUint(id.Number, 16)
-}
-
-// Attempt is an attempt that arrives, waits in the queue or runs.
-type Attempt struct {
-	ID         ID
-	Request    string // ID of the caller's request, for the log
-	Class      Class
-	Deadline   time.Time
-	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
-	// AnswerBytes is the usual size of the answers to this kind of request, as the entry
-	// node knows it; zero: unknown.
-	AnswerBytes int64
-	Relay       uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
-	arrived     time.Time
-	started     time.Time // start of its run
-}
-
 // Queue holds the running and waiting attempts of one backend server.
 type Queue struct {
 	cfg           Config
@@ -176,6 +109,11 @@
 		q.begin(now, a)
 		return Decision{Run: true, Evicted: q.dropped, EvictedFor: RateLimited}
 	}
+	return q.enqueue(now, a)
+}
+
+// enqueue lets an attempt wait, or refuses it.
+func (q *Queue) enqueue(now time.Time, a Attempt) Decision {
 	wait := q.expectedWait(a.Class)
 	switch {
 	case now.Add(wait + q.avgRunTime[a.Class]).After(a.Deadline):
@@ -286,98 +224,6 @@
 	q.avgBytes[c] += (float64(run.Bytes) - q.avgBytes[c]) / float64(q.answers[c])
 }
 
-func (q *Queue) startWaiting(now time.Time) (start, dropped []Attempt) {
-	q.started, q.dropped = q.started[:0], q.dropped[:0]
-	for q.numWaiting > 0 {
-		c := q.nextClass()
-		if c == numClasses {
-			break
-		}
-		w := q.waiting[c].pop()
-		q.numWaiting--
-		if q.overdue(now, w) {
-			q.dropped = append(q.dropped, w)
-			continue
-		}
-		q.countBypassed(c)
-		q.begin(now, w)
-		q.started = append(q.started, w)
-	}
-	if q.numWaiting == 0 {
-		q.emptyAt = now
-	}
-	return q.started, q.dropped
-}
-
-// nextClass returns the class whose oldest attempt starts next: the most urgent
-// one, unless another class was bypassed maxBypassed times. It returns
-// numClasses if none can start.
-func (q *Queue) nextClass() Class {
-	first := numClasses
-	for c := range numClasses {
-		if q.waiting[c].len() == 0 || !q.canStart(c) {
-			continue
-		}
-		if q.bypassed[c] >= maxBypassed && !q.fault.noBypass {
-			return c
-		}
-		first = min(first, c)
-	}
-	return first
-}
-
-// countBypassed counts the start of a class against the less urgent classes that
-// it bypasses.
-func (q *Queue) countBypassed(started Class) {
-	q.bypassed[started] = 0
-	for c := started + 1; c < numClasses; c++ {
-		q.bypassed[c]++
-		if q.waiting[c].len() == 0 {
-			q.bypassed[c] = 0
-		}
-	}
-}
-
-// overdue reports whether an attempt has waited too long or can no longer finish
-// by its deadline.
-func (q *Queue) overdue(now time.Time, w Attempt) bool {
-	if q.fault.noWaitLimit {
-		return false
-	}
-	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || now.Add(q.avgRunTime[w.Class]).After(w.Deadline)
-}
-
-func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
-	if c != Status && now.Sub(q.emptyAt) > q.cfg.Interval {
-		return q.cfg.Target
-	}
-	return q.cfg.MaxWait
-}
-
-// Expire drops overdue attempts, and returns them. It covers periods in which no
-// run ends, since Done drops them otherwise. The slice is valid until the next
-// call.
-func (q *Queue) Expire(now time.Time) []Attempt {
-	q.dropped = q.dropped[:0]
-	for c := range numClasses {
-		for l := &q.waiting[c]; l.len() > 0 && q.overdue(now, l.head()); q.numWaiting-- {
-			q.dropped = append(q.dropped, l.pop())
-		}
-	}
-	return q.dropped
-}
-
-// Cancel removes a waiting attempt and reports whether it was in the queue.
-func (q *Queue) Cancel(id ID) (Attempt, bool) {
-	for c := range numClasses {
-		if w, ok := q.waiting[c].remove(id); ok {
-			q.numWaiting--
-			return w, true
-		}
-	}
-	return Attempt{}, false
-}
-
 // Load returns the numbers of running and of waiting attempts.
 func (q *Queue) Load() (running, waiting int) { return len(q.running), q.numWaiting }
 
--- /dev/null
+++ b/core/admission/waiting.go
@@ -0,0 +1,100 @@
+package admission
+
+import "time"
+
+// maxBypassed is how many starts of more urgent classes may bypass the attempt
+// at the head of a class. A class with waiting attempts therefore gets at least
+// one of every maxBypassed+1 starts, which prevents starvation.
+const maxBypassed = 8
+
+func (q *Queue) startWaiting(now time.Time) (start, dropped []Attempt) {
+	q.started, q.dropped = q.started[:0], q.dropped[:0]
+	for q.numWaiting > 0 {
+		c := q.nextClass()
+		if c == numClasses {
+			break
+		}
+		w := q.waiting[c].pop()
+		q.numWaiting--
+		if q.overdue(now, w) {
+			q.dropped = append(q.dropped, w)
+			continue
+		}
+		q.countBypassed(c)
+		q.begin(now, w)
+		q.started = append(q.started, w)
+	}
+	if q.numWaiting == 0 {
+		q.emptyAt = now
+	}
+	return q.started, q.dropped
+}
+
+// nextClass returns the class whose oldest attempt starts next: the most urgent
+// one, unless another class was bypassed maxBypassed times. It returns
+// numClasses if none can start.
+func (q *Queue) nextClass() Class {
+	first := numClasses
+	for c := range numClasses {
+		if q.waiting[c].len() == 0 || !q.canStart(c) {
+			continue
+		}
+		if q.bypassed[c] >= maxBypassed && !q.fault.noBypass {
+			return c
+		}
+		first = min(first, c)
+	}
+	return first
+}
+
+// countBypassed counts the start of a class against the less urgent classes that
+// it bypasses.
+func (q *Queue) countBypassed(started Class) {
+	q.bypassed[started] = 0
+	for c := started + 1; c < numClasses; c++ {
+		q.bypassed[c]++
+		if q.waiting[c].len() == 0 {
+			q.bypassed[c] = 0
+		}
+	}
+}
+
+// overdue reports whether an attempt has waited too long or can no longer finish
+// by its deadline.
+func (q *Queue) overdue(now time.Time, w Attempt) bool {
+	if q.fault.noWaitLimit {
+		return false
+	}
+	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || now.Add(q.avgRunTime[w.Class]).After(w.Deadline)
+}
+
+func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
+	if c != Status && now.Sub(q.emptyAt) > q.cfg.Interval {
+		return q.cfg.Target
+	}
+	return q.cfg.MaxWait
+}
+
+// Expire drops overdue attempts, and returns them. It covers periods in which no
+// run ends, since Done drops them otherwise. The slice is valid until the next
+// call.
+func (q *Queue) Expire(now time.Time) []Attempt {
+	q.dropped = q.dropped[:0]
+	for c := range numClasses {
+		for l := &q.waiting[c]; l.len() > 0 && q.overdue(now, l.head()); q.numWaiting-- {
+			q.dropped = append(q.dropped, l.pop())
+		}
+	}
+	return q.dropped
+}
+
+// Cancel removes a waiting attempt and reports whether it was in the queue.
+func (q *Queue) Cancel(id ID) (Attempt, bool) {
+	for c := range numClasses {
+		if w, ok := q.waiting[c].remove(id); ok {
+			q.numWaiting--
+			return w, true
+		}
+	}
+	return Attempt{}, false
+}
