Cut the chain of services and the reading of leases into steps

The start is startMesh, one run is a chainRun with the closures as methods, and observeLeases passes a list on to the leases. Order of calls and of random numbers is as before; nothing else changed.

--- a/core/coretest/chain.go
+++ b/core/coretest/chain.go
@@ -24,6 +24,33 @@
 // Run returns the number of runs at each level per call to the first service, and the
 // share of calls that succeeded.
 func (c Chain) Run(submit func(m *Mesh, specs map[config.Key]string)) (runs [ChainDepth]float64, successShare float64) {
+	m := c.startMesh(submit)
+	r := &chainRun{
+		chain: c, mesh: m, traffic: NewTraffic(m),
+		level: map[core.CallID]int{}, callbacks: map[core.CallID]func(ok bool){}, failedBelow: map[core.CallID]bool{},
+	}
+	r.traffic.OnAnswered = func(c *Call) {
+		r.callbacks[c.ID](c.Outcome == retry.Ran && !r.failedBelow[c.ID])
+	}
+	r.traffic.Nested = r.runService
+	succeeded := 0
+	for range c.Calls {
+		r.call("s0a", 0, func(ok bool) {
+			if ok {
+				succeeded++
+			}
+		})
+		m.Run(2 * time.Millisecond)
+	}
+	m.Run(5 * time.Second)
+	for l := range r.runs {
+		r.runs[l] /= float64(c.Calls)
+	}
+	return r.runs, float64(succeeded) / float64(c.Calls)
+}
+
+// startMesh starts two nodes for each service, with a route to each service in force.
+func (c Chain) startMesh(submit func(m *Mesh, specs map[config.Key]string)) *Mesh {
 	m := New(1)
 	specs := map[config.Key]string{}
 	for level := range ChainDepth {
@@ -42,44 +69,41 @@
 			c.InjectFault(n.State)
 		}
 	}
-	tr := NewTraffic(m)
-	level := map[core.CallID]int{}
-	callbacks := map[core.CallID]func(ok bool){}
-	call := func(entry string, l int, budget time.Duration, onEnd func(ok bool)) {
-		id := core.CallID(len(tr.Calls) + 1) // the ID that tr.Call will assign
-		level[id], callbacks[id] = l, onEnd
-		tr.Call(entry, core.CallArrived{Method: "GET", Path: fmt.Sprintf("/s%d", l), Replayable: true, FromMesh: l > 0, Budget: budget})
-	}
-	failedBelow := map[core.CallID]bool{}
-	tr.OnAnswered = func(c *Call) {
-		callbacks[c.ID](c.Outcome == retry.Ran && !failedBelow[c.ID])
+	return m
+}
+
+// chainRun is one run of a Chain.
+type chainRun struct {
+	chain       Chain
+	mesh        *Mesh
+	traffic     *Traffic
+	runs        [ChainDepth]float64 // by level
+	level       map[core.CallID]int
+	callbacks   map[core.CallID]func(ok bool)
+	failedBelow map[core.CallID]bool
+}
+
+// call calls the service at a level. onEnd is told whether the call succeeded.
+func (r *chainRun) call(entry string, level int, onEnd func(ok bool)) {
+	id := core.CallID(len(r.traffic.Calls) + 1) // the ID that Traffic.Call will assign
+	r.level[id], r.callbacks[id] = level, onEnd
+	r.traffic.Call(entry, core.CallArrived{
+		Method: "GET", Path: fmt.Sprintf("/s%d", level), Replayable: true, FromMesh: level > 0, Budget: time.Second,
+	})
+}
+
+// runService runs a call at a backend server, which calls the next service.
+func (r *chainRun) runService(node string, parent *Call, done func(answers bool)) bool {
+	level := r.level[parent.ID]
+	r.runs[level]++
+	finish := func(ok bool) {
+		r.failedBelow[parent.ID] = !ok
+		done(r.mesh.Rand.Float64() >= r.chain.LossRate(level) && (ok || !r.chain.PropagateFailures))
 	}
-	tr.Nested = func(node string, parent *Call, done func(bool)) bool {
-		l := level[parent.ID]
-		runs[l]++
-		finish := func(ok bool) {
-			failedBelow[parent.ID] = !ok
-			done(m.Rand.Float64() >= c.LossRate(l) && (ok || !c.PropagateFailures))
-		}
-		if l == ChainDepth-1 {
-			m.After(time.Millisecond, func() { finish(true) })
-			return true
-		}
-		call(node, l+1, time.Second, finish)
+	if level == ChainDepth-1 {
+		r.mesh.After(time.Millisecond, func() { finish(true) })
 		return true
 	}
-	succeeded := 0
-	for range c.Calls {
-		call("s0a", 0, time.Second, func(ok bool) {
-			if ok {
-				succeeded++
-			}
-		})
-		m.Run(2 * time.Millisecond)
-	}
-	m.Run(5 * time.Second)
-	for l := range runs {
-		runs[l] /= float64(c.Calls)
-	}
-	return runs, float64(succeeded) / float64(c.Calls)
+	r.call(node, level+1, finish)
+	return true
 }
--- a/core/roots.go
+++ b/core/roots.go
@@ -24,9 +24,24 @@
 		return
 	}
 	s.root.nextList = s.now.Add(s.listInterval())
+	others := s.observeLeases(done)
+	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node && !s.member.lease.Outdated() {
+		s.resignRoot("held by " + rec.Holder)
+		return
+	}
+	sameHolder := func(a, b lease.Record) bool { return a.Holder == b.Holder }
+	if !maps.EqualFunc(others, s.root.otherRoots, sameHolder) {
+		s.root.nextLinkCheck = time.Time{} // a root has changed, so check the links now
+	}
+	s.root.otherRoots, s.root.listedAsOf = others, s.root.listSentAt
+}
+
+// observeLeases passes a list of leases on to those of this node, and returns the
+// leases of the roots of other data centres.
+func (s *State) observeLeases(list StoreDone) map[string]lease.Record {
 	others := map[string]lease.Record{}
 	publisherSeen, ownSeen := false, false
-	for _, o := range done.Objects {
+	for _, o := range list.Objects {
 		var rec lease.Record
 		if json.Unmarshal(o.Data, &rec) != nil {
 			continue
@@ -44,20 +59,12 @@
 		}
 	}
 	if !publisherSeen {
-		s.publisher.lease.Missing(s.now, done.Revision)
+		s.publisher.lease.Missing(s.now, list.Revision)
 	}
 	if !ownSeen {
-		s.member.lease.Missing(s.now, done.Revision)
-	}
-	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node && !s.member.lease.Outdated() {
-		s.resignRoot("held by " + rec.Holder)
-		return
+		s.member.lease.Missing(s.now, list.Revision)
 	}
-	sameHolder := func(a, b lease.Record) bool { return a.Holder == b.Holder }
-	if !maps.EqualFunc(others, s.root.otherRoots, sameHolder) {
-		s.root.nextLinkCheck = time.Time{} // a root has changed, so check the links now
-	}
-	s.root.otherRoots, s.root.listedAsOf = others, s.root.listSentAt
+	return others
 }
 
 // initialLists is the number of lists per LeaseRenew that a new root makes.
