Wrap the error of a call to the platform in one place

call sets the time limit and names the operation; exchange does the request. The texts of all errors are as before; nothing else changed.

--- a/store/http.go
+++ b/store/http.go
@@ -96,12 +96,20 @@
 	return ch.Changes, ch.Revision, err
 }
 
+// call sends one request and decodes the answer into out, which may be nil.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, q url.Values, base uint64, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	if err := c.exchange(ctx, method, q, base, body, out); err != nil {
+		return fmt.Errorf("platform %s %s: %w", method, q.Encode(), err)
+	}
+	return nil
+}
+
+func (c *Client) exchange(ctx context.Context, method string, q url.Values, base uint64, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+"?"+q.Encode(), bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("platform %s %s: %w", method, q.Encode(), err)
+		return err
 	}
 	if method == http.MethodPut || method == http.MethodDelete {
 		req.Header.Set(HeaderIfVersion, strconv.FormatUint(base, 10))
@@ -109,18 +117,18 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("platform %s %s: %w", method, q.Encode(), err)
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := statusError(resp.StatusCode); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<10))
-		return fmt.Errorf("platform %s %s: %w", method, q.Encode(), err)
+		return err
 	}
 	if out == nil {
 		return nil
 	}
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return fmt.Errorf("platform %s %s: read answer: %w", method, q.Encode(), err)
+		return fmt.Errorf("read answer: %w", err)
 	}
 	return nil
 }
