End answers one after another near their deadline

What callers saw: found by review. Where several large answers have little more time left than the link needs for them, all were cut at the deadline: of three to eight answers of 223 ms with 557 ms left one or none ended, where two could.

Cause: the time by which a transfer has to be sent was its deadline less what is left of it and of its way over the entry node's link. The first shrinks as it is sent, the second does not, so each piece made the transfer less urgent than the next one: the link was split evenly. And those that could not end any more came first.

Change: what has been sent of a transfer counts for it, so that one is ended before another begins; those that the link can't end by their deadline come last.

TestAnswersNearTheirDeadlineAreAllCut, 16 cases, failed before (1 of 2). The load of TestScarceLinkIsSpentOnLateDownloads never comes near a deadline; it is unchanged.

--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -139,7 +139,7 @@
 // long the first one has to wait, zero if none waits: after that wait, with nothing else
 // sent meanwhile, Grant returns it, whatever the processor's rounding.
 func (s *Scheduler) Grant(now time.Time) (*Transfer, time.Duration) {
-	t := s.mostUrgent()
+	t := s.mostUrgent(now)
 	if t == nil {
 		return nil, 0
 	}
@@ -170,20 +170,29 @@
 }
 
 // mostUrgent returns the waiting transfer that is due first, of several the one that
-// began first. It returns nil if none waits.
-func (s *Scheduler) mostUrgent() (first *Transfer) {
+// began first. Those that the link can't end by their deadline come last. It returns nil
+// if none waits.
+func (s *Scheduler) mostUrgent(now time.Time) (first *Transfer) {
 	var firstDue time.Time
+	var firstEnds bool
 	for _, t := range s.transfers {
 		if t.wants == 0 {
 			continue
 		}
-		if due := s.due(t); first == nil || due.Before(firstDue) {
-			first, firstDue = t, due
+		due, ends := s.due(t), s.endsInTime(now, t)
+		if first == nil || ends && !firstEnds || ends == firstEnds && due.Before(firstDue) {
+			first, firstDue, firstEnds = t, due, ends
 		}
 	}
 	return first
 }
 
+// endsInTime reports whether the link could end a transfer by its deadline if it sent
+// nothing else.
+func (s *Scheduler) endsInTime(now time.Time, t *Transfer) bool {
+	return s.rate == 0 || t.deadline.IsZero() || !now.Add(s.timeFor(t.left)).After(t.deadline)
+}
+
 // due returns the time at which the rest of a transfer should be sent at the latest. It
 // comes closer as the transfer proceeds, so that one is ended before another begins.
 func (s *Scheduler) due(t *Transfer) time.Time {
@@ -194,8 +203,9 @@
 	if t.deadline.IsZero() {
 		return due
 	}
-	relay := s.timeFor(t.turn + t.left) // the entry node's link, over which it may go next
-	if last := t.deadline.Add(-relay - s.timeFor(t.left)); last.Before(due) {
+	whole := s.timeFor(t.turn + t.left)
+	last := t.deadline.Add(-2*whole - s.timeFor(t.turn)) // it may go over the entry node's link next
+	if last.Before(due) {
 		return last
 	}
 	return due
--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -237,6 +237,44 @@
 	}
 }
 
+// TestAnswersNearTheirDeadlineAreAllCut begins several responses of the same size at once,
+// whose callers wait for less time than the link needs for all. As many as possible must
+// end by the deadline.
+func TestAnswersNearTheirDeadlineAreAllCut(t *testing.T) {
+	const pieces = 17
+	takes := time.Duration(pieces * uplink.PieceBytes / linkBytes * float64(time.Second)) // 223 ms
+	for _, deadline := range []time.Duration{2*takes + takes/2, 3*takes + takes/2} {
+		for n := 1; n <= 8; n++ {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			s := uplink.NewScheduler(linkBytes)
+			end := now.Add(deadline)
+			left := map[*uplink.Transfer]int{}
+			for range n {
+				one := s.Begin(now, end)
+				left[one] = pieces
+				s.Want(one, uplink.PieceBytes, pieces*uplink.PieceBytes)
+			}
+			ended := 0
+			for now.Before(end) && ended < n {
+				granted, wait := s.Grant(now)
+				if granted == nil {
+					now = now.Add(wait)
+					continue
+				}
+				s.Sent(now, uplink.PieceBytes)
+				if left[granted]--; left[granted] == 0 {
+					s.End(granted)
+					ended++
+					continue
+				}
+				s.Want(granted, uplink.PieceBytes, int64(left[granted])*uplink.PieceBytes)
+			}
+			is.Equal(ended, min(n, int(deadline/takes)))
+		}
+	}
+}
+
 // TestStalledTransferHoldsUpNothing checks that a response whose receiver takes
 // nothing neither delays others nor counts as a backlog of the link.
 func TestStalledTransferHoldsUpNothing(t *testing.T) {
