Give retries after full links a budget of their own

Where a service's large answers are asked for at more than its links carry, a status call of the same service whose connection broke was not sent again, though it may run again.

Cause: the budget of a service is handed out by arrival, and a rerun needs a token of it too. Refusals for the link come first, three for each download, and leave it empty.

Change: retries after such a refusal are charged to a budget of the same share that nothing else is charged to. They reach no backend server, so what servers see as repeats is limited as before.

TestFullLinksLeaveNoRetries failed before.

Tried and not kept: less link time reserved for runs while others fail.

--- a/core/request.go
+++ b/core/request.go
@@ -17,6 +17,7 @@
 	balancer    *balance.Balancer
 	groups      map[string]*group        // by service
 	budgets     map[string]*retry.Budget // by service
+	linkBudgets map[string]*retry.Budget // by service, see linkBudget
 	calls       map[CallID]*call
 	freeCalls   []*call // for reuse
 	claims      claims
@@ -59,7 +60,7 @@
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
 		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
-		budgets: map[string]*retry.Budget{}, notices: map[string]BackendNotice{},
+		budgets: map[string]*retry.Budget{}, linkBudgets: map[string]*retry.Budget{}, notices: map[string]BackendNotice{},
 		claims: claims{tokens: claimBurst},
 		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
 	}
@@ -113,6 +114,7 @@
 	}
 	s.requests.calls[e.Call] = c
 	s.budget(c.service).AddCall()
+	s.linkBudget(c.service).AddCall()
 	scope := keyScope(e, route.Policy)
 	if scope != config.KeyScopeNone {
 		c.key = idempotency.KeyOf(c.service, e.Key)
--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/keyspace"
@@ -216,3 +217,23 @@
 		})
 	}
 }
+
+// TestFullLinksLeaveNoRetries refuses many requests for lack of room on the links, then
+// loses the connection of one that may run again.
+func TestFullLinksLeaveNoRetries(t *testing.T) {
+	is := is.New(t)
+	e := newEntryNode(t, core.Config{RetryShare: 0.1, RerunShare: 0.1}, 4, ordersObjects(`{"idempotent":true,"maxAttempts":2}`)...)
+	for range 200 {
+		f, again := e.call("GET"), true
+		for again {
+			f, again = firstEffect[core.Forward](e.step(core.AttemptEnded{
+				Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, Reason: string(admission.LinkFull), Queue: -1,
+			}))
+		}
+	}
+	f := e.call("GET")
+	_, again := firstEffect[core.Forward](e.step(core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.Unknown, Failed: true, ReachedBackend: true, Reason: "connection reset", Queue: -1,
+	}))
+	is.True(again)
+}
--- a/core/retry.go
+++ b/core/retry.go
@@ -35,13 +35,22 @@
 // and divided by the number of nodes in the endpoint table. A newly started
 // node has few nodes in its table, and so do all that start together with
 // it. Therefore it starts without reruns and earns them with its calls.
-func (s *State) budget(service string) *retry.Budget {
-	b, ok := s.requests.budgets[service]
+func (s *State) budget(service string) *retry.Budget { return s.budgetIn(s.requests.budgets, service) }
+
+// linkBudget returns the budget of a service for retries after refusals for lack of room
+// on a host's link. They are so many while links are scarce that they would leave
+// nothing to the service's other requests.
+func (s *State) linkBudget(service string) *retry.Budget {
+	return s.budgetIn(s.requests.linkBudgets, service)
+}
+
+func (s *State) budgetIn(budgets map[string]*retry.Budget, service string) *retry.Budget {
+	b, ok := budgets[service]
 	if !ok {
 		b = retry.NewBudget(retry.Config{
 			Share: s.cfg.RetryShare, Reserve: retryReserve, RerunShare: s.cfg.RerunShare, NoInitialReruns: s.cfg.RerunReserve > 0,
 		})
-		s.requests.budgets[service] = b
+		budgets[service] = b
 	}
 	if s.cfg.RerunReserve > 0 {
 		b.SetRerunReserve(s.cfg.RerunReserve / float64(max(s.table.Len(), 1)))
@@ -100,7 +109,13 @@
 	if c.backendAttempts > 0 {
 		after = retry.Unknown // backend servers would see another attempt as a repeat
 	}
-	return s.requestFaults.unlimitedRetries || c.backendAttempts == 0 && c.newlyExcluded(e) || s.budget(c.service).Take(after)
+	if s.requestFaults.unlimitedRetries || c.backendAttempts == 0 && c.newlyExcluded(e) {
+		return true
+	}
+	if after == retry.NotRun && admission.Reason(e.Reason) == admission.LinkFull {
+		return s.linkBudget(c.service).Take(after)
+	}
+	return s.budget(c.service).Take(after)
 }
 
 // newlyExcluded reports whether an attempt ended with the first indication
