Write three steps of the reducer once

The settings of a lease stood in newMember and newPublisher, the look-up of the own root in two functions, and the later read of the head in three, in two orders.

Config.lease, ownRoot and readHeadLater do it. headRead is cleared before the call that failed is reported, which does not read it; effects and their order are as before.

--- a/core/member.go
+++ b/core/member.go
@@ -57,9 +57,7 @@
 }
 
 func newMember(cfg Config) member {
-	return member{lost: map[string]lostChild{}, lease: lease.New(lease.Config{
-		Holder: cfg.Node, Address: cfg.Peer, TTL: cfg.LeaseTTL, Renew: cfg.LeaseRenew, Margin: cfg.LeaseMargin,
-	})}
+	return member{lost: map[string]lostChild{}, lease: lease.New(cfg.lease())}
 }
 
 func (s *State) setPhase(p memberPhase) {
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -73,9 +73,7 @@
 }
 
 func newPublisher(cfg Config) publisher {
-	return publisher{recorded: map[string]bool{}, lease: lease.New(lease.Config{
-		Holder: cfg.Node, Address: cfg.Peer, TTL: cfg.LeaseTTL, Renew: cfg.LeaseRenew, Margin: cfg.LeaseMargin,
-	})}
+	return publisher{recorded: map[string]bool{}, lease: lease.New(cfg.lease())}
 }
 
 func (s *State) publisherCall(step publishStep, name string) storeCall {
--- a/core/root.go
+++ b/core/root.go
@@ -138,8 +138,7 @@
 		return
 	}
 	if done.Err != StoreOK {
-		s.platformFailed(done)
-		s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
+		s.readHeadLater(done)
 		return
 	}
 	s.platform.backoff.reset()
@@ -169,12 +168,17 @@
 		s.root.headRead = false
 		s.readHead()
 	default:
-		s.platformFailed(done)
 		s.root.headRead = false
-		s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
+		s.readHeadLater(done)
 	}
 }
 
+// readHeadLater schedules a read of the head after a call that failed.
+func (s *State) readHeadLater(failed StoreDone) {
+	s.platformFailed(failed)
+	s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
+}
+
 func (s *State) headReceived(data []byte) {
 	var h config.Head
 	if err := json.Unmarshal(data, &h); err != nil {
@@ -251,9 +255,8 @@
 // replaced and its chunks removed by garbage collection.
 func (s *State) fetchFailed(done StoreDone) {
 	s.root.fetch = nil
-	s.platformFailed(done)
 	s.root.headRead = false
-	s.storeListLater(keyspace.Head, storeCall{purpose: forHeadRead})
+	s.readHeadLater(done)
 }
 
 func (s *State) finishFetch() {
--- a/core/roots.go
+++ b/core/roots.go
@@ -158,8 +158,7 @@
 		return
 	}
 	if s.member.phase != phaseRoot {
-		path := s.path()
-		row, ok := s.table.Get(path[len(path)-1])
+		row, ok := s.ownRoot()
 		if !ok || !s.rooted() {
 			s.refuseHello(id, l, false)
 			return
@@ -175,11 +174,16 @@
 	s.acceptLink(id, l, m)
 }
 
+// ownRoot returns the endpoint of the last node on the path of this node.
+func (s *State) ownRoot() (endpoint.Row, bool) {
+	path := s.path()
+	return s.table.Get(path[len(path)-1])
+}
+
 // selfAndRoot returns the endpoint entries of this node and of its root.
 func (s *State) selfAndRoot() []endpoint.Entry {
 	out := []endpoint.Entry{s.backend.entry}
-	path := s.path()
-	if row, ok := s.table.Get(path[len(path)-1]); ok && row.ID != s.cfg.Node {
+	if row, ok := s.ownRoot(); ok && row.ID != s.cfg.Node {
 		out = append(out, row.Entry)
 	}
 	return out
--- a/core/settings.go
+++ b/core/settings.go
@@ -6,6 +6,7 @@
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/lease"
 )
 
 // Config holds the settings of a State.
@@ -134,6 +135,10 @@
 	return b
 }
 
+func (c Config) lease() lease.Config {
+	return lease.Config{Holder: c.Node, Address: c.Peer, TTL: c.LeaseTTL, Renew: c.LeaseRenew, Margin: c.LeaseMargin}
+}
+
 func (c Config) admission() admission.Config {
 	a := admission.DefaultConfig(c.Slots)
 	setDefault(&c.QueueMaxWait, a.MaxWait)
