Take defaults by cmp.Or everywhere

setDefault stood in core and in h1, letter for letter, and eventlog and node wrote the same condition out, while other packages use cmp.Or.

Defaults are unchanged.

--- a/core/settings.go
+++ b/core/settings.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
@@ -148,9 +149,4 @@
 	return a
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
+func setDefault[T comparable](field *T, value T) { *field = cmp.Or(*field, value) }
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"log"
@@ -45,9 +46,7 @@
 
 // New returns a Logger.
 func New(cfg Config) (*Logger, error) {
-	if cfg.Level == "" {
-		cfg.Level = defaultLevel
-	}
+	cfg.Level = cmp.Or(cfg.Level, defaultLevel)
 	level, err := zapcore.ParseLevel(cfg.Level)
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", cfg.Level, err)
--- a/h1/server.go
+++ b/h1/server.go
@@ -9,6 +9,7 @@
 package h1
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,11 +55,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxHeaderBytes, 64<<10)
-	setDefault(&c.HeaderTimeout, 10*time.Second)
-	setDefault(&c.IdleTimeout, 3*time.Minute)
-	setDefault(&c.WriteTimeout, 5*time.Minute)
-	setDefault(&c.MaxPipelined, 16)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, 64<<10)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, 10*time.Second)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, 3*time.Minute)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 5*time.Minute)
+	c.MaxPipelined = cmp.Or(c.MaxPipelined, 16)
 	if c.OnError == nil {
 		c.OnError = func(error) {}
 	}
@@ -68,13 +69,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Server serves connections.
 type Server struct {
 	cfg      Config
--- a/node/module.go
+++ b/node/module.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -97,9 +98,7 @@
 
 func newListeners(lc fx.Lifecycle, s settings.Settings) (*Listeners, error) {
 	l := &Listeners{}
-	if s.Listen.Admin == "" {
-		s.Listen.Admin = settings.DefaultAdmin
-	}
+	s.Listen.Admin = cmp.Or(s.Listen.Admin, settings.DefaultAdmin)
 	for _, one := range []struct {
 		field, address string
 		target         *net.Listener
@@ -137,10 +136,7 @@
 }
 
 func newProber(s settings.Settings) Prober {
-	path := s.Backend.HealthPath
-	if path == "" {
-		path = "/healthz"
-	}
+	path := cmp.Or(s.Backend.HealthPath, "/healthz")
 	return &httpProber{client: &http.Client{Timeout: probeTimeout}, url: "http://" + s.Backend.Address + path}
 }
 
