Submit objects in one way in the tests of the reducer

Four tests built a submission of a few objects and encoded it, each in its own way.

submitObjects does it. submitSpecs still writes past the watches, as its tests rely on that order of events. What each test submits and checks is unchanged.

--- a/core/mesh_test.go
+++ b/core/mesh_test.go
@@ -37,19 +37,30 @@
 // submitRoute submits one service and a route to it.
 func submitRoute(t testingT, m *coretest.Mesh, id, prefix string) {
 	t.Helper()
-	sub := config.Submission{ID: id, Puts: []config.Put{
-		{Object: config.Object{Kind: config.KindService, Name: "orders", Spec: json.RawMessage(`{}`)}, AnyBase: true},
-		{Object: config.Object{
-			Kind: config.KindRoute, Name: "orders", Spec: json.RawMessage(fmt.Sprintf(`{"pathPrefix":%q,"service":"orders"}`, prefix)),
-		}, AnyBase: true},
-	}}
-	data, err := json.Marshal(sub)
-	if err != nil {
+	submitObjects(t, m, id,
+		object(config.KindService, "orders", `{}`),
+		object(config.KindRoute, "orders", fmt.Sprintf(`{"pathPrefix":%q,"service":"orders"}`, prefix)))
+}
+
+// submitObjects submits objects, whatever version of them is published.
+func submitObjects(t testingT, m *coretest.Mesh, id string, objects ...config.Object) {
+	t.Helper()
+	if err := m.CreateObject("submission/"+id, encodeSubmission(t, id, objects)); err != nil {
 		t.Fatal(err)
 	}
-	if err := m.CreateObject("submission/"+id, data); err != nil {
+}
+
+func encodeSubmission(t testingT, id string, objects []config.Object) []byte {
+	t.Helper()
+	sub := config.Submission{ID: id}
+	for _, o := range objects {
+		sub.Puts = append(sub.Puts, config.Put{Object: o, AnyBase: true})
+	}
+	data, err := json.Marshal(sub)
+	if err != nil {
 		t.Fatal(err)
 	}
+	return data
 }
 
 func readStatus(t testingT, m *coretest.Mesh, id string) status.Status {
--- a/core/requests_exit_test.go
+++ b/core/requests_exit_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -66,21 +65,10 @@
 
 // submitSlowRoute submits a service with one route for quick calls and one for slow ones.
 func submitSlowRoute(t *testing.T, m *coretest.Mesh) {
-	var sub config.Submission
-	sub.ID = "s1"
-	put := func(kind config.Kind, name, spec string) {
-		sub.Puts = append(sub.Puts, config.Put{Object: config.Object{Kind: kind, Name: name, Spec: json.RawMessage(spec)}, AnyBase: true})
-	}
-	put(config.KindService, "orders", `{}`)
-	put(config.KindRoute, "quick", `{"pathPrefix":"/quick","service":"orders"}`)
-	put(config.KindRoute, "slow", `{"pathPrefix":"/slow","service":"orders"}`)
-	data, err := json.Marshal(sub)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := m.CreateObject("submission/"+sub.ID, data); err != nil {
-		t.Fatal(err)
-	}
+	submitObjects(t, m, "s1",
+		object(config.KindService, "orders", `{}`),
+		object(config.KindRoute, "quick", `{"pathPrefix":"/quick","service":"orders"}`),
+		object(config.KindRoute, "slow", `{"pathPrefix":"/slow","service":"orders"}`))
 }
 
 // TestStoppingNodeTakesOnlyCallsItCanAnswer checks that every call that a stopping node
--- a/core/requests_key_test.go
+++ b/core/requests_key_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -28,15 +27,11 @@
 
 func submitSpecs(t testingT, m *coretest.Mesh, id string, specs map[config.Key]string) {
 	t.Helper()
-	sub := config.Submission{ID: id}
+	var objects []config.Object
 	for k, spec := range specs {
-		sub.Puts = append(sub.Puts, config.Put{Object: config.Object{Kind: k.Kind, Name: k.Name, Spec: json.RawMessage(spec)}, AnyBase: true})
+		objects = append(objects, object(k.Kind, k.Name, spec))
 	}
-	data, err := json.Marshal(sub)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := m.Store.Put(context.Background(), "submission/"+id, data, 0); err != nil {
+	if _, err := m.Store.Put(context.Background(), "submission/"+id, encodeSubmission(t, id, objects), 0); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/core/requests_links_test.go
+++ b/core/requests_links_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -81,21 +80,10 @@
 }
 
 func submitDownloads(t *testing.T, m *coretest.Mesh) {
-	var puts []config.Put
-	for _, o := range []config.Object{
-		{Kind: config.KindService, Name: "downloads", Spec: json.RawMessage(`{}`)},
-		{Kind: config.KindPolicy, Name: "downloads", Spec: json.RawMessage(`{"idempotent":true,"targetMillis":1000,"timeoutMillis":6000,"maxAttempts":2}`)},
-		{Kind: config.KindRoute, Name: "downloads", Spec: json.RawMessage(`{"pathPrefix":"/","service":"downloads","policy":"downloads"}`)},
-	} {
-		puts = append(puts, config.Put{Object: o, AnyBase: true})
-	}
-	data, err := json.Marshal(config.Submission{ID: "s1", Puts: puts})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := m.CreateObject("submission/s1", data); err != nil {
-		t.Fatal(err)
-	}
+	submitObjects(t, m, "s1",
+		object(config.KindService, "downloads", `{}`),
+		object(config.KindPolicy, "downloads", `{"idempotent":true,"targetMillis":1000,"timeoutMillis":6000,"maxAttempts":2}`),
+		object(config.KindRoute, "downloads", `{"pathPrefix":"/","service":"downloads","policy":"downloads"}`))
 }
 
 // load lets callers ask for a time.
