Name the steps of the publisher and four fields of the reducer for what they are

Each step had a comment that said what its name should have: stepList lists the submissions, stepRecord writes the status that the head lists. The revision from which a watch continues was called revision in three places, the version held at the other end of a link config, the holder that did not answer unresponsive, the nodes that answered the census answered.

They are stepListSubmissions, stepWriteListedStatus and so on, watchFrom, peerVersion, unresponsiveHolder and censusAnswered; comments that only repeated it are gone. Names inside of core only: dump, log and messages are unchanged.

--- a/core/config_distribution.go
+++ b/core/config_distribution.go
@@ -24,25 +24,25 @@
 // if they are kept, otherwise with the full set.
 func (s *State) sendConfig(id LinkID, l *link) {
 	set := s.holder.set
-	if l.config >= set.Version {
+	if l.peerVersion >= set.Version {
 		return
 	}
 	for i, d := range s.holder.deltas {
-		if d.From != l.config || l.config == 0 {
+		if d.From != l.peerVersion || l.peerVersion == 0 {
 			continue
 		}
 		for _, next := range s.holder.deltas[i:] {
 			s.send(id, message.ConfigDelta{Delta: next})
 		}
-		l.config = set.Version
+		l.peerVersion = set.Version
 		return
 	}
 	s.send(id, message.ConfigWhole{Version: set.Version, Hash: set.Hash(), Objects: set.Sorted()})
-	l.config = set.Version
+	l.peerVersion = set.Version
 }
 
 func (s *State) deltaReceived(id LinkID, l *link, m message.ConfigDelta) {
-	l.config = max(l.config, m.Delta.To)
+	l.peerVersion = max(l.peerVersion, m.Delta.To)
 	if m.Delta.To <= s.holder.set.Version {
 		return
 	}
@@ -70,7 +70,7 @@
 }
 
 func (s *State) fullConfigReceived(l *link, m message.ConfigWhole) {
-	l.config = max(l.config, m.Version)
+	l.peerVersion = max(l.peerVersion, m.Version)
 	set := config.NewSet(m.Version, m.Objects)
 	if set.Hash() != m.Hash {
 		s.refuseConfig(fmt.Sprintf("version %d: %v", m.Version, config.ErrHash))
--- a/core/join.go
+++ b/core/join.go
@@ -9,7 +9,7 @@
 )
 
 func (s *State) helloReceived(id LinkID, l *link, m message.Hello) {
-	l.node, l.dc, l.peer, l.config = m.Node, m.DataCentre, m.Peer, m.Config
+	l.node, l.dc, l.peer, l.peerVersion = m.Node, m.DataCentre, m.Peer, m.Config
 	if m.Self.ID == m.Node {
 		s.endpointsReceived(0, []endpoint.Entry{m.Self})
 	}
@@ -93,7 +93,7 @@
 }
 
 func (s *State) welcomeReceived(id LinkID, l *link, m message.Welcome) {
-	l.node, l.dc, l.config = m.Node, m.DataCentre, m.Config
+	l.node, l.dc, l.peerVersion = m.Node, m.DataCentre, m.Config
 	if l.role == roleRoot {
 		s.rootWelcomeReceived(id, l, m)
 		return
@@ -112,7 +112,7 @@
 	l.established, l.receivedState = true, m.Heartbeat
 	s.sourceAgeReceived(m.Source, m.Config)
 	s.setPhase(phaseJoined)
-	s.member.unresponsive = ""
+	s.member.unresponsiveHolder = ""
 	s.member.candidates, s.member.inFallback, s.member.rootBypassed = nil, false, false
 	s.member.reports.lastSent = message.Report{}
 	s.log(notice.JoinedParent, Attr{"parent", m.Node}, Attr{"path", m.Path})
--- a/core/limit.go
+++ b/core/limit.go
@@ -44,7 +44,7 @@
 	case forRootLeaseWrite, forPublisherLease:
 		return classLease
 	case forPublisher:
-		if c.step == stepGarbage || c.step == stepCollect {
+		if c.step == stepListGarbage || c.step == stepDeleteGarbage {
 			return classGarbage
 		}
 		return classPublish
--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -34,8 +34,8 @@
 		s.storeGet("read", storeCall{purpose: forChunk})
 	}
 	is.Equal(countCalls(s.effects)["read"], rootCallBurst)
-	s.storePut("garbage", nil, 0, storeCall{purpose: forPublisher, step: stepCollect})
-	s.storePut("publish", nil, 0, storeCall{purpose: forPublisher, step: stepChunk})
+	s.storePut("garbage", nil, 0, storeCall{purpose: forPublisher, step: stepDeleteGarbage})
+	s.storePut("publish", nil, 0, storeCall{purpose: forPublisher, step: stepWriteChunk})
 	s.storePut("lease", nil, 0, storeCall{purpose: forRootLeaseWrite})
 	s.storePut("claim", nil, 0, storeCall{purpose: forClaimWrite})
 	is.Equal(countCalls(s.effects)["lease"], 0)
--- a/core/link.go
+++ b/core/link.go
@@ -26,15 +26,15 @@
 
 // link is a connection to another node.
 type link struct {
-	role       linkRole
-	open       bool
-	node       string
-	dc         string
-	peer       string
-	receivedAt time.Time      // of the last message
-	sentAt     time.Time      // of the last heartbeat or Welcome
-	report     message.Report // last report of a child or of another root
-	config     uint64         // configuration version known to be held at the other end
+	role        linkRole
+	open        bool
+	node        string
+	dc          string
+	peer        string
+	receivedAt  time.Time      // of the last message
+	sentAt      time.Time      // of the last heartbeat or Welcome
+	report      message.Report // last report of a child or of another root
+	peerVersion uint64         // newest configuration known to be held at the other end
 
 	established      bool              // Hello and Welcome have been exchanged
 	sentState        message.Heartbeat // last full heartbeat sent
@@ -207,7 +207,7 @@
 	case message.ConfigWhole:
 		s.fullConfigReceived(l, m)
 	case message.ConfigWanted:
-		l.config = m.Have
+		l.peerVersion = m.Have
 		s.sendConfig(e.Link, l)
 	case message.Endpoints:
 		s.endpointsReceived(e.Link, m.Entries)
--- a/core/member.go
+++ b/core/member.go
@@ -30,20 +30,20 @@
 
 // member is the state of the node as a member of the tree of its data centre.
 type member struct {
-	phase            memberPhase
-	phaseSince       time.Time // when phase was entered
-	retryAt          time.Time // when the next attempt to find a parent is due
-	leaseReadPending bool      // a read of the root lease is in progress
-	lease            *lease.Machine
-	parent           LinkID
-	dialledAt        time.Time // when parent was dialled
-	dialledAddress   string    // address of the possible parent last dialled
-	unresponsive     string    // address of a lease holder that did not answer
-	path             []string  // names of the nodes above this one, from the parent to the root
-	rooted           bool      // the path ends at a root and all nodes on it are current
-	newestVersion    uint64    // newest configuration version known to exist
-	current          bool      // the node has held newestVersion at least once, so it may serve
-	reports          reportState
+	phase              memberPhase
+	phaseSince         time.Time // when phase was entered
+	retryAt            time.Time // when the next attempt to find a parent is due
+	leaseReadPending   bool      // a read of the root lease is in progress
+	lease              *lease.Machine
+	parent             LinkID
+	dialledAt          time.Time // when parent was dialled
+	dialledAddress     string    // address of the possible parent last dialled
+	unresponsiveHolder string    // address
+	path               []string  // names of the nodes above this one, from the parent to the root
+	rooted             bool      // the path ends at a root and all nodes on it are current
+	newestVersion      uint64    // newest configuration version known to exist
+	current            bool      // the node has held newestVersion at least once, so it may serve
+	reports            reportState
 
 	candidates     []string             // addresses of possible parents to dial before the lease is read again
 	rootBypassed   bool                 // other members are dialled because the root did not answer
@@ -149,7 +149,7 @@
 		s.retrySeeking()
 		return
 	}
-	if left := m.lease.ExpiresIn(s.now); rec.Address == m.unresponsive && left < joinTimeout {
+	if left := m.lease.ExpiresIn(s.now); rec.Address == m.unresponsiveHolder && left < joinTimeout {
 		s.awaitLeaseExpiry() // the lease would expire before another dial times out
 		return
 	}
@@ -196,7 +196,7 @@
 	m.parent = 0
 	if m.phase != phaseJoined {
 		if rec, _ := m.lease.Record(); rec.Address == m.dialledAddress {
-			m.unresponsive = m.dialledAddress
+			m.unresponsiveHolder = m.dialledAddress
 		}
 		s.candidateFailed()
 		return
@@ -239,7 +239,7 @@
 	}
 	var addresses []string
 	for _, row := range s.table.Rows() {
-		if s.isCandidate(row.Entry) && row.Peer != m.unresponsive {
+		if s.isCandidate(row.Entry) && row.Peer != m.unresponsiveHolder {
 			addresses = append(addresses, row.Peer)
 		}
 	}
@@ -282,12 +282,12 @@
 	if !m.Same {
 		l.receivedState = m
 	}
-	l.config = max(l.config, l.receivedState.Config)
+	l.peerVersion = max(l.peerVersion, l.receivedState.Config)
 	s.sourceAgeReceived(m.Source, l.receivedState.Config)
 	switch {
 	case id == s.member.parent:
 		s.parentHeartbeat(id, l)
-	case l.config < s.configVersion():
+	case l.peerVersion < s.configVersion():
 		s.sendConfig(id, l)
 	default:
 		s.requestIfBehind(id, l)
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -16,24 +16,24 @@
 type publishStep uint8
 
 const (
-	stepHead        publishStep = iota + 1 // read the head
-	stepList                               // list the submissions
-	stepWatch                              // watch for further submissions
-	stepReadSettled                        // read the status of the next submission, to see whether it is already settled
-	stepChunk                              // write one chunk
-	stepManifest                           // write the manifest
-	stepReadPart                           // read a chunk or manifest that already exists
-	stepCommit                             // update the head
-	stepStatus                             // write the status of the current submission
-	stepRemove                             // delete the submission
-	stepRecover                            // read the status of a submission that the head lists
-	stepRecord                             // write that status if the previous publisher did not
-	stepReadStatus                         // read a status before it is replaced
-	stepProgress                           // replace a status: not yet in force
-	stepInForce                            // replace a status: in force
-	stepGarbage                            // list the objects of one kind that may be garbage
-	stepFence                              // update the head before garbage is deleted
-	stepCollect                            // delete one garbage object
+	stepReadHead publishStep = iota + 1
+	stepListSubmissions
+	stepWatchSubmissions
+	stepCheckSettled // read the status of the next submission
+	stepWriteChunk
+	stepWriteManifest
+	stepReadExistingPart // a chunk or the manifest
+	stepCommit           // update the head
+	stepWriteStatus      // of the current submission
+	stepDeleteSubmission
+	stepReadListedStatus  // of a submission that the head lists
+	stepWriteListedStatus // if the previous publisher did not
+	stepReadReplacedStatus
+	stepWriteProgress // into a status: not yet in force
+	stepWriteInForce
+	stepListGarbage // candidates of one kind
+	stepFenceSweep  // update the head before garbage is deleted
+	stepDeleteGarbage
 )
 
 // publisher processes submissions in order, validates and publishes them.
@@ -50,7 +50,7 @@
 	head        config.Head
 	headRead    bool
 	heldAtRead  uint64 // version that this node held when the read of the head was sent
-	revision    uint64 // revision of the platform from which the next watch continues
+	watchFrom   uint64 // revision of the platform
 	listed      bool   // the submissions have been listed
 	watching    bool   // a watch for submissions is in progress
 	queue       []queuedSubmission
@@ -101,11 +101,11 @@
 	if !p.retryAt.IsZero() && !s.now.Before(p.retryAt) {
 		p.retryAt = time.Time{}
 		p.heldAtRead = s.configVersion()
-		s.storeList(keyspace.Head, s.publisherCall(stepHead, ""))
+		s.storeList(keyspace.Head, s.publisherCall(stepReadHead, ""))
 	}
 	if p.listed && !p.watching {
 		p.watching = true
-		s.storeWatch(keyspace.Submissions, p.revision, s.cfg.WatchWait, s.publisherCall(stepWatch, ""))
+		s.storeWatch(keyspace.Submissions, p.watchFrom, s.cfg.WatchWait, s.publisherCall(stepWatchSubmissions, ""))
 	}
 	s.nextJob()
 	s.writeStatuses()
@@ -187,9 +187,9 @@
 func (s *State) publisherCallFailed(c storeCall, done StoreDone) {
 	s.platformFailed(done)
 	switch c.step {
-	case stepReadStatus, stepProgress, stepInForce:
+	case stepReadReplacedStatus, stepWriteProgress, stepWriteInForce:
 		s.statusWriteFailed(c.name)
-	case stepGarbage, stepCollect:
+	case stepListGarbage, stepDeleteGarbage:
 		s.sweepFailed()
 	default:
 		s.restartPublisher(s.nextTry(&s.publisher.backoff))
@@ -199,40 +199,40 @@
 func (s *State) publisherCallDone(c storeCall, done StoreDone) {
 	p := &s.publisher
 	switch c.step {
-	case stepHead:
+	case stepReadHead:
 		s.publisherHead(done)
-	case stepList:
-		p.listed, p.revision = true, done.Revision
+	case stepListSubmissions:
+		p.listed, p.watchFrom = true, done.Revision
 		p.backoff.reset()
 		s.enqueue(done.Objects)
-	case stepWatch:
-		p.watching, p.revision = false, max(p.revision, done.Revision)
+	case stepWatchSubmissions:
+		p.watching, p.watchFrom = false, max(p.watchFrom, done.Revision)
 		s.enqueue(done.Objects)
-	case stepReadSettled:
+	case stepCheckSettled:
 		s.settledRead(done)
-	case stepChunk, stepManifest:
+	case stepWriteChunk, stepWriteManifest:
 		s.partWritten(c, done)
-	case stepReadPart:
+	case stepReadExistingPart:
 		s.partRead(c, done)
 	case stepCommit:
 		s.committed(done)
-	case stepStatus:
+	case stepWriteStatus:
 		s.statusWritten(done)
-	case stepRemove:
+	case stepDeleteSubmission:
 		p.job = nil
-	case stepRecover:
+	case stepReadListedStatus:
 		s.recovered(c.name, done)
-	case stepRecord:
+	case stepWriteListedStatus:
 		s.recordWritten(c.name, done)
-	case stepReadStatus:
+	case stepReadReplacedStatus:
 		s.statusRead(c.name, done)
-	case stepProgress, stepInForce:
+	case stepWriteProgress, stepWriteInForce:
 		s.statusReplaced(c, done)
-	case stepGarbage:
+	case stepListGarbage:
 		s.garbageListed(c.name, done)
-	case stepFence:
+	case stepFenceSweep:
 		s.fenced(done)
-	case stepCollect:
+	case stepDeleteGarbage:
 		s.collected()
 	}
 }
@@ -260,6 +260,6 @@
 		s.publishAgain()
 		return
 	}
-	s.storeList(keyspace.Submissions, s.publisherCall(stepList, ""))
+	s.storeList(keyspace.Submissions, s.publisherCall(stepListSubmissions, ""))
 	s.recoverStatuses()
 }
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -118,9 +118,9 @@
 }
 
 func (s *State) writePart(j *job, key string, base uint64) {
-	step := stepChunk
+	step := stepWriteChunk
 	if strings.HasPrefix(key, keyspace.Manifests) {
-		step = stepManifest
+		step = stepWriteManifest
 	}
 	s.storePut(key, j.parts[key], base, s.publisherCall(step, key))
 }
@@ -131,7 +131,7 @@
 func (s *State) partWritten(c storeCall, done StoreDone) {
 	j := s.publisher.job
 	if done.Err != StoreOK {
-		s.storeGet(c.name, s.publisherCall(stepReadPart, c.name))
+		s.storeGet(c.name, s.publisherCall(stepReadExistingPart, c.name))
 		return
 	}
 	j.writes--
--- a/core/publisher_garbage.go
+++ b/core/publisher_garbage.go
@@ -44,7 +44,7 @@
 		return
 	}
 	w.running, w.listed = true, map[string]uint64{}
-	s.storeList(keyspace.Chunks, s.publisherCall(stepGarbage, keyspace.Chunks))
+	s.storeList(keyspace.Chunks, s.publisherCall(stepListGarbage, keyspace.Chunks))
 }
 
 // sweepFailed aborts a sweep; the next one collects what is left.
@@ -70,9 +70,9 @@
 	}
 	switch {
 	case prefix == keyspace.Chunks:
-		s.storeList(keyspace.Manifests, s.publisherCall(stepGarbage, keyspace.Manifests))
+		s.storeList(keyspace.Manifests, s.publisherCall(stepListGarbage, keyspace.Manifests))
 	case !s.now.Before(w.nextStatusAt):
-		s.storeList(keyspace.Statuses, s.publisherCall(stepGarbage, keyspace.Statuses))
+		s.storeList(keyspace.Statuses, s.publisherCall(stepListGarbage, keyspace.Statuses))
 	default:
 		w.allListed = true
 	}
@@ -100,7 +100,7 @@
 
 func (s *State) collect(key string, version uint64) {
 	s.publisher.sweep.deletes++
-	s.storeDelete(key, version, s.publisherCall(stepCollect, key))
+	s.storeDelete(key, version, s.publisherCall(stepDeleteGarbage, key))
 }
 
 // beginFence updates the head if there is garbage to delete, and reports
@@ -127,7 +127,7 @@
 		s.fenced(StoreDone{Version: p.headVersion})
 		return true
 	}
-	s.storePut(keyspace.Head, mustJSON(p.head), p.headVersion, s.publisherCall(stepFence, ""))
+	s.storePut(keyspace.Head, mustJSON(p.head), p.headVersion, s.publisherCall(stepFenceSweep, ""))
 	return true
 }
 
--- a/core/publisher_queue.go
+++ b/core/publisher_queue.go
@@ -66,7 +66,7 @@
 	}
 	p.job = &job{queuedSubmission: p.queue[0]}
 	p.queue = p.queue[1:]
-	s.storeGet(keyspace.Statuses+p.job.sub.ID, s.publisherCall(stepReadSettled, p.job.sub.ID))
+	s.storeGet(keyspace.Statuses+p.job.sub.ID, s.publisherCall(stepCheckSettled, p.job.sub.ID))
 }
 
 // settledRead starts processing a submission, unless it was settled before:
@@ -94,7 +94,7 @@
 // writeStatus writes the result of the current submission.
 func (s *State) writeStatus(j *job) {
 	st := s.statusOf(j.settled)
-	s.storePut(keyspace.Statuses+st.ID, mustJSON(st), 0, s.publisherCall(stepStatus, st.ID))
+	s.storePut(keyspace.Statuses+st.ID, mustJSON(st), 0, s.publisherCall(stepWriteStatus, st.ID))
 }
 
 func (s *State) statusOf(settled config.SubmissionResult) status.Status {
@@ -112,7 +112,7 @@
 
 func (s *State) removeJob() {
 	j := s.publisher.job
-	s.storeDelete(j.key, j.version, s.publisherCall(stepRemove, j.sub.ID))
+	s.storeDelete(j.key, j.version, s.publisherCall(stepDeleteSubmission, j.sub.ID))
 }
 
 // recoverStatuses ensures that every settled submission listed in the head
@@ -122,7 +122,7 @@
 	p := &s.publisher
 	for _, settled := range p.head.Recent {
 		if !p.recorded[settled.ID] {
-			s.storeGet(keyspace.Statuses+settled.ID, s.publisherCall(stepRecover, settled.ID))
+			s.storeGet(keyspace.Statuses+settled.ID, s.publisherCall(stepReadListedStatus, settled.ID))
 		}
 	}
 }
@@ -130,7 +130,7 @@
 func (s *State) recovered(id string, done StoreDone) {
 	if done.Err != StoreOK || len(done.Objects) == 0 {
 		if settled, ok := s.publisher.head.ResultOf(id); ok {
-			s.storePut(keyspace.Statuses+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepRecord, id))
+			s.storePut(keyspace.Statuses+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepWriteListedStatus, id))
 		}
 		return
 	}
@@ -147,7 +147,7 @@
 	p := &s.publisher
 	settled, ok := p.head.ResultOf(id)
 	if done.Err != StoreOK || !ok {
-		s.storeGet(keyspace.Statuses+id, s.publisherCall(stepRecover, id))
+		s.storeGet(keyspace.Statuses+id, s.publisherCall(stepReadListedStatus, id))
 		return
 	}
 	p.recorded[id] = true
--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -158,7 +158,7 @@
 		}
 		if a.needsRead {
 			a.writing = true
-			s.storeGet(keyspace.Statuses+a.status.ID, s.publisherCall(stepReadStatus, a.status.ID))
+			s.storeGet(keyspace.Statuses+a.status.ID, s.publisherCall(stepReadReplacedStatus, a.status.ID))
 			continue
 		}
 		if a.status.Version > lowest && !progressDue && !s.cfg.publisherFaults.skipCount {
@@ -171,7 +171,7 @@
 		}
 		if done && fresh || s.cfg.publisherFaults.skipCount {
 			st.Phase = status.InForce
-			s.replaceStatus(a, st, stepInForce)
+			s.replaceStatus(a, st, stepWriteInForce)
 			continue
 		}
 		s.writeProgress(a, st)
@@ -189,7 +189,7 @@
 		return
 	}
 	p.progressAt = s.now
-	s.replaceStatus(a, st, stepProgress)
+	s.replaceStatus(a, st, stepWriteProgress)
 }
 
 func sameProgress(a, b status.Status) bool {
@@ -241,7 +241,7 @@
 	switch {
 	case done.Err != StoreOK:
 		s.statusWriteFailed(c.name)
-	case c.step == stepProgress:
+	case c.step == stepWriteProgress:
 		a.version, a.writing = done.Version, false
 		a.backoff.reset()
 	default:
--- a/core/root.go
+++ b/core/root.go
@@ -24,7 +24,7 @@
 	otherRoots   map[string]lease.Record   // by data centre
 	reports      map[string]message.Report // of other roots, by data centre
 	watchPending bool                      // a watch of the head is in progress
-	revision     uint64                    // from which the next watch continues
+	watchFrom    uint64                    // revision of the platform
 	headRead     bool                      // the head has been read since this node became root
 	fetch        *fetch                    // nil: none in progress
 
@@ -36,7 +36,7 @@
 	joinLimiter     *tree.Limiter
 	missingSince    time.Time       // since when the tree has had fewer nodes than the table; zero: it has not
 	censusEnd       time.Time       // when the census in progress ends; zero: none is
-	answered        map[string]bool // nodes that answered the census
+	censusAnswered  map[string]bool // by node
 	absent          []string        // nodes that had not answered at absentAt
 	absentAt        time.Time       // when absent was last updated
 	sweptAt         time.Time       // when suspects were last checked for removal
@@ -125,7 +125,7 @@
 	}
 	if s.root.headRead && !s.root.watchPending {
 		s.root.watchPending = true
-		s.storeWatch(keyspace.Head, s.root.revision, s.cfg.WatchWait, storeCall{purpose: forHeadWatch})
+		s.storeWatch(keyspace.Head, s.root.watchFrom, s.cfg.WatchWait, storeCall{purpose: forHeadWatch})
 	}
 }
 
@@ -142,7 +142,7 @@
 		return
 	}
 	s.platform.backoff.reset()
-	s.root.revision = done.Revision
+	s.root.watchFrom = done.Revision
 	s.root.headRead = true
 	if len(done.Objects) == 0 {
 		s.updateCurrent()
@@ -158,7 +158,7 @@
 	s.root.watchPending = false
 	switch done.Err {
 	case StoreOK:
-		s.root.revision = max(s.root.revision, done.Revision)
+		s.root.watchFrom = max(s.root.watchFrom, done.Revision)
 		for _, o := range done.Objects {
 			if !o.Deleted {
 				s.headReceived(o.Data)
--- a/core/source.go
+++ b/core/source.go
@@ -24,7 +24,7 @@
 	callPending bool      // a list or a watch is in progress
 	listed      bool      // a list has succeeded, and no watch has failed since
 	everListed  bool      // a list has succeeded since the process started
-	revision    uint64    // from which the next watch continues
+	watchFrom   uint64    // revision of the platform
 	retryAt     time.Time // when the next read may be sent after a failure
 	backoff     backoff
 	refused     uint64 // newest version that was refused
@@ -54,14 +54,14 @@
 }
 
 // sourceTick keeps one read of the source in progress while this node has to
-// read it: a list until one succeeds, then watches from its revision on.
+// read it: a list until one succeeds, then watches from watchFrom on.
 func (s *State) sourceTick() {
 	src := &s.source
 	if !s.cfg.Source || src.callPending {
 		return
 	}
 	if !s.readsSource() {
-		src.listed = false // the history since revision may be compacted by the next read
+		src.listed = false // the history since watchFrom may be compacted by the next read
 		return
 	}
 	if s.now.Before(src.retryAt) {
@@ -72,7 +72,7 @@
 		s.storeList(keyspace.Source, storeCall{purpose: forSourceRead})
 		return
 	}
-	s.storeWatch(keyspace.Source, src.revision, s.cfg.SourceWait, storeCall{purpose: forSourceWatch})
+	s.storeWatch(keyspace.Source, src.watchFrom, s.cfg.SourceWait, storeCall{purpose: forSourceWatch})
 }
 
 // sourceReadDone handles the result of a list or a watch. The next call is sent
@@ -91,7 +91,7 @@
 	}
 	src.backoff.reset()
 	src.listed, src.everListed = true, true
-	src.revision = max(src.revision, done.Revision)
+	src.watchFrom = max(src.watchFrom, done.Revision)
 	for _, o := range done.Objects {
 		if !o.Deleted {
 			s.sourceReceived(o.Data)
--- a/core/suspect.go
+++ b/core/suspect.go
@@ -115,7 +115,7 @@
 		r.censusEnd, r.missingSince = time.Time{}, time.Time{}
 		// At most as many as have answered: if more are absent, this root itself may be isolated.
 		absent := s.absentEntries()
-		for _, e := range absent[:min(len(absent), len(r.answered))] {
+		for _, e := range absent[:min(len(absent), len(r.censusAnswered))] {
 			s.suspect(e)
 		}
 	case !r.censusEnd.IsZero() && s.now.Sub(r.absentAt) < s.cfg.HeartbeatEvery:
@@ -126,7 +126,7 @@
 		}
 	case s.now.Sub(r.missingSince) >= s.cfg.Grace:
 		r.censusEnd = s.now.Add(s.cfg.Grace)
-		r.answered = map[string]bool{s.cfg.Node: true}
+		r.censusAnswered = map[string]bool{s.cfg.Node: true}
 		s.member.census = uint64(s.now.UnixMilli())
 		s.notifyChildren()
 	}
@@ -137,7 +137,7 @@
 func (s *State) absentEntries() []endpoint.Entry {
 	var out []endpoint.Entry
 	for _, row := range s.table.Rows() {
-		if row.Live() && row.DataCentre == s.cfg.DataCentre && !s.root.answered[row.ID] {
+		if row.Live() && row.DataCentre == s.cfg.DataCentre && !s.root.censusAnswered[row.ID] {
 			out = append(out, row.Entry)
 		}
 	}
@@ -170,8 +170,8 @@
 // removes the entries of all nodes to which it has no link, without waiting for
 // Grace.
 func (s *State) removeAbsent() {
-	s.root.answered = s.linkedNodes()
-	s.root.answered[s.cfg.Node] = true
+	s.root.censusAnswered = s.linkedNodes()
+	s.root.censusAnswered[s.cfg.Node] = true
 	for _, e := range s.absentEntries() {
 		s.markEntry(e.Removed())
 	}
@@ -194,11 +194,11 @@
 		s.member.present = append(s.member.present, m.Nodes...)
 		return
 	}
-	if s.root.answered == nil {
+	if s.root.censusAnswered == nil {
 		return
 	}
 	for _, name := range m.Nodes {
-		s.root.answered[name] = true
+		s.root.censusAnswered[name] = true
 	}
 }
 
