--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,6 +22,7 @@
 const (
 	maxFrameBytes     = 64 << 20
 	maxQueuedMessages = 1024 // a link whose send queue is full is closed
+	bufferBytes       = 16 << 10
 
 	// closeTimeout is the time that a closed link has to send its queue. It is
 	// well below the duration of a drain and the time after which a link counts
@@ -222,7 +223,7 @@
 		t.creds = insecure.NewCredentials()
 	}
 	opts := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxFrameBytes), grpc.WriteBufferSize(16 << 10), grpc.ReadBufferSize(16 << 10),
+		grpc.MaxRecvMsgSize(maxFrameBytes), grpc.WriteBufferSize(bufferBytes), grpc.ReadBufferSize(bufferBytes),
 	}
 	if cfg.Server != nil {
 		opts = append(opts, grpc.Creds(cfg.Server))
@@ -276,7 +277,7 @@
 func (t *Transport) Dial(ctx context.Context, address string, opened func(*Link) (link any)) error {
 	opts := []grpc.DialOption{
 		grpc.WithTransportCredentials(t.creds), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
-		grpc.WithWriteBufferSize(16 << 10), grpc.WithReadBufferSize(16 << 10),
+		grpc.WithWriteBufferSize(bufferBytes), grpc.WithReadBufferSize(bufferBytes),
 	}
 	if t.traffic != nil {
 		opts = append(opts, grpc.WithStatsHandler(t.traffic))
