--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -33,72 +33,97 @@
 
 // trafficCounter counts the traffic of a mesh's nodes.
 type trafficCounter struct {
+	mesh          *coretest.Mesh
 	bytes         map[string]float64 // sent and received, by node
 	reads, writes float64            // platform calls
 }
 
-func (c *trafficCounter) reset() { *c = trafficCounter{bytes: map[string]float64{}} }
-
-// runMesh counts the bytes and platform calls of n simulated nodes. Each message
-// of a reducer counts with its size on the wire, gRPC framing included.
-func runMesh(n int) traffic {
-	m := coretest.New(1)
-	var count trafficCounter
-	count.reset()
+// countTraffic returns a counter for the traffic of a mesh. Each message of a reducer
+// counts with its size on the wire, gRPC framing included.
+func countTraffic(m *coretest.Mesh) *trafficCounter {
+	c := &trafficCounter{mesh: m, bytes: map[string]float64{}}
 	m.OnSend = func(from, to *coretest.Node, msg message.Message) {
 		b := wireBytes(msg)
-		count.bytes[from.Name] += b
-		count.bytes[to.Name] += b
+		c.bytes[from.Name] += b
+		c.bytes[to.Name] += b
 	}
 	m.OnStore = func(_ *coretest.Node, e core.Effect) {
 		switch e.(type) {
 		case core.StorePut, core.StoreDelete:
-			count.writes++
+			c.writes++
 		default:
-			count.reads++
+			c.reads++
 		}
 	}
-	for i := range n {
-		m.Start(fmt.Sprintf("host-%05d", i), core.Config{
-			DataCentre: fmt.Sprintf("centre-%02d", i%meshCentres), Service: fmt.Sprintf("service-%03d", i%sizes.TargetServices),
-		})
-		m.Run(10 * time.Millisecond)
-	}
-	submit(m, 0)
-	m.Run(30 * time.Second)
+	return c
+}
+
+// during returns the traffic of one run.
+func (c *trafficCounter) during(run func()) trafficCounter {
+	c.bytes, c.reads, c.writes = map[string]float64{}, 0, 0
+	run()
+	return *c
+}
 
+func (c trafficCounter) busiestNode() float64 { return busiest(c.mesh, c.bytes, false) }
+
+func (c trafficCounter) busiestRoot() float64 { return busiest(c.mesh, c.bytes, true) }
+
+// window is the time for which the traffic of a mesh is counted.
+const window = 60 * time.Second
+
+// runMesh counts the bytes and platform calls of n simulated nodes.
+func runMesh(n int) traffic {
+	m := startMesh(n)
+	count := countTraffic(m)
 	t := traffic{Nodes: n}
-	const window = 60 * time.Second
-	count.reset()
-	m.Run(window)
+
+	idle := count.during(func() { m.Run(window) })
 	seconds := window.Seconds()
-	t.IdleMean, t.IdleBusiest, t.IdleRoot = mean(count.bytes)/seconds, busiest(m, count.bytes, false)/seconds, busiest(m, count.bytes, true)/seconds
-	t.ReadsIdle, t.WritesIdle = count.reads/seconds, count.writes/seconds
-	idle := count
+	t.IdleMean, t.IdleBusiest, t.IdleRoot = mean(idle.bytes)/seconds, idle.busiestNode()/seconds, idle.busiestRoot()/seconds
+	t.ReadsIdle, t.WritesIdle = idle.reads/seconds, idle.writes/seconds
 
 	const changes = 10
-	count.reset()
-	for i := range changes {
-		submit(m, i+1)
-		m.Run(window / changes)
-	}
-	t.ChangeBusiest = (busiest(m, count.bytes, false) - busiest(m, idle.bytes, false)) / changes
-	t.ChangeRoot = (busiest(m, count.bytes, true) - busiest(m, idle.bytes, true)) / changes
-	t.CallsChange = (count.reads + count.writes - idle.reads - idle.writes) / changes
+	changing := count.during(func() {
+		for i := range changes {
+			submit(m, i+1)
+			m.Run(window / changes)
+		}
+	})
+	t.ChangeBusiest = (changing.busiestNode() - idle.busiestNode()) / changes
+	t.ChangeRoot = (changing.busiestRoot() - idle.busiestRoot()) / changes
+	t.CallsChange = (changing.reads + changing.writes - idle.reads - idle.writes) / changes
 
 	const restarts = 5
-	count.reset()
-	for i := range restarts {
-		m.Restart(fmt.Sprintf("host-%05d", n-1-i))
-		m.Run(window / restarts)
-	}
-	t.RestartBusiest = (busiest(m, count.bytes, false) - busiest(m, idle.bytes, false)) / restarts
+	restarting := count.during(func() {
+		for i := range restarts {
+			m.Restart(nodeName(n - 1 - i))
+			m.Run(window / restarts)
+		}
+	})
+	t.RestartBusiest = (restarting.busiestNode() - idle.busiestNode()) / restarts
 	for _, node := range m.Nodes() {
 		t.Depth = max(t.Depth, len(node.State.Dump().Path))
 	}
 	return t
 }
 
+// startMesh starts n nodes, with a whole set in force.
+func startMesh(n int) *coretest.Mesh {
+	m := coretest.New(1)
+	for i := range n {
+		m.Start(nodeName(i), core.Config{
+			DataCentre: fmt.Sprintf("centre-%02d", i%meshCentres), Service: fmt.Sprintf("service-%03d", i%sizes.TargetServices),
+		})
+		m.Run(10 * time.Millisecond)
+	}
+	submit(m, 0)
+	m.Run(30 * time.Second)
+	return m
+}
+
+func nodeName(i int) string { return fmt.Sprintf("host-%05d", i) }
+
 // submit writes submission i: the whole set for 0, a change of one route otherwise.
 func submit(m *coretest.Mesh, i int) {
 	var puts []config.Put
