Write what a node itself reports once

subtreeReport and meshParts began with the same five lines: the count of this node, its refusal and its laggards.

ownReport does it. The reports are as before; nothing else changed.

--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -59,12 +59,7 @@
 // represented by the root that holds its lease: another node that claims to be
 // its root may have lost its members.
 func (s *State) meshParts() []meshPart {
-	own := message.Report{DataCentre: s.cfg.DataCentre, Applied: s.configVersion(), Nodes: 1}
-	if s.holder.refused != "" {
-		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
-	}
-	s.addLaggards(&own)
-	parts := []meshPart{{name: s.cfg.Node, report: own}}
+	parts := []meshPart{{name: s.cfg.Node, report: s.ownReport()}}
 	roots := map[string]message.Report{}
 	for _, id := range sortedLinks(s.links) {
 		switch l := s.links[id]; l.role {
--- a/core/report.go
+++ b/core/report.go
@@ -15,14 +15,20 @@
 	lastSent message.Report // empty: the next report is sent in any case
 }
 
-// subtreeReport returns the report for this node and all nodes below it. At a
-// root it includes the nodes missing from the tree.
-func (s *State) subtreeReport() message.Report {
+// ownReport counts this node alone, with the laggards that it knows of.
+func (s *State) ownReport() message.Report {
 	own := message.Report{DataCentre: s.cfg.DataCentre, Applied: s.configVersion(), Nodes: 1}
 	if s.holder.refused != "" {
 		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
 	}
 	s.addLaggards(&own)
+	return own
+}
+
+// subtreeReport returns the report for this node and all nodes below it. At a
+// root it includes the nodes missing from the tree.
+func (s *State) subtreeReport() message.Report {
+	own := s.ownReport()
 	var reports []message.Report
 	for _, id := range s.children() {
 		reports = append(reports, s.links[id].report)
