--- a/core/publisher_status.go
+++ b/core/publisher_status.go
@@ -59,12 +59,7 @@
 // represented by the root that holds its lease: another node that claims to be
 // its root may have lost its members.
 func (s *State) meshParts() []meshPart {
-	own := message.Report{DataCentre: s.cfg.DataCentre, Applied: s.configVersion(), Nodes: 1}
-	if s.holder.refused != "" {
-		own.Laggards = []message.Laggard{{Node: s.cfg.Node, Applied: own.Applied, Reason: s.holder.refused}}
-	}
-	s.addLaggards(&own)
-	parts := []meshPart{{name: s.cfg.Node, report: own}}
+	parts := []meshPart{{name: s.cfg.Node, report: s.ownReport()}}
 	roots := map[string]message.Report{}
 	for _, id := range sortedLinks(s.links) {
 		switch l := s.links[id]; l.role {
@@ -158,7 +153,7 @@
 		}
 		if a.needsRead {
 			a.writing = true
-			s.storeGet(keyspace.Statuses+a.status.ID, s.publisherCall(stepReadStatus, a.status.ID))
+			s.storeGet(keyspace.Statuses+a.status.ID, s.publisherCall(stepReadReplacedStatus, a.status.ID))
 			continue
 		}
 		if a.status.Version > lowest && !progressDue && !s.cfg.publisherFaults.skipCount {
@@ -171,7 +166,7 @@
 		}
 		if done && fresh || s.cfg.publisherFaults.skipCount {
 			st.Phase = status.InForce
-			s.replaceStatus(a, st, stepInForce)
+			s.replaceStatus(a, st, stepWriteInForce)
 			continue
 		}
 		s.writeProgress(a, st)
@@ -189,7 +184,7 @@
 		return
 	}
 	p.progressAt = s.now
-	s.replaceStatus(a, st, stepProgress)
+	s.replaceStatus(a, st, stepWriteProgress)
 }
 
 func sameProgress(a, b status.Status) bool {
@@ -241,7 +236,7 @@
 	switch {
 	case done.Err != StoreOK:
 		s.statusWriteFailed(c.name)
-	case c.step == stepProgress:
+	case c.step == stepWriteProgress:
 		a.version, a.writing = done.Version, false
 		a.backoff.reset()
 	default:
--- a/core/settings.go
+++ b/core/settings.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/balance"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/lease"
 )
 
 // Config holds the settings of a State.
@@ -134,6 +136,10 @@
 	return b
 }
 
+func (c Config) lease() lease.Config {
+	return lease.Config{Holder: c.Node, Address: c.Peer, TTL: c.LeaseTTL, Renew: c.LeaseRenew, Margin: c.LeaseMargin}
+}
+
 func (c Config) admission() admission.Config {
 	a := admission.DefaultConfig(c.Slots)
 	setDefault(&c.QueueMaxWait, a.MaxWait)
@@ -143,9 +149,4 @@
 	return a
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
+func setDefault[T comparable](field *T, value T) { *field = cmp.Or(*field, value) }
