Decode the platform's configuration once

Cause: every process reads the whole configuration when it starts, and every root each version. Its text was scanned eight times (answer, item, document, spec, each validated and then decoded), each object encoded, all of them encoded again for the reducer, decoded there, and each spec decoded once more by the compiler.

The store hands the objects on as they are, not as JSON. An object that was made from a spec keeps it, so the compiler need not decode what was encoded a moment before.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -175,13 +175,18 @@
 	}
 }
 
-func (c *compiler) decode(k Key, into any) bool {
-	spec := c.set.Objects[k].Spec
-	if len(spec) == 0 {
+// decode reads the spec of an object.
+func decode[T any](c *compiler, k Key, into *T) bool {
+	o := c.set.Objects[k]
+	if spec, ok := o.decoded.(T); ok {
+		*into = spec
+		return true
+	}
+	if len(o.Spec) == 0 {
 		c.addFault(k, "spec", "is missing")
 		return false
 	}
-	if err := strictDecode(spec, into); err != nil {
+	if err := strictDecode(o.Spec, into); err != nil {
 		c.addFault(k, cmp.Or(err.field, "spec"), "%s", err.reason)
 		return false
 	}
@@ -190,7 +195,7 @@
 
 func (c *compiler) policySpec(k Key) {
 	var spec PolicySpec
-	if k.Kind != KindPolicy || !c.decode(k, &spec) {
+	if k.Kind != KindPolicy || !decode(c, k, &spec) {
 		return
 	}
 	switch spec.Priority {
@@ -288,7 +293,7 @@
 
 func (c *compiler) service(k Key) {
 	var spec ServiceSpec
-	if k.Kind != KindService || !c.decode(k, &spec) {
+	if k.Kind != KindService || !decode(c, k, &spec) {
 		return
 	}
 	c.snapshot.services[k.Name] = c.resolve(k, spec.Policy)
@@ -297,7 +302,7 @@
 // limits compiles the object of kind Limits, of which there may be only one.
 func (c *compiler) limits(k Key) {
 	var spec LimitsSpec
-	if k.Kind != KindLimits || !c.decode(k, &spec) {
+	if k.Kind != KindLimits || !decode(c, k, &spec) {
 		return
 	}
 	for other := range c.set.Objects {
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -75,6 +75,17 @@
 	Version uint64          `json:"version,omitempty"`
 	Author  string          `json:"author,omitempty"`
 	Spec    json.RawMessage `json:"spec"`
+
+	decoded any // the spec by its type if NewObject encoded it; nil: only Spec holds it
+}
+
+// NewObject returns an object with the given spec, which Compile need not decode.
+func NewObject(kind Kind, name string, spec any) (Object, error) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return Object{}, fmt.Errorf("encode %s: %w", Key{kind, name}, err)
+	}
+	return Object{Kind: kind, Name: name, Spec: data, decoded: spec}, nil
 }
 
 // Key returns the key of the object.
--- a/core/config/route.go
+++ b/core/config/route.go
@@ -51,7 +51,7 @@
 
 func (c *compiler) route(k Key) {
 	var spec RouteSpec
-	if k.Kind != KindRoute || !c.decode(k, &spec) {
+	if k.Kind != KindRoute || !decode(c, k, &spec) {
 		return
 	}
 	if !strings.HasPrefix(spec.PathPrefix, "/") {
--- a/core/config/submission.go
+++ b/core/config/submission.go
@@ -90,7 +90,7 @@
 		m.faults = append(m.faults, Fault{Object: k, Field: "spec", Reason: err.Error()})
 		return
 	}
-	o.Spec = spec
+	o.Spec, o.decoded = spec, nil
 	if old, ok := m.current.Objects[k]; ok && bytes.Equal(old.Spec, o.Spec) {
 		return // unchanged, so its version stays
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/idempotency"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -48,7 +49,8 @@
 	Version uint64
 	Created uint64 // version of the write that created the key
 	Data    []byte
-	Deleted bool // only set in the result of a watch
+	Source  *config.SourceSet // what Data would hold, if it has been read already
+	Deleted bool              // only set in the result of a watch
 }
 
 // Tick reports that time has passed.
--- a/core/source.go
+++ b/core/source.go
@@ -94,7 +94,7 @@
 	src.revision = max(src.revision, done.Revision)
 	for _, o := range done.Objects {
 		if !o.Deleted {
-			s.sourceReceived(o.Data)
+			s.sourceReceived(o)
 		}
 	}
 	src.confirmedAt = s.now
@@ -104,11 +104,14 @@
 
 // sourceReceived puts a newer configuration in force. One that is refused is
 // logged once, and the held one stays in force.
-func (s *State) sourceReceived(data []byte) {
-	var p config.SourceSet
-	if err := json.Unmarshal(data, &p); err != nil {
-		s.refuseConfig(fmt.Sprintf("the source can't be read: %v", err))
-		return
+func (s *State) sourceReceived(o StoreObject) {
+	p := o.Source
+	if p == nil {
+		p = &config.SourceSet{}
+		if err := json.Unmarshal(o.Data, p); err != nil {
+			s.refuseConfig(fmt.Sprintf("the source can't be read: %v", err))
+			return
+		}
 	}
 	if p.Version <= max(s.configVersion(), s.source.refused) {
 		return
--- a/node/store.go
+++ b/node/store.go
@@ -49,7 +49,7 @@
 }
 
 func storeObject(o store.Object, deleted bool) core.StoreObject {
-	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Deleted: deleted}
+	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Source: o.Source, Deleted: deleted}
 }
 
 // storeError maps an error of the Store to the reducer's error code.
--- a/store/store.go
+++ b/store/store.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
 )
 
 // Limits of the platform's API.
@@ -25,6 +27,8 @@
 	Version uint64 `json:"version"`
 	Created uint64 `json:"created"` // version of the write that created the key
 	Data    []byte `json:"data"`
+
+	Source *config.SourceSet `json:"-"` // what Data would hold, if the client has read it already
 }
 
 // Change is one event of a watch. Data is empty if the object was deleted.
