Check names of objects without a regular expression

Cause: with specs decoded once, the regular expression for names was a sixth of compiling a set of 1,600 routes and as many policies.

Change: a loop over the bytes. TestValidName compares it with the expression.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -166,7 +166,7 @@
 			c.addFault(k, "kind", "unknown kind %q", k.Kind)
 		case len(k.Name) > MaxNameBytes:
 			c.addFault(k, "name", "has %d bytes, at most %d are allowed", len(k.Name), MaxNameBytes)
-		case !validName.MatchString(k.Name):
+		case !validName(k.Name):
 			c.addFault(k, "name", "must be of lower case letters, digits, '-' and '.', with a letter or digit at each end")
 		}
 		if len(o.Spec) > MaxObjectBytes {
--- a/core/config/decoded_test.go
+++ b/core/config/decoded_test.go
@@ -1,12 +1,23 @@
 package config
 
 import (
+	"regexp"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
+func TestValidName(t *testing.T) {
+	want := regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.OneOf(rapid.StringMatching(`[-a-z0-9.A_ \nä]{0,5}`), rapid.String()).Draw(t, "name")
+		if got := validName(name); got != want.MatchString(name) {
+			t.Fatalf("validName(%q) = %v", name, got)
+		}
+	})
+}
+
 // specGenerators generate specs of which about one in two is valid.
 func specGenerators() map[Kind]*rapid.Generator[any] {
 	name, number := rapid.StringMatching(`[ab]|orders|<&>|`), rapid.IntRange(-1, 9)
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"regexp"
 	"slices"
 	"strings"
 )
@@ -31,7 +30,19 @@
 	MaxObjects     = 50_000
 )
 
-var validName = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+// validName reports whether a name consists of lower case letters, digits, '-' and '.',
+// with a letter or digit at each end.
+func validName(name string) bool {
+	for i := range len(name) {
+		switch c := name[i]; {
+		case c >= 'a' && c <= 'z' || c >= '0' && c <= '9':
+		case (c == '-' || c == '.') && i > 0 && i < len(name)-1:
+		default:
+			return false
+		}
+	}
+	return name != ""
+}
 
 // Key identifies an object in a set.
 type Key struct {
