Keep no delta that leads from nothing to the first set

Change: the first set is applied without a delta. A stored form of the empty set is dropped then instead of derived.

--- a/core/holder.go
+++ b/core/holder.go
@@ -30,11 +30,16 @@
 	if set.Version <= s.holder.set.Version && !s.cfg.treeFaults.anyVersion {
 		return
 	}
+	if s.configVersion() == 0 {
+		s.applySet(set, config.Delta{}) // nobody is sent the changes from nothing
+		return
+	}
 	s.applySet(set, config.Diff(s.holder.set, set))
 }
 
 // applySet compiles a set and, if it has no faults, replaces the held set and
-// its compiled form together. The caller has checked that the set is newer.
+// its compiled form together. The caller has checked that the set is newer. delta
+// leads to it from the held set; it is empty for the first set.
 func (s *State) applySet(set *config.Set, delta config.Delta) {
 	snapshot, faults := config.CompileDelta(s.holder.snapshot, s.holder.set, set, delta)
 	if s.cfg.publisherFaults.refuseAll {
@@ -52,7 +57,9 @@
 		s.emit(LimitCallers{Limits: snapshot.Limits()})
 	}
 	s.holder.set, s.holder.snapshot, s.holder.refused = set, snapshot, ""
-	s.holder.deltas = append(s.holder.deltas, delta)
+	if delta.To == set.Version {
+		s.holder.deltas = append(s.holder.deltas, delta)
+	}
 	if len(s.holder.deltas) > maxDeltas {
 		s.holder.deltas = s.holder.deltas[1:]
 	}
@@ -84,7 +91,7 @@
 	switch {
 	case e == nil || e.Manifest.Version == set.Version:
 		return
-	case s.member.phase != phaseRoot || e.Manifest.Version != s.holder.set.Version:
+	case s.member.phase != phaseRoot || e.Manifest.Version != s.holder.set.Version || delta.To != set.Version:
 		s.holder.encoded = nil
 		return
 	}
