--- a/core/config/object.go
+++ b/core/config/object.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"regexp"
 	"slices"
 	"strings"
 )
@@ -31,7 +30,19 @@
 	MaxObjects     = 50_000
 )
 
-var validName = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+// validName reports whether a name consists of lower case letters, digits, '-' and '.',
+// with a letter or digit at each end.
+func validName(name string) bool {
+	for i := range len(name) {
+		switch c := name[i]; {
+		case c >= 'a' && c <= 'z' || c >= '0' && c <= '9':
+		case (c == '-' || c == '.') && i > 0 && i < len(name)-1:
+		default:
+			return false
+		}
+	}
+	return name != ""
+}
 
 // Key identifies an object in a set.
 type Key struct {
@@ -75,6 +86,17 @@
 	Version uint64          `json:"version,omitempty"`
 	Author  string          `json:"author,omitempty"`
 	Spec    json.RawMessage `json:"spec"`
+
+	decoded any // the spec by its type if NewObject encoded it; nil: only Spec holds it
+}
+
+// NewObject returns an object with the given spec, which Compile need not decode.
+func NewObject(kind Kind, name string, spec any) (Object, error) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return Object{}, fmt.Errorf("encode %s: %w", Key{kind, name}, err)
+	}
+	return Object{Kind: kind, Name: name, Spec: data, decoded: spec}, nil
 }
 
 // Key returns the key of the object.
--- a/core/source.go
+++ b/core/source.go
@@ -110,9 +110,7 @@
 	src.watchFrom = max(src.watchFrom, done.Revision)
 	for _, o := range done.Objects {
 		if !o.Deleted {
-			held := s.configVersion()
-			s.sourceReceived(o.Data)
-			s.log(notice.SourceRead, Attr{"why", s.whySourceRead()}, Attr{"bytes", len(o.Data)}, Attr{"applied", s.configVersion() > held})
+			s.sourceReceived(o)
 		}
 	}
 	src.confirmedAt = s.now
@@ -120,14 +118,31 @@
 	s.sourceTick()
 }
 
-// sourceReceived puts a newer configuration in force. One that is refused is
-// logged once, and the held one stays in force.
-func (s *State) sourceReceived(data []byte) {
-	var p config.SourceSet
-	if err := json.Unmarshal(data, &p); err != nil {
+// sourceReceived puts a configuration that was read in force if it is newer.
+func (s *State) sourceReceived(o StoreObject) {
+	p, err := o.sourceSet()
+	if err != nil {
 		s.refuseConfig(fmt.Sprintf("the source can't be read: %v", err))
 		return
 	}
+	held := s.configVersion()
+	s.applySource(p)
+	s.log(notice.SourceRead, Attr{"why", s.whySourceRead()}, Attr{"objects", len(p.Objects)}, Attr{"applied", s.configVersion() > held})
+}
+
+// sourceSet returns the configuration that an object holds.
+func (o StoreObject) sourceSet() (*config.SourceSet, error) {
+	if o.Source != nil {
+		return o.Source, nil
+	}
+	var p config.SourceSet
+	err := json.Unmarshal(o.Data, &p)
+	return &p, err
+}
+
+// applySource puts a newer configuration in force. One that is refused is logged once,
+// and the held one stays in force.
+func (s *State) applySource(p *config.SourceSet) {
 	if p.Version <= max(s.configVersion(), s.source.refused) {
 		return
 	}
