Tell the faults of several limits in one order

Cause: the compiler found other objects of kind Limits by walking the map of all objects, so with three of them the faults of one came in either order: the same set gave different results.

Change: the compiler goes through the objects in order anyway, and remembers those of the kind that it has passed. The faults are the same as before. TestFaultsOfSeveralLimitsAreOrdered fails without the change.

Conclusion: the same faults each time.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -117,6 +117,8 @@
 	specs    map[string]PolicySpec
 	snapshot *Snapshot
 	faults   []Fault
+
+	limitsKeys []Key // of the objects of kind Limits, as far as they are compiled
 }
 
 // MaxSetBytes limits the total size of the specs in a set, since every node holds the
@@ -302,13 +304,16 @@
 // limits compiles the object of kind Limits, of which there may be only one.
 func (c *compiler) limits(k Key) {
 	var spec LimitsSpec
-	if k.Kind != KindLimits || !decode(c, k, &spec) {
+	if k.Kind != KindLimits {
 		return
 	}
-	for other := range c.set.Objects {
-		if other.Kind == KindLimits && other.Name < k.Name {
-			c.addFault(k, "", "is not the only one of its kind: there is %s too", other)
-		}
+	earlier := c.limitsKeys
+	c.limitsKeys = append(c.limitsKeys, k)
+	if !decode(c, k, &spec) {
+		return
+	}
+	for _, other := range earlier {
+		c.addFault(k, "", "is not the only one of its kind: there is %s too", other)
 	}
 	if spec.MaxHeaderBytes != 0 && spec.MaxHeaderBytes < MinHeaderBytes {
 		c.addFault(k, "maxHeaderBytes", "%d is below the least, %d", spec.MaxHeaderBytes, MinHeaderBytes)
--- a/core/config/decoded_test.go
+++ b/core/config/decoded_test.go
@@ -63,3 +63,23 @@
 		is.Equal(got, want)
 	})
 }
+
+// TestFaultsOfSeveralLimitsAreOrdered checks that the same faults come in the same order
+// each time.
+func TestFaultsOfSeveralLimitsAreOrdered(t *testing.T) {
+	is := is.New(t)
+	set := with(object(KindLimits, "a", `{}`), object(KindLimits, "b", `{}`), object(KindLimits, "c", `{}`), object(KindLimits, "d", `{"x":1}`))
+	var want []string
+	for _, f := range []string{"b: is not the only one of its kind: there is Limits/a too", "c: is not the only one of its kind: there is Limits/a too",
+		"c: is not the only one of its kind: there is Limits/b too", "d: x: unknown field"} {
+		want = append(want, "Limits/"+f)
+	}
+	for range 50 {
+		_, faults := Compile(set)
+		var got []string
+		for _, f := range faults {
+			got = append(got, f.Error())
+		}
+		is.Equal(got, want)
+	}
+}
