Pass on no status that says not run unless the backend server does

What callers saw: 408, 429 or 503, and Retry-After, for a request that may not run twice and that a backend server had run. Callers take these statuses as a promise and send it again.

Cause: a backend server that does not run a request marks its answer (X-Not-Executed, or status 421). An answer with such a status but without the mark was passed on unchanged, like any other failure.

Change: where backend servers have a mark, such an answer is not accepted. The outcome is unknown, and the caller gets 502 without the backend server's signature, or the next attempt if the request may run twice. No backend server that follows the protocol sends one.

TestUnmarkedRefusalPromisesNothing fails without it, for each of the three statuses, from the own host and from another: "503 != 502". The promise about refusals now names what backend servers say of a request, and the tests of that; it left them out.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -30,7 +30,8 @@
 	// Service is the service of the host where a request originated.
 	Service string
 	// NotRun marks the response of a backend server that did not run the
-	// request. It counts only beside the request's RequestID.
+	// request. It counts only beside the request's RequestID. A response without
+	// it is not passed on with a status that callers take to say the same.
 	NotRun string
 	// Signature is in every success that a backend server sends. A success without
 	// it is not accepted as its answer.
@@ -88,6 +89,16 @@
 	return n.NotRun != "" && (get(resp.Header, n.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest)
 }
 
+// promisesNotRun reports whether callers take a status to say that their request has
+// not run, as they do where backend servers mark such responses.
+func (n Names) promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return n.NotRun != ""
+	}
+	return false
+}
+
 // statusLine matches a status line at the end of a line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
 
@@ -117,9 +128,9 @@
 
 // checkResponse reports why a backend server's response is not accepted for the
 // request: its head is made up of two, it belongs to another request, it is a
-// success without a signature, or it says that the request did not run. Nothing shows
-// that a response without an ID belongs to the request, so one that says so is not
-// believed.
+// success without a signature, or it says that the request did not run. It is not
+// believed to say so if it has no ID, since nothing shows that it belongs to the
+// request, or if it says so to callers alone, by its status.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	switch {
@@ -129,6 +140,8 @@
 		return notItsAnswer(resp, "is that of another request")
 	case !n.isSigned(resp):
 		return notItsAnswer(resp, "has no signature")
+	case !notRun && n.promisesNotRun(resp.StatusCode):
+		return notItsAnswer(resp, "does not say that the request did not run")
 	case !notRun:
 		return nil
 	}
