Take a signal that comes during the start as one that drains

What callers saw: requests cut without an answer if a process got SIGTERM in the moment in which it had begun to serve and its start was not over.

Cause: signals were asked for after the start, in which the listeners begin to serve. Until then SIGTERM ends a process at once.

Change: they are asked for before the start. A signal that comes during it drains the node once it is over.

TestSignalDuringStartEndsProcessAtOnce fails without it: "signal: terminated" ends the process of the test.

--- a/cmd/agatekeel/node.go
+++ b/cmd/agatekeel/node.go
@@ -33,20 +33,27 @@
 		c.printf("%s: no faults\n", c.Settings)
 		return nil
 	}
-	running, err := startNode(s)
-	if err != nil {
-		return fmt.Errorf("%s: %w", c.Settings, err)
-	}
-	return running.runUntilSignal()
+	return runNode(func() (runningNode, error) {
+		running, err := startNode(s)
+		if err != nil {
+			return running, fmt.Errorf("%s: %w", c.Settings, err)
+		}
+		return running, nil
+	})
 }
 
-// runUntilSignal waits for a signal to end, then drains and stops the node.
-func (r runningNode) runUntilSignal() error {
+// runNode starts a node, waits for a signal to end, then drains and stops the node. A
+// signal that comes during the start is not lost: the node serves before it returns.
+func runNode(start func() (runningNode, error)) error {
 	signals, stopSignals := shutdownSignals()
 	defer stopSignals()
+	r, err := start()
+	if err != nil {
+		return err
+	}
 	<-signals
 	drain(signals, r.node)
-	err := r.stop()
+	err = r.stop()
 	_ = r.log.Sync() // waits for a bounded time; lines not written by then are lost
 	return err
 }
--- a/cmd/agatekeel/node_test.go
+++ b/cmd/agatekeel/node_test.go
@@ -5,9 +5,13 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/settings"
 )
 
 func TestNodeReportsAddressInUse(t *testing.T) {
@@ -55,3 +59,23 @@
 		is.Equal(n.Dump().Backend.State, "gone")
 	}
 }
+
+// TestSignalDuringStartEndsProcessAtOnce guards against a node that serves already and is
+// killed by the signal that should drain it.
+func TestSignalDuringStartEndsProcessAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := settings.Settings{
+		Node: "n", DataCentre: "derby", DataCentres: []string{"derby"}, Platform: "http://127.0.0.1:1",
+		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Drain:  settings.Drain{AtLeast: settings.Duration(time.Millisecond), AtMost: settings.Duration(100 * time.Millisecond)},
+		Log:    settings.Log{Level: "error"},
+	}
+	is.NoErr(settings.Check("test", s))
+	var running runningNode
+	is.NoErr(runNode(func() (r runningNode, err error) {
+		running, err = startNode(s)
+		is.NoErr(err)
+		return running, syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	}))
+	<-running.node.Drained()
+}
--- a/cmd/agatekeel/sidecar.go
+++ b/cmd/agatekeel/sidecar.go
@@ -30,16 +30,18 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	running, err := startNodeWith(s.Node, platform.Module(s))
-	if err != nil {
-		return err
-	}
-	go func() {
-		for range reload {
-			reportChangedSettings(s, running.log)
+	return runNode(func() (runningNode, error) {
+		running, err := startNodeWith(s.Node, platform.Module(s))
+		if err != nil {
+			return running, err
 		}
-	}()
-	return running.runUntilSignal()
+		go func() {
+			for range reload {
+				reportChangedSettings(s, running.log)
+			}
+		}()
+		return running, nil
+	})
 }
 
 // reportChangedSettings reads the settings file again and logs its faults, or the
