Test safeguards of a stop that no test turned red for

Each safeguard of the mends since was taken out on a copy. No test turned red for four of them:

- the deadline of a call that is in flight when a stop begins ends with the process: TestLateAttemptGetsTimeBeyondExit;
- so does that of a call that comes later: the same test;
- a response that is cut off over TLS resets its connection: TestAbortedResponseOverTLSIsReset.

Each fails now if its safeguard is taken out. Only tests change.

--- a/core/requests_exit_test.go
+++ b/core/requests_exit_test.go
@@ -151,3 +151,50 @@
 		is.Equal(drained, tt.want)
 	}
 }
+
+// TestCallIsTakenRightBeforeExit guards against a call that is taken so late that its answer
+// can't be passed on any more if the host stalls.
+func TestCallIsTakenRightBeforeExit(t *testing.T) {
+	is := is.New(t)
+	_, ended, sent := stopUnderCalls(t, 2500*time.Millisecond, 1500*time.Millisecond, "")
+	for _, c := range sent {
+		is.True(c.Forwards == 0 || ended.Sub(c.Started) >= 4*quickRun+200*time.Millisecond)
+	}
+}
+
+// TestLateAttemptGetsTimeBeyondExit guards against a backend server that is still at work when
+// the entry node ends, on a call of before the stop that is sent again, or on a later one.
+func TestLateAttemptGetsTimeBeyondExit(t *testing.T) {
+	is := is.New(t)
+	const atMost = 2500 * time.Millisecond
+	m := coretest.New(5)
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		m.Start(name, core.Config{DataCentre: "a", Service: "orders", Slots: 200, DrainAtLeast: atMost, DrainAtMost: atMost})
+	}
+	m.Run(time.Second)
+	submitSlowRoute(t, m)
+	m.Run(20 * time.Second)
+	tr := coretest.NewTraffic(m)
+	for range 40 { // the node learns how long they take
+		tr.Call("a1", core.CallArrived{Method: "GET", Path: "/quick/1", Budget: 20 * time.Second, Replayable: true})
+	}
+	m.Run(time.Second)
+	tr.RunTime = func(string, *coretest.Call) time.Duration { return time.Minute }
+	for range 40 {
+		tr.Call("a1", core.CallArrived{Method: "GET", Path: "/slow/1", Budget: 20 * time.Second, Replayable: true})
+	}
+	m.Run(100 * time.Millisecond)
+	m.Step("a1", core.Stop{})
+	exit := m.Now.Add(atMost)
+	late := 0
+	tr.OnSent = func(f core.Forward) {
+		late++
+		is.True(!m.Now.Add(f.Budget).After(exit))
+	}
+	m.Crash("a2")
+	m.Run(time.Second)
+	is.True(late > 0)
+	again := late
+	tr.Call("a1", core.CallArrived{Method: "POST", Path: "/quick/1", Budget: 20 * time.Second, Replayable: true})
+	is.Equal(late, again+1)
+}
--- a/h1/abort_test.go
+++ b/h1/abort_test.go
@@ -1,10 +1,12 @@
 package h1_test
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
@@ -43,3 +45,25 @@
 		is.True(strings.HasSuffix(string(response), "\r\n\r\nhalf of it"))
 	}
 }
+
+// TestAbortedResponseOverTLSIsReset guards against the same over TLS, where closing the
+// connection announces the end of the stream.
+func TestAbortedResponseOverTLSIsReset(t *testing.T) {
+	is := is.New(t)
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: certified.TLS.Certificates})
+	is.NoErr(err)
+	s := h1.New(h1.Config{}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, "half of")
+		is.NoErr(http.NewResponseController(w).Flush())
+		panic(http.ErrAbortHandler)
+	}))
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	c := tls.Client(dial(t, l.Addr().String()), &tls.Config{InsecureSkipVerify: true})
+	_, err = io.WriteString(c, "GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.ReadAll(c)
+	is.True(err != nil)
+}
