Test safeguards of answers that no test turned red for

Taken out on a copy one by one, these safeguards of the mends since turned no test red:

- the end of a stream also ends a write that is blocked: TestAnswerHangsBehindUnreadUpload;
- what names two attempts is about neither: a case of TestRefusalOfAnotherAttemptIsNotBelieved;

Only tests change.

--- a/core/requests_export_test.go
+++ b/core/requests_export_test.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
+)
 
 // SetReadyForTest lets the node accept calls without having joined a tree.
 func (s *State) SetReadyForTest() { s.member.current = true }
@@ -39,3 +43,13 @@
 
 // SetClaimKeepForTest sets how long claims are kept in the platform.
 func (s *State) SetClaimKeepForTest(d time.Duration) { s.cfg.ClaimKeep = d }
+
+// ChooseForTest returns the ID of the backend server that a call gets next, empty for none.
+func (s *State) ChooseForTest(service string, tried, barred []string) string {
+	policy := &config.Policy{}
+	p, ok := s.chooseBackend(&call{service: service, route: &config.Route{Policy: policy}, tried: tried, barred: barred})
+	if !ok {
+		return ""
+	}
+	return p.Row.ID
+}
--- a/proxy/cut_upload_test.go
+++ b/proxy/cut_upload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +89,48 @@
 		})
 	}
 }
+
+// countedBody is a request body without an end that counts the reads of it.
+type countedBody struct{ reads *atomic.Int64 }
+
+func (b countedBody) Read(p []byte) (int, error) {
+	b.reads.Add(1)
+	return len(p), nil
+}
+
+// TestAnswerHangsBehindUnreadUpload guards against an answer whose end is not noticed, as the
+// server reads no more of the request and the writer of its body is blocked.
+func TestAnswerHangsBehindUnreadUpload(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	var reads atomic.Int64
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			defer func() { _ = c.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				for before := int64(-1); reads.Load() != before; time.Sleep(100 * time.Millisecond) {
+					before = reads.Load() // until the writers are blocked
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+earlyAnswer)
+				_ = c.(*net.TCPConn).CloseWrite()
+			}
+		}
+	}()
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
+		if p.Backend != "" {
+			p.Backend = l.Addr().String()
+		}
+	}, "", "orders")
+	for node := range m.nodes {
+		req, err := http.NewRequest(http.MethodPost, "http://"+m.nodes[node].callers+"/once", countedBody{&reads})
+		is.NoErr(err)
+		resp, err := m.client.Do(req)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		is.NoErr(err)
+		is.Equal(string(body), earlyAnswer)
+	}
+}
--- a/proxy/stale_hop_test.go
+++ b/proxy/stale_hop_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -20,7 +21,8 @@
 	for _, tc := range []struct {
 		name         string
 		hop, queried string // values of the header that names the attempt; empty: none
-	}{{"both of another attempt", "1-1", "1-1"}, {"both without an attempt", "", ""}} {
+		own          bool   // the attempt itself is named too
+	}{{"both of another attempt", "1-1", "1-1", false}, {"both without an attempt", "", "", false}, {"both of two attempts", "1-1", "1-1", true}} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.SilenceAfter = testDeadline }, "", "orders")
@@ -29,13 +31,17 @@
 			is.NoErr(err)
 			var runs, queries atomic.Int64
 			faulty := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				count, attempt, status := &queries, tc.queried, http.StatusNoContent
-				if r.Header.Get("Agatekeel-Hop") != "" {
+				count, attempt, status, own := &queries, tc.queried, http.StatusNoContent, r.Header.Get("Agatekeel-Cancel")
+				if hop := r.Header.Get("Agatekeel-Hop"); hop != "" {
 					count, attempt, status = &runs, tc.hop, http.StatusServiceUnavailable
+					own, _, _ = strings.Cut(hop, " ")
 				}
 				count.Add(1)
+				if tc.own {
+					w.Header().Set("Agatekeel-Attempt", own)
+				}
 				if attempt != "" {
-					w.Header().Set("Agatekeel-Attempt", attempt)
+					w.Header().Add("Agatekeel-Attempt", attempt)
 				}
 				w.Header().Set(proxy.HeaderOutcome, "not-run")
 				w.WriteHeader(status)
