Let no first answer count as usual for long

What callers saw: in a planned stop nearly all calls refused from its beginning, though each takes 2 ms (1,663 requests, 31 answered: TestPlannedStopCutsNoLateRequest with the race detector on a busy machine, once in three runs). Nothing was cut.

Cause: the usual latency of a kind of request began with the first answer, and each later one moved it by a 64th. A first request of 1 s counts as 0.9 s after six more, and a call that might take four times that is not taken within 3.1 s of the end. The usual size of large answers, which entry nodes tell to a gate that starts, was biased in the same way; an entry node sees few of them.

Change: the mean of all answers until there are 64, as the gate does it. TestFirstAnswerCountsForLong fails without it.

--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -101,6 +101,7 @@
 type kind struct {
 	latency     time.Duration // zero: unknown
 	bytes       float64
+	answers     int  // in these figures, at most groupSmoothing
 	linkRefused bool // a request was refused for lack of room on a host's link
 }
 
@@ -118,11 +119,9 @@
 		name = ""
 	}
 	k := g.kinds[name]
-	if k.latency == 0 {
-		k.latency, k.bytes = res.Took, float64(res.Bytes)
-	}
-	k.latency += (res.Took - k.latency) / groupSmoothing
-	k.bytes += (float64(res.Bytes) - k.bytes) / groupSmoothing
+	k.answers = min(k.answers+1, groupSmoothing)
+	k.latency += (res.Took - k.latency) / time.Duration(k.answers)
+	k.bytes += (float64(res.Bytes) - k.bytes) / float64(k.answers)
 	g.kinds[name] = k
 	g.maxLatency = 0
 	for _, other := range g.kinds {
--- a/core/balance/link_test.go
+++ b/core/balance/link_test.go
@@ -116,3 +116,24 @@
 	}
 	is.True(picks[cfg.Node] < 25) // its answers are errors
 }
+
+// TestFirstAnswerCountsForLong checks that the usual latency and size of a kind of request
+// are the means of its answers until there are many, whatever the first one was like.
+func TestFirstAnswerCountsForLong(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(1))
+	const answers = 16
+	for i := range answers {
+		e, ok := b.PickFor(now, g, balance.Request{Kind: largeKind})
+		is.True(ok)
+		b.Sent(now, e)
+		took, bytes := 2*time.Millisecond, int64(100<<10)
+		if i == 0 {
+			took, bytes = 1600*time.Millisecond, 16*bytes
+		}
+		b.Done(now, e, balance.Result{Took: took, Bytes: bytes, Kind: largeKind})
+	}
+	is.True(g.UsualLatency(largeKind) < 110*time.Millisecond)
+	is.True(g.LargeAnswerBytes(largeKind) < 210<<10)
+}
