--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -88,8 +88,8 @@
 	s.late *= math.Exp(-elapsed / lateWindow.Seconds())
 }
 
-// ahead returns how many bytes may be sent beyond what the link carries until now: as
-// much as it carries while the process is late, as it would be idle for that long.
+// ahead returns how many bytes may be sent beyond what the link has carried by now: what
+// it carries during a delay of the process, in which it would be idle otherwise.
 func (s *Scheduler) ahead() float64 { return s.late * s.rate }
 
 // observeDelay notes how long after the wait that Grant had named it is called.
