Count nothing on a host's link that does not leave the host

Cause: callers are on the hosts of their entry nodes.

Change: the proxy compares both ends of a caller's connection.

Tests that fail without it: TestAnswerToCallerOnHostTakesItsLink (proxy), TestAnswerToCallerOnHostWaitsForItsLink (core/admission), TestAnswersThatStayOnHostTakeItsLink (core). TestSentBytesAreCounted and TestLargeResponseWhoseCallerLeftIsCountedAsCut counted answers to callers on the own host; they now put their callers on other hosts, with the same conditions.

--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -63,6 +63,7 @@
 	// AnswerBytes is the usual size of the answers to this kind of request, as the entry
 	// node knows it; zero: unknown.
 	AnswerBytes int64
+	OnHost      bool        // the caller is on this host: the answer does not go over the host's link
 	Relay       uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
 	arrived     time.Time
 	started     time.Time // start of its run
--- a/core/admission/fifo.go
+++ b/core/admission/fifo.go
@@ -11,6 +11,9 @@
 
 func (l *fifo) len() int { return len(l.items) - l.first }
 
+// all returns the items. They are valid until the next change.
+func (l *fifo) all() []Attempt { return l.items[l.first:] }
+
 func (l *fifo) head() Attempt { return l.items[l.first] }
 
 func (l *fifo) push(w Attempt) {
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -54,7 +54,7 @@
 // where they would leave the link idle: if no large answers are expected, or, if not even
 // idle links could send it in time, behind at most one that is ready before it.
 func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
-	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
+	if q.avgBytes[w.Class] < largeAnswerBytes || w.OnHost || q.fault.linkIgnored {
 		return 0
 	}
 	free := q.linkFreeAt(now)
@@ -97,16 +97,26 @@
 	free := now.Add(transferTime(q.link, float64(q.link.Backlog)))
 	for i := range q.running {
 		w := &q.running[i]
-		free = q.sentAt(free, w.started.Add(q.avgRunTime[w.Class]), w.Class)
+		free = q.freeAfter(free, w.started.Add(q.avgRunTime[w.Class]), w)
 	}
 	for c := range numClasses {
-		for range q.waiting[c].len() {
-			free = q.sentAt(free, now.Add(q.avgRunTime[c]), c)
+		waiting := q.waiting[c].all()
+		for i := range waiting {
+			free = q.freeAfter(free, now.Add(q.avgRunTime[c]), &waiting[i])
 		}
 	}
 	return free
 }
 
+// freeAfter returns when the link is free after the answer to an attempt, which is ready
+// at a given time, if it is free from another time on before.
+func (q *Queue) freeAfter(free, ready time.Time, w *Attempt) time.Time {
+	if w.OnHost {
+		return free
+	}
+	return q.sentAt(free, ready, w.Class)
+}
+
 // sentAt returns when the link has sent an answer of a class that is ready at a given
 // time, if the link is free from another time on.
 func (q *Queue) sentAt(free, ready time.Time, c Class) time.Time {
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -318,3 +318,28 @@
 	usual := time.Duration(largeBytes / linkBytes * float64(time.Second))
 	is.True(q.LinkWait(now) < largeRun+time.Duration(taken-1)*2*usual) // those that run still count as less than twice as large
 }
+
+// TestAnswerToCallerOnHostWaitsForItsLink checks that a full link neither keeps out an
+// attempt whose answer stays on the host, nor counts its answer.
+func TestAnswerToCallerOnHostWaitsForItsLink(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := admission.New(admission.DefaultConfig(2))
+	next := uint64(0)
+	arrive := func(onHost bool) admission.Decision {
+		next++
+		return q.Arrive(now, admission.Attempt{
+			ID: admission.ID{Number: next}, Class: admission.Batch, Deadline: now.Add(6 * time.Second), TargetTime: now.Add(largeTarget),
+			AnswerBytes: largeBytes, OnHost: onHost,
+		})
+	}
+	q.SetLink(uplink.Load{Backlog: 8 * linkBytes, Rate: linkBytes})
+	is.Equal(arrive(false).Reason, admission.LinkFull)
+	before := q.LinkWait(now)
+	for range 3 { // the last one waits for a slot
+		is.Equal(arrive(true).Reason, admission.Admitted)
+	}
+	running, waiting := q.Load()
+	is.Equal([]int{running, waiting}, []int{2, 1})
+	is.Equal(q.LinkWait(now), before)
+}
--- a/core/admit.go
+++ b/core/admit.go
@@ -90,7 +90,7 @@
 	b.queue.SetLink(e.Link)
 	d := b.queue.Arrive(s.now, admission.Attempt{
 		ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget),
-		TargetTime: s.softDeadline(e.SoftBudget), Relay: e.Relay, AnswerBytes: e.AnswerBytes,
+		TargetTime: s.softDeadline(e.SoftBudget), OnHost: e.OnHost, Relay: e.Relay, AnswerBytes: e.AnswerBytes,
 	})
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, d.EvictedFor)
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -51,7 +51,7 @@
 }
 
 // maxOwnPenalty is the factor by which the own endpoint may be worse than its group and
-// still get large answers: those of others take two links instead of one.
+// still get large answers: those of others take one link more.
 const maxOwnPenalty = 2
 
 // ownEndpoint returns the endpoint on this host if it can be used for a large answer,
--- a/core/coretest/links.go
+++ b/core/coretest/links.go
@@ -15,10 +15,11 @@
 const refusalBytes = 300
 
 // Links simulates the hosts' network links: large answers go over that of the backend
-// server's node and, if the call entered elsewhere, over that of its entry node.
+// server's node, if the call entered elsewhere, and over that of its entry node.
 type Links struct {
 	BytesPerSecond float64
 	AnswerBytes    func(c *Call) int64 // size of the answer to a call
+	CallersOnHosts bool                // callers are on the hosts of their entry nodes, whose links their answers don't take
 
 	SentBytes map[string]int64 // bytes sent by each node
 	Refusals  int              // of attempts between nodes
@@ -83,10 +84,26 @@
 	l.of(n).sent(refusalBytes)
 }
 
+// onHost reports whether the answer to an attempt stays on the backend server's host.
+func (l *Links) onHost(a *attempt) bool { return l != nil && l.CallersOnHosts && a.forward.Local }
+
+// relay returns the state of the link over which the entry node of an attempt passes on
+// its answer; zero if there is none, or if it is that of the backend server's node.
+func (l *Links) relay(a *attempt) uplink.Load {
+	if l == nil || l.CallersOnHosts || a.forward.Local {
+		return uplink.Load{}
+	}
+	return l.load(l.mesh.nodes[a.call.Entry])
+}
+
 // deliver sends the answer to an attempt from a node to its caller, then calls done.
 func (l *Links) deliver(from *Node, a *attempt, bytes int64, done func()) {
 	h := l.of(from)
-	if a.forward.Local {
+	switch {
+	case l.onHost(a):
+		l.mesh.After(0, done)
+		return
+	case a.forward.Local || l.CallersOnHosts:
 		h.send(bytes, a.forward.Budget, done)
 		return
 	}
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -6,7 +6,6 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
 	"github.com/agatekeel/agatekeel/core/retry"
-	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // TrafficFaults are the faults to inject into requests between nodes. Probabilities are per
@@ -255,19 +254,10 @@
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
 		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
-		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), Relay: t.relay(a),
+		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), OnHost: t.Links.onHost(a), Relay: t.Links.relay(a),
 	})
 }
 
-// relay returns the state of the link over which the entry node of an attempt passes on
-// its answer; zero if that is the link of the target.
-func (t *Traffic) relay(a *attempt) uplink.Load {
-	if a.forward.Local {
-		return uplink.Load{}
-	}
-	return t.Links.load(t.mesh.nodes[a.call.Entry])
-}
-
 // end passes the outcome of an attempt to its entry node, unless the attempt has ended
 // already or its answer is dropped at BlackholedNode.
 func (t *Traffic) end(a *attempt, e core.AttemptEnded) {
--- a/core/event.go
+++ b/core/event.go
@@ -169,7 +169,8 @@
 	ForIncarnation endpoint.Incarnation
 	Key            idempotency.Key
 	Link           uplink.Load   // state of the host's network link
-	Relay          uplink.Load   // state of the network link of the entry node's host; zero: it is this host, or unknown
+	OnHost         bool          // the caller is on this host: the answer does not go over the host's network link
+	Relay          uplink.Load   // state of the network link over which the entry node passes the answer on; zero: none, or unknown
 	Said           BackendNotice // as in Forward
 }
 
--- a/core/requests_links_test.go
+++ b/core/requests_links_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 // The load of the users' downloads, at fewer hosts: answers whose sizes differ, and three
 // times as many as the links of the hosts that have them can send.
 const (
-	thinLinkBytes    = 0.82 * 1.25e6 // bytes per second: what short answers leave of 0.95 of 10 Mbit/s
+	thinLinkBytes    = 0.82 * 1.25e6 // bytes per second: what short answers leave of most of 10 Mbit/s
 	downloadBytes    = 280_000       // mean
 	downloadSpread   = 0.55          // standard deviation of the logarithm
 	downloadTarget   = time.Second
@@ -202,3 +203,30 @@
 	}
 	is.True(ended > 0)
 }
+
+// TestAnswersThatStayOnHostTakeItsLink asks for three times what the links of four hosts
+// carry, from callers on the hosts of their entry nodes. Callers beside a backend server
+// must all be served, and the others with all that the links carry.
+func TestAnswersThatStayOnHostTakeItsLink(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const length = 40 * time.Second
+	d := newDownloads(t, 3)
+	d.links.CallersOnHosts = true
+	d.load(length)
+	beside, elsewhere := 0, 0.0
+	for _, c := range d.traffic.Calls {
+		if !slices.Contains(d.hosts, c.Entry) && c.Outcome == retry.Ran {
+			elsewhere += float64(d.links.AnswerBytes(c))
+		}
+	}
+	d.Run(time.Second) // the last runs end
+	for _, c := range d.traffic.Calls {
+		if slices.Contains(d.hosts, c.Entry) {
+			is.Equal(c.Outcome, retry.Ran)
+			beside++
+		}
+	}
+	is.True(beside > 100)
+	is.True(elsewhere > 0.9*float64(len(d.hosts))*thinLinkBytes*length.Seconds())
+}
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -61,7 +61,7 @@
 // Write implements io.Writer for the buffered writer out.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.net.Write(p)
-	c.server.cfg.OnSent(n)
+	c.server.cfg.OnSent(c.net, n)
 	return n, err
 }
 
--- a/h1/server.go
+++ b/h1/server.go
@@ -51,7 +51,7 @@
 	OnError func(error)
 	// OnSent is called with the number of bytes of each write to a client;
 	// nil: they are not counted.
-	OnSent func(n int)
+	OnSent func(to net.Conn, n int)
 }
 
 func (c Config) withDefaults() Config {
@@ -64,7 +64,7 @@
 		c.OnError = func(error) {}
 	}
 	if c.OnSent == nil {
-		c.OnSent = func(int) {}
+		c.OnSent = func(net.Conn, int) {}
 	}
 	return c
 }
--- a/node/uplink.go
+++ b/node/uplink.go
@@ -36,7 +36,7 @@
 // uplinkLog logs what the host's network link is used for, from the proxy's counters
 // of bytes.
 type uplinkLog struct {
-	sent, large, own, relayed, cut, refusals increase
+	sent, large, own, relayed, cut, refusals, onHost increase
 
 	loggedAt time.Time
 }
@@ -46,6 +46,7 @@
 		sent: newIncrease(proxy.UplinkSentMetric, r), large: newIncrease(proxy.UplinkLargeMetric, r),
 		own: newIncrease(proxy.UplinkOwnMetric, r), relayed: newIncrease(proxy.UplinkRelayedMetric, r),
 		cut: newIncrease(proxy.UplinkCutMetric, r), refusals: newIncrease(proxy.UplinkRefusalsMetric, r),
+		onHost: newIncrease(proxy.OnHostMetric, r),
 	}
 }
 
@@ -58,12 +59,12 @@
 	}
 	l.loggedAt = now
 	sent, large, own, relayed := l.sent.take(), l.large.take(), l.own.take(), l.relayed.take()
-	cut, refusals := l.cut.take(), l.refusals.take()
+	cut, refusals, onHost := l.cut.take(), l.refusals.take(), l.onHost.take()
 	if large+cut+refusals == 0 {
 		return
 	}
 	log.Write(notice.UplinkUsed,
 		core.Attr{Key: "elapsedMillis", Value: elapsed.Milliseconds()}, core.Attr{Key: "sentBytes", Value: sent},
 		core.Attr{Key: "largeBytes", Value: large}, core.Attr{Key: "ownBytes", Value: own}, core.Attr{Key: "relayedBytes", Value: relayed},
-		core.Attr{Key: "cutBytes", Value: cut}, core.Attr{Key: "refusalBytes", Value: refusals})
+		core.Attr{Key: "cutBytes", Value: cut}, core.Attr{Key: "refusalBytes", Value: refusals}, core.Attr{Key: "onHostBytes", Value: onHost})
 }
--- a/node/uplink_test.go
+++ b/node/uplink_test.go
@@ -44,9 +44,11 @@
 	add(proxy.UplinkRelayedMetric, 300)
 	add(proxy.UplinkCutMetric, 200)
 	add(proxy.UplinkRefusalsMetric, 100)
+	add(proxy.OnHostMetric, 50)
 	got := line(1002)
 	for field, want := range map[string]float64{
 		"elapsedMillis": 1000, "sentBytes": 900, "largeBytes": 700, "ownBytes": 400, "relayedBytes": 300, "cutBytes": 200, "refusalBytes": 100,
+		"onHostBytes": 50,
 	} {
 		is.Equal(got[field], want)
 	}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -33,7 +33,8 @@
 // declared length is flushed as it arrives. A slow receiver can block this
 // response and one that exceeds the server's buffers; their write deadline is
 // the request's deadline. A large response is paced, and its bytes are counted in
-// origin too. It returns the size of the body that was passed on.
+// origin too; origin is nil if it does not go over the host's network link. It returns the
+// size of the body that was passed on.
 func (p *Proxy) relayResponse(w http.ResponseWriter, resp *http.Response, origin metrics.Counter) (int64, error) {
 	h := w.Header()
 	copyHeader(h, resp.Header)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -62,7 +62,7 @@
 		c.proxy.core.Step(ended)
 		return
 	}
-	size, err := c.proxy.relayResponse(c.w, resp, c.proxy.sent.origin(f.Local))
+	size, err := c.proxy.relayResponse(c.w, resp, c.origin(f.Local))
 	ended.Bytes = size
 	var failure *responseError
 	if err != nil {
@@ -95,7 +95,7 @@
 		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said,
 	}
 	if f.Local {
-		h.entry = true
+		h.entry, h.onHost = true, c.onHost
 		return c.proxy.runLocal(ctx, c.r, c.body, h)
 	}
 	return c.sendHop(ctx, cancel, f, h)
@@ -103,7 +103,9 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
-	h.relay = c.proxy.link.load()
+	if !c.onHost {
+		h.relay = c.proxy.link.load()
+	}
 	h.set(out.Header)
 	set(out.Header, c.proxy.cfg.Names.Service, c.proxy.cfg.Service)
 	if c.body.streams() {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/h1"
@@ -15,14 +18,25 @@
 
 // call is one caller's request at its entry node.
 type call struct {
-	proxy *Proxy
-	id    core.CallID
-	w     http.ResponseWriter
-	r     *http.Request
-	body  *requestBody
-	depth int           // number of calls in the mesh that led to this one
-	done  bool          // the reducer has ended the call or has been notified of its end
-	held  *heldResponse // nil: none is held
+	proxy  *Proxy
+	id     core.CallID
+	w      http.ResponseWriter
+	r      *http.Request
+	body   *requestBody
+	depth  int           // number of calls in the mesh that led to this one
+	onHost bool          // the caller is on this host: what it gets does not go over the host's network link
+	done   bool          // the reducer has ended the call or has been notified of its end
+	held   *heldResponse // nil: none is held
+}
+
+// origin returns the counter of large responses that are sent to the caller over the
+// host's network link, from this node's backend server or from other nodes; nil if they
+// don't go over it.
+func (c *call) origin(ownBackend bool) metrics.Counter {
+	if c.onHost {
+		return nil
+	}
+	return c.proxy.sent.origin(ownBackend)
 }
 
 // rejection is the reply to a request that is refused before it reaches the
@@ -36,7 +50,7 @@
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	defer func() { p.calls.UpdateSince(started) }()
-	c := &call{proxy: p, w: w, r: r}
+	c := &call{proxy: p, w: w, r: r, onHost: p.sameHost(endsOf(r))}
 	arrived, rejected := c.read()
 	if rejected != nil {
 		p.fail(w, rejected.status, retry.NotRun, rejected.reason)
@@ -91,17 +105,25 @@
 	return depth
 }
 
-func fromOwnHost(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
+func fromOwnHost(r *http.Request) bool { return sameHost(endsOf(r)) }
+
+// endsOf returns the addresses of the connection over which a request came; nil if they
+// are unknown.
+func endsOf(r *http.Request) (local, remote net.Addr) {
+	local, _ = r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
-		return false
-	}
-	ip := net.ParseIP(host)
-	if ip.IsLoopback() {
-		return true
+		return local, nil
 	}
-	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
-	return ok && ip.Equal(local.IP)
+	return local, net.TCPAddrFromAddrPort(from)
+}
+
+// sameHost reports whether the two ends of a connection are on one host, so that nothing
+// that it carries goes over the host's network link.
+func sameHost(local, remote net.Addr) bool {
+	near, ok := local.(*net.TCPAddr)
+	far, ok2 := remote.(*net.TCPAddr)
+	return ok2 && (far.IP.IsLoopback() || ok && far.IP.Equal(near.IP))
 }
 
 // run handles the effects of the call until it has ended or the caller has
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -1,5 +1,7 @@
 package proxy
 
+import "net"
+
 // Faults are the faults that a test can inject.
 type Faults struct {
 	ReportsUnknownAsNotRun, HidesTruncation, IgnoresAttemptIDs, TransportReplays,
@@ -14,3 +16,8 @@
 		skipsResponseCheck: f.SkipsResponseCheck, neverQueries: f.NeverQueries, trustsIdleConns: f.TrustsIdleConns,
 	}
 }
+
+// PutCallersElsewhere makes all callers count as being on other hosts.
+func (p *Proxy) PutCallersElsewhere() {
+	p.sameHost = func(net.Addr, net.Addr) bool { return false }
+}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -99,6 +99,7 @@
 	relay       uplink.Load          // state of the entry node's network link; sent in a separate header, which older nodes ignore
 	said        core.BackendNotice   // see core.Forward.Said; sent in a separate header, which older nodes ignore
 	entry       bool                 // this node is the entry node; not sent
+	onHost      bool                 // the caller is on this host; not sent
 }
 
 // String returns the value of headerHop.
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -65,7 +65,7 @@
 // relayHeld relays the response that is held.
 func (c *call) relayHeld() {
 	c.held.resp.Body = io.NopCloser(bytes.NewReader(c.held.body))
-	if _, err := c.proxy.relayResponse(c.w, c.held.resp, c.proxy.sent.origin(c.held.local)); err != nil {
+	if _, err := c.proxy.relayResponse(c.w, c.held.resp, c.origin(c.held.local)); err != nil {
 		abortResponse(c.w)
 	}
 }
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -26,7 +26,7 @@
 	effects, opened := p.core.OpenAttempt(core.AttemptArrived{
 		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class,
 		Budget: h.budget, SoftBudget: h.softBudget, AnswerBytes: h.answerBytes, ForIncarnation: h.incarnation, Key: h.key,
-		Link: p.link.load(), Relay: h.relay, Said: h.said,
+		Link: p.link.load(), OnHost: h.onHost, Relay: h.relay, Said: h.said,
 	})
 	if !opened {
 		return nil, refusal(core.Refuse{Reason: admission.DuplicateAttempt, Outcome: retry.Unknown})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -108,6 +108,7 @@
 	notices    notices
 	sent       sentCounters
 	injected   injectedFaults
+	sameHost   func(local, remote net.Addr) bool // tells callers on this host from those on others
 }
 
 // injectedFaults are faults that tests switch on to show that their checks
@@ -130,7 +131,7 @@
 		cfg: cfg, core: d, link: newLink(cfg.LinkBytes), sent: newSentCounters(r),
 		backend: newTransport(dialTCP, cfg.Connections),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
-		refused: metrics.GetOrRegisterCounter("proxy.refused", r),
+		refused: metrics.GetOrRegisterCounter("proxy.refused", r), sameHost: sameHost,
 	}
 	hopDial := counting(cfg.HopDial, p.recordSent)
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
@@ -182,14 +183,14 @@
 // CallerServer returns the server for callers with its limits set. Errors in
 // the server are passed to onError.
 func (p *Proxy) CallerServer(onError func(error)) *h1.Server {
-	return p.newServer(p.CallerHandler(), maxHeaderBytes, onError)
+	return p.newServer(p.CallerHandler(), maxHeaderBytes, onError, p.recordSentToCaller)
 }
 
 // HopServer returns the server for other nodes with its limits set. Its header
 // limit leaves room for the largest request of a caller and the headers that
 // nodes add.
 func (p *Proxy) HopServer(onError func(error)) *h1.Server {
-	return p.newServer(p.HopHandler(), maxHopHeaderBytes, onError)
+	return p.newServer(p.HopHandler(), maxHopHeaderBytes, onError, p.recordSentToNode)
 }
 
 // Server is a server that StopServer can stop.
@@ -208,9 +209,9 @@
 	_ = s.Close()
 }
 
-func (p *Proxy) newServer(h http.Handler, headerBytes int, onError func(error)) *h1.Server {
+func (p *Proxy) newServer(h http.Handler, headerBytes int, onError func(error), onSent func(net.Conn, int)) *h1.Server {
 	return h1.New(h1.Config{
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
-		WriteTimeout: maxTransfer, OnError: onError, OnSent: p.recordSent,
+		WriteTimeout: maxTransfer, OnError: onError, OnSent: onSent,
 	}, h)
 }
--- a/proxy/transfer.go
+++ b/proxy/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -22,9 +23,13 @@
 	UplinkRefusalsMetric = "uplink.refusals"      // responses to other nodes with the outcome not-run
 )
 
-// sentCounters count the bytes sent to callers and to other nodes, without those
-// of TLS and TCP.
-type sentCounters struct{ all, large, own, relayed, cut, refusals metrics.Counter }
+// OnHostMetric is the name of the counter of bytes that the proxy sends to callers on its
+// own host, and so not over the host's network link.
+const OnHostMetric = "onhost.sent"
+
+// sentCounters count the bytes sent to callers and to other nodes, without those of TLS
+// and TCP. All but onHost count only what goes over the host's network link.
+type sentCounters struct{ all, large, own, relayed, cut, refusals, onHost metrics.Counter }
 
 func newSentCounters(r metrics.Registry) sentCounters {
 	return sentCounters{
@@ -34,6 +39,7 @@
 		relayed:  metrics.GetOrRegisterCounter(UplinkRelayedMetric, r),
 		cut:      metrics.GetOrRegisterCounter(UplinkCutMetric, r),
 		refusals: metrics.GetOrRegisterCounter(UplinkRefusalsMetric, r),
+		onHost:   metrics.GetOrRegisterCounter(OnHostMetric, r),
 	}
 }
 
@@ -59,19 +65,31 @@
 	return int64(n)
 }
 
-// recordSent records bytes that were written to a caller or another node.
+// recordSent records bytes that were sent over the host's network link.
 func (p *Proxy) recordSent(n int) {
 	p.sent.all.Inc(int64(n))
 	p.link.recordSent(n)
 }
 
+// recordSentToCaller records bytes that were written to a caller.
+func (p *Proxy) recordSentToCaller(to net.Conn, n int) {
+	if p.sameHost(to.LocalAddr(), to.RemoteAddr()) {
+		p.sent.onHost.Inc(int64(n))
+		return
+	}
+	p.recordSent(n)
+}
+
+// recordSentToNode records bytes that were written to another node.
+func (p *Proxy) recordSentToNode(_ net.Conn, n int) { p.recordSent(n) }
+
 // bodyTransfer is the sending of a response's body. It takes part in the scheduling of
 // the host's network link from the part on that makes the response a large one.
 type bodyTransfer struct {
 	proxy    *Proxy
 	declared int64 // declared length of the body, -1: not declared
 	body     io.Reader
-	origin   metrics.Counter  // bytes of large responses from the same origin
+	origin   metrics.Counter  // bytes of large responses from the same origin; nil: the response does not go over the link
 	counted  int64            // bytes that were counted as those of a large response
 	passedOn int64            // bytes of the body that were passed on
 	transfer *uplink.Transfer // nil: the response is not large so far
@@ -85,7 +103,7 @@
 // becomesLarge reports whether a response is large from the next part on, which has n
 // bytes: because of its declared length, or of what was passed on so far.
 func (b *bodyTransfer) becomesLarge(n int) bool {
-	return b.transfer == nil && max(b.declared, b.passedOn+int64(n)) > largeResponseBytes
+	return b.origin != nil && b.transfer == nil && max(b.declared, b.passedOn+int64(n)) > largeResponseBytes
 }
 
 // awaitLink waits until a part of n bytes may be sent.
--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -25,6 +25,40 @@
 	return mn.counted(proxy.UplinkSentMetric), mn.counted(proxy.UplinkLargeMetric)
 }
 
+// putCallersElsewhere makes all callers count as being on other hosts than their entry
+// nodes.
+func (m *mesh) putCallersElsewhere() {
+	for _, n := range m.nodes {
+		n.proxy.PutCallersElsewhere()
+	}
+}
+
+// TestAnswerToCallerOnHostTakesItsLink asks for large answers that would take the link a
+// minute, at the node beside the backend server and at another one.
+func TestAnswerToCallerOnHostTakesItsLink(t *testing.T) {
+	const link, bytes = 100_000, 6_000_000 // bytes per second, bytes
+	is := is.New(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "orders", "")
+	for range 2 { // the second one is known to be large
+		resp, body, err := m.do(0, http.MethodGet, "/checks?answerBytes="+strconv.Itoa(bytes), "")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(len(body) >= bytes)
+	}
+	sent, large := m.nodes[0].sentBytes()
+	is.Equal(large, int64(0))
+	is.True(sent < link)
+	is.True(m.nodes[0].counted(proxy.OnHostMetric) >= 2*bytes)
+	const overHop = 2 * link
+	resp, body, err := m.do(1, http.MethodGet, "/checks?answerBytes="+strconv.Itoa(overHop), "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(m.nodes[0].counted(proxy.UplinkOwnMetric), int64(len(body)))
+	sent, large = m.nodes[1].sentBytes()
+	is.Equal(large, int64(0))
+	is.True(sent < int64(len(body)))
+}
+
 // TestSentBytesAreCounted checks that both nodes on the way of a response count
 // its bytes, and count those of large responses separately.
 func TestSentBytesAreCounted(t *testing.T) {
@@ -43,6 +77,7 @@
 		t.Run(tt.path, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, nil, "", "orders")
+			m.putCallersElsewhere()
 			resp, body, err := m.do(0, http.MethodGet, tt.path, "")
 			is.NoErr(err)
 			is.Equal(resp.StatusCode, http.StatusOK)
@@ -96,6 +131,7 @@
 	const link = 1 << 20 // bytes per second
 	is := is.New(t)
 	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+	m.putCallersElsewhere()
 	url := "http://" + m.nodes[0].callers + "/?answerBytes=" + strconv.Itoa(4*link)
 	resp, err := m.client.Get(url)
 	is.NoErr(err)
