--- a/core/link.go
+++ b/core/link.go
@@ -144,47 +144,6 @@
 	}
 }
 
-func (s *State) heartbeat() message.Heartbeat {
-	return message.Heartbeat{
-		Path: s.path(), Rooted: s.rooted(), Config: s.configVersion(), Newest: s.member.newestVersion,
-		Table: s.table.Digest(), Census: s.member.census, Source: s.sourceAge(),
-	}
-}
-
-// maxSameHeartbeats is the number of consecutive heartbeats without content
-// after which a full one is sent. It bounds the time for which the ends
-// disagree after a full heartbeat was lost.
-const maxSameHeartbeats = 4
-
-// sendHeartbeat sends the state of this node, or a heartbeat with Same set if
-// the state is unchanged since the last full heartbeat on this link.
-func (s *State) sendHeartbeat(id LinkID, l *link) {
-	l.sentAt = s.now
-	h := s.heartbeat()
-	if sameHeartbeat(h, l.sentState) && l.unchangedSent < maxSameHeartbeats {
-		l.unchangedSent++
-		s.send(id, message.Heartbeat{Same: true, Source: h.Source})
-		return
-	}
-	l.sentState, l.unchangedSent = h, 0
-	s.send(id, h)
-}
-
-// notifyChildren sends a heartbeat to all children without waiting for the next
-// interval, because its content changed in a way that they act on.
-func (s *State) notifyChildren() {
-	for _, id := range s.children() {
-		if l := s.links[id]; l.established {
-			s.sendHeartbeat(id, l)
-		}
-	}
-}
-
-func sameHeartbeat(a, b message.Heartbeat) bool {
-	return a.Rooted == b.Rooted && a.Config == b.Config && a.Newest == b.Newest && a.Table == b.Table &&
-		a.Census == b.Census && slices.Equal(a.Path, b.Path)
-}
-
 func (s *State) linkMessage(e LinkMessage) {
 	l, ok := s.links[e.Link]
 	if !ok {
--- a/core/member.go
+++ b/core/member.go
@@ -1,13 +1,9 @@
 package core
 
 import (
-	"math"
-	"slices"
 	"time"
 
-	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/lease"
-	"github.com/agatekeel/agatekeel/core/message"
 )
 
 // memberPhase is the state of a node's membership in the tree of its data
@@ -94,11 +90,6 @@
 	s.readRootLease()
 }
 
-func (s *State) readRootLease() {
-	s.member.leaseReadPending = true
-	s.storeGet(keyspace.RootLeases+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
-}
-
 // dialParent dials the node at an address to become its child. A root that
 // does so stays root until it receives a Welcome.
 func (s *State) dialParent(address string) {
@@ -121,41 +112,6 @@
 	s.notifyChildren()
 }
 
-func (s *State) rootLeaseRead(done StoreDone) {
-	m := &s.member
-	m.leaseReadPending = false
-	seeks := m.phase == phaseSeeking || m.phase == phaseRoot && s.root.withoutLease && m.parent == 0
-	rec, version, err := readLease(done)
-	if err != nil {
-		s.platformFailed(done)
-		if seeks {
-			s.startFallback()
-		}
-		return
-	}
-	if version == 0 && seeks { // another answer can't have come since: a node that seeks has one read or write in progress
-		m.lease.Missing(s.now, math.MaxUint64)
-	} else {
-		m.lease.Observe(s.now, rec, version)
-	}
-	if !seeks {
-		return
-	}
-	if w, due := m.lease.Next(s.now, true); due {
-		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
-		return
-	}
-	if rec.Holder == s.cfg.Node || rec.Address == s.cfg.Peer {
-		s.retrySeeking()
-		return
-	}
-	if left := m.lease.ExpiresIn(s.now); rec.Address == m.unresponsiveHolder && left < joinTimeout {
-		s.awaitLeaseExpiry() // the lease would expire before another dial times out
-		return
-	}
-	s.dialParent(rec.Address)
-}
-
 // retrySeeking schedules another search within JoinJitter. A root that looks
 // for a root to join stays root.
 func (s *State) retrySeeking() {
@@ -164,26 +120,6 @@
 	}
 }
 
-func (s *State) rootLeaseWritten(done StoreDone) {
-	m := &s.member
-	if done.Err != StoreOK {
-		leaseWriteFailed(m.lease, done)
-		if done.Err == StoreFailed {
-			s.platformFailed(done)
-		}
-		s.retrySeeking()
-		return
-	}
-	before := m.lease.Epoch()
-	m.lease.Written(s.now, done.Version)
-	switch {
-	case m.phase != phaseRoot || s.root.withoutLease:
-		s.becomeRootWithLease()
-	case m.lease.Epoch() > before:
-		s.logLeaseTaken() // it had been lost, and is written again
-	}
-}
-
 // parentLost handles the end of the link to the parent. While joining, the next
 // candidate is dialled. A node that had joined first dials its grandparent,
 // which has a free slot now and can redirect to others, so that the children of
@@ -274,52 +210,3 @@
 	}
 	return out
 }
-
-func (s *State) heartbeatReceived(id LinkID, l *link, m message.Heartbeat) {
-	if !l.established {
-		return
-	}
-	if !m.Same {
-		l.receivedState = m
-	}
-	l.peerVersion = max(l.peerVersion, l.receivedState.Config)
-	s.sourceAgeReceived(m.Source, l.receivedState.Config)
-	switch {
-	case id == s.member.parent:
-		s.parentHeartbeat(id, l)
-	case l.peerVersion < s.configVersion():
-		s.sendConfig(id, l)
-	default:
-		s.requestIfBehind(id, l)
-	}
-	if id == s.member.parent || l.role == roleRoot {
-		s.compareTables(id, l)
-	}
-}
-
-// requestIfBehind requests the configuration if the other end holds a newer
-// version.
-func (s *State) requestIfBehind(id LinkID, l *link) {
-	if l.receivedState.Config > s.configVersion() {
-		s.requestConfig(id, l, s.configVersion())
-	}
-}
-
-// parentHeartbeat applies the parent's last heartbeat and notifies the children
-// of changes that they act on.
-func (s *State) parentHeartbeat(id LinkID, l *link) {
-	m, h := &s.member, l.receivedState
-	if slices.Contains(h.Path, s.cfg.Node) && !s.cfg.treeFaults.noCycleCheck {
-		s.drop(id, "the tree has a cycle")
-		return
-	}
-	changed := m.rooted != h.Rooted && m.current || !slices.Equal(m.path, h.Path)
-	m.path, m.rooted = h.Path, h.Rooted
-	m.newestVersion = max(m.newestVersion, h.Newest, h.Config)
-	s.requestIfBehind(id, l)
-	s.updateCurrent()
-	if changed {
-		s.notifyChildren()
-	}
-	s.answerCensus(h.Census)
-}
