Write steps of the reducer, links and proxy once, and cut two long functions

Cause: the write of the root lease, the listing of possible parents, the restart of the publisher after a failure, the send of a frame and the head of a failure stood in two or more places. attemptEnded and runLocal did several things each.

Change: writeRootLeaseIfDue, candidateAddresses, retryPublisher, sendFrame and setFailure serve these places. attemptEnded is cut into learnFromAttempt, answered and forwardAgain, of which the retry of a held answer uses the last two; runLocal is cut into admit, sendToBackend and backendError.

Conclusion: no behaviour changed, tests unchanged.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -106,22 +106,14 @@
 	return c.key
 }
 
+// attemptEnded ends a call whose last attempt was answered, and otherwise retries it
+// if that is allowed.
 func (s *State) attemptEnded(e AttemptEnded) {
 	c, ok := s.requests.calls[e.Call]
 	if !ok || c.attempt != e.Attempt {
 		return
 	}
-	s.requests.balancer.Done(s.now, c.target, balance.Result{
-		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
-		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
-	})
-	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
-		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
-	}
-	s.learnNotice(c.target.Row.ID, e)
-	if e.Said.Leaving {
-		s.requests.balancer.MarkLeaving(s.now, c.target)
-	}
+	s.learnFromAttempt(c, e)
 	if e.ReachedBackend || e.Outcome != retry.NotRun {
 		c.backendAttempts++
 	}
@@ -130,8 +122,7 @@
 		return
 	}
 	if e.Outcome == retry.Ran {
-		s.logAnswered(c, e)
-		s.endCall(e.Call, c, retry.Ran, e.Status)
+		s.answered(c, e)
 		return
 	}
 	c.maybeRan = c.maybeRan || e.Outcome == retry.Unknown
@@ -145,8 +136,35 @@
 		s.finish(e.Call, e.Outcome, e.Reason)
 		return
 	}
+	s.forwardAgain(e.Call, c)
+}
+
+// learnFromAttempt passes on what the end of an attempt tells about its target.
+func (s *State) learnFromAttempt(c *call, e AttemptEnded) {
+	s.requests.balancer.Done(s.now, c.target, balance.Result{
+		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
+		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
+	})
+	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
+		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
+	}
+	s.learnNotice(c.target.Row.ID, e)
+	if e.Said.Leaving {
+		s.requests.balancer.MarkLeaving(s.now, c.target)
+	}
+}
+
+// answered ends a call whose backend server has answered.
+func (s *State) answered(c *call, e AttemptEnded) {
+	s.logAnswered(c, e)
+	s.endCall(e.Call, c, retry.Ran, e.Status)
+}
+
+// forwardAgain sends another attempt of a call, if possible to a backend server that has
+// had none.
+func (s *State) forwardAgain(id CallID, c *call) {
 	c.tried = append(c.tried, c.target.Row.ID)
-	s.forward(e.Call, c)
+	s.forward(id, c)
 }
 
 // backendFailed reports whether a backend server answered with a server
--- a/core/dump.go
+++ b/core/dump.go
@@ -149,7 +149,7 @@
 func (s *State) dumpRoles() DumpRoles {
 	d := DumpRoles{
 		Leases: []DumpLease{
-			s.dumpLease(keyspace.RootLeases+s.cfg.DataCentre, s.member.lease), s.dumpLease(keyspace.PublisherLease, s.publisher.lease),
+			s.dumpLease(s.rootLeaseKey(), s.member.lease), s.dumpLease(keyspace.PublisherLease, s.publisher.lease),
 		},
 		OtherRoots: s.root.otherRoots, StoreCalls: len(s.calls),
 		Platform: DumpPlatform{Down: s.platform.down, Retries: len(s.platform.retries)},
--- a/core/fallback.go
+++ b/core/fallback.go
@@ -50,6 +50,18 @@
 	return e.DataCentre == s.cfg.DataCentre && e.ID != s.cfg.Node && e.Live()
 }
 
+// candidateAddresses returns the addresses of the possible parents for which
+// wanted is true, in order of ID.
+func (s *State) candidateAddresses(wanted func(endpoint.Row) bool) []string {
+	var addresses []string
+	for _, row := range s.table.Rows() {
+		if s.isCandidate(row.Entry) && wanted(row) {
+			addresses = append(addresses, row.Peer)
+		}
+	}
+	return addresses
+}
+
 // dialNextCandidate dials the next candidate. When none is left after a search
 // without the platform, this node acts as root, unless a candidate answered that
 // may become root itself.
@@ -98,12 +110,7 @@
 // one. Of the two roots the one that ranks lower then joins the other.
 func (s *State) dialUnlinkedMember() {
 	linked := s.linkedNodes()
-	var addresses []string
-	for _, row := range s.table.Rows() {
-		if s.isCandidate(row.Entry) && !linked[row.ID] {
-			addresses = append(addresses, row.Peer)
-		}
-	}
+	addresses := s.candidateAddresses(func(row endpoint.Row) bool { return !linked[row.ID] })
 	if len(addresses) == 0 {
 		return
 	}
--- a/core/member.go
+++ b/core/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/lease"
 )
 
@@ -173,12 +174,7 @@
 	if !m.rootBypassed {
 		return nil
 	}
-	var addresses []string
-	for _, row := range s.table.Rows() {
-		if s.isCandidate(row.Entry) && row.Peer != m.unresponsiveHolder {
-			addresses = append(addresses, row.Peer)
-		}
-	}
+	addresses := s.candidateAddresses(func(row endpoint.Row) bool { return row.Peer != m.unresponsiveHolder })
 	s.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(maxAlternatives, len(addresses))]
 }
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -149,8 +149,7 @@
 	s.publisher.lease.Written(s.now, done.Version)
 }
 
-// restartPublisher schedules a fresh read of all state at the given time:
-// after a start, a conflicting update or a failed call.
+// restartPublisher schedules a fresh read of all state at the given time.
 func (s *State) restartPublisher(at time.Time) {
 	p := &s.publisher
 	p.round++
@@ -163,6 +162,10 @@
 	}
 }
 
+// retryPublisher schedules a fresh read of all state after a conflicting update or a
+// failed call.
+func (s *State) retryPublisher() { s.restartPublisher(s.nextTry(&s.publisher.backoff)) }
+
 // publisherStep handles the result of a platform call. Without the lease it
 // stops the publisher at once: if the lease were renewed later, the
 // publisher would continue without this result.
@@ -192,7 +195,7 @@
 	case stepListGarbage, stepDeleteGarbage:
 		s.sweepFailed()
 	default:
-		s.restartPublisher(s.nextTry(&s.publisher.backoff))
+		s.retryPublisher()
 	}
 }
 
@@ -244,7 +247,7 @@
 		p.headVersion = done.Objects[0].Version
 		if err := json.Unmarshal(done.Objects[0].Data, &p.head); err != nil {
 			s.refuseConfig(fmt.Sprintf("head can't be read: %v", err))
-			s.restartPublisher(s.nextTry(&p.backoff))
+			s.retryPublisher()
 			return
 		}
 		s.headReceived(done.Objects[0].Data)
@@ -253,7 +256,7 @@
 		// A later holder has published, or the lease object was deleted and
 		// its epochs started again from the beginning.
 		p.lease.RaiseEpoch(p.head.Epoch)
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	if p.head.Version < p.heldAtRead {
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -23,7 +23,7 @@
 func (s *State) process(j *job) {
 	p := &s.publisher
 	if p.head.Version != s.configVersion() {
-		s.restartPublisher(s.nextTry(&p.backoff)) // this node holds a newer version than the head it read
+		s.retryPublisher() // this node holds a newer version than the head it read
 		return
 	}
 	faults := []config.Fault{{Reason: j.fault}}
@@ -155,7 +155,7 @@
 	held, err := s.encodedSet()
 	if err != nil {
 		s.refuseConfig(err.Error())
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	p.job = &job{lost: true, next: s.holder.set, encoded: held, head: p.head}
@@ -194,7 +194,7 @@
 func (s *State) committed(done StoreDone) {
 	p, j := &s.publisher, s.publisher.job
 	if done.Err != StoreOK {
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	p.head, p.headVersion = j.head, done.Version
--- a/core/publisher_garbage.go
+++ b/core/publisher_garbage.go
@@ -165,7 +165,7 @@
 func (s *State) fenced(done StoreDone) {
 	p, w := &s.publisher, &s.publisher.sweep
 	if done.Err != StoreOK {
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	w.fencing = false
--- a/core/retry.go
+++ b/core/retry.go
@@ -16,12 +16,10 @@
 func (s *State) retryHeldAnswer(e AttemptEnded, c *call) {
 	if c.idempotent(s) && c.replayable && s.hasAttemptLeft(c) && s.budget(c.service).TakeRerun() {
 		s.logAttemptEnded(c, e, true)
-		c.tried = append(c.tried, c.target.Row.ID)
-		s.forward(e.Call, c)
+		s.forwardAgain(e.Call, c)
 		return
 	}
-	s.logAnswered(c, e)
-	s.endCall(e.Call, c, retry.Ran, e.Status)
+	s.answered(c, e)
 	s.emit(ReleaseAnswer{Call: e.Call})
 }
 
--- a/core/root.go
+++ b/core/root.go
@@ -67,7 +67,7 @@
 // resignRoot ends the root role because another node holds the lease, and looks
 // for a parent.
 func (s *State) resignRoot(reason string) {
-	s.log(notice.LeaseLost, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"reason", reason})
+	s.log(notice.LeaseLost, Attr{"lease", s.rootLeaseKey()}, Attr{"reason", reason})
 	s.leaveRoot()
 	s.restartSeeking(s.cfg.JoinJitter)
 }
@@ -93,9 +93,7 @@
 	if s.root.withoutLease {
 		return
 	}
-	if w, due := s.member.lease.Next(s.now, true); due {
-		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
-	}
+	s.writeRootLeaseIfDue()
 	if !s.root.listPending && !s.now.Before(s.root.nextList) {
 		s.root.listPending, s.root.listSentAt = true, s.now
 		s.storeList(keyspace.Leases, storeCall{purpose: forLeaseList})
--- a/core/root_lease.go
+++ b/core/root_lease.go
@@ -7,9 +7,23 @@
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
+// rootLeaseKey returns the platform's key of the root lease of this node's data
+// centre.
+func (s *State) rootLeaseKey() string { return keyspace.RootLeases + s.cfg.DataCentre }
+
 func (s *State) readRootLease() {
 	s.member.leaseReadPending = true
-	s.storeGet(keyspace.RootLeases+s.cfg.DataCentre, storeCall{purpose: forRootLeaseRead})
+	s.storeGet(s.rootLeaseKey(), storeCall{purpose: forRootLeaseRead})
+}
+
+// writeRootLeaseIfDue takes or renews the root lease if that is due, and reports
+// whether it is.
+func (s *State) writeRootLeaseIfDue() bool {
+	w, due := s.member.lease.Next(s.now, true)
+	if due {
+		s.storePut(s.rootLeaseKey(), mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
+	}
+	return due
 }
 
 func (s *State) rootLeaseRead(done StoreDone) {
@@ -32,8 +46,7 @@
 	if !seeks {
 		return
 	}
-	if w, due := m.lease.Next(s.now, true); due {
-		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
+	if s.writeRootLeaseIfDue() {
 		return
 	}
 	if rec.Holder == s.cfg.Node || rec.Address == s.cfg.Peer {
@@ -76,5 +89,5 @@
 }
 
 func (s *State) logLeaseTaken() {
-	s.log(notice.LeaseTaken, Attr{"lease", keyspace.RootLeases + s.cfg.DataCentre}, Attr{"epoch", s.member.lease.Epoch()})
+	s.log(notice.LeaseTaken, Attr{"lease", s.rootLeaseKey()}, Attr{"epoch", s.member.lease.Epoch()})
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -98,8 +98,7 @@
 	for {
 		select {
 		case f := <-l.queue:
-			if err := s.Send(f); err != nil {
-				l.abort()
+			if !l.sendFrame(s, f) {
 				return
 			}
 		case <-l.closing:
@@ -112,13 +111,22 @@
 	}
 }
 
+// sendFrame sends one frame and reports whether the stream took it. If not, the link
+// is closed.
+func (l *Link) sendFrame(s stream, f *pb.Frame) bool {
+	if err := s.Send(f); err != nil {
+		l.abort()
+		return false
+	}
+	return true
+}
+
 // flush sends the frames queued before the link was closed.
 func (l *Link) flush(s stream) {
 	for {
 		select {
 		case f := <-l.queue:
-			if err := s.Send(f); err != nil {
-				l.abort()
+			if !l.sendFrame(s, f) {
 				return
 			}
 		default:
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -23,25 +23,58 @@
 	if p.injected.ignoresAttemptIDs {
 		h.attempt = core.AttemptID{Origin: h.attempt.Origin + 1, Number: p.lastCall.Add(1)}
 	}
+	run, err := p.admit(ctx, r, h)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	resp, err := p.sendToBackend(ctx, r, body, h, run)
+	done := core.AttemptDone{Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID)}
+	end := func() {
+		done.Took = time.Since(started)
+		p.core.EndAttempt(done)
+	}
+	if err != nil {
+		done.Refused, done.Truncated = errors.Is(err, syscall.ECONNREFUSED), true
+		end()
+		return nil, backendError(err)
+	}
+	done.Status = resp.StatusCode
+	resp.Body = &observedBody{ReadCloser: resp.Body, onEnd: func(complete bool, size int64) {
+		done.Truncated, done.Bytes = !complete, size
+		end()
+	}}
+	if resp.Request.Method != http.MethodHead {
+		resp.Body = p.readAhead.read(resp.Body, resp.ContentLength)
+	}
+	return resp, nil
+}
+
+// admit waits until this node lets an attempt run.
+func (p *Proxy) admit(ctx context.Context, r *http.Request, h hopHeader) (core.Run, error) {
 	effects, opened := p.core.OpenAttempt(core.AttemptArrived{
 		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class,
 		Budget: h.budget, SoftBudget: h.softBudget, AnswerBytes: h.answerBytes, ForIncarnation: h.incarnation, Key: h.key,
 		Link: p.link.load(), Relay: h.relay, Said: h.said,
 	})
 	if !opened {
-		return nil, refusal(core.Refuse{Reason: admission.DuplicateAttempt, Outcome: retry.Unknown})
+		return core.Run{}, refusal(core.Refuse{Reason: admission.DuplicateAttempt, Outcome: retry.Unknown})
 	}
-	deadline, _ := ctx.Deadline()
 	run, err := p.awaitAdmission(ctx, effects, h)
 	if err != nil {
 		p.core.DropAttempt(h.attempt)
-		return nil, err
 	}
-	started := time.Now()
+	return run, err
+}
+
+// sendToBackend sends an attempt that may run to this node's backend server, and
+// returns the response once its head has been read and checked.
+func (p *Proxy) sendToBackend(ctx context.Context, r *http.Request, body *requestBody, h hopHeader, run core.Run) (*http.Response, error) {
 	out := outgoing(r, p.cfg.Backend, body)
 	if h.entry {
 		set(out.Header, p.cfg.Names.Service, p.cfg.Service)
 	}
+	deadline, _ := ctx.Deadline()
 	p.cfg.Names.setBackendHeaders(out.Header, run.Backend, h.depth, time.Until(deadline))
 	p.closeSuspectIdle(r)
 	resp, err := p.roundTrip(ctx, p.backend, out, func(resp *http.Response) error {
@@ -49,30 +82,18 @@
 		return p.cfg.Names.checkResponse(r, resp)
 	})
 	p.recordIdleLoss(ctx, err)
-	done := core.AttemptDone{Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID)}
-	end := func() {
-		done.Took = time.Since(started)
-		p.core.EndAttempt(done)
-	}
-	if err != nil {
-		done.Refused, done.Truncated = errors.Is(err, syscall.ECONNREFUSED), true
-		end()
-		failed := asAttemptError(err)
-		return nil, &attemptError{
-			outcome: failed.outcome, reported: true, healthy: failed.healthy, reason: failed.Error(),
-			arrived: failed.arrived || failed.outcome != retry.NotRun,
-			err:     fmt.Errorf("backend server: %w", failed.err),
-		}
-	}
-	done.Status = resp.StatusCode
-	resp.Body = &observedBody{ReadCloser: resp.Body, onEnd: func(complete bool, size int64) {
-		done.Truncated, done.Bytes = !complete, size
-		end()
-	}}
-	if resp.Request.Method != http.MethodHead {
-		resp.Body = p.readAhead.read(resp.Body, resp.ContentLength)
+	return resp, err
+}
+
+// backendError returns the error for an attempt that this node's backend server did
+// not answer.
+func backendError(err error) *attemptError {
+	failed := asAttemptError(err)
+	return &attemptError{
+		outcome: failed.outcome, reported: true, healthy: failed.healthy, reason: failed.Error(),
+		arrived: failed.arrived || failed.outcome != retry.NotRun,
+		err:     fmt.Errorf("backend server: %w", failed.err),
 	}
-	return resp, nil
 }
 
 // idleDistrustPeriod is the time after an idle connection broke without a
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -71,23 +71,24 @@
 
 // fail responds with a status, the outcome of the request and the reason.
 func (p *Proxy) fail(w http.ResponseWriter, status int, o retry.Outcome, reason string) {
-	p.refused.Inc(1)
-	if p.injected.reportsUnknownAsNotRun && o == retry.Unknown {
-		o = retry.NotRun
-	}
-	setOutcome(w.Header(), o, reason)
+	p.setFailure(w.Header(), o, reason)
 	http.Error(w, reason, status)
 }
 
 // failHop responds to another node as fail does. The reason is in the header alone,
 // since a node reads no more of it and the link has other uses.
 func (p *Proxy) failHop(w http.ResponseWriter, status int, o retry.Outcome, reason string) {
+	p.setFailure(w.Header(), o, reason)
+	w.WriteHeader(status)
+}
+
+// setFailure counts a request that failed, and sets its outcome and the reason.
+func (p *Proxy) setFailure(h http.Header, o retry.Outcome, reason string) {
 	p.refused.Inc(1)
 	if p.injected.reportsUnknownAsNotRun && o == retry.Unknown {
 		o = retry.NotRun
 	}
-	setOutcome(w.Header(), o, reason)
-	w.WriteHeader(status)
+	setOutcome(h, o, reason)
 }
 
 func setOutcome(h http.Header, o retry.Outcome, reason string) {
