Name the handlers of the publisher for the steps that they end

Cause: recovered, recordWritten, fenced, collect and collected say what happened only to who knows the steps; a job was lost where its version is published again, and the wait for a refusal's body was its patience.

Change: listedStatusRead, listedStatusWritten, sweepFenced, deleteGarbage, garbageDeleted, existingPartRead and publisherHeadRead match the steps of publishStep; job.republish; refusalReadTimeout. The comment of backendProbed refers to the design page for the source of the idea.

Conclusion: no behaviour changed, tests unchanged.

--- a/core/announce.go
+++ b/core/announce.go
@@ -81,13 +81,10 @@
 	s.drainTick()
 }
 
-// backendProbed applies the result of a probe, with the node as the watchdog of
-// its backend server: a refused connection is announced as Failed at once rather
-// than after maxMissedProbes probes. A restart that takes less time than those
-// probes is therefore announced as well, as the failure of the previous process.
-// The idea is that of "GMS Watchdog Capability: Enhancing GMS Failure Detection
-// One Pager" (J. Fialli, Sun Microsystems, 2009); docs/design/distribution.md
-// describes the gain.
+// backendProbed applies the result of a probe. A refused connection is announced as
+// Failed at once rather than after maxMissedProbes probes, so that a restart that
+// takes less time than those is announced as well (docs/design/distribution.md,
+// "The watchdog").
 func (s *State) backendProbed(e BackendProbed) {
 	b := &s.backend
 	b.probing = false
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -203,7 +203,7 @@
 	p := &s.publisher
 	switch c.step {
 	case stepReadHead:
-		s.publisherHead(done)
+		s.publisherHeadRead(done)
 	case stepListSubmissions:
 		p.listed, p.watchFrom = true, done.Revision
 		p.backoff.reset()
@@ -216,7 +216,7 @@
 	case stepWriteChunk, stepWriteManifest:
 		s.partWritten(c, done)
 	case stepReadExistingPart:
-		s.partRead(c, done)
+		s.existingPartRead(c, done)
 	case stepCommit:
 		s.committed(done)
 	case stepWriteStatus:
@@ -224,9 +224,9 @@
 	case stepDeleteSubmission:
 		p.job = nil
 	case stepReadListedStatus:
-		s.recovered(c.name, done)
+		s.listedStatusRead(c.name, done)
 	case stepWriteListedStatus:
-		s.recordWritten(c.name, done)
+		s.listedStatusWritten(c.name, done)
 	case stepReadReplacedStatus:
 		s.statusRead(c.name, done)
 	case stepWriteProgress, stepWriteInForce:
@@ -234,13 +234,13 @@
 	case stepListGarbage:
 		s.garbageListed(c.name, done)
 	case stepFenceSweep:
-		s.fenced(done)
+		s.sweepFenced(done)
 	case stepDeleteGarbage:
-		s.collected()
+		s.garbageDeleted()
 	}
 }
 
-func (s *State) publisherHead(done StoreDone) {
+func (s *State) publisherHeadRead(done StoreDone) {
 	p := &s.publisher
 	p.head, p.headVersion, p.headRead = config.Head{}, 0, true
 	if len(done.Objects) > 0 {
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -140,7 +140,7 @@
 	}
 }
 
-func (s *State) partRead(c storeCall, done StoreDone) {
+func (s *State) existingPartRead(c storeCall, done StoreDone) {
 	base := uint64(0)
 	if done.Err == StoreOK && len(done.Objects) > 0 {
 		base = done.Objects[0].Version
@@ -158,13 +158,13 @@
 		s.retryPublisher()
 		return
 	}
-	p.job = &job{lost: true, next: s.holder.set, encoded: held, head: p.head}
+	p.job = &job{republish: true, next: s.holder.set, encoded: held, head: p.head}
 	p.job.head.Epoch = p.lease.Epoch()
 	s.writeParts(p.job)
 }
 
 func (s *State) commit(j *job) {
-	if !j.lost {
+	if !j.republish {
 		j.head.Recent = s.recent(j.settled)
 	}
 	s.storePut(keyspace.Head, mustJSON(j.head), s.publisher.headVersion, s.publisherCall(stepCommit, ""))
@@ -198,7 +198,7 @@
 		return
 	}
 	p.head, p.headVersion = j.head, done.Version
-	if j.lost {
+	if j.republish {
 		s.restartPublisher(s.now)
 		return
 	}
--- a/core/publisher_garbage.go
+++ b/core/publisher_garbage.go
@@ -93,12 +93,12 @@
 		case st.Phase == status.Accepted:
 			s.trackAccepted(st, o.Version)
 		case !recent && s.now.Sub(st.Settled) > s.cfg.StatusKeep:
-			s.collect(o.Key, o.Version)
+			s.deleteGarbage(o.Key, o.Version)
 		}
 	}
 }
 
-func (s *State) collect(key string, version uint64) {
+func (s *State) deleteGarbage(key string, version uint64) {
 	s.publisher.sweep.deletes++
 	s.storeDelete(key, version, s.publisherCall(stepDeleteGarbage, key))
 }
@@ -124,7 +124,7 @@
 	p.head.Epoch = p.lease.Epoch()
 	p.head.Sweep++
 	if s.cfg.publisherFaults.unfencedSweep {
-		s.fenced(StoreDone{Version: p.headVersion})
+		s.sweepFenced(StoreDone{Version: p.headVersion})
 		return true
 	}
 	s.storePut(keyspace.Head, mustJSON(p.head), p.headVersion, s.publisherCall(stepFenceSweep, ""))
@@ -162,7 +162,7 @@
 	return keys
 }
 
-func (s *State) fenced(done StoreDone) {
+func (s *State) sweepFenced(done StoreDone) {
 	p, w := &s.publisher, &s.publisher.sweep
 	if done.Err != StoreOK {
 		s.retryPublisher()
@@ -176,7 +176,7 @@
 		return
 	}
 	for _, key := range w.collectable(live) {
-		s.collect(key, w.listed[key])
+		s.deleteGarbage(key, w.listed[key])
 	}
 	s.sweepDone(live)
 }
@@ -196,7 +196,7 @@
 	w.running = w.deletes > 0
 }
 
-func (s *State) collected() {
+func (s *State) garbageDeleted() {
 	w := &s.publisher.sweep
 	w.deletes = max(w.deletes-1, 0)
 	w.running = w.running && (w.deletes > 0 || w.listed != nil)
--- a/core/publisher_queue.go
+++ b/core/publisher_queue.go
@@ -23,14 +23,14 @@
 // job is the submission being processed.
 type job struct {
 	queuedSubmission
-	lost    bool // no submission: next was published before, and the platform has lost it
-	next    *config.Set
-	delta   config.Delta
-	encoded *config.Encoded
-	settled config.SubmissionResult
-	head    config.Head
-	parts   map[string][]byte // chunks and the manifest, by key
-	writes  int               // parts not yet written
+	republish bool // there is no submission: next was published before, and the platform has lost it
+	next      *config.Set
+	delta     config.Delta
+	encoded   *config.Encoded
+	settled   config.SubmissionResult
+	head      config.Head
+	parts     map[string][]byte // chunks and the manifest, by key
+	writes    int               // parts not yet written
 }
 
 func (s *State) enqueue(objects []StoreObject) {
@@ -81,7 +81,7 @@
 	case s.cfg.publisherFaults.ignoreSettled:
 		s.process(j)
 	case done.Err == StoreOK:
-		s.recovered(j.sub.ID, done)
+		s.listedStatusRead(j.sub.ID, done)
 		s.removeJob()
 	case ok:
 		j.settled = settled
@@ -106,7 +106,7 @@
 }
 
 func (s *State) statusWritten(done StoreDone) {
-	s.recordWritten(s.publisher.job.sub.ID, done)
+	s.listedStatusWritten(s.publisher.job.sub.ID, done)
 	s.removeJob()
 }
 
@@ -127,7 +127,9 @@
 	}
 }
 
-func (s *State) recovered(id string, done StoreDone) {
+// listedStatusRead handles the status of a submission that the head lists: it writes a
+// missing one, and tracks one that is not in force yet.
+func (s *State) listedStatusRead(id string, done StoreDone) {
 	if done.Err != StoreOK || len(done.Objects) == 0 {
 		if settled, ok := s.publisher.head.ResultOf(id); ok {
 			s.storePut(keyspace.Statuses+id, mustJSON(s.statusOf(settled)), 0, s.publisherCall(stepWriteListedStatus, id))
@@ -141,9 +143,9 @@
 	}
 }
 
-// recordWritten handles the result of the first write of a status. A
+// listedStatusWritten handles the result of the first write of a status. A
 // conflict means that the status already exists.
-func (s *State) recordWritten(id string, done StoreDone) {
+func (s *State) listedStatusWritten(id string, done StoreDone) {
 	p := &s.publisher
 	settled, ok := p.head.ResultOf(id)
 	if done.Err != StoreOK || !ok {
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -129,16 +129,16 @@
 }
 
 // maxRefusalBytes is the size up to which the body of a refusal is read, and
-// refusalPatience the time for it: it comes with its head.
+// refusalReadTimeout the time for it: it comes with its head.
 const (
-	maxRefusalBytes = 4 << 10
-	refusalPatience = 50 * time.Millisecond
+	maxRefusalBytes    = 4 << 10
+	refusalReadTimeout = 50 * time.Millisecond
 )
 
 // discardBody ends a response whose body is not needed. http.Transport uses its
 // connection again only if the body has been read to its end.
 func discardBody(resp *http.Response) {
-	timer := time.AfterFunc(refusalPatience, func() { _ = resp.Body.Close() })
+	timer := time.AfterFunc(refusalReadTimeout, func() { _ = resp.Body.Close() })
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // an error ends the connection, as Close does
 	timer.Stop()
 	_ = resp.Body.Close()
