--- a/core/coretest/fleet.go
+++ b/core/coretest/fleet.go
@@ -1,9 +1,7 @@
 package coretest
 
 import (
-	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core"
@@ -59,8 +57,7 @@
 	now         time.Time
 	start       time.Time
 	rng         *rand.Rand
-	queue       timerQueue
-	order       uint64
+	timers      timers
 	admitters   []Admitter
 	pickers     []Picker
 	dead        []bool
@@ -91,25 +88,17 @@
 		r.pickers = append(r.pickers, pick(rand.New(rand.NewPCG(f.Seed, uint64(i))), rows))
 	}
 	r.schedule()
-	for r.queue.Len() > 0 && !r.queue[0].at.After(start.Add(f.Duration+f.Deadline)) {
-		it := heap.Pop(&r.queue).(timer)
+	for r.timers.due(start.Add(f.Duration + f.Deadline)) {
+		it := r.timers.pop()
 		r.now = it.at
 		it.do()
 	}
 	r.result.Calls = len(r.calls)
-	slices.Sort(r.latencies)
-	if n := len(r.latencies); n > 0 {
-		r.result.P50, r.result.P99 = r.latencies[n/2], r.latencies[n*99/100]
-	}
+	r.result.P50, r.result.P99 = percentiles(r.latencies)
 	return r.result
 }
 
-func (r *fleetSim) at(at time.Time, do func()) {
-	r.order++
-	heap.Push(&r.queue, timer{at: at, order: r.order, do: do})
-}
-
-func (r *fleetSim) after(d time.Duration, do func()) { r.at(r.now.Add(d), do) }
+func (r *fleetSim) after(d time.Duration, do func()) { r.timers.add(r.now.Add(d), do) }
 
 func (r *fleetSim) schedule() {
 	gap := r.f.MeanRunTime.Seconds() / (r.f.Load * float64(r.f.Slots*r.f.Backends))
@@ -117,11 +106,11 @@
 	for at := r.start; at.Before(end); at = at.Add(time.Duration(r.rng.ExpFloat64() * gap * float64(time.Second))) {
 		c := &fleetCall{entry: r.rng.IntN(r.f.Entries), at: at}
 		r.calls = append(r.calls, c)
-		r.at(at, func() { r.sendAttempt(c) })
-		r.at(at.Add(r.f.Deadline), func() { r.endCall(c, false) })
+		r.timers.add(at, func() { r.sendAttempt(c) })
+		r.timers.add(at.Add(r.f.Deadline), func() { r.endCall(c, false) })
 	}
 	for at := r.start; at.Before(end); at = at.Add(50 * time.Millisecond) {
-		r.at(at, func() {
+		r.timers.add(at, func() {
 			for i := range r.admitters {
 				r.apply(r.admitters[i].Tick(r.now))
 			}
@@ -129,8 +118,8 @@
 	}
 	for i := range r.f.Backends {
 		if r.f.Dies != nil && r.f.Dies(i) {
-			r.at(r.start.Add(r.f.DieAt), func() { r.dead[i] = true })
-			r.at(r.start.Add(r.f.DieAt+r.f.DetectAfter), func() {
+			r.timers.add(r.start.Add(r.f.DieAt), func() { r.dead[i] = true })
+			r.timers.add(r.start.Add(r.f.DieAt+r.f.DetectAfter), func() {
 				for _, p := range r.pickers {
 					p.Remove(i)
 				}
--- a/core/coretest/history.go
+++ b/core/coretest/history.go
@@ -8,6 +8,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/internal/testhistory"
 )
 
 // CheckOutcomes compares the reported outcome of every call with the runs recorded by the
@@ -29,18 +30,8 @@
 // keyModel is a model of one Idempotency-Key: a call may run only if none with the key has
 // run, and may be reported as run earlier only if one has.
 var keyModel = (&porcupine.NondeterministicModel{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			byKey[op.Input.(string)] = append(byKey[op.Input.(string)], op)
-		}
-		var out [][]porcupine.Operation
-		for _, ops := range byKey {
-			out = append(out, ops)
-		}
-		return out
-	},
-	Init: func() []any { return []any{false} },
+	Partition: testhistory.PartitionBy(func(op porcupine.Operation) string { return op.Input.(string) }),
+	Init:      func() []any { return []any{false} },
 	Step: func(state, _, output any) []any {
 		ran, c := state.(bool), output.(*Call)
 		switch {
--- a/core/coretest/links.go
+++ b/core/coretest/links.go
@@ -36,7 +36,7 @@
 	return t.Links
 }
 
-// hostLink is the link of one life of a node.
+// hostLink is the link of one incarnation of a node.
 type hostLink struct {
 	links      *Links
 	node       *Node
--- a/core/coretest/mesh.go
+++ b/core/coretest/mesh.go
@@ -4,7 +4,6 @@
 package coretest
 
 import (
-	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -33,8 +32,7 @@
 
 	storePartitioned    map[string]bool // nodes without a connection to the platform
 	nodes               map[string]*Node
-	queue               timerQueue
-	order               uint64
+	timers              timers
 	partitioned         map[[2]string]bool
 	linkMessagesDropped map[[2]string]bool
 	watches             []*watch
@@ -146,11 +144,11 @@
 // last result of stop.
 func (m *Mesh) RunUntil(d time.Duration, stop func() bool) bool {
 	end := m.Now.Add(d)
-	for m.queue.Len() > 0 && !m.queue[0].at.After(end) {
+	for m.timers.due(end) {
 		if stop() {
 			return true
 		}
-		it := heap.Pop(&m.queue).(timer)
+		it := m.timers.pop()
 		if it.at.After(m.Now) {
 			m.Now = it.at
 		}
@@ -168,8 +166,7 @@
 
 // After schedules do to run when d has elapsed.
 func (m *Mesh) After(d time.Duration, do func()) {
-	m.order++
-	heap.Push(&m.queue, timer{at: m.Now.Add(d), order: m.order, do: do})
+	m.timers.add(m.Now.Add(d), do)
 }
 
 func (m *Mesh) random(limit time.Duration) time.Duration {
--- a/core/coretest/overload.go
+++ b/core/coretest/overload.go
@@ -1,7 +1,6 @@
 package coretest
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -144,16 +143,17 @@
 		r.scheduleArrival(at)
 	}
 	for at := start; at.Before(end.Add(o.Deadline)); at = at.Add(50 * time.Millisecond) {
-		r.at(at, func() { r.apply(admitter.Tick(r.now)) })
+		r.timers.add(at, func() { r.apply(admitter.Tick(r.now)) })
 	}
-	for r.queue.Len() > 0 && !r.queue[0].at.After(end.Add(o.Deadline)) {
-		it := heap.Pop(&r.queue).(timer)
+	for r.timers.due(end.Add(o.Deadline)) {
+		it := r.timers.pop()
 		r.now = it.at
 		it.do()
 	}
 	r.result.Goodput = r.usefulTime.Seconds() / (o.Duration.Seconds() * float64(o.Slots))
 	for c := range r.result.Classes {
-		r.result.Classes[c].summarize()
+		class := &r.result.Classes[c]
+		class.P50, class.P99 = percentiles(class.latencies)
 	}
 	return r.result
 }
@@ -163,18 +163,12 @@
 	admitter   Admitter
 	now        time.Time
 	rng        *rand.Rand
-	queue      timerQueue
-	order      uint64
+	timers     timers
 	calls      []overloadCall
 	usefulTime time.Duration
 	result     Result
 }
 
-func (r *overloadSim) at(at time.Time, do func()) {
-	r.order++
-	heap.Push(&r.queue, timer{at: at, order: r.order, do: do})
-}
-
 func (r *overloadSim) classFor(x float64) admission.Class {
 	for c, share := range r.o.Shares {
 		if x -= share; x < 0 {
@@ -190,11 +184,11 @@
 	n := len(r.calls)
 	id := core.AttemptID{Origin: uint64(took), Number: uint64(n)} // Origin carries the run time
 	r.calls = append(r.calls, overloadCall{class: class, at: at})
-	r.at(at, func() {
+	r.timers.add(at, func() {
 		r.result.Classes[class].Arrived++
 		r.apply(r.admitter.Arrive(r.now, id, class, r.o.Deadline))
 	})
-	r.at(at.Add(r.o.Deadline), func() {
+	r.timers.add(at.Add(r.o.Deadline), func() {
 		if c := &r.calls[n]; !c.ended {
 			c.ended = true
 			r.result.Classes[class].Late++
@@ -213,7 +207,7 @@
 	}
 	for _, id := range run {
 		r.calls[id.Number].started = r.now
-		r.at(r.now.Add(time.Duration(id.Origin)), func() { r.done(id) })
+		r.timers.add(r.now.Add(time.Duration(id.Origin)), func() { r.done(id) })
 	}
 }
 
@@ -229,10 +223,13 @@
 	r.apply(r.admitter.Done(r.now, id, r.now.Sub(c.started)))
 }
 
-func (s *ClassResult) summarize() {
-	if len(s.latencies) == 0 {
-		return
+// percentiles sorts latencies and returns the 50th and the 99th percentile, zero if there
+// are none.
+func percentiles(latencies []time.Duration) (p50, p99 time.Duration) {
+	n := len(latencies)
+	if n == 0 {
+		return 0, 0
 	}
-	slices.Sort(s.latencies)
-	s.P50, s.P99 = s.latencies[len(s.latencies)/2], s.latencies[len(s.latencies)*99/100]
+	slices.Sort(latencies)
+	return latencies[n/2], latencies[n*99/100]
 }
--- a/core/coretest/queue.go
+++ b/core/coretest/queue.go
@@ -1,6 +1,27 @@
 package coretest
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
+
+// timers holds callbacks scheduled at simulated times. Those of the same time run in the
+// order in which they were added.
+type timers struct {
+	queue timerQueue
+	order uint64 // of the callback added last
+}
+
+func (q *timers) add(at time.Time, do func()) {
+	q.order++
+	heap.Push(&q.queue, timer{at: at, order: q.order, do: do})
+}
+
+// due reports whether a callback is scheduled for a time up to end.
+func (q *timers) due(end time.Time) bool { return len(q.queue) > 0 && !q.queue[0].at.After(end) }
+
+// pop removes the first callback.
+func (q *timers) pop() timer { return heap.Pop(&q.queue).(timer) }
 
 // timer is a callback scheduled at a simulated time. order is ascending and breaks ties.
 type timer struct {
--- a/core/fetch.go
+++ b/core/fetch.go
@@ -89,11 +89,11 @@
 	if f == nil || f.head.Manifest != c.name {
 		return
 	}
-	if done.Err != StoreOK || len(done.Objects) != 1 {
-		s.fetchFailed(done)
+	data, ok := s.fetched(done)
+	if !ok {
 		return
 	}
-	if err := json.Unmarshal(done.Objects[0].Data, &f.manifest); err != nil {
+	if err := json.Unmarshal(data, &f.manifest); err != nil {
 		s.root.fetch = nil
 		s.refuseConfig(fmt.Sprintf("manifest %s can't be read: %v", c.name, err))
 		return
@@ -129,15 +129,25 @@
 	if f == nil || f.head.Version != c.version {
 		return
 	}
-	if done.Err != StoreOK || len(done.Objects) != 1 {
-		s.fetchFailed(done)
+	data, ok := s.fetched(done)
+	if !ok {
 		return
 	}
-	f.chunks[c.name] = done.Objects[0].Data
+	f.chunks[c.name] = data
 	f.missing--
 	s.finishFetch()
 }
 
+// fetched returns the object that a read of the fetch returned. If the read failed, so has
+// the fetch.
+func (s *State) fetched(done StoreDone) ([]byte, bool) {
+	if done.Err != StoreOK || len(done.Objects) != 1 {
+		s.fetchFailed(done)
+		return nil, false
+	}
+	return done.Objects[0].Data, true
+}
+
 // fetchFailed schedules a new read of the head: the version may have been
 // replaced and its chunks removed by garbage collection.
 func (s *State) fetchFailed(done StoreDone) {
--- a/proxy/cut_hop_test.go
+++ b/proxy/cut_hop_test.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/matryer/is"
-
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/proxy"
 )
@@ -24,9 +22,7 @@
 
 // start returns the address of a relay to an address.
 func (r *cutRelay) start(t *testing.T, target string) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := listen(t)
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			go r.relay(c, target)
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -41,9 +41,7 @@
 }
 
 func (s *cutServer) start(t *testing.T) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := listen(t)
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			go s.serve(c)
--- a/proxy/cut_upload_test.go
+++ b/proxy/cut_upload_test.go
@@ -58,9 +58,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
+			l := listen(t)
 			go func() {
 				for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 					go answerEarly(c, tt.end)
@@ -102,9 +100,7 @@
 // server reads no more of the request and the writer of its body is blocked.
 func TestAnswerHangsBehindUnreadUpload(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := listen(t)
 	var reads atomic.Int64
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -25,9 +25,7 @@
 }
 
 func newEndlessServer(t *testing.T, beginning, part string) *endlessServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := listen(t)
 	s := &endlessServer{address: l.Addr().String()}
 	go func() {
 		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// listen returns a listener on a free loopback port until the test ends.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
 // listen returns a listener on a free loopback port.
 func (m *mesh) listen() net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/proxy/history_model_test.go
+++ b/proxy/history_model_test.go
@@ -10,6 +10,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/internal/testhistory"
 )
 
 // violation is one guarantee that was broken.
@@ -73,19 +74,8 @@
 // callModel defines the valid orders of the calls and runs of one request, each
 // at a point in time between its start and end.
 var callModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byID := map[string][]porcupine.Operation{}
-		for _, o := range history {
-			id := o.Input.(operation).id
-			byID[id] = append(byID[id], o)
-		}
-		var out [][]porcupine.Operation
-		for _, part := range byID {
-			out = append(out, part)
-		}
-		return out
-	},
-	Init: func() any { return callState{} },
+	Partition: testhistory.PartitionBy(func(op porcupine.Operation) string { return op.Input.(operation).id }),
+	Init:      func() any { return callState{} },
 	Step: func(state, input, output any) (bool, any) {
 		s, in := state.(callState), input.(operation)
 		if in.run {
--- a/proxy/idle_reset_test.go
+++ b/proxy/idle_reset_test.go
@@ -54,9 +54,7 @@
 				if p.Backend == "" {
 					return
 				}
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				t.Cleanup(func() { _ = l.Close() })
+				l := listen(t)
 				go serveOnce(l)
 				p.Backend = l.Addr().String()
 			}, "", "orders")
--- a/proxy/stalled_body_test.go
+++ b/proxy/stalled_body_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -19,9 +18,7 @@
 	for i, name := range []string{"own host", "other host"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
+			l := listen(t)
 			var started atomic.Int64
 			go func() {
 				_ = http.Serve(l, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/store/http_test.go
+++ b/store/http_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
+	"github.com/agatekeel/agatekeel/internal/testhistory"
 	"github.com/agatekeel/agatekeel/store"
 	"github.com/agatekeel/agatekeel/store/storetest"
 )
@@ -59,20 +60,9 @@
 
 // model defines the states that a call may lead to, given its result.
 var model = (&porcupine.NondeterministicModel{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			k := op.Input.(operation).key
-			byKey[k] = append(byKey[k], op)
-		}
-		var out [][]porcupine.Operation
-		for _, ops := range byKey {
-			out = append(out, ops)
-		}
-		return out
-	},
-	Init: func() []any { return []any{object{}} },
-	Step: func(state, input, output any) []any { return step(state.(object), input.(operation), output.(result)) },
+	Partition: testhistory.PartitionBy(func(op porcupine.Operation) string { return op.Input.(operation).key }),
+	Init:      func() []any { return []any{object{}} },
+	Step:      func(state, input, output any) []any { return step(state.(object), input.(operation), output.(result)) },
 }).ToModel()
 
 func step(o object, in operation, out result) []any {
