Reword comments that only their author could follow

Cause: comments said what was believed, told or promised where they meant a check or a header, and two names of proxy/names.go with them.

Change: these comments say which condition is checked and why. impliesNotRun and responseRejected replace promisesNotRun and notItsAnswer.

Conclusion: no behaviour changed, tests unchanged.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -139,7 +139,7 @@
 	s.forwardAgain(e.Call, c)
 }
 
-// learnFromAttempt passes on what the end of an attempt tells about its target.
+// learnFromAttempt updates what this node knows of the target of an attempt that ended.
 func (s *State) learnFromAttempt(c *call, e AttemptEnded) {
 	s.requests.balancer.Done(s.now, c.target, balance.Result{
 		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
--- a/core/coretest/backend.go
+++ b/core/coretest/backend.go
@@ -63,7 +63,8 @@
 	t.mesh.step(n, n.Generation, core.BackendAnswered{BackendNotice: said})
 }
 
-// said returns what a node tells the senders of attempts about its backend server.
+// said returns the notice of its backend server that a node passes on to senders of
+// attempts.
 func (t *Traffic) said(n *Node) core.BackendNotice {
 	if last := t.notices[n.Name]; last.generation == n.Generation && last.notice.SaysSomething() {
 		return last.notice
--- a/core/fetch.go
+++ b/core/fetch.go
@@ -138,8 +138,8 @@
 	s.finishFetch()
 }
 
-// fetched returns the object that a read of the fetch returned. If the read failed, so has
-// the fetch.
+// fetched returns the object read for the fetch in progress. If the read failed, the fetch
+// is given up.
 func (s *State) fetched(done StoreDone) ([]byte, bool) {
 	if done.Err != StoreOK || len(done.Objects) != 1 {
 		s.fetchFailed(done)
--- a/core/retry.go
+++ b/core/retry.go
@@ -36,8 +36,8 @@
 func (s *State) budget(service string) *retry.Budget { return s.budgetIn(s.requests.budgets, service) }
 
 // linkBudget returns the budget of a service for retries after refusals for lack of room
-// on a host's link. They are so many while links are scarce that they would leave
-// nothing to the service's other requests.
+// on a host's link. While links are scarce, those refusals are so frequent that they
+// would use up the budget of the service's other requests.
 func (s *State) linkBudget(service string) *retry.Budget {
 	return s.budgetIn(s.requests.linkBudgets, service)
 }
--- a/node/store.go
+++ b/node/store.go
@@ -53,8 +53,8 @@
 	return core.StoreObject{Key: o.Key, Version: o.Version, Created: o.Created, Data: o.Data, Source: n.sourceSet(o.Source), Deleted: deleted}
 }
 
-// sourceSet reads a configuration if it is newer than the one in force. Of any other
-// only the version matters, and a large one takes as long to read as many requests.
+// sourceSet decodes a configuration if it is newer than the one in force. Of any other
+// only the version is needed, and decoding it all costs as much CPU time as many requests.
 func (n *Node) sourceSet(text *config.SourceText) *config.SourceSet {
 	if text == nil {
 		return nil
--- a/node/uplink.go
+++ b/node/uplink.go
@@ -15,7 +15,7 @@
 // host's network link.
 const uplinkLogInterval = time.Second
 
-// increase tells by how much a counter has grown.
+// increase measures the growth of a counter.
 type increase struct {
 	counter metrics.Counter
 	before  int64
@@ -49,8 +49,8 @@
 	}
 }
 
-// write writes one log line for the bytes sent since the previous one, if there is
-// more to tell than their total.
+// write writes one log line for the bytes sent since the previous one, if there are
+// any of large answers or refusals among them.
 func (l *uplinkLog) write(log *eventlog.Logger, now time.Time) {
 	elapsed := now.Sub(l.loggedAt)
 	if elapsed < uplinkLogInterval {
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -32,8 +32,8 @@
 // relayResponse copies the response of the next hop to w. A response without a
 // declared length is flushed as it arrives. A slow receiver can block this
 // response and one that exceeds the server's buffers; their write deadline is
-// the request's deadline. A large response is paced, and its bytes are counted in
-// origin too. It returns the size of the body that was passed on.
+// the request's deadline. The rate of a large response is limited, and its bytes are
+// counted in origin too. It returns the size of the body that was passed on.
 func (p *Proxy) relayResponse(w http.ResponseWriter, resp *http.Response, origin metrics.Counter) (int64, error) {
 	h := w.Header()
 	copyHeader(h, resp.Header)
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -20,8 +20,8 @@
 var errSealed = fmt.Errorf("connection is sealed after a failed request")
 
 // trackedConn counts writes, so that a request of which nothing was written can
-// be distinguished from one that was sent in part. It also tells a reset from the
-// end of the stream.
+// be distinguished from one that was sent in part. It also distinguishes a reset
+// from the end of the stream.
 type trackedConn struct {
 	net.Conn
 	writes atomic.Int64
@@ -128,8 +128,7 @@
 	}
 }
 
-// maxRefusalBytes is the size up to which the body of a refusal is read, and
-// refusalReadTimeout the time for it: it comes with its head.
+// Limits on reading the body of a refusal, which usually arrives with its head.
 const (
 	maxRefusalBytes    = 4 << 10
 	refusalReadTimeout = 50 * time.Millisecond
@@ -146,7 +145,7 @@
 
 // roundTrip sends one request. check returns an attemptError for a response that is
 // not accepted; if its outcome is Unknown, the response is that of another request.
-// The connection is closed then, because later responses on it may be so too. If
+// The connection is closed then, because later responses on it may be mismatched too. If
 // there is no response, the outcome is NotRun only if not a single byte of the
 // request was written.
 func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request, check func(*http.Response) error) (*http.Response, error) {
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -30,8 +30,8 @@
 	// Service is the service of the host where a request originated.
 	Service string
 	// NotRun marks the response of a backend server that did not run the
-	// request. It counts only beside the request's RequestID. A response without
-	// it is not passed on with a status that callers take to say the same.
+	// request. It is ignored without the request's RequestID. A response without
+	// the mark is not passed on if its status implies the same to callers.
 	NotRun string
 	// Signature is in every success that a backend server sends. A success without
 	// it is not accepted as its answer.
@@ -89,9 +89,9 @@
 	return n.NotRun != "" && (get(resp.Header, n.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest)
 }
 
-// promisesNotRun reports whether callers take a status to say that their request has
-// not run, as they do where backend servers mark such responses.
-func (n Names) promisesNotRun(status int) bool {
+// impliesNotRun reports whether a status implies to callers that their request did not
+// run. It does so only where backend servers mark such responses.
+func (n Names) impliesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return n.NotRun != ""
@@ -103,8 +103,8 @@
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
 
 // holdsStatusLine reports whether a line in the head of a response ends with another
-// status line. The backend server has then broken off a head and sent another
-// response on the same connection: the head is made up of both.
+// status line: the backend server broke off one head and sent another response on the
+// same connection.
 func holdsStatusLine(resp *http.Response) bool {
 	if endsWithStatusLine(resp.Status) {
 		return true
@@ -118,7 +118,7 @@
 }
 
 func endsWithStatusLine(line string) bool {
-	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first spares the time of the second
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first test is cheap
 }
 
 // isSigned reports whether a response has the signature that its status requires.
@@ -126,22 +126,22 @@
 	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
 }
 
-// checkResponse reports why a backend server's response is not accepted for the
-// request: its head is made up of two, it belongs to another request, it is a
-// success without a signature, or it says that the request did not run. It is not
-// believed to say so if it has no ID, since nothing shows that it belongs to the
-// request, or if it says so to callers alone, by its status.
+// checkResponse returns an error if a backend server's response is not accepted as the
+// answer to the request: its head consists of two, it belongs to another request, it is
+// a success without a signature, or it says that the request did not run. The outcome
+// is NotRun only if the response has the request's ID, and the mark NotRun or status
+// 421; any other status does not suffice.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	switch {
 	case holdsStatusLine(resp):
-		return notItsAnswer(resp, "has another status line in its head")
+		return responseRejected(resp, "has another status line in its head")
 	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
-		return notItsAnswer(resp, "is that of another request")
+		return responseRejected(resp, "is that of another request")
 	case !n.isSigned(resp):
-		return notItsAnswer(resp, "has no signature")
-	case !notRun && n.promisesNotRun(resp.StatusCode):
-		return notItsAnswer(resp, "does not say that the request did not run")
+		return responseRejected(resp, "has no signature")
+	case !notRun && n.impliesNotRun(resp.StatusCode):
+		return responseRejected(resp, "does not say that the request did not run")
 	case !notRun:
 		return nil
 	}
@@ -149,7 +149,7 @@
 	return &attemptError{outcome: retry.NotRun, healthy: true, arrived: true, err: err}
 }
 
-// notItsAnswer returns the error for a response that is not taken for the answer.
-func notItsAnswer(resp *http.Response, why string) error {
+// responseRejected returns the error for a response that is not accepted as the answer.
+func responseRejected(resp *http.Response, why string) error {
 	return &attemptError{outcome: retry.Unknown, err: fmt.Errorf("answer with status %d %s", resp.StatusCode, why)}
 }
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -21,7 +21,7 @@
 	reused   bool   // sent over a connection that had carried other requests
 	status   int    // status of the first response if outcome is Ran
 	reason   string // reason that the receiving node gave
-	// linkOpensIn is as in core.Refuse; zero if the receiving node did not tell it.
+	// linkOpensIn is as in core.Refuse; zero if the receiving node did not give it.
 	linkOpensIn time.Duration
 	header      http.Header // of the response in which the receiving node reported it; nil: none
 	err         error
@@ -75,8 +75,8 @@
 	http.Error(w, reason, status)
 }
 
-// failHop responds to another node as fail does. The reason is in the header alone,
-// since a node reads no more of it and the link has other uses.
+// failHop responds to another node as fail does, without a body: a node reads the
+// reason from the header.
 func (p *Proxy) failHop(w http.ResponseWriter, status int, o retry.Outcome, reason string) {
 	p.setFailure(w.Header(), o, reason)
 	w.WriteHeader(status)
