--- a/core/publisher.go
+++ b/core/publisher.go
@@ -149,8 +149,7 @@
 	s.publisher.lease.Written(s.now, done.Version)
 }
 
-// restartPublisher schedules a fresh read of all state at the given time:
-// after a start, a conflicting update or a failed call.
+// restartPublisher schedules a fresh read of all state at the given time.
 func (s *State) restartPublisher(at time.Time) {
 	p := &s.publisher
 	p.round++
@@ -163,6 +162,10 @@
 	}
 }
 
+// retryPublisher schedules a fresh read of all state after a conflicting update or a
+// failed call.
+func (s *State) retryPublisher() { s.restartPublisher(s.nextTry(&s.publisher.backoff)) }
+
 // publisherStep handles the result of a platform call. Without the lease it
 // stops the publisher at once: if the lease were renewed later, the
 // publisher would continue without this result.
@@ -192,7 +195,7 @@
 	case stepListGarbage, stepDeleteGarbage:
 		s.sweepFailed()
 	default:
-		s.restartPublisher(s.nextTry(&s.publisher.backoff))
+		s.retryPublisher()
 	}
 }
 
@@ -200,7 +203,7 @@
 	p := &s.publisher
 	switch c.step {
 	case stepReadHead:
-		s.publisherHead(done)
+		s.publisherHeadRead(done)
 	case stepListSubmissions:
 		p.listed, p.watchFrom = true, done.Revision
 		p.backoff.reset()
@@ -213,7 +216,7 @@
 	case stepWriteChunk, stepWriteManifest:
 		s.partWritten(c, done)
 	case stepReadExistingPart:
-		s.partRead(c, done)
+		s.existingPartRead(c, done)
 	case stepCommit:
 		s.committed(done)
 	case stepWriteStatus:
@@ -221,9 +224,9 @@
 	case stepDeleteSubmission:
 		p.job = nil
 	case stepReadListedStatus:
-		s.recovered(c.name, done)
+		s.listedStatusRead(c.name, done)
 	case stepWriteListedStatus:
-		s.recordWritten(c.name, done)
+		s.listedStatusWritten(c.name, done)
 	case stepReadReplacedStatus:
 		s.statusRead(c.name, done)
 	case stepWriteProgress, stepWriteInForce:
@@ -231,20 +234,20 @@
 	case stepListGarbage:
 		s.garbageListed(c.name, done)
 	case stepFenceSweep:
-		s.fenced(done)
+		s.sweepFenced(done)
 	case stepDeleteGarbage:
-		s.collected()
+		s.garbageDeleted()
 	}
 }
 
-func (s *State) publisherHead(done StoreDone) {
+func (s *State) publisherHeadRead(done StoreDone) {
 	p := &s.publisher
 	p.head, p.headVersion, p.headRead = config.Head{}, 0, true
 	if len(done.Objects) > 0 {
 		p.headVersion = done.Objects[0].Version
 		if err := json.Unmarshal(done.Objects[0].Data, &p.head); err != nil {
 			s.refuseConfig(fmt.Sprintf("head can't be read: %v", err))
-			s.restartPublisher(s.nextTry(&p.backoff))
+			s.retryPublisher()
 			return
 		}
 		s.headReceived(done.Objects[0].Data)
@@ -253,7 +256,7 @@
 		// A later holder has published, or the lease object was deleted and
 		// its epochs started again from the beginning.
 		p.lease.RaiseEpoch(p.head.Epoch)
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	if p.head.Version < p.heldAtRead {
--- a/core/publisher_commit.go
+++ b/core/publisher_commit.go
@@ -23,7 +23,7 @@
 func (s *State) process(j *job) {
 	p := &s.publisher
 	if p.head.Version != s.configVersion() {
-		s.restartPublisher(s.nextTry(&p.backoff)) // this node holds a newer version than the head it read
+		s.retryPublisher() // this node holds a newer version than the head it read
 		return
 	}
 	faults := []config.Fault{{Reason: j.fault}}
@@ -140,7 +140,7 @@
 	}
 }
 
-func (s *State) partRead(c storeCall, done StoreDone) {
+func (s *State) existingPartRead(c storeCall, done StoreDone) {
 	base := uint64(0)
 	if done.Err == StoreOK && len(done.Objects) > 0 {
 		base = done.Objects[0].Version
@@ -155,16 +155,16 @@
 	held, err := s.encodedSet()
 	if err != nil {
 		s.refuseConfig(err.Error())
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
-	p.job = &job{lost: true, next: s.holder.set, encoded: held, head: p.head}
+	p.job = &job{republish: true, next: s.holder.set, encoded: held, head: p.head}
 	p.job.head.Epoch = p.lease.Epoch()
 	s.writeParts(p.job)
 }
 
 func (s *State) commit(j *job) {
-	if !j.lost {
+	if !j.republish {
 		j.head.Recent = s.recent(j.settled)
 	}
 	s.storePut(keyspace.Head, mustJSON(j.head), s.publisher.headVersion, s.publisherCall(stepCommit, ""))
@@ -194,11 +194,11 @@
 func (s *State) committed(done StoreDone) {
 	p, j := &s.publisher, s.publisher.job
 	if done.Err != StoreOK {
-		s.restartPublisher(s.nextTry(&p.backoff))
+		s.retryPublisher()
 		return
 	}
 	p.head, p.headVersion = j.head, done.Version
-	if j.lost {
+	if j.republish {
 		s.restartPublisher(s.now)
 		return
 	}
--- a/core/retry.go
+++ b/core/retry.go
@@ -16,12 +16,10 @@
 func (s *State) retryHeldAnswer(e AttemptEnded, c *call) {
 	if c.idempotent(s) && c.replayable && s.hasAttemptLeft(c) && s.budget(c.service).TakeRerun() {
 		s.logAttemptEnded(c, e, true)
-		c.tried = append(c.tried, c.target.Row.ID)
-		s.forward(e.Call, c)
+		s.forwardAgain(e.Call, c)
 		return
 	}
-	s.logAnswered(c, e)
-	s.endCall(e.Call, c, retry.Ran, e.Status)
+	s.answered(c, e)
 	s.emit(ReleaseAnswer{Call: e.Call})
 }
 
@@ -38,8 +36,8 @@
 func (s *State) budget(service string) *retry.Budget { return s.budgetIn(s.requests.budgets, service) }
 
 // linkBudget returns the budget of a service for retries after refusals for lack of room
-// on a host's link. They are so many while links are scarce that they would leave
-// nothing to the service's other requests.
+// on a host's link. While links are scarce, those refusals are so frequent that they
+// would use up the budget of the service's other requests.
 func (s *State) linkBudget(service string) *retry.Budget {
 	return s.budgetIn(s.requests.linkBudgets, service)
 }
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -20,8 +20,8 @@
 var errSealed = fmt.Errorf("connection is sealed after a failed request")
 
 // trackedConn counts writes, so that a request of which nothing was written can
-// be distinguished from one that was sent in part. It also tells a reset from the
-// end of the stream.
+// be distinguished from one that was sent in part. It also distinguishes a reset
+// from the end of the stream.
 type trackedConn struct {
 	net.Conn
 	writes atomic.Int64
@@ -128,17 +128,16 @@
 	}
 }
 
-// maxRefusalBytes is the size up to which the body of a refusal is read, and
-// refusalPatience the time for it: it comes with its head.
+// Limits on reading the body of a refusal, which usually arrives with its head.
 const (
-	maxRefusalBytes = 4 << 10
-	refusalPatience = 50 * time.Millisecond
+	maxRefusalBytes    = 4 << 10
+	refusalReadTimeout = 50 * time.Millisecond
 )
 
 // discardBody ends a response whose body is not needed. http.Transport uses its
 // connection again only if the body has been read to its end.
 func discardBody(resp *http.Response) {
-	timer := time.AfterFunc(refusalPatience, func() { _ = resp.Body.Close() })
+	timer := time.AfterFunc(refusalReadTimeout, func() { _ = resp.Body.Close() })
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // an error ends the connection, as Close does
 	timer.Stop()
 	_ = resp.Body.Close()
@@ -146,7 +145,7 @@
 
 // roundTrip sends one request. check returns an attemptError for a response that is
 // not accepted; if its outcome is Unknown, the response is that of another request.
-// The connection is closed then, because later responses on it may be so too. If
+// The connection is closed then, because later responses on it may be mismatched too. If
 // there is no response, the outcome is NotRun only if not a single byte of the
 // request was written.
 func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request, check func(*http.Response) error) (*http.Response, error) {
