Let no repeated SIGTERM cut a drain short

What callers saw: requests in flight, also those that may not be repeated, cut without an answer, if a process that drained got SIGTERM once more. A supervisor sends it twice if two reasons to stop a host overlap: its backend server has ended, and all hosts are restarted in turn.

Change: only an interrupt, which a person sends, ends a drain early. Who wants an end at once has SIGKILL too. drain.atMost bounds the drain as before.

TestRepeatedTerminationCutsDrain fails without it ("the drain was cut short"); TestFirstSignalDrainsAndSecondEnds still wants the second interrupt to end the drain.

--- a/cmd/agatekeel/node.go
+++ b/cmd/agatekeel/node.go
@@ -95,17 +95,31 @@
 	return signals, func() { signal.Stop(signals) }
 }
 
-// drain starts the draining of nodes and waits until all are drained or abort
-// receives a signal.
-func drain(abort <-chan os.Signal, nodes ...*node.Node) {
+// drain starts the draining of nodes and waits until all are drained or signals
+// receives an interrupt.
+func drain(signals <-chan os.Signal, nodes ...*node.Node) {
 	for _, n := range nodes {
 		n.Step(core.Stop{})
 	}
 	for _, n := range nodes {
+		if !awaitDrained(signals, n) {
+			return
+		}
+	}
+}
+
+// awaitDrained waits until a node is drained. It returns false if signals receives an
+// interrupt before. SIGTERM asks for no more than the first signal did: a supervisor
+// repeats it, or sends it for two reasons, and has SIGKILL for an end at once.
+func awaitDrained(signals <-chan os.Signal, n *node.Node) bool {
+	for {
 		select {
 		case <-n.Drained():
-		case <-abort:
-			return
+			return true
+		case s := <-signals:
+			if s == os.Interrupt {
+				return false
+			}
 		}
 	}
 }
--- a/cmd/agatekeel/node_test.go
+++ b/cmd/agatekeel/node_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// TestRepeatedTerminationCutsDrain guards against requests in flight that are cut because a
+// process that drains is asked to end once more.
+func TestRepeatedTerminationCutsDrain(t *testing.T) {
+	is := is.New(t)
+	m := startDev(t)
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGTERM
+	drain(signals, m.nodes[0])
+	select {
+	case <-m.nodes[0].Drained():
+	default:
+		is.Fail() // the drain was cut short
+	}
+}
+
 // TestSignalDuringStartEndsProcessAtOnce guards against a node that serves already and is
 // killed by the signal that should drain it.
 func TestSignalDuringStartEndsProcessAtOnce(t *testing.T) {
