Let a killed process reset a response that its end would complete

What callers saw: a client of HTTP/1.0 got a part of an answer without a length that looked whole, if the process of its entry node was killed meanwhile. Clients of HTTP/1.1 get chunks and are not concerned.

Cause: since a node that cuts such a response resets the connection, but the system closes the connections of a process that was killed in the ordinary way.

Change: while such a response is being sent, the connection's linger time is zero, so that the system resets it in any case. It is set back once the response is whole, for the system to send what is left to a slow client.

TestKilledProcessEndsResponseAsIfWhole fails without it (no error at the end); TestWholeResponseIsLostToSlowClient fails if the linger time is not set back ("connection reset by peer").

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -78,14 +78,42 @@
 // reset closes the connection so that the client gets an error instead of the end of
 // the stream.
 func (c *conn) reset() {
-	transport := c.net
-	if secured, ok := transport.(*tls.Conn); ok {
-		transport = secured.NetConn() // closing the TLS connection would announce the end
+	c.setLinger(lingerReset)
+	_ = c.transport().Close()
+}
+
+// transport returns the connection below TLS. Closing the TLS connection would announce
+// the end.
+func (c *conn) transport() net.Conn {
+	if secured, ok := c.net.(*tls.Conn); ok {
+		return secured.NetConn()
+	}
+	return c.net
+}
+
+// Values of setLinger: how the system closes the connection.
+const (
+	lingerReset  = 0  // at once, with a reset
+	lingerToSend = -1 // it sends what was written first
+)
+
+func (c *conn) setLinger(seconds int) {
+	if tcp, ok := c.transport().(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
+// setEndsBody sets whether the end of the connection would end the body of the response
+// that is being sent. The system resets the connection then if the process is killed.
+func (c *conn) setEndsBody(ends bool) {
+	if c.endsBody.Swap(ends) == ends {
+		return
 	}
-	if tcp, ok := transport.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if ends {
+		c.setLinger(lingerReset)
+	} else {
+		c.setLinger(lingerToSend)
 	}
-	_ = transport.Close()
 }
 
 // serve reads requests until the connection ends.
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -157,7 +157,7 @@
 		w.chunked = w.hasBody()
 		_, _ = out.WriteString("Transfer-Encoding: chunked\r\n")
 	default:
-		c.endsBody.Store(w.hasBody())
+		c.setEndsBody(w.hasBody())
 	}
 	if w.closesConn {
 		_, _ = out.WriteString("Connection: close\r\n")
@@ -236,7 +236,7 @@
 	if err := w.exchange.conn.out.Flush(); err != nil {
 		return err
 	}
-	w.exchange.conn.endsBody.Store(false)
+	w.exchange.conn.setEndsBody(false)
 	return nil
 }
 
