Reject a request with a space in the name of a field

What callers saw: a request whose length is given as "Content-Length : 36" was taken for one without a body, and the 36 bytes behind its head for the next request of the connection. If they form one, a backend server ran it, though no caller sent it as a request of its own. The request itself failed with 503.

Cause: http.ReadRequest accepts a space before the colon or within a name, and keeps the field under that name, unlike the server of net/http, which rejects it afterwards.

Change: such a request is rejected with 400, and its connection closed, as RFC 9112, section 5.1, wants it.

Two of the new cases of TestInvalidRequestsAreRejected fail without it: "200 != 400", and the handler is called twice. Three other ways to hide a body (two lengths, an unknown transfer coding, a bare carriage return) were rejected before.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -234,9 +235,24 @@
 	if r.ProtoAtLeast(1, 1) && r.Host == "" {
 		return nil, fmt.Errorf("read request: Host is missing")
 	}
+	if err := checkFieldNames(r.Header); err != nil {
+		return nil, fmt.Errorf("read request: %w", err)
+	}
 	return r, nil
 }
 
+// checkFieldNames reports a field with a space in its name or before its colon, which
+// http.ReadRequest accepts as a field of its own. If it meant the length of the body, the
+// body would be read as the next request.
+func checkFieldNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("name of field %q holds a space", name)
+		}
+	}
+	return nil
+}
+
 // reject responds to a request that can't be read, after the responses to
 // earlier requests, and closes the connection.
 func (c *conn) reject(reason error) {
--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -256,6 +256,11 @@
 		{"long header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 		{"no request", "what?\r\n\r\n", http.StatusBadRequest},
 		{"no host", "GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"space before a colon", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 36\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"space in a name", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding x: chunked\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 36\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"unknown transfer coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"carriage return in a field", "POST / HTTP/1.1\r\nHost: a\r\nX: y\rContent-Length: 36\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
