Refuse an answer with a space in the name of a field

What callers saw: an answer with "Content-Length : 4", or "Transfer-Encoding : chunked", was a success whose body was all that came until the connection ended, framed as whole: a short body, or one with the framing of its chunks in it. The broken line was passed on too.

Cause: net/http accepts a space before the colon or within a name, and keeps the field under that name, which counts as no length.

Change: the node beside the backend server takes such an answer for none, with an unknown outcome, as one whose head is made up of two.

Two of the new cases of TestInvalidBackendAnswers fail without it ("200 != 502"). The others were right before: two lengths or transfer codings, lengths that are no numbers, a carriage return or zero byte in a field, a folded line in front, a length that exceeds the body.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -102,6 +102,18 @@
 // statusLine matches a status line at the end of a line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
 
+// holdsBrokenName reports whether the name of a field in the head of a response holds a
+// space, also before its colon. net/http takes it for a field of that name, so that a
+// length or a transfer coding in it would not count.
+func holdsBrokenName(resp *http.Response) bool {
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsStatusLine reports whether a line in the head of a response ends with another
 // status line. The backend server has then broken off a head and sent another
 // response on the same connection: the head is made up of both.
@@ -127,15 +139,17 @@
 }
 
 // checkResponse reports why a backend server's response is not accepted for the
-// request: its head is made up of two, it belongs to another request, it is a
-// success without a signature, or it says that the request did not run. It is not
-// believed to say so if it has no ID, since nothing shows that it belongs to the
-// request, or if it says so to callers alone, by its status.
+// request: its head is made up of two or holds a name that is none, it belongs to
+// another request, it is a success without a signature, or it says that the request did
+// not run. It is not believed to say so if it has no ID, since nothing shows that it
+// belongs to the request, or if it says so to callers alone, by its status.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	switch {
 	case holdsStatusLine(resp):
 		return notItsAnswer(resp, "has another status line in its head")
+	case holdsBrokenName(resp):
+		return notItsAnswer(resp, "has a field name with a space in its head")
 	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
 		return notItsAnswer(resp, "is that of another request")
 	case !n.isSigned(resp):
