--- a/proxy/stale_hop_test.go
+++ b/proxy/stale_hop_test.go
@@ -1,10 +1,12 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -56,3 +58,47 @@
 		})
 	}
 }
+
+// TestConnectionsToAnotherProcessAreKept guards against every idle connection to an address
+// failing a request each, once an answer shows that another process has the address.
+func TestConnectionsToAnotherProcessAreKept(t *testing.T) {
+	const conns = 4
+	is := is.New(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.SilenceAfter = testDeadline }, "", "orders")
+	_ = m.nodes[1].hopServer.Close()
+	l, err := net.Listen("tcp", m.nodes[1].hop)
+	is.NoErr(err)
+	var replaced atomic.Bool
+	var together sync.WaitGroup
+	together.Add(conns)
+	type isOld struct{}
+	faulty := &http.Server{
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, isOld{}, !replaced.Load())
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			own, _, _ := strings.Cut(r.Header.Get("Agatekeel-Hop"), " ")
+			switch old := r.Context().Value(isOld{}).(bool); {
+			case !replaced.Load() && own != "":
+				together.Done()
+				together.Wait() // each request has a connection of its own
+			case old:
+				own = "1-1"
+			}
+			w.Header().Set("Agatekeel-Attempt", own)
+		}),
+	}
+	go func() { _ = faulty.Serve(l) }()
+	defer func() { _ = faulty.Close() }()
+	var callers sync.WaitGroup
+	for range conns {
+		callers.Go(func() { _, _, _ = m.do(0, "POST", "/once", "x") })
+	}
+	callers.Wait()
+	replaced.Store(true)
+	for i := range conns {
+		resp, _, err := m.do(0, "POST", "/once", "x")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode == http.StatusOK, i > 0) // only the first answer is not believed
+	}
+}
