Take a change of the settings during the start as one

What happened: a process that got SIGHUP while it read its settings file was killed by it, and was started again.

Cause: SIGHUP was asked for after the file was read.

Change: it is asked for before, so that no change is missed either.

TestChangeOfSettingsDuringStartEndsProcess fails without it: "signal: hangup" ends the process of the test.

--- a/cmd/agatekeel/sidecar.go
+++ b/cmd/agatekeel/sidecar.go
@@ -19,6 +19,9 @@
 
 // Execute implements flags.Commander.
 func (c *sidecarCommand) Execute([]string) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // before the settings are read, since they may change at once
+	defer signal.Stop(reload)
 	s, err := platform.Load()
 	if err != nil {
 		return err
@@ -27,9 +30,6 @@
 		c.printf("%s: no faults\n", os.Getenv(platform.SettingsVariable))
 		return nil
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	return runNode(func() (runningNode, error) {
 		running, err := startNodeWith(s.Node, platform.Module(s))
 		if err != nil {
