Test stops of two nodes at once, uploads at the end of a stop, and a second stop

- the planned stop of an entry node is also played together with that of a node whose backend server runs its requests;
- a body that is still coming when its entry node ends: the caller gets 502, an unknown outcome, and not the end of the connection (TestUploadAtTheEndOfAStopIsCut);
- a second stop does not begin the drain anew.

The code handles all of them; only tests change.

--- a/core/requests_exit_test.go
+++ b/core/requests_exit_test.go
@@ -114,12 +114,14 @@
 }
 
 // TestDrainWaitsForRelays checks that a node whose backend server has answered does not
-// end while it sends the answer to another node, but ends at DrainAtMost.
+// end while it sends the answer to another node, but ends at DrainAtMost, also if it is
+// asked to end once more.
 func TestDrainWaitsForRelays(t *testing.T) {
 	for _, tt := range []struct {
-		ends bool // the answer is sent completely
-		want time.Duration
-	}{{true, 5 * time.Second}, {false, 10 * time.Second}} {
+		ends  bool // the answer is sent completely
+		again bool // another stop comes after a second
+		want  time.Duration
+	}{{true, false, 5 * time.Second}, {false, false, 10 * time.Second}, {false, true, 10 * time.Second}} {
 		is := is.New(t)
 		start := time.Unix(1000, 0)
 		s := core.New(core.Config{Service: "orders", DrainAtLeast: time.Second, DrainAtMost: 10 * time.Second})
@@ -130,6 +132,9 @@
 			if tt.ends && after == 5*time.Second {
 				s.Reduce(start.Add(after), core.RelayEnded{})
 			}
+			if tt.again && after == time.Second {
+				s.Reduce(start.Add(after), core.Stop{})
+			}
 			for _, effect := range s.Reduce(start.Add(after), core.Tick{}) {
 				if _, ok := effect.(core.Drained); ok {
 					drained = after
--- a/proxy/grace_test.go
+++ b/proxy/grace_test.go
@@ -30,6 +30,13 @@
 // requests throughout its drain: over kept connections, over new ones and pipelined. A
 // request without a complete answer must not have run.
 func TestPlannedStopCutsNoLateRequest(t *testing.T) {
+	for name, others := range map[string]int{"entry node": 0, "entry node and another at once": 1} {
+		t.Run(name, func(t *testing.T) { stopUnderCallers(t, others) })
+	}
+}
+
+// stopUnderCallers stops the entry node, and others at the same time.
+func stopUnderCallers(t *testing.T, others int) {
 	is := is.New(t)
 	m := newMesh(t, func(c *core.Config, _ *proxy.Config) {
 		c.Slots, c.DrainAtLeast, c.DrainAtMost = 100, lateDrain, lateDrain
@@ -56,7 +63,9 @@
 		all = append(all, sent...)
 	}
 	stopping := time.Now()
-	n.node.Step(core.Stop{})
+	for _, n := range m.nodes[:1+others] {
+		n.node.Step(core.Stop{})
+	}
 	during := func() bool { return time.Since(stopping) < lateDrain+100*time.Millisecond }
 	callers.Go(func() {
 		for ; during(); time.Sleep(20 * time.Millisecond) {
@@ -83,8 +92,12 @@
 			}
 		})
 	}
-	<-n.node.Drained()
-	n.stop()
+	for _, n := range m.nodes[:1+others] {
+		callers.Go(func() {
+			<-n.node.Drained()
+			n.stop()
+		})
+	}
 	callers.Wait()
 	cut, answered, late := []string{}, 0, time.Duration(0)
 	for _, q := range all {
@@ -102,6 +115,35 @@
 	is.True(late > lateDrain/2) // quick requests are served until shortly before the end
 }
 
+// TestUploadAtTheEndOfAStopIsCut guards against a request whose body is still coming when its
+// entry node ends, and which gets no answer or one that says that it has not run.
+func TestUploadAtTheEndOfAStopIsCut(t *testing.T) {
+	const drain = 1500 * time.Millisecond
+	is := is.New(t)
+	m := newMesh(t, func(c *core.Config, _ *proxy.Config) { c.DrainAtLeast, c.DrainAtMost = drain, drain }, "", "orders")
+	n := m.nodes[0]
+	for range 3 { // the node learns how long requests usually take
+		m.send(&request{id: m.id(), entry: n.callers, method: http.MethodPost, path: "/once", once: true})
+	}
+	before := m.nodes[1].arrivals.count.Load()
+	n.node.Step(core.Stop{})
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		<-n.node.Drained()
+		n.stop()
+	})
+	defer ended.Wait()
+	time.Sleep(drain / 2)
+	conn := m.dialRaw(0, "POST /once HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	_ = conn.SetDeadline(time.Now().Add(testDeadline))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(m.nodes[1].arrivals.count.Load()-before, int64(1)) // it was taken
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(resp.Header.Get(proxy.HeaderOutcome), "unknown")
+}
+
 // pipeline sends n requests over one connection, the later ones one by one while earlier
 // ones are answered, and reads the answers.
 func (m *mesh) pipeline(entry string, n int) (sent []*request) {
