Test that a refusal by a node bars no backend server

Taken out on a copy, the condition that a call must have reached a backend server to be barred from it turned no test red. TestRefusingBackendServerGetsNoSecondAttempt now plays refusals by nodes too ("2 != 5" without the condition). Only a test changes.

--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -194,20 +195,22 @@
 }
 
 // TestRefusingBackendServerGetsNoSecondAttempt guards against a request that may not
-// run twice going again to a backend server that refused it. Others go on.
+// run twice going again to a backend server that refused it. Others go on, and so does one
+// that its node refused.
 func TestRefusingBackendServerGetsNoSecondAttempt(t *testing.T) {
 	for _, tt := range []struct {
-		method string
-		sent   int
-	}{{"POST", 2}, {"GET", 3}} {
-		t.Run(tt.method, func(t *testing.T) {
+		method  string
+		reached bool // it has reached the backend server
+		sent    int
+	}{{"POST", true, 2}, {"GET", true, 3}, {"POST", false, 5}} {
+		t.Run(fmt.Sprint(tt.method, " ", tt.reached), func(t *testing.T) {
 			is := is.New(t)
 			e := newEntryNode(t, core.Config{RetryShare: 1, RerunShare: 1}, 2, ordersObjects(`{"maxAttempts":3}`)...)
 			f, again := e.call(tt.method), true
 			sent, before := 0, e.state.Dump().RetryTokens
 			for effects := []core.Effect(nil); again; f, again = firstEffect[core.Forward](effects) {
 				sent++
-				effects = e.step(core.AttemptEnded{Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, ReachedBackend: true, Queue: -1})
+				effects = e.step(core.AttemptEnded{Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, ReachedBackend: tt.reached, Queue: -1})
 				if end, ended := firstEffect[core.Finish](effects); ended {
 					is.Equal(end.Outcome, retry.NotRun)
 				}
