Test that a retry after a backend server's refusal needs the budget of reruns

Taken out on a copy, this condition turned no test red. TestRefusalsCostNoRerun now plays refusals by backend servers too ("2 != 1" without the condition). Only a test changes.

--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -178,20 +178,25 @@
 
 // TestRefusalsCostNoRerun checks that attempts which no backend server has
 // seen are retried elsewhere without a rerun budget, and that their number
-// is bounded.
+// is bounded. Those that one has seen need the budget.
 func TestRefusalsCostNoRerun(t *testing.T) {
-	is := is.New(t)
-	e := newEntryNode(t, core.Config{RetryShare: 0.5, RerunShare: 1e-9, RerunReserve: 1e-9}, 6, ordersObjects(`{"maxAttempts":2}`)...)
-	f, again := e.call("POST"), true
-	sent := 1
-	for again {
-		if f, again = firstEffect[core.Forward](e.step(core.AttemptEnded{
-			Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, Queue: -1, Reason: "queue full",
-		})); again {
-			sent++
+	for _, tt := range []struct {
+		reached bool
+		sent    int
+	}{{false, 4}, {true, 1}} {
+		is := is.New(t)
+		e := newEntryNode(t, core.Config{RetryShare: 0.5, RerunShare: 1e-9, RerunReserve: 1e-9}, 6, ordersObjects(`{"maxAttempts":2}`)...)
+		f, again := e.call("POST"), true
+		sent := 1
+		for again {
+			if f, again = firstEffect[core.Forward](e.step(core.AttemptEnded{
+				Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, ReachedBackend: tt.reached, Queue: -1, Reason: "queue full",
+			})); again {
+				sent++
+			}
 		}
+		is.Equal(sent, tt.sent)
 	}
-	is.Equal(sent, 4)
 }
 
 // TestRefusingBackendServerGetsNoSecondAttempt guards against a request that may not
