Leave a tenth of the link for what the node does not count

Cause: 0.95 of the link was given to requests and answers. Headers of TCP and IP and acknowledgements take more than the rest, so that the link had a queue of its own, which no short answer can overtake. It did not show as long as a fifth of what was counted never used the link.

--- a/node/config.go
+++ b/node/config.go
@@ -44,8 +44,10 @@
 const bytesPerMegabit = 1e6 / 8
 
 // usableShare is the share of the host's network link that requests and answers may
-// use. The rest is left for the headers of TCP and IP and the links between nodes.
-const usableShare = 0.95
+// use. The rest is left for the headers of TCP and IP, acknowledgements and the links
+// between nodes: what is given to a full link waits in a queue that no short answer can
+// overtake.
+const usableShare = 0.9
 
 // readAheadDivisor sets the memory for large answers that wait for the network:
 // it is the memory limit divided by this number.
