Send a tenth of the link's large answers whatever else is sent

What callers see: where short answers ask for more than nine tenths of a host's link, large ones that have run are sent ever slower, from the whole link on not at all, until they are cut at their deadline. More are let in all the while, since Load tells a tenth of the link as the least rate.

Cause: whatever is short takes credit without bound, and a large answer waits until the credit is back. minLargeShare bounded what was told, not what was sent.

Change: large answers have a second credit that nothing else takes, filled at minLargeShare and never saved up. A piece waits for whichever of the two is back first. The order in which they are sent does not change. A tenth is about what admission leaves a class that others bypass.

Weighed: telling a rate of zero instead. New large answers would be refused at once, which is honest, but those that have run would still be cut, and a burst of short ones decides about them.

TestShortResponsesTakeTheWholeLink failed before.

What it checks is the same.

--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -37,8 +37,8 @@
 	// minOwedBytes is the debt from which a transfer waits. Less than a byte is a
 	// rounding error.
 	minOwedBytes = 1
-	// minLargeShare is the least share of the link that large responses are expected
-	// to get.
+	// minLargeShare is the least share of the link that large responses get, however much
+	// else is sent: no answer whose run was admitted waits for others without end.
 	minLargeShare = 0.1
 )
 
@@ -56,6 +56,7 @@
 type Scheduler struct {
 	rate      float64 // bytes per second; zero: unknown, nothing waits
 	credit    float64 // bytes that may be sent now; negative: more was sent than the link carries
+	least     float64 // as credit, at minLargeShare of the rate; large responses may use either
 	prepaid   float64 // bytes that were granted and have not been recorded as sent
 	refilled  time.Time
 	awaited   *Transfer   // for which Grant has named a wait; nil: none since the last grant
@@ -84,6 +85,7 @@
 	elapsed := max(now.Sub(s.refilled), 0).Seconds()
 	s.refilled = now
 	s.credit = min(s.credit+s.rate*elapsed, PieceBytes)
+	s.least = min(s.least+minLargeShare*s.rate*elapsed, 0)
 	s.others *= math.Exp(-elapsed / othersWindow.Seconds())
 	s.late *= math.Exp(-elapsed / lateWindow.Seconds())
 }
@@ -108,9 +110,12 @@
 	s.prepaid -= granted
 	other := float64(n) - granted
 	s.others += other
-	s.credit = max(s.credit-other, -s.rate*maxDebt.Seconds())
+	s.take(other)
 }
 
+// take takes n bytes from the credit.
+func (s *Scheduler) take(n float64) { s.credit = max(s.credit-n, -s.rate*maxDebt.Seconds()) }
+
 // Begin adds a transfer, whose caller waits until deadline; zero if that is unknown.
 func (s *Scheduler) Begin(now, deadline time.Time) *Transfer {
 	t := &Transfer{began: now, deadline: deadline}
@@ -145,19 +150,30 @@
 	}
 	s.refill(now)
 	s.observeDelay(now)
-	if owed := -s.credit - s.ahead(); s.rate > 0 && owed >= minOwedBytes {
-		wait := time.Duration(math.Ceil(owed / s.rate * float64(time.Second)))
+	if wait := s.wait(); wait > 0 {
 		s.awaited, s.awaitedAt = t, now.Add(wait)
 		return nil, wait
 	}
 	n := t.wants
-	s.credit -= float64(n)
+	s.take(float64(n))
+	s.least = max(s.least-float64(n), -PieceBytes)
 	s.prepaid = min(s.prepaid+float64(n), float64(len(s.transfers)*PieceBytes)) // a piece may be given up after its grant
 	t.wants, t.left, t.grantedAt = 0, t.left-int64(n), now
 	s.countTurn(now, t, n)
 	return t, 0
 }
 
+// wait returns the time until a piece may be sent: until the link has carried what was
+// sent, at most until minLargeShare of it has carried the piece before.
+func (s *Scheduler) wait() time.Duration {
+	owed, owedLeast := -s.credit-s.ahead(), -s.least
+	if s.rate == 0 || owed < minOwedBytes || owedLeast < minOwedBytes {
+		return 0
+	}
+	seconds := min(owed/s.rate, owedLeast/(minLargeShare*s.rate))
+	return time.Duration(math.Ceil(seconds * float64(time.Second)))
+}
+
 // countTurn puts a transfer behind the others once it has taken the link for maxTurn.
 func (s *Scheduler) countTurn(now time.Time, t *Transfer, n int) {
 	t.turn += int64(n)
--- a/core/uplink/scheduler_test.go
+++ b/core/uplink/scheduler_test.go
@@ -63,9 +63,11 @@
 	r.s.Want(transfer, uplink.PieceBytes, 1<<30)
 	for range 60_000 {
 		r.now = r.now.Add(time.Millisecond)
-		if rng.Float64() < short*linkBytes/shortBytes/1000 {
-			r.waits = append(r.waits, max(r.busyUntil.Sub(r.now), 0))
-			r.send(shortBytes)
+		for asked := short * linkBytes / shortBytes / 1000; asked > 0; asked-- {
+			if rng.Float64() < asked {
+				r.waits = append(r.waits, max(r.busyUntil.Sub(r.now), 0))
+				r.send(shortBytes)
+			}
 		}
 		if r.runsEach > 0 && r.now.UnixNano()%int64(r.runsEach) != 0 {
 			continue
@@ -106,6 +108,27 @@
 	}
 }
 
+// TestShortResponsesTakeTheWholeLink guards against short responses that leave large ones
+// nothing, while Load tells others that there is a rate for them.
+func TestShortResponsesTakeTheWholeLink(t *testing.T) {
+	const promised = 0.1 * usableShare // of the link
+	for _, short := range []float64{0.9, 1, 1.2, 3} {
+		is := is.New(t)
+		s := uplink.NewScheduler(usableShare * linkBytes)
+		r := &linkSim{s: s, now: time.Unix(1000, 0)}
+		r.run(short)
+		told := s.Load(r.now).Rate / linkBytes
+		t.Logf("short ones ask for %.1f, the last percent waits %v: large ones get %.3f, told %.3f", short, r.longestWait(), r.largeShare(), told)
+		is.True(0.95*promised < r.largeShare() && r.largeShare() < 1.05*promised)
+		is.True(0.95*promised < told && told < 1.05*promised)
+
+		const calm = 0.01
+		before := r.largeShare()
+		r.run(calm)
+		is.True(r.largeShare()-before > 0.95*(usableShare-calm)) // what was sent in excess is forgotten within seconds
+	}
+}
+
 // TestLinkIsIdleWhileProcessIsLate checks that a process which gets to send only each so
 // many milliseconds leaves the link idle for little, and that short responses wait little
 // longer than they do for the process.
--- a/proxy/link_test.go
+++ b/proxy/link_test.go
@@ -49,7 +49,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := newLink(testLinkBytes)
-		l.recordSent(testLinkBytes) // large responses have to wait for a second
+		l.recordSent(testLinkBytes)
+		first := l.begin(t.Context())
+		is.NoErr(l.wait(t.Context(), first, uplink.PieceBytes, uplink.PieceBytes))
+		l.recordSent(uplink.PieceBytes) // the next piece has to wait until a tenth of the link has carried this one, 131 ms
+		l.end(first)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		given := l.begin(t.Context())
