Count the entry node's link also where the gate's is idle

What callers see: those of a host with a thin link, who download from hosts with wide ones, get their downloads late or cut at the deadline. Nothing is refused: as long as the gate's own link is idle, it lets in whatever the entry node's link can't pass on any more.

Cause: an idle link admitted a request before the state of the entry node's link was looked at.

Two new cases of TestLinkAdmission and the four of TestFullLinkTellsWhenItHasRoom for the entry node's link failed before.

--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -51,20 +51,21 @@
 // entry node, by its deadline and by its target time. Otherwise it returns the time until
 // it could if no other attempt came. An answer that misses its target time would use
 // bandwidth at the expense of answers that could still meet theirs. It is let in only
-// where they would leave the link idle: if no large answers are expected, or, if not even
-// idle links could send it in time, behind at most one that is ready before it.
+// where they would leave the links idle: if no large answers are expected here nor wait at
+// the entry node, or, if not even idle links could send it in time, behind at most one that
+// is ready before it.
 func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
 	if q.avgBytes[w.Class] < largeAnswerBytes || q.fault.linkIgnored {
 		return 0
 	}
-	free := q.linkFreeAt(now)
-	if !free.After(now) {
+	free, relayFree := q.linkFreeAt(now), now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
+	bothFree := later(free, relayFree)
+	if !bothFree.After(now) {
 		return 0
 	}
 	ready := now.Add(q.avgRunTime[w.Class])
 	sent, soonestSent := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
 	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
-	relayFree := now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
 	delivered, soonest := later(sent, relayFree).Add(relayTime), soonestSent.Add(relayTime)
 	planned := soonest.Add(time.Duration(waitShare * float64(w.TargetTime.Sub(soonest))))
 	switch {
@@ -73,11 +74,11 @@
 	case w.TargetTime.IsZero() || soonest.Before(w.TargetTime) && !delivered.After(planned):
 		return 0
 	case w.TargetTime.Sub(now) <= passedTarget:
-		return free.Sub(now)
+		return bothFree.Sub(now)
 	case soonest.Before(w.TargetTime):
 		return delivered.Sub(planned)
 	}
-	return max(free.Sub(soonestSent), 0)
+	return max(bothFree.Sub(soonestSent), 0)
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -185,6 +185,10 @@
 		{"in time for the entry node only", linkBytes, 2 * largeBytes, uplink.Load{Rate: linkBytes / 2}, time.Second, 6 * time.Second, admission.LinkFull},
 		{"in time for the caller", linkBytes, 2 * largeBytes, uplink.Load{Rate: 2 * linkBytes}, time.Second, 6 * time.Second, admission.Admitted},
 		{"entry node's link is busy", linkBytes, largeBytes, uplink.Load{Rate: 2 * linkBytes, Backlog: 10 * largeBytes}, time.Second, 6 * time.Second, admission.LinkFull},
+		{"entry node's link is busy, this one is idle", linkBytes, 0, uplink.Load{Rate: linkBytes, Backlog: 4 * largeBytes}, time.Second, 6 * time.Second, admission.LinkFull},
+		{"entry node's link can't end it by the deadline, this one is idle", linkBytes, 0, uplink.Load{Rate: linkBytes, Backlog: 8 * largeBytes}, 0, time.Second, admission.LinkFull},
+		{"entry node's link is a little busy, this one is idle", linkBytes, 0, uplink.Load{Rate: linkBytes, Backlog: largeBytes}, time.Second, 6 * time.Second, admission.Admitted},
+		{"both links are idle, and too slow", linkBytes, 0, uplink.Load{Rate: linkBytes / 8}, time.Second, 6 * time.Second, admission.Admitted},
 		{"unknown rate", 0, 400 * largeBytes, uplink.Load{}, time.Second, time.Second, admission.Admitted},
 	}
 	for _, tt := range tests {
@@ -254,16 +258,21 @@
 }
 
 // TestFullLinkTellsWhenItHasRoom checks that a request is refused for the time that a
-// refusal named, and let in after it.
+// refusal named, and let in after it, whichever of the two links is full.
 func TestFullLinkTellsWhenItHasRoom(t *testing.T) {
 	for _, tt := range []struct {
 		name         string
 		target, left time.Duration
+		relay        bool // the entry node's link is full, not the host's
 	}{
-		{"in time", largeTarget, 6 * time.Second},
-		{"late even over an idle link", 200 * time.Millisecond, 6 * time.Second},
-		{"target passed", passedTarget, 6 * time.Second},
-		{"no target", 0, time.Second},
+		{"in time", largeTarget, 6 * time.Second, false},
+		{"late even over an idle link", 200 * time.Millisecond, 6 * time.Second, false},
+		{"target passed", passedTarget, 6 * time.Second, false},
+		{"no target", 0, time.Second, false},
+		{"in time, entry node", largeTarget, 6 * time.Second, true},
+		{"late even over idle links, entry node", 200 * time.Millisecond, 6 * time.Second, true},
+		{"target passed, entry node", passedTarget, 6 * time.Second, true},
+		{"no target, entry node", 0, time.Second, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -276,8 +285,14 @@
 			arrive := func(after time.Duration) admission.Decision {
 				next++
 				at := now.Add(after)
-				q.SetLink(uplink.Load{Backlog: backlog - int64(after.Seconds()*linkBytes), Rate: linkBytes})
 				a := admission.Attempt{ID: admission.ID{Number: next}, Class: admission.Batch, Deadline: at.Add(tt.left)}
+				full := uplink.Load{Backlog: backlog - int64(after.Seconds()*linkBytes), Rate: linkBytes}
+				if tt.relay {
+					q.SetLink(uplink.Load{Rate: linkBytes})
+					a.Relay = full
+				} else {
+					q.SetLink(full)
+				}
 				if tt.target > 0 {
 					a.TargetTime = at.Add(tt.target)
 				}
