Count large answers that an entry node has asked for on its link

Cause: the entry node told its link's state as the answers that had come. Those that it had asked for, some 0.3 s of run and way, were in nobody's count: in this time it asked for another second of its link, each time the link had room.

Change: the entry node counts an answer of the usual size from the time it asks for it until it is there or will not come, and tells that with the rest; its own gate counts it too. The form of the hop's headers is unchanged.

TestLargeResponseThatIsAskedForIsNotCounted, of the data path, failed for a count of nothing.

--- a/core/coretest/links.go
+++ b/core/coretest/links.go
@@ -18,6 +18,7 @@
 // server's node and, if the call entered elsewhere, over that of its entry node.
 type Links struct {
 	BytesPerSecond float64
+	Faster         map[string]float64  // bytes per second of the links of some nodes
 	AnswerBytes    func(c *Call) int64 // size of the answer to a call
 
 	SentBytes map[string]int64 // bytes sent by each node
@@ -58,7 +59,7 @@
 	h, ok := l.hosts[n.Name]
 	if !ok || h.generation != n.Generation {
 		h = &hostLink{
-			links: l, node: n, generation: n.Generation, scheduler: uplink.NewScheduler(l.BytesPerSecond),
+			links: l, node: n, generation: n.Generation, scheduler: uplink.NewScheduler(l.rate(n.Name)),
 			open: map[*uplink.Transfer]*sentAnswer{},
 		}
 		l.hosts[n.Name] = h
@@ -66,6 +67,13 @@
 	return h
 }
 
+func (l *Links) rate(node string) float64 {
+	if rate, ok := l.Faster[node]; ok {
+		return rate
+	}
+	return l.BytesPerSecond
+}
+
 // load returns the state of a node's link; zero if links are not simulated.
 func (l *Links) load(n *Node) uplink.Load {
 	if l == nil {
@@ -92,6 +100,7 @@
 	}
 	entry := l.of(l.mesh.nodes[a.call.Entry])
 	if bytes > relayBufferBytes { // passed on as it arrives
+		a.hasCome()
 		first, second := false, false
 		h.send(bytes, a.forward.Budget, func() {
 			if first = true; second {
@@ -105,7 +114,10 @@
 		})
 		return
 	}
-	h.send(bytes, a.forward.Budget, func() { entry.send(bytes, a.forward.Budget, done) })
+	h.send(bytes, a.forward.Budget, func() {
+		a.hasCome()
+		entry.send(bytes, a.forward.Budget, done)
+	})
 }
 
 func (h *hostLink) alive() bool { return h.node.Alive && h.node.Generation == h.generation }
@@ -164,6 +176,23 @@
 	h.links.mesh.After(takes, one.done)
 }
 
+// expect tells the link of an entry node that it will pass on the answer to an attempt.
+func (l *Links) expect(entry *Node, a *attempt) {
+	if l == nil || a.forward.Local {
+		return
+	}
+	a.expectedOn = l.of(entry).scheduler
+	a.expectedOn.Expect(a.forward.AnswerBytes)
+}
+
+// hasCome ends what expect told: the answer is there, or will not come.
+func (a *attempt) hasCome() {
+	if a.expectedOn != nil {
+		a.expectedOn.Came(a.forward.AnswerBytes)
+		a.expectedOn = nil
+	}
+}
+
 // answerOver ends an attempt with an answer that went over the links.
 func (t *Traffic) answerOver(n *Node, a *attempt, bytes int64, e core.AttemptEnded) {
 	e.Bytes = bytes
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -53,6 +53,9 @@
 	call    *Call
 	forward core.Forward
 	ended   bool // the entry node has received the outcome
+
+	relay      uplink.Load       // state of the entry node's link as the attempt was sent; zero: none
+	expectedOn *uplink.Scheduler // link of the entry node that expects the answer; nil: none
 }
 
 // Traffic carries requests between the reducers of a Mesh in place of the data path. It also
@@ -127,6 +130,7 @@
 	for _, a := range t.attempts {
 		if a.call == c && !a.ended {
 			a.ended = true
+			a.hasCome()
 			t.cancel(a)
 		}
 	}
@@ -199,6 +203,8 @@
 		t.arrive(a)
 		return
 	}
+	a.relay = t.Links.load(n)
+	t.Links.expect(n, a)
 	target := t.mesh.nodes[f.Hop]
 	if !target.Alive || t.mesh.partitioned[pair(n.Name, f.Hop)] {
 		t.mesh.After(t.mesh.random(t.Faults.Delay), func() {
@@ -255,19 +261,10 @@
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
 		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
-		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), Relay: t.relay(a),
+		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), Relay: a.relay,
 	})
 }
 
-// relay returns the state of the link over which the entry node of an attempt passes on
-// its answer; zero if that is the link of the target.
-func (t *Traffic) relay(a *attempt) uplink.Load {
-	if a.forward.Local {
-		return uplink.Load{}
-	}
-	return t.Links.load(t.mesh.nodes[a.call.Entry])
-}
-
 // end passes the outcome of an attempt to its entry node, unless the attempt has ended
 // already or its answer is dropped at BlackholedNode.
 func (t *Traffic) end(a *attempt, e core.AttemptEnded) {
@@ -276,6 +273,7 @@
 		return
 	}
 	a.ended = true
+	a.hasCome()
 	e.Call, e.Attempt = a.call.ID, a.forward.Attempt
 	n := t.mesh.nodes[a.call.Entry]
 	t.mesh.step(n, a.call.Generation, e)
--- a/core/requests_links_test.go
+++ b/core/requests_links_test.go
@@ -38,6 +38,7 @@
 	rng     *rand.Rand
 	hosts   []string // nodes whose backend servers have the answers
 	entries []string // all nodes
+	thin    int      // number of thin links that can carry answers at a time
 	asked   []*download
 }
 
@@ -61,6 +62,7 @@
 			m.Start(name, core.Config{DataCentre: dc, Service: service, Fanout: 4, Slots: 8})
 		}
 	}
+	d.thin = len(d.hosts)
 	m.Run(time.Second)
 	submitDownloads(t, m)
 	m.Run(20 * time.Second)
@@ -88,7 +90,7 @@
 
 // load lets callers ask for a time.
 func (d *downloads) load(length time.Duration) {
-	perSecond := downloadLoad * thinLinkBytes * float64(len(d.hosts)) / downloadBytes
+	perSecond := downloadLoad * thinLinkBytes * float64(d.thin) / downloadBytes
 	open := map[core.CallID]*download{}
 	var try func(*download)
 	d.traffic.OnAnswered = func(c *coretest.Call) {
@@ -143,7 +145,7 @@
 			o.served += float64(d.links.AnswerBytes(c))
 		}
 	}
-	o.served /= float64(len(d.hosts)) * thinLinkBytes * length.Seconds()
+	o.served /= float64(d.thin) * thinLinkBytes * length.Seconds()
 	o.inTime = inTime / served
 	return o
 }
@@ -168,6 +170,32 @@
 	is.True(mean.inTime > 2.0/3)
 }
 
+// TestEntryNodesLinkGetsMoreThanItCarries asks at one node for three times what its link
+// carries, of hosts whose links are wide. They must not run what it can't pass on.
+func TestEntryNodesLinkGetsMoreThanItCarries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const length, seeds, wide = 60 * time.Second, 4, 10 * thinLinkBytes
+	var mean downloadOutcome
+	for seed := range uint64(seeds) {
+		d := newDownloads(t, seed)
+		d.entries, d.thin, d.links.Faster = []string{"a9"}, 1, map[string]float64{}
+		for _, host := range d.hosts {
+			d.links.Faster[host] = wide
+		}
+		d.load(length)
+		o := d.outcome(length)
+		t.Logf("seed %d: %+v", seed, o)
+		mean.served += o.served / seeds
+		mean.inTime += o.inTime / seeds
+		for _, c := range d.traffic.Calls {
+			is.True(c.Outcome != retry.Unknown) // it ran and its answer was not passed on
+		}
+	}
+	is.True(mean.served > 0.9)
+	is.True(mean.inTime > 2.0/3)
+}
+
 // TestLinkThatIsKnownToBeFullIsAsked checks that no entry node asks a node for a large
 // answer again before the time at which that node's link may have room, and that a call
 // for which no link has room ends at once and tells when one will.
--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -44,7 +44,7 @@
 
 // Load is the state of the link as it matters to another large response.
 type Load struct {
-	Backlog int64   // bytes of large responses that are ready and not sent, of each at most what it may send in its turn
+	Backlog int64   // bytes of large responses that are expected, or ready and not sent, of each at most what it may send in its turn
 	Rate    float64 // bytes per second that large responses get; zero: unknown
 }
 
@@ -64,6 +64,7 @@
 	late      float64     // seconds by which the process was late for that, decayed over lateWindow
 	transfers []*Transfer // in the order in which they began
 	others    float64     // bytes of everything but large responses, decayed over othersWindow
+	expected  int64       // bytes of large responses that are asked for and will be sent on
 }
 
 // Transfer is a large response that is being sent.
@@ -123,6 +124,13 @@
 	return t
 }
 
+// Expect records that a large response of n bytes is asked for, which will be sent on
+// over the link. Came must follow.
+func (s *Scheduler) Expect(n int64) { s.expected += s.inTurn(n) }
+
+// Came records that such a response is there, or will not come.
+func (s *Scheduler) Came(n int64) { s.expected -= s.inTurn(n) }
+
 // Want records that a transfer has a piece of n bytes to send, and that left bytes
 // are not sent yet, these included.
 func (s *Scheduler) Want(t *Transfer, n int, left int64) {
@@ -238,7 +246,7 @@
 // Load returns the state of the link for another large response.
 func (s *Scheduler) Load(now time.Time) Load {
 	s.refill(now)
-	l := Load{Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
+	l := Load{Backlog: s.expected, Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
 	for _, t := range s.transfers {
 		if t.wants > 0 || now.Sub(t.grantedAt) < stalledAfter {
 			l.Backlog += s.inTurn(t.left)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // attempt sends one attempt and relays its response, or reports how it failed.
@@ -17,10 +18,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
 	defer cancel()
 	c.body.limitUpload(f.Budget + hopGrace)
-	resp, err := c.send(ctx, cancel, f)
-	if err == nil && f.MayRetry {
-		err = c.bufferResponse(resp)
-	}
+	resp, err := c.sendAndBuffer(ctx, cancel, f)
 	if err == nil {
 		c.respond(resp, f)
 		return
@@ -48,6 +46,24 @@
 	}
 }
 
+// sendAndBuffer sends an attempt and returns its response, completely read if the call
+// may still be sent again.
+func (c *call) sendAndBuffer(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
+	var relay uplink.Load
+	if !f.Local {
+		relay = c.proxy.link.ask(f.AnswerBytes)
+		defer c.proxy.link.asked(f.AnswerBytes)
+	}
+	resp, err := c.send(ctx, cancel, f, relay)
+	if err != nil || !f.MayRetry {
+		return resp, err
+	}
+	if err := c.bufferResponse(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // respond relays a response and ends the call, unless the response is held
 // because another attempt may follow.
 func (c *call) respond(resp *http.Response, f core.Forward) {
@@ -89,10 +105,11 @@
 }
 
 // send sends an attempt to the backend server's node, or directly to this
-// node's backend server. cancel cancels ctx.
-func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
+// node's backend server. cancel cancels ctx. relay is the state of the link over which
+// a response of another node goes on.
+func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward, relay uplink.Load) (*http.Response, error) {
 	h := hopHeader{
-		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said,
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said, relay: relay,
 	}
 	if f.Local {
 		h.entry = true
@@ -103,7 +120,6 @@
 
 func (c *call) sendHop(ctx context.Context, cancel context.CancelFunc, f core.Forward, h hopHeader) (*http.Response, error) {
 	out := outgoing(c.r, f.Hop, c.body)
-	h.relay = c.proxy.link.load()
 	h.set(out.Header)
 	set(out.Header, c.proxy.cfg.Names.Service, c.proxy.cfg.Service)
 	if c.body.streams() {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/core/uplink"
 	"github.com/agatekeel/agatekeel/internal/sample"
 	"github.com/agatekeel/agatekeel/load"
 	"github.com/agatekeel/agatekeel/node"
@@ -26,12 +27,14 @@
 	last  atomic.Int64 // Unix time in nanoseconds
 	count atomic.Int64
 	done  atomic.Pointer[core.AttemptDone]
+	relay atomic.Pointer[uplink.Load] // that came with the most recent attempt
 }
 
 // OpenAttempt implements proxy.Dispatcher.
 func (a *arrivals) OpenAttempt(e core.AttemptArrived) (<-chan core.Effect, bool) {
 	a.last.Store(time.Now().UnixNano())
 	a.count.Add(1)
+	a.relay.Store(&e.Relay)
 	return a.Node.OpenAttempt(e)
 }
 
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -40,6 +40,23 @@
 	return l.scheduler.Load(time.Now())
 }
 
+// ask returns the state of the link for a large response of n bytes that another node is
+// asked for, and counts it from now on until it has come: asked(n) must follow.
+func (l *link) ask(n int64) uplink.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := l.scheduler.Load(time.Now())
+	l.scheduler.Expect(n)
+	return load
+}
+
+// asked ends what ask began: the response is there, or will not come.
+func (l *link) asked(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.scheduler.Came(n)
+}
+
 // begin adds a large response to a request with a context. end must follow.
 func (l *link) begin(ctx context.Context) *uplink.Transfer {
 	deadline, _ := ctx.Deadline()
--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/sample"
 	"github.com/agatekeel/agatekeel/proxy"
 )
 
@@ -152,3 +154,44 @@
 		is.NoErr(<-failures)
 	}
 }
+
+// TestLargeResponseThatIsAskedForIsNotCounted asks for a large response while another one
+// is run elsewhere for the same entry node, whose link has to carry both.
+func TestLargeResponseThatIsAskedForIsNotCounted(t *testing.T) {
+	const bytes, link = 200_000, 100 << 20
+	for _, tt := range []struct {
+		name string
+		end  sample.Fault // of the run that is under way
+	}{{"it comes", sample.Fault{}}, {"it is cut", sample.Fault{Drop: true}}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+			backlog := func() int64 {
+				_, body, err := m.do(0, http.MethodGet, "/?answerBytes="+strconv.Itoa(bytes), "")
+				is.NoErr(err)
+				is.True(len(body) > bytes)
+				return m.nodes[1].arrivals.relay.Load().Backlog
+			}
+			is.Equal(backlog(), int64(0)) // the first response tells the size
+			running, released, ended := make(chan struct{}, 10), make(chan struct{}), make(chan struct{})
+			m.nodes[1].backend.SetFault(func(r *http.Request) sample.Fault {
+				if !strings.HasPrefix(r.URL.Path, "/held") {
+					return sample.Fault{}
+				}
+				running <- struct{}{}
+				<-released
+				return tt.end
+			})
+			go func() {
+				_, _, _ = m.do(0, http.MethodGet, "/held?answerBytes="+strconv.Itoa(bytes), "")
+				close(ended)
+			}()
+			<-running
+			counted := backlog()
+			is.True(bytes < counted && counted < bytes+1000)
+			close(released)
+			<-ended
+			is.Equal(backlog(), int64(0))
+		})
+	}
+}
