Let a notice of a full link hold for requests like the refused one

What callers see: found by review. A refusal for lack of room closed the host at that entry node for all requests with large answers of its service, for up to a second: also for those whose answers are a tenth as large, and for those with seconds left after one that had none. While one kind is refused all the time, the others are refused with it though their hosts would take them.

Cause: the notice was kept for the endpoint. The time in it is that of the request refused: of its size, and of what was left until its target latency or its deadline.

Change: the notice is kept for each kind of request, with the time that the refused one had left. It holds for a request that has less than twice as much. For one with more, the link opens as much earlier as it can wait longer. A call of another kind that finds no host is no longer told that links are full.

TestRefusalOfOneRequestClosesLinkToOthers fails where the kind is ignored and where the time left is.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -88,6 +88,7 @@
 type Request struct {
 	Kind   string        // requests of a kind have similar run times and answer sizes
 	Target time.Duration // the request's target latency; zero: none
+	Left   time.Duration // time left until it meets its target latency, or until its deadline if it has none
 	Tried  []string      // IDs of endpoints to avoid unless there is no other
 	Barred []string      // IDs of endpoints that must not be selected, all of them in Tried too
 }
@@ -110,7 +111,7 @@
 	if e := b.pickUntried(now, g, r, large); e != nil {
 		return e, true
 	}
-	if large && g.anyLinkClosed(now) {
+	if large && g.anyLinkClosed(now, r) {
 		return nil, false
 	}
 	for _, s := range []*set{&g.local, &g.remote} {
@@ -137,11 +138,11 @@
 }
 
 func (b *Balancer) pickUntried(now time.Time, g *Group, r Request, large bool) *Endpoint {
-	near := b.pickTwoChoices(now, &g.local, r.Tried, large)
+	near := b.pickTwoChoices(now, &g.local, r, large)
 	if near != nil && (g.remote.healthy == 0 || b.withinTarget(now, g, near, r)) {
 		return near
 	}
-	far := b.pickTwoChoices(now, &g.remote, r.Tried, large)
+	far := b.pickTwoChoices(now, &g.remote, r, large)
 	if near == nil || far != nil && b.load(now, far)+b.cfg.SpillOverGain < b.load(now, near) {
 		return far
 	}
@@ -168,9 +169,9 @@
 // pickTwoChoices returns the less loaded of two random endpoints (Mitzenmacher, "The
 // Power of Two Choices in Randomized Load Balancing"). Whatever load an endpoint
 // reports, it is a candidate in at most 2/n of the selections among n endpoints.
-func (b *Balancer) pickTwoChoices(now time.Time, s *set, tried []string, large bool) *Endpoint {
-	first := b.draw(now, s, tried, nil, large)
-	second := b.draw(now, s, tried, first, large)
+func (b *Balancer) pickTwoChoices(now time.Time, s *set, r Request, large bool) *Endpoint {
+	first := b.draw(now, s, r, nil, large)
+	second := b.draw(now, s, r, first, large)
 	if first == nil || second == nil || b.load(now, second) >= b.load(now, first) {
 		return first
 	}
@@ -180,26 +181,26 @@
 // draw returns a random endpoint that is not excluded, other than except, for a large
 // answer one whose link is open. A warming endpoint is replaced by another draw with a
 // probability that decreases during its slow start.
-func (b *Balancer) draw(now time.Time, s *set, tried []string, except *Endpoint, large bool) *Endpoint {
-	e := b.drawAny(now, s, tried, except, large)
+func (b *Balancer) draw(now time.Time, s *set, r Request, except *Endpoint, large bool) *Endpoint {
+	e := b.drawAny(now, s, r, except, large)
 	if e != nil && e.Row.State == endpoint.Warming && b.rng.Float64() > b.slowStartShare(now, e) {
-		return b.drawAny(now, s, tried, except, large)
+		return b.drawAny(now, s, r, except, large)
 	}
 	return e
 }
 
-func (b *Balancer) drawAny(now time.Time, s *set, tried []string, except *Endpoint, large bool) *Endpoint {
+func (b *Balancer) drawAny(now time.Time, s *set, r Request, except *Endpoint, large bool) *Endpoint {
 	if s.healthy == 0 {
 		return nil
 	}
-	steps := min(s.healthy, len(tried)+2)
+	steps := min(s.healthy, len(r.Tried)+2)
 	if large {
 		steps = s.healthy // any number of links may be closed
 	}
 	i := b.rng.IntN(s.healthy)
 	for range steps {
 		e := s.endpoints[i]
-		if e != except && !contains(tried, e.Row.ID) && !(large && e.linkClosed(now)) {
+		if e != except && !contains(r.Tried, e.Row.ID) && !(large && e.linkClosed(now, r)) {
 			return e
 		}
 		if i++; i == s.healthy {
@@ -284,6 +285,7 @@
 	Took        time.Duration // latency of a complete answer; zero: no complete answer
 	LinkOpensIn time.Duration // refused for lack of room on the host's link: time until there may be room for such a request; zero: not for that
 	Kind        string        // kind of the request
+	Left        time.Duration // Request.Left when it was sent
 	Bytes       int64         // size of a complete answer
 }
 
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -29,10 +29,10 @@
 	silentSince     time.Time // start of the time without an answer, while requests are in flight
 	failures        int       // consecutive attempts without an answer
 	failedAt        time.Time
-	ejections       int       // consecutive ejections without an answer in between
-	leaving         bool      // excluded because it announced that it is leaving, regardless of MaxEjected
-	excludedUntil   time.Time // zero: not excluded
-	linkOpensAt     time.Time // until then the host's link has no room for large answers, as its last refusal said
+	ejections       int                   // consecutive ejections without an answer in between
+	leaving         bool                  // excluded because it announced that it is leaving, regardless of MaxEjected
+	excludedUntil   time.Time             // zero: not excluded
+	linkNotices     map[string]linkNotice // by kind of request
 }
 
 // Excluded reports whether an endpoint is currently not selected because it is
--- a/core/request.go
+++ b/core/request.go
@@ -154,9 +154,7 @@
 func (s *State) chooseBackend(c *call) (*balance.Endpoint, bool) {
 	g := s.group(c.service)
 	if c.homeKey().IsZero() {
-		return s.requests.balancer.PickFor(s.now, g, balance.Request{
-			Kind: c.route.Name, Target: c.route.Policy.Target, Tried: c.tried, Barred: c.barred,
-		})
+		return s.requests.balancer.PickFor(s.now, g, c.asPick(s.now))
 	}
 	var home *balance.Endpoint
 	best := uint64(0)
@@ -171,6 +169,23 @@
 	return home, home != nil
 }
 
+// asPick returns what the balancer has to know of a call.
+func (c *call) asPick(now time.Time) balance.Request {
+	return balance.Request{
+		Kind: c.route.Name, Target: c.route.Policy.Target, Left: c.left(now), Tried: c.tried, Barred: c.barred,
+	}
+}
+
+// left returns the time that is left of the policy's target latency or, if that has none,
+// of the deadline.
+func (c *call) left(now time.Time) time.Duration {
+	left := c.deadline.Sub(now)
+	if soft := c.softBudget(now); soft > 0 {
+		left = min(left, soft)
+	}
+	return left
+}
+
 // group returns the endpoints of a service. It is rebuilt only after the
 // endpoint table has changed.
 func (s *State) group(service string) *balance.Group {
@@ -211,7 +226,7 @@
 
 // finishUnplaced ends a call for which there is no backend server.
 func (s *State) finishUnplaced(id CallID, c *call) {
-	if opens, closed := s.group(c.service).LinkOpensIn(s.now); closed {
+	if opens, closed := s.group(c.service).LinkOpensIn(s.now, c.asPick(s.now)); closed {
 		s.finishWith(Finish{Call: id, Outcome: retry.NotRun, Reason: string(admission.LinkFull), RetryAfter: opens})
 		return
 	}
@@ -299,7 +314,7 @@
 	}
 	s.requests.balancer.Done(s.now, c.target, balance.Result{
 		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
-		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
+		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Left: c.left(c.sent), Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
 	})
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
 		s.requests.balancer.MarkLeaving(s.now, c.target) // the local endpoint table is out of date
