Leave out no host for what its entry node lacks

What callers see: found by review. An entry node without free descriptors or ports left out one sound host after the other, for 5 s and twice as long each time, up to half of a service; the calls that it could still send over open connections went to the rest. The same after a process got no processor time for a second, for a call with 100 ms left, and for a host that answered at once that an attempt had not reached it or had not begun there (its connection had gone silent, or it was late itself).

Cause: every attempt that failed and had not run counted as a refused connection, which leaves a host out at the first time.

TestAttemptThatNeverArrivedEjectsHost failed in its first case.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -279,7 +279,7 @@
 // Result is the result of an attempt.
 type Result struct {
 	Failed      bool          // there was no answer
-	Refused     bool          // Failed, because the connection was refused
+	Unreachable bool          // Failed, because no connection could be opened
 	ErrorAnswer bool          // the backend server answered with an error, or that it did not run the request
 	Queue       int           // queue length reported by the answer; -1: none reported
 	Took        time.Duration // latency of a complete answer; zero: no complete answer
@@ -312,7 +312,7 @@
 	}
 	e.failures++
 	e.failedAt = now
-	if res.Refused || e.failures >= b.cfg.EjectAfter {
+	if res.Unreachable || e.failures >= b.cfg.EjectAfter {
 		b.eject(now, e)
 	}
 }
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -154,7 +154,7 @@
 	g := b.Group(nil, local(10))
 	e := endpointOf(g, "n0000")
 	b.Sent(now, e)
-	b.Done(now, e, balance.Result{Failed: true, Refused: true, Queue: -1})
+	b.Done(now, e, balance.Result{Failed: true, Unreachable: true, Queue: -1})
 	is.Equal(countPicks(b, g, now, 10_000)["n0000"], 0)
 }
 
@@ -246,7 +246,7 @@
 			default:
 				if len(open) > 0 {
 					refused := rapid.Bool().Draw(t, "refused")
-					if b.Done(at, open[0], balance.Result{Failed: refused, Refused: refused, Queue: rapid.IntRange(-1, 9).Draw(t, "queue")}); refused && rapid.Bool().Draw(t, "leaving") {
+					if b.Done(at, open[0], balance.Result{Failed: refused, Unreachable: refused, Queue: rapid.IntRange(-1, 9).Draw(t, "queue")}); refused && rapid.Bool().Draw(t, "leaving") {
 						b.MarkLeaving(at, open[0])
 					}
 					open = open[1:]
--- a/core/balance/example_test.go
+++ b/core/balance/example_test.go
@@ -23,7 +23,7 @@
 
 	first, _ := b.Pick(now, group, nil)
 	b.Sent(now, first)
-	b.Done(now, first, balance.Result{Failed: true, Refused: true, Queue: -1})
+	b.Done(now, first, balance.Result{Failed: true, Unreachable: true, Queue: -1})
 
 	second, _ := b.Pick(now, group, []string{first.Row.ID})
 	b.Sent(now, second)
--- a/core/coretest/fleet.go
+++ b/core/coretest/fleet.go
@@ -284,7 +284,7 @@
 }
 
 func (r *fleetSim) attemptFailed(c *fleetCall, b, queue int, failed bool) {
-	r.pickers[c.entry].Done(r.now, b, balance.Result{Failed: failed, Refused: failed, Queue: queue})
+	r.pickers[c.entry].Done(r.now, b, balance.Result{Failed: failed, Unreachable: failed, Queue: queue})
 	r.sendAttempt(c)
 }
 
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -209,7 +209,7 @@
 	if !target.Alive || t.mesh.partitioned[pair(n.Name, f.Hop)] {
 		t.mesh.After(t.mesh.random(t.Faults.Delay), func() {
 			t.end(a, core.AttemptEnded{
-				Outcome: retry.NotRun, Failed: true, ConnectionRefused: !target.Alive, Queue: -1, Reason: "connection refused",
+				Outcome: retry.NotRun, Failed: true, Unreachable: true, ConnectionRefused: !target.Alive, Queue: -1, Reason: "connection refused",
 			})
 		})
 		return
--- a/core/event.go
+++ b/core/event.go
@@ -142,6 +142,7 @@
 	AnswerHeld        bool          // the answer is a complete failure response that is held back until ReleaseAnswer or another Forward follows
 	ReachedBackend    bool          // the backend server may have seen the request, whether or not it ran it
 	ConnectionRefused bool          // Outcome is NotRun because the target's address refused the connection: no process listens there
+	Unreachable       bool          // Outcome is NotRun because no connection to the target could be opened
 	BodyDiscarded     bool          // the request body can't be sent again
 	Said              BackendNotice // what the backend server says of itself, according to its node; the zero value if that did not tell
 	Status            int           // HTTP status of the answer; zero if unknown
--- a/core/request.go
+++ b/core/request.go
@@ -313,7 +313,7 @@
 		return
 	}
 	s.requests.balancer.Done(s.now, c.target, balance.Result{
-		Failed: e.Failed && !e.backendFailed(), Refused: e.Failed && e.Outcome == retry.NotRun, ErrorAnswer: e.backendFailed(),
+		Failed: e.Failed && !e.backendFailed(), Unreachable: e.Unreachable || e.ConnectionRefused, ErrorAnswer: e.backendFailed(),
 		Queue: e.Queue, LinkOpensIn: e.LinkOpensIn, Left: c.left(c.sent), Took: c.latency(s.now, e), Kind: c.route.Name, Bytes: e.Bytes,
 	})
 	if r := admission.Reason(e.Reason); r == admission.NotServing || r == admission.WrongIncarnation || e.ConnectionRefused {
--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -237,3 +237,24 @@
 	}))
 	is.True(again)
 }
+
+// TestAttemptThatNeverArrivedEjectsHost guards against leaving out a host that answers at
+// once that it never got an attempt, or had not begun it: its connection was silent, or it is late.
+func TestAttemptThatNeverArrivedEjectsHost(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		unreachable bool
+	}{{"the host answers that it did not run it", false}, {"no connection to the host", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEntryNode(t, core.Config{}, 4, ordersObjects(`{}`)...)
+			f := e.call("GET")
+			e.step(core.AttemptEnded{
+				Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, Failed: true, Unreachable: tt.unreachable, Queue: -1,
+			})
+			for _, v := range e.state.Dump().Balance {
+				is.Equal(!v.EjectedUntil.IsZero(), v.ID == f.Target && tt.unreachable)
+			}
+		})
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -36,8 +36,8 @@
 	c.proxy.core.Step(core.AttemptEnded{
 		ReachedBackend: failed.arrived,
 		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: c.queueAt(f, failed.header), Said: saidIn(failed.header),
-		LinkOpensIn: failed.linkOpensIn,
-		Status:      failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
+		LinkOpensIn: failed.linkOpensIn, Unreachable: failed.unreachable,
+		Status: failed.status, BodyDiscarded: !c.body.repeatable(), Reason: failed.reason,
 		ConnectionRefused: failed.outcome == retry.NotRun && !failed.reported && errors.Is(failed.err, syscall.ECONNREFUSED),
 	})
 	if failed.outcome == retry.Ran {
@@ -134,7 +134,7 @@
 	case err != nil:
 		failed := asAttemptError(err)
 		return nil, &attemptError{
-			outcome: failed.outcome, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
+			outcome: failed.outcome, healthy: failed.healthy, unreachable: failed.unreachable, reason: failed.Error(), err: fmt.Errorf("node %s: %w", f.Target, failed.err),
 		}
 	}
 	if outcome := resp.Header.Get(HeaderOutcome); outcome != "" {
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -160,12 +160,13 @@
 	if !p.injected.transportReplays {
 		preventReplay(out)
 	}
+	began := time.Now()
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return checked(resp, check(resp), conn)
 	}
 	if conn == nil {
-		return nil, &attemptError{outcome: retry.NotRun, err: err}
+		return nil, p.unconnected(t, err, time.Since(began))
 	}
 	own := conn.sealed.Load() // this node closed the connection
 	if conn.seal() == before {
@@ -174,6 +175,34 @@
 	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
 
+// unconnected returns the error for a request for which no connection was opened in the
+// given time. Nothing was written, so it did not run. It counts against the target only as
+// far as this host did not lack the means itself.
+func (p *Proxy) unconnected(t *http.Transport, err error, waited time.Duration) *attemptError {
+	e := &attemptError{outcome: retry.NotRun, err: err}
+	var timeout net.Error
+	switch {
+	case lacksMeans(err):
+		e.healthy = true
+	case !errors.As(err, &timeout) || !timeout.Timeout():
+		e.unreachable = true
+	default:
+		e.unreachable = t == p.hop && p.cfg.SilenceAfter <= waited && waited <= dialTimeout+dialLateness
+	}
+	return e
+}
+
+// lacksMeans reports whether a connection was not opened because this process or host has
+// no descriptors, ports or memory left.
+func lacksMeans(err error) bool {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, own) {
+			return true
+		}
+	}
+	return false
+}
+
 // checked returns a response, or the error for which it is not accepted.
 func checked(resp *http.Response, err error, conn *trackedConn) (*http.Response, error) {
 	if err == nil {
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -33,7 +33,10 @@
 	dialTimeout   = time.Second
 	keepAlive     = 15 * time.Second
 	maxIdleToHost = 256
-	maxIdle       = 1024 // idle connections to all hosts together
+	// dialLateness is the time after dialTimeout from which a dial that failed says that
+	// this process had no processor time: the other host may have answered meanwhile.
+	dialLateness = 100 * time.Millisecond
+	maxIdle      = 1024 // idle connections to all hosts together
 	// hopGrace is the time after a call's deadline that is left for the
 	// response of the receiving node, which reports the outcome of the attempt.
 	hopGrace = 100 * time.Millisecond
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -59,7 +59,7 @@
 		end()
 		failed := asAttemptError(err)
 		return nil, &attemptError{
-			outcome: failed.outcome, reported: true, healthy: failed.healthy, reason: failed.Error(),
+			outcome: failed.outcome, reported: true, healthy: failed.healthy, unreachable: failed.unreachable, reason: failed.Error(),
 			arrived: failed.arrived || failed.outcome != retry.NotRun,
 			err:     fmt.Errorf("backend server: %w", failed.err),
 		}
--- a/proxy/outcome.go
+++ b/proxy/outcome.go
@@ -15,12 +15,14 @@
 // about it.
 type attemptError struct {
 	outcome  retry.Outcome
-	reported bool   // the receiving node reported the outcome, so it need not be asked
-	healthy  bool   // the failure does not count against the endpoint
-	arrived  bool   // the backend server may have received the request
-	reused   bool   // sent over a connection that had carried other requests
-	status   int    // status of the first response if outcome is Ran
-	reason   string // reason that the receiving node gave
+	reported bool // the receiving node reported the outcome, so it need not be asked
+	healthy  bool // the failure does not count against the endpoint
+	arrived  bool // the backend server may have received the request
+	reused   bool // sent over a connection that had carried other requests
+	// unreachable says that no connection was opened, for which the endpoint is to blame.
+	unreachable bool
+	status      int    // status of the first response if outcome is Ran
+	reason      string // reason that the receiving node gave
 	// linkOpensIn is as in core.Refuse; zero if the receiving node did not tell it.
 	linkOpensIn time.Duration
 	header      http.Header // of the response in which the receiving node reported it; nil: none
