Bound the memory of answers that entry nodes read whole

While a call may be asked for again, its entry node reads up to 256 KiB of the answer before it passes any on, for every call at once and for as long as the caller takes to read. Four hundred such callers are 100 MB; a node with 112 MB is killed, with all its calls. The memory for reading ahead has a bound; this had none.

Change: an eighth of the process's memory, as much as for reading ahead and apart from it, so that neither takes the other's. Large answers get half of it, since a short one that is cut costs its caller as much. What finds no room is passed on as it comes, and its call is not sent again once it has begun.

TestHeldResponsesTakeMoreThanTheirMemory: of three answers of 200 kB that come slowly, in a memory of 900 kB, two are read whole and the third reaches its caller at once; a short one that is cut is asked for again meanwhile; afterwards nothing is taken. It fails with no bound (all three are held) and where large ones may take it all.

Memory for reading ahead goes by arrival still. Reckoned, not run: what admission lets wait for a link of 10 Mbit/s is below 1 MB, of 100 Mbit/s below 10 MB, an eighth of 112 MB is 14 MB.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -110,6 +110,7 @@
 	p := c.proxy
 	effects := p.core.OpenCall(arrived)
 	defer p.core.CloseCall(c.id)
+	defer c.dropHeld()
 	defer func() {
 		if !c.done {
 			p.core.Step(core.CallClosed{Call: c.id})
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -14,3 +14,6 @@
 		skipsResponseCheck: f.SkipsResponseCheck, neverQueries: f.NeverQueries, trustsIdleConns: f.TrustsIdleConns,
 	}
 }
+
+// HeldBytes returns the memory that responses take which are read before they are relayed.
+func (p *Proxy) HeldBytes() int64 { return p.held.reserved.Load() }
--- a/proxy/readahead.go
+++ b/proxy/readahead.go
@@ -11,23 +11,30 @@
 // part of it which a single response may take.
 const readAheadShare = 2
 
-// readAhead reads large responses of this node's backend server into memory as
-// fast as they arrive, so that a response that waits for the network occupies
-// no slot.
-type readAhead struct {
-	limit    int64 // maximum total size in bytes of what is read ahead
+// memoryBound bounds the memory that responses take together.
+type memoryBound struct {
+	limit    int64 // bytes
 	reserved atomic.Int64
 }
 
-// reserve reports whether n bytes fit into the memory left, and takes them.
-func (a *readAhead) reserve(n int) bool {
-	if a.reserved.Add(int64(n)) <= a.limit {
+// reserve reports whether n bytes fit into a limit, which is that of the memory or a part
+// of it, and takes them.
+func (m *memoryBound) reserve(n int, limit int64) bool {
+	if m.reserved.Add(int64(n)) <= limit {
 		return true
 	}
-	a.reserved.Add(-int64(n))
+	m.release(n)
 	return false
 }
 
+// release gives back n bytes.
+func (m *memoryBound) release(n int) { m.reserved.Add(-int64(n)) }
+
+// readAhead reads large responses of this node's backend server into memory as
+// fast as they arrive, so that a response that waits for the network occupies
+// no slot.
+type readAhead struct{ memoryBound }
+
 // read returns a body that is read into memory ahead of its reader, as far as
 // there is memory. A body that is declared to be short is returned unchanged.
 func (a *readAhead) read(src io.ReadCloser, declared int64) io.ReadCloser {
@@ -78,7 +85,7 @@
 	}
 	if b.closed {
 		if reserved {
-			b.owner.reserved.Add(-int64(len(p)))
+			b.owner.release(len(p))
 		}
 		return false
 	}
@@ -96,14 +103,14 @@
 	if int64(b.reserved+n) > b.owner.limit/readAheadShare {
 		return false
 	}
-	return b.owner.reserve(n)
+	return b.owner.reserve(n, b.owner.limit)
 }
 
 // release gives back the memory of up to n bytes.
 func (b *readAheadBody) release(n int) {
 	n = min(n, b.reserved)
 	b.reserved -= n
-	b.owner.reserved.Add(-int64(n))
+	b.owner.release(n)
 }
 
 // buffered returns how many bytes are ready to be read.
