--- a/core/coretest/attempt.go
+++ b/core/coretest/attempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // cancelGrace is how long an entry node waits for the answer to a cancellation.
@@ -15,6 +16,9 @@
 	call    *Call
 	forward core.Forward
 	ended   bool // the entry node has received the outcome
+
+	relay      uplink.Load       // state of the link over which the entry node passes the answer on, as the attempt was sent; zero: none
+	expectedOn *uplink.Scheduler // link of the entry node that expects the answer; nil: none
 }
 
 func (t *Traffic) forward(n *Node, f core.Forward) {
@@ -33,11 +37,13 @@
 		t.arrive(a)
 		return
 	}
+	a.relay = t.Links.relay(a)
+	t.Links.expect(n, a)
 	target := t.mesh.nodes[f.Hop]
 	if !target.Alive || t.mesh.partitioned[pair(n.Name, f.Hop)] {
 		t.mesh.After(t.mesh.random(t.Faults.Delay), func() {
 			t.end(a, core.AttemptEnded{
-				Outcome: retry.NotRun, Failed: true, ConnectionRefused: !target.Alive, Queue: -1, Reason: "connection refused",
+				Outcome: retry.NotRun, Failed: true, Unreachable: true, ConnectionRefused: !target.Alive, Queue: -1, Reason: "connection refused",
 			})
 		})
 		return
@@ -89,7 +95,7 @@
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
 		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
-		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), OnHost: t.Links.onHost(a), Relay: t.Links.relay(a),
+		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), OnHost: t.Links.onHost(a), Relay: a.relay,
 	})
 }
 
@@ -101,6 +107,7 @@
 		return
 	}
 	a.ended = true
+	a.hasCome()
 	e.Call, e.Attempt = a.call.ID, a.forward.Attempt
 	n := t.mesh.nodes[a.call.Entry]
 	t.mesh.step(n, a.call.Generation, e)
--- a/core/coretest/traffic.go
+++ b/core/coretest/traffic.go
@@ -116,6 +116,7 @@
 	for _, a := range t.attempts {
 		if a.call == c && !a.ended {
 			a.ended = true
+			a.hasCome()
 			t.cancel(a)
 		}
 	}
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -21,3 +21,6 @@
 func (p *Proxy) PutCallersElsewhere() {
 	p.sameHost = func(net.Addr, net.Addr) bool { return false }
 }
+
+// HeldBytes returns the memory that responses take which are read before they are relayed.
+func (p *Proxy) HeldBytes() int64 { return p.held.reserved.Load() }
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -90,7 +90,7 @@
 func backendError(err error) *attemptError {
 	failed := asAttemptError(err)
 	return &attemptError{
-		outcome: failed.outcome, reported: true, healthy: failed.healthy, reason: failed.Error(),
+		outcome: failed.outcome, reported: true, healthy: failed.healthy, unreachable: failed.unreachable, reason: failed.Error(),
 		arrived: failed.arrived || failed.outcome != retry.NotRun,
 		err:     fmt.Errorf("backend server: %w", failed.err),
 	}
