--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -202,6 +202,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+			m.putCallersElsewhere()
 			backlog := func() int64 {
 				_, body, err := m.do(0, http.MethodGet, "/?answerBytes="+strconv.Itoa(bytes), "")
 				is.NoErr(err)
