Let a root without a lease look for the root as soon as the platform answers

Cause: a node that starts then knows no other node, and acts as root by itself. It asks for the root's address every 2 to 4 s. Where another of its calls, the read of the configuration, is the first one that the store answers, it holds a configuration and its server gets nothing until that timer has passed.

Change: the first answer of the platform ends the wait.

--- a/core/coretest/faults.go
+++ b/core/coretest/faults.go
@@ -56,6 +56,9 @@
 	}
 }
 
+// HealStore ends the partition of a node from the platform.
+func (m *Mesh) HealStore(name string) { delete(m.storePartitioned, name) }
+
 // Heal ends all partitions between nodes, pauses and injected faults. Delays stay.
 func (m *Mesh) Heal() {
 	m.partitioned, m.linkMessagesDropped = map[[2]string]bool{}, map[[2]string]bool{}
--- a/core/fallback.go
+++ b/core/fallback.go
@@ -105,6 +105,15 @@
 	s.readRootLease()
 }
 
+// searchRootAtOnce lets a root without a lease look for the root at its next tick: one
+// that started while the platform was unreachable knows no other node, and no caller's
+// request from elsewhere reaches it, until it has read the root's address there.
+func (s *State) searchRootAtOnce() {
+	if s.root.withoutLease {
+		s.member.retryAt = s.now
+	}
+}
+
 // dialUnlinkedMember dials, in turn, a member without a link to this root. It may
 // have restarted without an entry for this root and be in the tree of another
 // one. Of the two roots the one that ranks lower then joins the other.
--- a/core/store.go
+++ b/core/store.go
@@ -119,6 +119,7 @@
 	if done.Err != StoreFailed && s.platform.down {
 		s.platform.down = false
 		s.log(notice.PlatformReachable)
+		s.searchRootAtOnce()
 	}
 	switch c.purpose {
 	case forRootLeaseRead:
