Give up the leases of a process that stops as planned

Cause: the roots of b, c and d had been stopped as planned, 0.3 to 4 s before. Their leases named them until they expired, 5.3 s later, and what started in between waited as long by its own clock.

Change: before a process closes its links to end, it writes into its leases that nobody holds them, and waits 0.5 s at most for the answer, never past DrainAtMost: the margin that the process has to exit is not touched. A lease without a holder can be acquired at once, with a higher epoch. A release that does not know this waits for the lease to expire, as before.

TestReleasedLeaseIsAcquiredAtOnce.

--- a/core/announce.go
+++ b/core/announce.go
@@ -25,6 +25,7 @@
 	draining     bool      // takes no new requests
 	drainSince   time.Time // when the drain, or the stop of the process, began
 	drained      bool      // the drain has finished
+	releaseSince time.Time // since when the node gives up its leases to end; zero: it does not
 	servedAt     time.Time // when the last complete answer without error was received
 	relays       int       // large answers that are being sent to other nodes
 	queue        *admission.Queue
--- a/core/drain.go
+++ b/core/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -107,7 +108,11 @@
 	}
 	since := s.now.Sub(b.drainSince)
 	idle := s.idle() || s.requestFaults.skipDrainWait
-	if since < s.cfg.DrainAtLeast || !idle && since < s.cfg.DrainAtMost {
+	over := since >= s.cfg.DrainAtMost
+	if since < s.cfg.DrainAtLeast || !idle && since < s.cfg.DrainAtMost-releaseWait {
+		return
+	}
+	if givenUp := s.leasesGivenUp(); !over && !(idle && givenUp) {
 		return
 	}
 	b.drained = true
@@ -116,6 +121,33 @@
 	s.emit(Drained{})
 }
 
+// releaseWait is the longest time for which the end of a process waits until the
+// platform has its word that it gives up its leases.
+const releaseWait = 500 * time.Millisecond
+
+// leasesGivenUp gives up the leases that this node holds, and reports whether the process
+// may end: others can acquire them at once, or will have to wait until they expire.
+func (s *State) leasesGivenUp() bool {
+	b := &s.backend
+	if b.releaseSince.IsZero() {
+		b.releaseSince = s.now
+	}
+	if s.platform.down || s.now.Sub(b.releaseSince) >= releaseWait {
+		return true
+	}
+	root, publisher := s.member.lease, s.publisher.lease
+	if w, due := root.Release(s.now); due {
+		s.storePut(keyspace.RootLeases+s.cfg.DataCentre, mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
+	}
+	if w, due := publisher.Release(s.now); due {
+		s.storePut(keyspace.PublisherLease, mustJSON(w.Record), w.Base, storeCall{purpose: forPublisherLease})
+	}
+	return !root.Writing() && !root.Held(s.now) && !publisher.Writing() && !publisher.Held(s.now)
+}
+
+// takesLeases reports whether this node may acquire and renew leases.
+func (s *State) takesLeases() bool { return s.backend.releaseSince.IsZero() }
+
 // idle reports whether no request is in flight.
 func (s *State) idle() bool {
 	running, waiting := s.backend.queue.Load()
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -13,7 +13,7 @@
 
 // Record is the content of a lease object.
 type Record struct {
-	Holder  string `json:"holder"`
+	Holder  string `json:"holder"`  // empty: the last holder has given the lease up
 	Address string `json:"address"` // of the holder, for other nodes
 	Epoch   uint64 `json:"epoch"`   // increased with each acquisition
 	Round   uint64 `json:"round"`   // increased with each write of the record
@@ -84,7 +84,7 @@
 		m.held = false
 	}
 	if m.unconfirmed != nil && m.unconfirmed.write.Record == r {
-		m.holdFrom(m.unconfirmed.sentAt)
+		m.confirm(*m.unconfirmed, m.unconfirmed.sentAt)
 		m.unconfirmed = nil
 	}
 	if r.Epoch < m.epochFloor {
@@ -105,6 +105,14 @@
 	m.Observe(now, Record{}, 0)
 }
 
+// confirm applies a write of this process that has taken effect: the lease is held from a
+// time on, unless the write gave it up.
+func (m *Machine) confirm(w sentWrite, at time.Time) {
+	if w.write.Record.Holder == m.cfg.Holder {
+		m.holdFrom(at)
+	}
+}
+
 // holdFrom marks the lease as held because of a write that was sent at a time.
 func (m *Machine) holdFrom(at time.Time) {
 	m.held, m.heldUntil, m.renewAt, m.retryAt = true, at.Add(m.cfg.TTL-m.cfg.Margin), at.Add(m.cfg.Renew), time.Time{}
@@ -134,16 +142,19 @@
 	return m.observed && m.version != 0 && m.record.Epoch < m.epochFloor
 }
 
-// Expired reports whether the lease may be acquired: it does not exist or is outdated,
-// or this process has observed the same version of it for TTL.
+// free reports whether nobody holds the lease: it does not exist, or was given up.
+func (m *Machine) free() bool { return m.version == 0 || m.record.Holder == "" }
+
+// Expired reports whether the lease may be acquired: it is free or outdated, or this
+// process has observed the same version of it for TTL.
 func (m *Machine) Expired(now time.Time) bool {
-	return m.observed && (m.version == 0 || m.Outdated() || now.Sub(m.seenAt) >= m.cfg.TTL)
+	return m.observed && (m.free() || m.Outdated() || now.Sub(m.seenAt) >= m.cfg.TTL)
 }
 
 // ExpiresIn returns the time until the lease may be acquired if it is not
 // renewed. It is zero if the lease may be acquired now or has not been observed.
 func (m *Machine) ExpiresIn(now time.Time) time.Duration {
-	if !m.observed || m.version == 0 || m.Outdated() {
+	if !m.observed || m.free() || m.Outdated() {
 		return 0
 	}
 	return max(0, m.seenAt.Add(m.cfg.TTL).Sub(now))
@@ -171,6 +182,22 @@
 	return m.pending.write, true
 }
 
+// Release gives the lease up. It returns the write that tells other processes, if one is
+// due: if the lease is held and no other write is in progress.
+func (m *Machine) Release(now time.Time) (Write, bool) {
+	if m.pending != nil || !m.Held(now) {
+		return Write{}, false
+	}
+	r := m.record
+	r.Holder, r.Round = "", r.Round+1
+	m.held = false
+	m.pending = &sentWrite{write: Write{Record: r, Base: m.version}, sentAt: now}
+	return m.pending.write, true
+}
+
+// Writing reports whether a write is in progress.
+func (m *Machine) Writing() bool { return m.pending != nil }
+
 // Written records that the pending write succeeded and resulted in a version.
 func (m *Machine) Written(now time.Time, version uint64) {
 	if m.pending == nil {
@@ -186,7 +213,7 @@
 		return // a read has returned a later version, so another process has written since
 	}
 	m.record, m.version, m.seenAt, m.observed = p.write.Record, version, now, true
-	m.holdFrom(at)
+	m.confirm(p, at)
 }
 
 // Refused records that the pending write failed because the object was at another
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -297,3 +297,42 @@
 	}
 	return false
 }
+
+// TestReleasedLeaseIsAcquiredAtOnce checks that another process need not wait for a lease
+// that was given up, uses a higher epoch, and that the one that gave it up does not count
+// it as held again, whether its write was answered, failed, or was found by a read.
+func TestReleasedLeaseIsAcquiredAtOnce(t *testing.T) {
+	for name, end := range map[string]func(m *lease.Machine, w lease.Write){
+		"answered":    func(m *lease.Machine, _ lease.Write) { m.Written(start, 4) },
+		"found":       func(m *lease.Machine, w lease.Write) { m.WriteUnknown(); m.Observe(start, w.Record, 4) },
+		"not written": func(m *lease.Machine, _ lease.Write) { m.Refused() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := machine("a")
+			m.Observe(start, lease.Record{}, 0)
+			_, due := m.Release(start)
+			is.True(!due) // it is not held
+			_, _ = m.Next(start, true)
+			_, due = m.Release(start)
+			is.True(!due) // a write is in progress
+			m.Written(start, 3)
+			w, due := m.Release(start)
+			is.True(due && m.Writing())
+			is.Equal(w.Base, uint64(3))
+			is.True(!m.Held(start)) // at once
+			end(m, w)
+			is.True(!m.Held(start) && !m.Writing())
+			_, due = m.Next(start, false)
+			is.True(!due)
+
+			other := machine("b")
+			other.Observe(start, w.Record, 4)
+			is.True(other.Expired(start))
+			is.Equal(other.ExpiresIn(start), time.Duration(0))
+			taken, due := other.Next(start, true)
+			is.True(due)
+			is.Equal(taken, lease.Write{Record: lease.Record{Holder: "b", Address: "b", Epoch: 2, Round: 3}, Base: 4})
+		})
+	}
+}
--- a/core/publisher.go
+++ b/core/publisher.go
@@ -85,7 +85,7 @@
 	if s.cfg.Source || s.member.phase != phaseRoot && !p.active {
 		return
 	}
-	if w, due := p.lease.Next(s.now, s.canPublish()); due {
+	if w, due := p.lease.Next(s.now, s.canPublish() && s.takesLeases()); due {
 		s.storePut(keyspace.PublisherLease, mustJSON(w.Record), w.Base, storeCall{purpose: forPublisherLease})
 	}
 	held := p.lease.Held(s.now)
--- a/core/root_lease.go
+++ b/core/root_lease.go
@@ -19,7 +19,7 @@
 // writeRootLeaseIfDue takes or renews the root lease if that is due, and reports
 // whether it is.
 func (s *State) writeRootLeaseIfDue() bool {
-	w, due := s.member.lease.Next(s.now, true)
+	w, due := s.member.lease.Next(s.now, s.takesLeases())
 	if due {
 		s.storePut(s.rootLeaseKey(), mustJSON(w.Record), w.Base, storeCall{purpose: forRootLeaseWrite})
 	}
@@ -73,6 +73,7 @@
 	before := m.lease.Epoch()
 	m.lease.Written(s.now, done.Version)
 	switch {
+	case !s.takesLeases():
 	case m.phase != phaseRoot || s.root.withoutLease:
 		s.becomeRootWithLease()
 	case m.lease.Epoch() > before:
--- a/core/roots.go
+++ b/core/roots.go
@@ -25,7 +25,7 @@
 	}
 	s.root.nextList = s.now.Add(s.listInterval())
 	others := s.observeLeases(done)
-	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node && !s.member.lease.Outdated() {
+	if rec, ok := s.member.lease.Record(); ok && rec.Holder != s.cfg.Node && !s.member.lease.Outdated() && s.takesLeases() {
 		s.resignRoot("held by " + rec.Holder)
 		return
 	}
--- a/core/suspect_test.go
+++ b/core/suspect_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -125,3 +126,31 @@
 		})
 	}
 }
+
+// TestStoppedRootIsReplacedAtOnce stops a root that holds its lease. The nodes that it
+// leaves must be in one tree again long before that lease would have expired, while the
+// platform answers; and after it has expired if the platform is away.
+func TestStoppedRootIsReplacedAtOnce(t *testing.T) {
+	for _, platformDown := range []bool{false, true} {
+		t.Run(fmt.Sprintf("platform down %v", platformDown), func(t *testing.T) {
+			is := is.New(t)
+			m := newTree(t, 8, 2, core.NoFault)
+			m.OnEffect = func(n *coretest.Node, e core.Effect) {
+				if _, ended := e.(core.Drained); ended {
+					m.After(0, func() { m.Crash(n.Name) })
+				}
+			}
+			ending := roots(m)[0]
+			m.Faults.PlatformDown = platformDown
+			m.Step(ending, core.Stop{})
+			is.True(m.RunUntil(10*time.Second, func() bool { return !m.Node(ending).Alive }))
+			took, whole := time.Duration(0), func() bool { return len(roots(m)) == 1 && countJoined(m) == 6 }
+			for ; took < 20*time.Second && !whole(); took += 50 * time.Millisecond {
+				m.Run(50 * time.Millisecond)
+			}
+			t.Logf("in one tree after %v", took)
+			is.True(whole())
+			is.True(platformDown || took <= 1500*time.Millisecond)
+		})
+	}
+}
