Tell other hosts alone which answers an entry node expects on its link

What a gate lets in at its own backend server does not depend on what it has asked others for: only the answers that go on over the entry node's link do. TestEntryNodesLinkGetsMoreThanItCarries and TestScarceLinkIsSpentOnLateDownloads pass as before.

--- a/core/coretest/links.go
+++ b/core/coretest/links.go
@@ -101,7 +101,7 @@
 	if l == nil || l.CallersOnHosts || a.forward.Local {
 		return uplink.Load{}
 	}
-	return l.load(l.mesh.nodes[a.call.Entry])
+	return l.of(l.mesh.nodes[a.call.Entry]).scheduler.RelayLoad(l.mesh.Now)
 }
 
 // deliver sends the answer to an attempt from a node to its caller, then calls done.
--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -44,7 +44,7 @@
 
 // Load is the state of the link as it matters to another large response.
 type Load struct {
-	Backlog int64   // bytes of large responses that are expected, or ready and not sent, of each at most what it may send in its turn
+	Backlog int64   // bytes of large responses that are ready and not sent, of each at most what it may send in its turn
 	Rate    float64 // bytes per second that large responses get; zero: unknown
 }
 
@@ -243,10 +243,18 @@
 
 func (s *Scheduler) inTurn(bytes int64) int64 { return min(bytes, int64(s.rate*maxTurn.Seconds())) }
 
+// RelayLoad returns the state of the link for a large response that another host is asked
+// for. Its backlog includes the responses that are expected.
+func (s *Scheduler) RelayLoad(now time.Time) Load {
+	l := s.Load(now)
+	l.Backlog += s.expected
+	return l
+}
+
 // Load returns the state of the link for another large response.
 func (s *Scheduler) Load(now time.Time) Load {
 	s.refill(now)
-	l := Load{Backlog: s.expected, Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
+	l := Load{Rate: max(s.rate-s.others/othersWindow.Seconds(), s.rate*minLargeShare)}
 	for _, t := range s.transfers {
 		if t.wants > 0 || now.Sub(t.grantedAt) < stalledAfter {
 			l.Backlog += s.inTurn(t.left)
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -45,7 +45,7 @@
 func (l *link) ask(n int64) uplink.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := l.scheduler.Load(time.Now())
+	load := l.scheduler.RelayLoad(time.Now())
 	l.scheduler.Expect(n)
 	return load
 }
