--- a/core/requests_rerun_test.go
+++ b/core/requests_rerun_test.go
@@ -199,6 +199,22 @@
 	}
 }
 
+// TestRefusalByLeavingNodeIsFree guards against free retries of a call that a backend server
+// has seen, since a node that leaves refuses it afterwards.
+func TestRefusalByLeavingNodeIsFree(t *testing.T) {
+	is := is.New(t)
+	e := newEntryNode(t, core.Config{RetryShare: 0.5, RerunShare: 1, RerunReserve: 1e-9}, 6, ordersObjects(`{"maxAttempts":5}`)...)
+	f := e.call("GET") // earns one rerun
+	f, again := firstEffect[core.Forward](e.step(core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, ReachedBackend: true, Queue: -1,
+	}))
+	is.True(again)
+	_, again = firstEffect[core.Forward](e.step(core.AttemptEnded{
+		Call: f.Call, Attempt: f.Attempt, Outcome: retry.NotRun, Queue: -1, Reason: string(admission.NotServing),
+	}))
+	is.True(!again)
+}
+
 // TestRefusingBackendServerGetsNoSecondAttempt guards against a request that may not
 // run twice going again to a backend server that refused it. Others go on, and so does one
 // that its node refused.
