Report a request as not run if the answer in its place was there before it

What callers saw: the request behind a repeated refusal failed with 502, "may have run", though not a byte of it was sent, and one that may not run twice was not sent again.

Cause: a backend server that writes two answers at once leaves the second in the buffer of the connection. This node closes the connection for the first, which is that of another request; but http.Transport may have handed it to the next request by then, and reads the second answer for that one. It is not accepted, and an outcome told by an answer counted as unknown in any case.

Change: as after an error, the connection is sealed, and if no write was begun on it since the request got it, the request has not run and never will.

TestAnswerInFrontOfUnsentRequestIsItsOwn fails without it ("unknown != not-run").

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -147,8 +147,8 @@
 // roundTrip sends one request. check returns an attemptError for a response that is
 // not accepted; if its outcome is Unknown, the response is that of another request.
 // The connection is closed then, because later responses on it may be so too. If
-// there is no response, the outcome is NotRun only if not a single byte of the
-// request was written.
+// there is no response to the request, the outcome is NotRun only if not a single byte
+// of the request was written.
 func (p *Proxy) roundTrip(ctx context.Context, t *http.Transport, out *http.Request, check func(*http.Response) error) (*http.Response, error) {
 	var conn *trackedConn
 	var before int64
@@ -162,7 +162,7 @@
 	}
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		return checked(resp, check(resp), conn)
+		return checked(resp, check(resp), conn, before)
 	}
 	if conn == nil {
 		return nil, &attemptError{outcome: retry.NotRun, err: err}
@@ -174,8 +174,9 @@
 	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
 
-// checked returns a response, or the error for which it is not accepted.
-func checked(resp *http.Response, err error, conn *trackedConn) (*http.Response, error) {
+// checked returns a response, or the error for which it is not accepted. before is the
+// number of writes on the connection before the request.
+func checked(resp *http.Response, err error, conn *trackedConn, before int64) (*http.Response, error) {
 	if err == nil {
 		return resp, nil
 	}
@@ -183,9 +184,13 @@
 		discardBody(resp)
 		return nil, err
 	}
-	if conn != nil {
-		conn.seal()
+	defer func() { _ = resp.Body.Close() }()
+	if conn == nil {
+		return nil, err
+	}
+	own := conn.sealed.Load()
+	if conn.seal() == before { // the response was there before the request
+		return nil, &attemptError{outcome: retry.NotRun, healthy: own, err: err}
 	}
-	_ = resp.Body.Close()
 	return nil, err
 }
--- a/proxy/sealed_test.go
+++ b/proxy/sealed_test.go
@@ -52,3 +52,39 @@
 	is.True(unsent.healthy) // the server has not failed
 	is.Equal(arrived.Load(), int64(1))
 }
+
+// TestAnswerInFrontOfUnsentRequestIsItsOwn guards against a request of which nothing was sent
+// being reported as one that may have run, since an answer that its connection had brought
+// before, to another request, is read in its place.
+func TestAnswerInFrontOfUnsentRequestIsItsOwn(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		sealed  bool // the connection was closed at this node before
+		written bool // a part of the request was written
+		outcome retry.Outcome
+		healthy bool
+	}{
+		{"closed before", true, false, retry.NotRun, true},
+		{"not written yet", false, false, retry.NotRun, false},
+		{"written in part", false, true, retry.Unknown, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := &trackedConn{Conn: &countedConn{}}
+			_, _ = c.Write([]byte("an earlier request"))
+			before := c.writes.Load()
+			if tt.sealed {
+				c.seal()
+			}
+			if tt.written {
+				_, _ = c.Write([]byte("the head of the request"))
+			}
+			other := &attemptError{outcome: retry.Unknown, err: errors.New("another request's")}
+			_, err := checked(&http.Response{Body: http.NoBody}, other, c, before)
+			is.Equal(asAttemptError(err).outcome, tt.outcome)
+			is.Equal(asAttemptError(err).healthy, tt.healthy)
+			_, err = c.Write([]byte("the request"))
+			is.True(errors.Is(err, errSealed)) // and never will be
+		})
+	}
+}
