--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -162,7 +162,7 @@
 	began := time.Now()
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		return checked(resp, check(resp), conn)
+		return checked(resp, check(resp), conn, before)
 	}
 	if conn == nil {
 		return nil, p.unconnected(t, err, time.Since(began))
@@ -202,8 +202,9 @@
 	return false
 }
 
-// checked returns a response, or the error for which it is not accepted.
-func checked(resp *http.Response, err error, conn *trackedConn) (*http.Response, error) {
+// checked returns a response, or the error for which it is not accepted. before is the
+// number of writes on the connection before the request.
+func checked(resp *http.Response, err error, conn *trackedConn, before int64) (*http.Response, error) {
 	if err == nil {
 		return resp, nil
 	}
@@ -211,9 +212,13 @@
 		discardBody(resp)
 		return nil, err
 	}
-	if conn != nil {
-		conn.seal()
+	defer func() { _ = resp.Body.Close() }()
+	if conn == nil {
+		return nil, err
+	}
+	own := conn.sealed.Load()
+	if conn.seal() == before { // the response was there before the request
+		return nil, &attemptError{outcome: retry.NotRun, healthy: own, err: err}
 	}
-	_ = resp.Body.Close()
 	return nil, err
 }
