--- a/core/requests_exit_test.go
+++ b/core/requests_exit_test.go
@@ -191,3 +191,19 @@
 	tr.Call("a1", core.CallArrived{Method: "POST", Path: "/quick/1", Budget: 20 * time.Second, Replayable: true})
 	is.Equal(late, again+1)
 }
+
+// TestStoppingNodeServesAgain guards against a node that takes requests again while it stops,
+// because its backend server ends, or because it is told to end an earlier drain.
+func TestStoppingNodeServesAgain(t *testing.T) {
+	is := is.New(t)
+	m := coretest.New(5)
+	m.Start("a1", core.Config{DataCentre: "a", Service: "orders", DrainAtLeast: 5 * time.Second, DrainAtMost: 10 * time.Second})
+	m.Run(20 * time.Second)
+	state := func() string { return m.Node("a1").State.Dump().Backend.State }
+	is.Equal(state(), "ready")
+	m.Step("a1", core.Stop{})
+	for _, event := range []core.Event{core.BackendProbed{Refused: true}, core.BackendDrainCancelled{}, core.BackendProbed{OK: true}} {
+		m.Step("a1", event)
+		is.Equal(state(), "draining")
+	}
+}
