Send the responses in front of a request that fails

What callers saw: a response in the middle of being sent was cut, because a request behind it on the same connection failed: its client broke off its body, or its handler failed. The request in front had been passed on and answered.

Cause: a response that can't be sent aborted the connection at once, without regard to its turn. If the response in front was the last one, the connection was ended as soon as the request that was read last had ended, which is not the one that is sent last then.

Change: a response that can't be sent whole waits for its turn before its connection is aborted.

--- a/h1/closing_test.go
+++ b/h1/closing_test.go
@@ -70,9 +70,18 @@
 	}
 }
 
-// TestFailedRequestCutsResponseInFrontOfIt guards against a response, the last one of its
-// connection, that is cut because a request behind it fails while it is being sent.
+// TestFailedRequestCutsResponseInFrontOfIt guards against a response that is cut because a
+// request behind it fails while it is being sent, whether or not it is the last one.
 func TestFailedRequestCutsResponseInFrontOfIt(t *testing.T) {
+	for range 10 { // the reader may be late
+		for _, last := range []bool{false, true} {
+			failBehind(t, last)
+		}
+	}
+}
+
+func failBehind(t *testing.T, last bool) {
+	t.Helper()
 	is := is.New(t)
 	behind, begun, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	_, c := start(t, h1.Config{}, func(w http.ResponseWriter, r *http.Request) {
@@ -82,7 +91,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		<-behind
-		w.Header().Set("Connection", "close")
+		if last {
+			w.Header().Set("Connection", "close")
+		}
 		_, _ = io.WriteString(w, "begun ")
 		w.(http.Flusher).Flush()
 		close(begun)
@@ -92,7 +103,7 @@
 	_, err := io.WriteString(c, getRequest("/1")+getRequest("/2"))
 	is.NoErr(err)
 	<-begun
-	time.Sleep(20 * time.Millisecond) // the second request fails
+	time.Sleep(10 * time.Millisecond) // the second request fails
 	close(release)
 	in := bufio.NewReader(c)
 	_, body := readResponse(t, in)
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -86,8 +86,8 @@
 		}
 		e.body.release() // before the client sees the end of the response
 		err := w.finish()
-		if (err != nil || w.failed) && (w.active || !c.closing.Load()) {
-			c.abort() // unless an earlier response was the last one and is still being sent
+		if err != nil || w.failed {
+			e.fail(w.active)
 		}
 		e.cancel()
 		c.pending.Add(-1)
@@ -100,6 +100,16 @@
 	c.server.handler.ServeHTTP(w, e.request)
 }
 
+// fail aborts the connection for a response that can't be sent whole. The responses in
+// front of it are sent first. If one of them was the last one, the reader closes the
+// connection.
+func (e *exchange) fail(begun bool) {
+	_ = e.awaitTurn() // an error says that the connection is closing
+	if begun || !e.conn.closing.Load() {
+		e.conn.abort()
+	}
+}
+
 // begin marks the response as begun. 100 Continue is not sent from then on.
 func (e *exchange) begin() {
 	e.head.Lock()
