--- a/proxy/drain_large_test.go
+++ b/proxy/drain_large_test.go
@@ -27,6 +27,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+			m.putCallersElsewhere()
 			n := m.nodes[1]
 			q := &request{id: m.id(), entry: m.nodes[tt.entry].callers, method: http.MethodPost, path: tt.path, body: []byte("x"), once: true}
 			sent := make(chan struct{})
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -91,6 +91,7 @@
 				m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
 					p.Backend, p.ReadAheadBytes, p.LinkBytes = server.address, readAhead, 4<<20
 				}, "", "orders")
+				m.putCallersElsewhere()
 				method, body := http.MethodPost, "x"
 				if path == "/" {
 					method, body = http.MethodGet, ""
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -16,6 +16,7 @@
 	const link, refusals = 200_000, 20 // the answer in front of them takes a second
 	is := is.New(t)
 	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+	m.putCallersElsewhere()
 	_, _, err := m.do(0, http.MethodGet, "/brief?answerBytes=40000", "") // shows how large answers are
 	is.NoErr(err)
 	done := make(chan error, 1)
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -188,6 +188,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = tc.linkBytes }, "", "orders")
+			m.putCallersElsewhere()
 			conn := m.dialRaw(0, fmt.Sprintf("GET /?answerBytes=%d%s HTTP/1.1\r\nHost: x\r\n\r\n", responseBytes, tc.query))
 			var received atomic.Int64
 			go func() {
--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -173,6 +173,7 @@
 	const responses, bytes, link = 4, 1 << 20, 4 << 20 // a quarter of a second each; the entry node asks after 100 ms
 	is := is.New(t)
 	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.LinkBytes = link }, "", "orders")
+	m.putCallersElsewhere()
 	failures := make(chan error, responses)
 	for range responses {
 		go func() {
