Wait in a test of TLS until all nodes know both backend servers

TestRequestsBetweenNodesOverTLS failed once in a run of all tests on a busy machine, and in 2 of 1,800 runs of its own (twelve at once): 503, no backend server of service scaler takes requests. Traced by the nodes' logs: a configuration is in force as soon as the nodes that have joined run it, and the second node had not joined the first by then, 0.25 s after its start. That is allowed, so the test waits for what it needs.

--- a/cmd/agatekeel/tls_test.go
+++ b/cmd/agatekeel/tls_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/node"
 	"github.com/agatekeel/agatekeel/peer"
 	"github.com/agatekeel/agatekeel/security"
 	"github.com/agatekeel/agatekeel/security/securitytest"
@@ -49,9 +51,25 @@
 	src, err := readObjects([]string{"../../examples/recipes"})
 	is.NoErr(err)
 	is.NoErr(applyObjects(m.platform, src, nil))
+	awaitEndpoints(t, m, len(backends))
 	return m, backends
 }
 
+// awaitEndpoints waits until all nodes know a number of endpoints: a configuration is in
+// force as soon as the nodes that have joined run it.
+func awaitEndpoints(t *testing.T, m *mesh, n int) {
+	t.Helper()
+	const limit = 20 * time.Second
+	for begun := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if !slices.ContainsFunc(m.nodes, func(one *node.Node) bool { return len(one.Dump().Endpoints) < n }) {
+			return
+		}
+		if time.Since(begun) > limit {
+			t.Fatalf("not all nodes know %d endpoints after %v", n, limit)
+		}
+	}
+}
+
 func TestRequestsBetweenNodesOverTLS(t *testing.T) {
 	is := is.New(t)
 	m, backends := startTLSMesh(t, securitytest.New(t, "ca"))
