Let no write that a test blocks go out as its connection closes

Cause, in the stand-in for a slow network: closing its connection ended the wait of a blocked write before it closed the connection below, and the write could go out in between. It now fails.

The check is the same.

--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -104,6 +104,7 @@
 		select {
 		case <-*ch:
 		case <-c.closed:
+			return 0, net.ErrClosed
 		}
 	}
 	return c.Conn.Write(b)
