Send a request that is sent again with its ID over a connection of its own

What callers saw: a request that may run once was refused by its backend server (503, not run), and its caller sent it again with the same ID. It ran, and the caller was told once more that it had not.

Cause: the server wrote its refusal a second time, on the connection that the first had come on, before its answer to the second request. Both bear the same ID, so nothing in the copy tells it from an own refusal. A retry of the node's own never goes back to that server, but nothing kept a caller's from it.

TestRepeatedRefusalOfTheCallersRetry got 503 instead of 200 for a request that ran, in all four pairs of entry nodes.

Requests that may run twice keep their connections (TestRepeatableRequestGetsConnectionOfItsOwn).

--- a/proxy/local.go
+++ b/proxy/local.go
@@ -77,14 +77,34 @@
 	deadline, _ := ctx.Deadline()
 	p.cfg.Names.setBackendHeaders(out.Header, run.Backend, h.depth, time.Until(deadline))
 	p.closeSuspectIdle(r)
-	resp, err := p.roundTrip(ctx, p.backend, out, func(resp *http.Response) error {
+	resp, err := p.roundTrip(ctx, p.transportFor(r), out, func(resp *http.Response) error {
 		p.noteAnswer(r, resp, run)
-		return p.cfg.Names.checkResponse(r, resp)
+		err := p.cfg.Names.checkResponse(r, resp)
+		p.recordRefusal(r, err)
+		return err
 	})
 	p.recordIdleLoss(ctx, err)
 	return resp, err
 }
 
+// transportFor returns the transport for a request to this node's backend server. A request
+// whose ID it has refused before gets a connection that has carried no other.
+func (p *Proxy) transportFor(r *http.Request) *http.Transport {
+	if p.refusedIDs.has(get(r.Header, p.cfg.Names.RequestID)) {
+		return p.unshared
+	}
+	return p.backend
+}
+
+// recordRefusal records the ID of a request that this node's backend server refused, if it
+// may not run twice. It has to be called before the connection can be used again.
+func (p *Proxy) recordRefusal(r *http.Request, err error) {
+	if err == nil || asAttemptError(err).outcome != retry.NotRun || p.core.IsIdempotent(r.Method, r.Host, r.URL.Path) {
+		return
+	}
+	p.refusedIDs.add(get(r.Header, p.cfg.Names.RequestID))
+}
+
 // backendError returns the error for an attempt that this node's backend server did
 // not answer.
 func backendError(err error) *attemptError {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -97,7 +97,9 @@
 	core       Dispatcher
 	lastCall   atomic.Uint64
 	backend    *http.Transport
-	idleLostAt atomic.Int64 // Unix time in nanoseconds at which an idle connection to backend last broke without a response
+	idleLostAt atomic.Int64    // Unix time in nanoseconds at which an idle connection to backend last broke without a response
+	unshared   *http.Transport // to backend, for requests whose ID is in refusedIDs: each has a connection of its own
+	refusedIDs *refusedIDs
 	hop        *http.Transport
 	query      *http.Transport // asks other nodes about attempts, over separate connections
 	calls      metrics.Timer
@@ -130,10 +132,11 @@
 	cfg = cfg.withDefaults()
 	p := &Proxy{
 		cfg: cfg, core: d, link: newLink(cfg.LinkBytes), sent: newSentCounters(r),
-		backend: newTransport(dialTCP, cfg.Connections),
+		backend: newTransport(dialTCP, cfg.Connections), unshared: newTransport(dialTCP, cfg.Connections), refusedIDs: newRefusedIDs(),
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r), sameHost: sameHost,
 	}
+	p.unshared.DisableKeepAlives = true
 	hopDial := counting(cfg.HopDial, p.recordSent)
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
 	p.maxBody.Store(cfg.MaxBodyBytes)
