Believe no mark of a refusal that the same answer contradicts

What callers saw: 503 (not run) for a request that its backend server had run and answered with 200 and the header X-Not-Executed: 0, or with a success that bears the mark. With two servers the request was sent to the second one as well, and ran twice.

Cause: any value of the header counted, on any status.

An answer that bears the mark with a status below 400, or with one value that is empty or false, now leaves the outcome unknown, so nothing is promised and nothing is sent again. The same holds for status 421 with such a value.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -89,6 +89,17 @@
 	return n.NotRun != "" && (get(resp.Header, n.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest)
 }
 
+// contradictsItself reports whether a response says that its request did not run, and the
+// contrary too: by its status, or by a mark that is empty or false.
+func (n Names) contradictsItself(resp *http.Response) bool {
+	return n.saysNotRun(resp) && (resp.StatusCode < http.StatusBadRequest || slices.ContainsFunc(resp.Header[n.NotRun], isFalse))
+}
+
+func isFalse(value string) bool {
+	v, err := strconv.ParseBool(value)
+	return value == "" || err == nil && !v
+}
+
 // impliesNotRun reports whether a status implies to callers that their request did not
 // run. It does so only where backend servers mark such responses.
 func (n Names) impliesNotRun(status int) bool {
@@ -140,8 +151,8 @@
 
 // checkResponse returns an error if a backend server's response is not accepted as the
 // answer to the request: its head consists of two or holds an invalid field name, it
-// belongs to another request, it is a success without a signature, or it says that the
-// request did not run. The outcome is NotRun only if the response has the request's ID,
+// belongs to another request, it contradicts itself, it is a success without a signature, or
+// it says that the request did not run. The outcome is NotRun only if the response has the request's ID,
 // and the mark NotRun or status 421; any other status does not suffice.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
@@ -152,6 +163,8 @@
 		return responseRejected(resp, "has a field name with a space in its head")
 	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
 		return responseRejected(resp, "is that of another request")
+	case n.contradictsItself(resp):
+		return responseRejected(resp, "says that the request did not run, and the contrary")
 	case !n.isSigned(resp):
 		return responseRejected(resp, "has no signature")
 	case !notRun && n.impliesNotRun(resp.StatusCode):
