Refuse an answer of another major version of HTTP

What callers saw: an answer that begins with "HTTP/2.0 200 OK", or any other pair of digits, arrived as a success. Such bytes are no answer in HTTP/1.1, and how they end is not known.

Cause: net/http takes any version of the form HTTP/d.d, and reads what follows as HTTP/1.1.

Change: the node beside the backend server refuses an answer whose major version is not 1, with an unknown outcome.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -139,13 +139,15 @@
 }
 
 // checkResponse returns an error if a backend server's response is not accepted as the
-// answer to the request: its head consists of two or holds an invalid field name, it
-// belongs to another request, it is a success without a signature, or it says that the
+// answer to the request: its version is not HTTP/1, its head consists of two or holds an
+// invalid field name, it belongs to another request, it is a success without a signature, or it says that the
 // request did not run. The outcome is NotRun only if the response has the request's ID,
 // and the mark NotRun or status 421; any other status does not suffice.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	switch {
+	case resp.ProtoMajor != 1:
+		return responseRejected(resp, "is of version "+resp.Proto)
 	case holdsStatusLine(resp):
 		return responseRejected(resp, "has another status line in its head")
 	case holdsBrokenName(resp):
