Refuse an answer of HTTP/1.0 with a transfer coding

What callers saw: if a backend server answered "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked", the body that arrived was the lengths of the chunks, their bytes and the line ends, as a whole success. If it was cut, so was what arrived, and that looked whole as well.

Cause: net/http ignores a Transfer-Encoding in the head of HTTP/1.0, removes the field and reads the body up to the end of the connection, or by a Content-Length. RFC 9112, section 6.1, says to take the framing of such an answer as faulty.

Change: the connection keeps what it reads of an answer that begins with "HTTP/1.0", and the node refuses one whose head names a transfer coding, or that comes behind an interim answer of another version. Of an answer of HTTP/1.1 nothing is kept: it is seen in the first eight bytes.

Five new cases of TestInvalidBackendAnswers fail without the change (200 != 502), among them a head in single bytes. TestOldAnswerArrives checks that other answers of HTTP/1.0 arrive as before.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -26,6 +26,7 @@
 	net.Conn
 	writes atomic.Int64
 	sealed atomic.Bool
+	old    oldHead
 
 	writing  sync.Mutex // held during a write; guards the field below
 	writeErr error      // the first error of a write that says that the connection broke
@@ -36,6 +37,7 @@
 // look complete.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.old.add(b[:n])
 	if err != io.EOF {
 		return n, err
 	}
@@ -155,6 +157,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, _ = info.Conn.(*trackedConn)
 		before, reused = conn.writes.Load(), info.Reused
+		conn.old.begin()
 	}}
 	if !p.injected.transportReplays {
 		preventReplay(out)
@@ -162,7 +165,10 @@
 	began := time.Now()
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		return checked(resp, check(resp), conn, before)
+		if err = conn.old.check(resp); err == nil {
+			err = check(resp)
+		}
+		return checked(resp, err, conn, before)
 	}
 	if conn == nil {
 		return nil, p.unconnected(t, err, time.Since(began))
