Refuse an answer that removes its own signature or request ID

What callers saw: a success without X-Response-Stamp, or without X-Request-Id, if the backend server named that field in the Connection header of its answer.

Cause: the signature and the ID are checked in the head as it comes, and then the fields that Connection names are removed, as RFC 9110, section 7.6.1, says of fields of the connection alone.

Change: the node beside the backend server refuses such an answer, with an unknown outcome. The same holds for the fields of nodes, which the entry node would have missed.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -133,16 +133,29 @@
 	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first test is cheap
 }
 
+// removesOwn reports whether the Connection header of a response names its request's ID or
+// its signature as fields of the connection alone, which are not passed on.
+func (n Names) removesOwn(resp *http.Response) bool {
+	for _, v := range resp.Header["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if name != "" && (name == n.RequestID || name == n.Signature || strings.HasPrefix(name, headerPrefix)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isSigned reports whether a response has the signature that its status requires.
 func (n Names) isSigned(resp *http.Response) bool {
 	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
 }
 
 // checkResponse returns an error if a backend server's response is not accepted as the
-// answer to the request: its version is not HTTP/1, its head consists of two or holds an
-// invalid field name, it belongs to another request, it is a success without a signature, or it says that the
-// request did not run. The outcome is NotRun only if the response has the request's ID,
-// and the mark NotRun or status 421; any other status does not suffice.
+// answer to the request, or says that the request did not run. The outcome is NotRun only if
+// the response has the request's ID, and the mark NotRun or status 421; any other status does
+// not suffice.
 func (n Names) checkResponse(r *http.Request, resp *http.Response) error {
 	notRun := n.saysNotRun(resp)
 	switch {
@@ -152,6 +165,8 @@
 		return responseRejected(resp, "has another status line in its head")
 	case holdsBrokenName(resp):
 		return responseRejected(resp, "has a field name with a space in its head")
+	case n.removesOwn(resp):
+		return responseRejected(resp, "removes its request ID or signature as fields of the connection")
 	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
 		return responseRejected(resp, "is that of another request")
 	case !n.isSigned(resp):
