Refuse a success with two signatures

What callers saw: a success with two values of X-Response-Stamp, one of which is that of another answer, if the head of the backend server held both.

Cause: only the first value was looked at.

Change: a success needs exactly one.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -147,9 +147,14 @@
 	return false
 }
 
-// isSigned reports whether a response has the signature that its status requires.
+// isSigned reports whether a response has the signature that its status requires, and no
+// other.
 func (n Names) isSigned(resp *http.Response) bool {
-	return n.Signature == "" || resp.StatusCode/100 != 2 || get(resp.Header, n.Signature) != ""
+	if n.Signature == "" || resp.StatusCode/100 != 2 {
+		return true
+	}
+	signatures := resp.Header[n.Signature]
+	return len(signatures) == 1 && signatures[0] != ""
 }
 
 // checkResponse returns an error if a backend server's response is not accepted as the
@@ -170,7 +175,7 @@
 	case !n.belongsTo(r, resp) || notRun && get(resp.Header, n.RequestID) == "":
 		return responseRejected(resp, "is that of another request")
 	case !n.isSigned(resp):
-		return responseRejected(resp, "has no signature")
+		return responseRejected(resp, "has no signature, or several")
 	case !notRun && n.impliesNotRun(resp.StatusCode):
 		return responseRejected(resp, "does not say that the request did not run")
 	case !notRun:
