Refuse an interim answer whose head was broken off

What callers saw: a success where the backend server had answered with a failure. If it broke off the head of an interim answer ("103 Early Hints"), the head of the failure became part of that, and an answer that was sent once more came in its place.

Cause: only the head of the final answer was looked at for another status line.

Change: an interim answer is refused, and with it the request, with an unknown outcome, if one of its fields ends with a status line or has a space in its name, or if it has a length, a signature or the ID of a request, which only final ones have. As http.Transport leaves their number to those who look at them, there may be five.

A failure without any such field, broken off in the reason, stays unseen: net/http does not hand out the reason of an interim answer.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -154,7 +155,7 @@
 	var conn *trackedConn
 	var before int64
 	var reused bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	trace := &httptrace.ClientTrace{Got1xxResponse: p.checkInterim(), GotConn: func(info httptrace.GotConnInfo) {
 		conn, _ = info.Conn.(*trackedConn)
 		before, reused = conn.writes.Load(), info.Reused
 		conn.old.begin()
@@ -180,6 +181,21 @@
 	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
 
+// maxInterim is the number of interim responses that may come in front of a response. As
+// they are looked at, http.Transport does not limit them.
+const maxInterim = 5
+
+// checkInterim returns a function that is called with each interim response.
+func (p *Proxy) checkInterim() func(status int, h textproto.MIMEHeader) error {
+	count := 0
+	return func(status int, h textproto.MIMEHeader) error {
+		if count++; count > maxInterim {
+			return fmt.Errorf("more than %d interim answers", maxInterim)
+		}
+		return p.cfg.Names.checkInterim(status, http.Header(h))
+	}
+}
+
 // unconnected returns the error for a request for which no connection was opened in the
 // given time. Nothing was written, so it did not run. It counts against the target only as
 // far as this host did not lack the means itself.
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -102,11 +102,11 @@
 // statusLine matches a status line at the end of a line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( .*)?$`)
 
-// holdsBrokenName reports whether the name of a field in the head of a response holds a
-// space, also before its colon. net/http takes it for a field of that name, so that a
-// length or a transfer coding in it would not count.
-func holdsBrokenName(resp *http.Response) bool {
-	for name := range resp.Header {
+// holdsBrokenName reports whether the name of a field holds a space, also before its colon.
+// net/http takes it for a field of that name, so that a length or a transfer coding in it
+// would not count.
+func holdsBrokenName(h http.Header) bool {
+	for name := range h {
 		if strings.Contains(name, " ") {
 			return true
 		}
@@ -114,14 +114,10 @@
 	return false
 }
 
-// holdsStatusLine reports whether a line in the head of a response ends with another
-// status line: the backend server broke off one head and sent another response on the
-// same connection.
-func holdsStatusLine(resp *http.Response) bool {
-	if endsWithStatusLine(resp.Status) {
-		return true
-	}
-	for _, values := range resp.Header {
+// holdsStatusLine reports whether a field ends with a status line: the backend server broke
+// off one head and sent another response on the same connection.
+func holdsStatusLine(h http.Header) bool {
+	for _, values := range h {
 		if slices.ContainsFunc(values, endsWithStatusLine) {
 			return true
 		}
@@ -133,6 +129,20 @@
 	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) // the first test is cheap
 }
 
+// checkInterim returns an error for an interim response whose head was broken off: that of
+// the next response is part of it, and the one behind would count instead.
+func (n Names) checkInterim(status int, h http.Header) error {
+	if holdsStatusLine(h) || holdsBrokenName(h) {
+		return fmt.Errorf("interim answer with status %d has a broken head", status)
+	}
+	for _, name := range []string{"Content-Length", n.RequestID, n.Signature} {
+		if len(h[name]) > 0 {
+			return fmt.Errorf("interim answer with status %d has the field %s of a final one", status, name)
+		}
+	}
+	return nil
+}
+
 // removesOwn reports whether the Connection header of a response names its request's ID or
 // its signature as fields of the connection alone, which are not passed on.
 func (n Names) removesOwn(resp *http.Response) bool {
@@ -166,9 +176,9 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return responseRejected(resp, "is of version "+resp.Proto)
-	case holdsStatusLine(resp):
+	case endsWithStatusLine(resp.Status) || holdsStatusLine(resp.Header):
 		return responseRejected(resp, "has another status line in its head")
-	case holdsBrokenName(resp):
+	case holdsBrokenName(resp.Header):
 		return responseRejected(resp, "has a field name with a space in its head")
 	case n.removesOwn(resp):
 		return responseRejected(resp, "removes its request ID or signature as fields of the connection")
