Cut an answer whose trailer is broken

What callers saw: an answer that looked whole though the backend server broke it off in its trailer and sent another one on the same connection: "Late-Field: HTTP/1.1 500 Internal Server Error" came as a field of the trailer. Fields of a trailer with a space in their name were passed on as well.

Cause: the head of an answer is looked at for such lines, its trailer was not.

Change: the body of an answer ends with a fault if a field of its trailer ends with a status line or has a space in its name. So the caller's answer is cut, or the request is sent again.

TestBrokenTrailerLooksWhole fails without the change in all 32 cases: four trailers, callers of HTTP/1.0 and 1.1, both nodes, with an answer that is read whole first and one that is not.

--- a/proxy/local.go
+++ b/proxy/local.go
@@ -40,7 +40,7 @@
 		return nil, backendError(err)
 	}
 	done.Status = resp.StatusCode
-	resp.Body = &observedBody{ReadCloser: resp.Body, onEnd: func(complete bool, size int64) {
+	resp.Body = &observedBody{ReadCloser: &trailedBody{ReadCloser: resp.Body, resp: resp}, onEnd: func(complete bool, size int64) {
 		done.Truncated, done.Bytes = !complete, size
 		end()
 	}}
@@ -142,6 +142,23 @@
 	}
 }
 
+var errBrokenTrailer = fmt.Errorf("answer has a broken trailer")
+
+// trailedBody is the body of a response. It does not end well if its trailer is broken.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && (holdsStatusLine(b.resp.Trailer) || holdsBrokenName(b.resp.Trailer)) {
+		err = errBrokenTrailer
+	}
+	return n, err
+}
+
 // observedBody calls onEnd once when the response's body has ended or is
 // closed, and reports whether it was complete and how many bytes of it were read.
 // It does so when the end is read, before Close, so that a slow receiver occupies
