Pass no length and no order to a connection on in a trailer

What callers saw: with a trailer that held "Content-Length: 3" and was not announced, an empty answer of an entry node's own backend server was cut: the length became that of the answer. With a body, the length was sent in the trailer, as were Transfer-Encoding, Connection and Keep-Alive, which a caller that joins trailers with heads can take for its own.

Cause: an answer that is read whole before it is passed on shows all fields of its trailer, and all were passed on that the head did not hold.

Change: these fields are left out, as they are of heads.

TestTrailerDecidesFraming fails without the change.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -59,10 +60,11 @@
 }
 
 // announceTrailers adds to the header of a response which of its trailers are passed on,
-// and returns their names. A field that is in the head as well stays there.
+// and returns their names. A field that is in the head as well stays there, and one that
+// tells how a message or a connection ends is not passed on.
 func announceTrailers(h, trailer http.Header) (passedOn []string) {
 	for k := range trailer {
-		if _, inHead := h[k]; !inHead && !strings.HasPrefix(k, headerPrefix) {
+		if _, inHead := h[k]; !inHead && mayTrail(k) {
 			passedOn = append(passedOn, k)
 		}
 	}
@@ -72,6 +74,11 @@
 	return passedOn
 }
 
+// mayTrail reports whether a field of a trailer may be passed on.
+func mayTrail(name string) bool {
+	return name != "Content-Length" && !slices.Contains(hopByHop, name) && !strings.HasPrefix(name, headerPrefix)
+}
+
 // abortResponse closes the caller's connection in the middle of a response. The
 // part received so far is sent first, because a client that has received
 // nothing at all may repeat its request.
--- a/proxy/broken_trailer_test.go
+++ b/proxy/broken_trailer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/agatekeel/agatekeel/proxy"
 )
 
@@ -57,3 +59,25 @@
 	all, err := io.ReadAll(c)
 	return string(all), err == nil
 }
+
+// TestTrailerDecidesFraming guards against fields of a trailer that callers could take for
+// the length of the answer or an order to its connection, and which cut an empty one.
+func TestTrailerDecidesFraming(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{"", "5\r\nhello\r\n"} {
+		c := trailerCase("Content-Length: 3\r\nTransfer-Encoding: gzip\r\nConnection: keep-alive\r\nKeep-Alive: 7\r\n" + afterAnswer + ": late\r\n")
+		c.rest = body + strings.TrimPrefix(c.rest, "5\r\nhello\r\n")
+		m, s := newCutMesh(t, c)
+		for node := range m.nodes {
+			for _, line := range []string{"GET /", "POST /once"} {
+				answer, ended := m.sendRaw(node, fmt.Sprintf("%s HTTP/1.1\r\nHost: x\r\n%s: %d\r\n%s: %s\r\nConnection: close\r\n\r\n",
+					line, headerSend, len(s.answer), headerEnd, endWhole))
+				is.True(ended)
+				is.True(strings.HasSuffix(answer, body+"0\r\n"+afterAnswer+": late\r\n\r\n"))
+				for _, name := range []string{"Content-Length", "gzip", "keep-alive", "Keep-Alive"} {
+					is.True(!strings.Contains(answer, name))
+				}
+			}
+		}
+	}
+}
