Send a large failure that was held whole

What callers saw: a failure with a body over 32 KiB was cut, though it had come whole from the backend server. It had been read into memory, since another attempt could follow, and was then sent to a caller on another host.

Cause: a large answer waits for its turn on the host's link as long as the context of its attempt lasts. That of a held one has ended, and each of its pieces failed by chance: the turn and the end of the context were both there, and a select takes either.

Change: a held answer gets a context with the time that is left of its attempt's.

TestHeldFailureIsCut failed in 3 of 3 runs without the change ("unexpected EOF") and passed 5 of 5 with it.

--- a/proxy/held.go
+++ b/proxy/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -131,10 +132,17 @@
 	}
 }
 
-// relayHeld relays the response that is held.
+// relayHeld relays the response that is held, in what is left of the time of its attempt.
+// The context of the attempt has ended.
 func (c *call) relayHeld() {
-	c.held.resp.Body = c.held.body
-	if _, err := c.proxy.relayResponse(c.w, c.held.resp, c.origin(c.held.local)); err != nil {
+	resp, ctx := c.held.resp, c.r.Context()
+	if deadline, ok := resp.Request.Context().Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	resp.Request, resp.Body = resp.Request.WithContext(ctx), c.held.body
+	if _, err := c.proxy.relayResponse(c.w, resp, c.origin(c.held.local)); err != nil {
 		abortResponse(c.w)
 	}
 }
--- a/proxy/held_test.go
+++ b/proxy/held_test.go
@@ -84,3 +84,24 @@
 	}
 	m.eventually("the memory is free again", func() bool { return m.nodes[0].proxy.HeldBytes() == 0 })
 }
+
+// TestHeldFailureIsCut guards against a large failure that is cut on its way to the caller, though
+// it had come whole: no later attempt gave a better one, and the time of its own was over.
+func TestHeldFailureIsCut(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 100_000)
+	s := &cutServer{answer: "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 100000\r\n\r\n" + body}
+	address := s.start(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
+		if p.LinkBytes = 100 << 20; p.Backend != "" {
+			p.Backend = address
+		}
+	}, "", "orders")
+	m.putCallersElsewhere()
+	for i := range 20 {
+		resp, got, err := m.do(i&1, http.MethodGet, "/", "", headerSend, strconv.Itoa(len(s.answer)), headerEnd, endWhole)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusInternalServerError)
+		is.Equal(len(got), len(body))
+	}
+}
