Send no 100 Continue to a client of HTTP/1.0

What callers saw: a client of HTTP/1.0 that sent "Expect: 100-continue" got "HTTP/1.1 100 Continue" in front of its response. HTTP/1.0 has no interim responses, so this counts as the response, without a body, and the response as its body.

Cause: the version of the request was not looked at. RFC 9110, section 10.1.1: a server must ignore the expectation of a request of HTTP/1.0.

TestContinueBreaksOldResponse fails without the change: status 100.

--- a/h1/continue_test.go
+++ b/h1/continue_test.go
@@ -34,3 +34,18 @@
 	_, body := readResponse(t, in)
 	is.Equal(body, "abcdef")
 }
+
+// TestContinueBreaksOldResponse guards against 100 Continue in front of the response to a client of
+// HTTP/1.0, which would take it for the response.
+func TestContinueBreaksOldResponse(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t, h1.Config{}, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(w, r.Body)
+		is.NoErr(err)
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.0\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\nabcd")
+	is.NoErr(err)
+	resp, body := readResponse(t, bufio.NewReader(c))
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "abcd")
+}
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -41,7 +41,7 @@
 	if r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	expects := r.Header.Get("Expect") != ""
+	expects := r.ProtoAtLeast(1, 1) && r.Header.Get("Expect") != ""
 	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects {
 		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
 		data := make([]byte, r.ContentLength)
