--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	net.Conn
 	writes atomic.Int64
 	sealed atomic.Bool
+	old    oldHead
 
 	writing  sync.Mutex // held during a write; guards the field below
 	writeErr error      // the first error of a write that says that the connection broke
@@ -36,6 +38,7 @@
 // look complete.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.old.add(b[:n])
 	if err != io.EOF {
 		return n, err
 	}
@@ -152,9 +155,10 @@
 	var conn *trackedConn
 	var before int64
 	var reused bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	trace := &httptrace.ClientTrace{Got1xxResponse: p.checkInterim(), GotConn: func(info httptrace.GotConnInfo) {
 		conn, _ = info.Conn.(*trackedConn)
 		before, reused = conn.writes.Load(), info.Reused
+		conn.old.begin()
 	}}
 	if !p.injected.transportReplays {
 		preventReplay(out)
@@ -162,7 +166,10 @@
 	began := time.Now()
 	resp, err := t.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		return checked(resp, check(resp), conn, before)
+		if err = conn.old.check(resp); err == nil {
+			err = check(resp)
+		}
+		return checked(resp, err, conn, before)
 	}
 	if conn == nil {
 		return nil, p.unconnected(t, err, time.Since(began))
@@ -174,6 +181,21 @@
 	return nil, &attemptError{outcome: retry.Unknown, reused: reused, err: err}
 }
 
+// maxInterim is the number of interim responses that may come in front of a response. As
+// they are looked at, http.Transport does not limit them.
+const maxInterim = 5
+
+// checkInterim returns a function that is called with each interim response.
+func (p *Proxy) checkInterim() func(status int, h textproto.MIMEHeader) error {
+	count := 0
+	return func(status int, h textproto.MIMEHeader) error {
+		if count++; count > maxInterim {
+			return fmt.Errorf("more than %d interim answers", maxInterim)
+		}
+		return p.cfg.Names.checkInterim(status, http.Header(h))
+	}
+}
+
 // unconnected returns the error for a request for which no connection was opened in the
 // given time. Nothing was written, so it did not run. It counts against the target only as
 // far as this host did not lack the means itself.
