Take an interim answer with the request's ID for what it is

Cause: the ID of a request counted as a field that only final answers have. RFC 9110 says that of Content-Length (section 8.6), and signatures are those of final answers.

Change: the ID decides nothing.

TestRepeatedRefusalIsNoAnswer passes again, as it is.

--- a/proxy/names.go
+++ b/proxy/names.go
@@ -146,7 +146,7 @@
 	if holdsStatusLine(h) || holdsBrokenName(h) {
 		return fmt.Errorf("interim answer with status %d has a broken head", status)
 	}
-	for _, name := range []string{"Content-Length", n.RequestID, n.Signature} {
+	for _, name := range []string{"Content-Length", n.Signature} {
 		if len(h[name]) > 0 {
 			return fmt.Errorf("interim answer with status %d has the field %s of a final one", status, name)
 		}
