Refuse no calls to the end of a stop for the answers of one stall

A stopping node takes a call if longRunFactor times the usual latency of its kind fits into the time left. That latency was a mean over 64 answers. A stall of 1 s lifted it, calls were refused because of it, and refused calls bring no answers that lower it.

The figure is now a running median of the means of blocks of 8 answers and 250 ms or more: those that a stall held up are one block or two, and each block moves it by a bounded step. The median of the last 5 blocks counts if it is more, so that lasting slowness is seen within four blocks; that one falls from four times to once within 2 s without an answer, which is the way back that does not need answers.

Kinds without an answer are still refused if their whole budget does not fit: nothing tells how long they take. The balancer goes on with the mean.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -301,7 +301,7 @@
 	}
 	if res.Took > 0 && !res.Failed && !res.ErrorAnswer {
 		e.answeredAt = now
-		e.observe(res)
+		e.observe(now, res)
 	}
 	if res.Took > 0 || res.ErrorAnswer {
 		e.observeError(now, res.ErrorAnswer)
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -43,11 +43,11 @@
 func (e *Endpoint) IsLeaving() bool { return e.leaving }
 
 // observe updates the relative latency of an endpoint from an answer.
-func (e *Endpoint) observe(res Result) {
+func (e *Endpoint) observe(now time.Time, res Result) {
 	if e.group == nil {
 		return
 	}
-	usual := e.group.observe(res)
+	usual := e.group.observe(now, res)
 	relative := min(max(float64(res.Took)/float64(usual), minRelativeLatency), maxRelativeLatency)
 	if e.answers == 0 {
 		e.relativeLatency = 1
@@ -100,6 +100,7 @@
 // kind holds smoothed figures on the answers to one kind of request.
 type kind struct {
 	latency     time.Duration // zero: unknown
+	usual       *usual        // of the same latencies; nil: none
 	bytes       float64
 	answers     int  // in these figures, at most groupSmoothing
 	linkRefused bool // a request was refused for lack of room on a host's link
@@ -113,7 +114,7 @@
 
 // observe updates the figures of a kind of request from an answer, and returns the
 // smoothed latency of that kind.
-func (g *Group) observe(res Result) time.Duration {
+func (g *Group) observe(now time.Time, res Result) time.Duration {
 	name := res.Kind
 	if _, known := g.kinds[name]; !known && len(g.kinds) >= maxKinds {
 		name = ""
@@ -121,6 +122,10 @@
 	k := g.kinds[name]
 	k.answers = min(k.answers+1, groupSmoothing)
 	k.latency += (res.Took - k.latency) / time.Duration(k.answers)
+	if k.usual == nil {
+		k.usual = &usual{}
+	}
+	k.usual.observe(now, res.Took)
 	k.bytes += (float64(res.Bytes) - k.bytes) / float64(k.answers)
 	g.kinds[name] = k
 	g.maxLatency = 0
@@ -133,6 +138,16 @@
 // UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
 func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[name].latency }
 
+// LatencyBound returns factor times the usual latency of a kind of request, which a single
+// stall hardly raises, zero if it is unknown.
+func (g *Group) LatencyBound(now time.Time, name string, factor float64) time.Duration {
+	k := g.kinds[name]
+	if k.usual == nil {
+		return 0
+	}
+	return k.usual.bound(now, factor)
+}
+
 // Group builds the group of rows. The state of each endpoint whose incarnation has
 // not changed is taken over. old is the previous group or nil; it must not be used
 // afterwards.
--- a/core/drain.go
+++ b/core/drain.go
@@ -48,15 +48,16 @@
 
 // limitToExit shortens a new call's budget to the time until the process ends. It
 // returns false if the call might not be answered by then: not within its budget, nor
-// within longRunFactor times the usual time of its kind, and answerMargin.
+// within longRunFactor times the usual time of its kind, and answerMargin. A kind never
+// answered here gets its whole budget.
 func (s *State) limitToExit(service, kind string, budget time.Duration) (time.Duration, bool) {
 	if !s.backend.stopping || s.requestFaults.ignoreExit {
 		return budget, true
 	}
 	left := s.exitAt().Sub(s.now)
 	need := budget
-	if usual := s.group(service).UsualLatency(kind); usual > 0 {
-		need = min(need, longRunFactor*usual)
+	if bound := s.group(service).LatencyBound(s.now, kind, longRunFactor); bound > 0 {
+		need = min(need, bound)
 	}
 	return min(budget, left), need <= left-answerMargin
 }
