Send no call so late in a stop that it is cut

A stopping node looked at the time left as a call arrived, and at nothing when it sent its attempt later: after a refusal, which can come after a second in a gate's queue, or after the platform's word on a claim. Such a call ran at a backend server as the process ended, and was cut, also one that may not be repeated, though it had not run until then and could have been refused truthfully.

Both now look at the time left again, by the same rule. A call that has not run ends as not run; its claim is deleted. One that may have run before is tried again as before, since it has nothing to lose.

--- a/core/claim.go
+++ b/core/claim.go
@@ -105,6 +105,10 @@
 func (s *State) claimHeld(id CallID, c *call, version uint64) {
 	delete(s.requests.claims.pending, id)
 	c.claim.version = version
+	if !s.answerFits(c) {
+		s.finish(id, retry.NotRun, endsTooSoon)
+		return
+	}
 	s.forward(id, c)
 }
 
--- a/core/drain.go
+++ b/core/drain.go
@@ -62,6 +62,17 @@
 	return min(budget, left), need <= left-answerMargin
 }
 
+// answerFits reports whether a call that has not run can still be answered before this
+// process ends.
+func (s *State) answerFits(c *call) bool {
+	_, ok := s.limitToExit(c.service, c.route.Name, c.deadline.Sub(s.now))
+	return ok
+}
+
+// endsTooSoon is the reason of a call that is refused because it might not be answered
+// before this process ends.
+const endsTooSoon = "node ends before the answer is due"
+
 func (s *State) beginDrain() {
 	if s.backend.draining {
 		return
--- a/core/request.go
+++ b/core/request.go
@@ -96,7 +96,7 @@
 	service := route.ServiceFor(s.rng.Float64())
 	budget, ok = s.limitToExit(service, route.Name, budget)
 	if !ok {
-		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node ends before the answer is due", RetryAfter: s.retryAfter(0, e.Budget)})
+		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: endsTooSoon, RetryAfter: s.retryAfter(0, e.Budget)})
 		return
 	}
 	c := s.newCall()
--- a/core/request_bench_test.go
+++ b/core/request_bench_test.go
@@ -16,13 +16,20 @@
 // servingState returns a node that has a route to a service with n
 // endpoints, the first of which is its own.
 func servingState(now time.Time, n int) *core.State {
-	s := core.New(core.Config{Node: "n0000", DataCentre: "dc0", Service: "orders", Slots: 6, Seed: 1})
+	return servingStateWith(now, n, core.Config{Slots: 6}, `{}`)
+}
+
+// servingStateWith returns such a node with settings, and with a policy for the service.
+func servingStateWith(now time.Time, n int, cfg core.Config, policy string) *core.State {
+	cfg.Node, cfg.DataCentre, cfg.Service, cfg.Seed = "n0000", "dc0", "orders", 1
+	s := core.New(cfg)
 	s.Reduce(now, core.Tick{})
 	s.Reduce(now, core.BackendProbed{OK: true})
 	s.Reduce(now, core.LinkUp{Link: 1})
 	s.Reduce(now, core.LinkMessage{Link: 1, Message: message.Hello{Node: "root", DataCentre: "dc1", Kind: message.Root}})
 	objects := []config.Object{
-		{Kind: config.KindService, Name: "orders", Version: 1, Spec: json.RawMessage(`{}`)},
+		{Kind: config.KindService, Name: "orders", Version: 1, Spec: json.RawMessage(`{"policy":"usual"}`)},
+		{Kind: config.KindPolicy, Name: "usual", Version: 1, Spec: json.RawMessage(policy)},
 		{Kind: config.KindRoute, Name: "orders", Version: 1, Spec: json.RawMessage(`{"pathPrefix":"/orders","service":"orders"}`)},
 	}
 	set := config.NewSet(1, objects)
--- a/core/retry.go
+++ b/core/retry.go
@@ -103,6 +103,9 @@
 	if !s.hasAttemptLeft(c) || !s.hasBackendLeft(c) {
 		return false
 	}
+	if !c.maybeRan && !s.answerFits(c) {
+		return false // it has not run, and can be told so
+	}
 	after := e.Outcome
 	if c.backendAttempts > 0 {
 		after = retry.Unknown // backend servers would see another attempt as a repeat
