Take the calls of a run for which a stop waits

A stopping node waits for the runs at its backend server until drain.atMost, but refused all calls after drain.atLeast, also those that its backend server made for such a run, which then failed. Calls that come from the mesh are taken as long as something runs there, if they can be answered before the process ends.

Others' calls are refused as before, and so are those that would be cut.

--- a/core/drain.go
+++ b/core/drain.go
@@ -102,13 +102,18 @@
 
 // acceptsCalls reports whether a new call is accepted, and the reason if it
 // is not. Calls are still accepted for DrainAtLeast after a stop, since
-// callers learn of it by polling readiness.
-func (s *State) acceptsCalls() (bool, string) {
+// callers learn of it by polling readiness, and those of runs that the stop
+// waits for until it ends.
+func (s *State) acceptsCalls(fromMesh bool) (bool, string) {
 	ok, why := s.Ready()
-	if !ok && s.backend.stopping && s.hasCurrentConfig() && s.now.Sub(s.backend.drainSince) < s.cfg.DrainAtLeast {
+	if ok || !s.backend.stopping || !s.hasCurrentConfig() {
+		return ok, why
+	}
+	running, _ := s.backend.queue.Load()
+	if s.now.Sub(s.backend.drainSince) < s.cfg.DrainAtLeast || fromMesh && running > 0 {
 		return true, ""
 	}
-	return ok, why
+	return false, why
 }
 
 func (s *State) hasCurrentConfig() bool { return s.configVersion() != 0 && s.member.current }
--- a/core/request.go
+++ b/core/request.go
@@ -80,7 +80,7 @@
 }
 
 func (s *State) callArrived(e CallArrived) {
-	if ok, why := s.acceptsCalls(); !ok {
+	if ok, why := s.acceptsCalls(e.FromMesh); !ok {
 		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, Reason: "node is not ready: " + why, RetryAfter: s.retryAfter(0, e.Budget)})
 		return
 	}
--- a/core/requests_exit_again_test.go
+++ b/core/requests_exit_again_test.go
@@ -71,3 +71,33 @@
 		is.Equal(freed, !tt.runs)
 	}
 }
+
+// TestRunAtStoppingNodeLosesItsCalls guards against a run that a stop waits for, and that fails
+// since the calls which its backend server makes on this node are refused.
+func TestRunAtStoppingNodeLosesItsCalls(t *testing.T) {
+	for _, tt := range []struct {
+		name                    string
+		running, fromMesh, want bool
+	}{
+		{"call of the run", true, true, true},
+		{"call of somebody else", true, false, false},
+		{"call of a backend server without a run", false, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			s := servingStateWith(now, 4, core.Config{Slots: 6, DrainAtLeast: time.Second, DrainAtMost: 5 * time.Second}, `{}`)
+			if tt.running {
+				_, runs := firstEffect[core.Run](s.Reduce(now, core.AttemptArrived{Attempt: core.AttemptID{Origin: 1, Number: 1}, Budget: 5 * time.Second}))
+				is.True(runs)
+			}
+			s.Reduce(now, core.Stop{})
+			call := core.CallArrived{Call: 1, Method: "GET", Path: "/orders/7", Replayable: true, FromMesh: tt.fromMesh, Budget: time.Second}
+			_, taken := firstEffect[core.Forward](s.Reduce(now.Add(2*time.Second), call))
+			is.Equal(taken, tt.want)
+			call.Call, call.Budget = 2, 3*time.Second
+			_, taken = firstEffect[core.Forward](s.Reduce(now.Add(4500*time.Millisecond), call))
+			is.True(!taken) // it would be cut
+		})
+	}
+}
