Let in a class whose mean run time a stall has lifted

An attempt that finds no free slot is refused, and one that waits is dropped, if the mean run of its class does not fit into its time. A stall lifts that mean above the deadlines of a class. As long as others keep a queue, nothing of the class runs then, and nothing lowers the mean: in TestStalledClassIsRefusedForGood, 0 of 100 requests of a class were served in the seconds 10 to 15 after a stall of 1 s, all 100 before it.

Once no run of a class has ended for 2 s and none runs, its mean refuses nobody until one has started; the time of that run replaces the mean if attempts were refused for it.

Weighed: - a sturdier mean alone: a stall longer than its window lifts it as well, and then it has no way back; - a mean that decays with time lets in as many as there are slots at once, all in vain where the class is slow indeed; - a share of the slots in proportion to the mean (a trial every eight run times): after a stall of 5 s the class would wait for 40 s.

What it costs: a class that can never end in time takes 0.1 of two slots in TestHopelessClassTakesSlots (0 before; a sixth is the bound). TestOverload and TestReservedSlotForShortStatusChecks print the same figures as before at all loads, 0.1 to 4 times the capacity.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -49,6 +49,8 @@
 	bypassed      [numClasses]int           // starts of more urgent classes since the last start of this class while it waited
 	avgRunTime    [numClasses]time.Duration // smoothed run time
 	avgRunTimeAll time.Duration             // smoothed run time over all classes
+	ranAt         [numClasses]time.Time     // end of the last run
+	refused       [numClasses]bool          // attempts were refused for avgRunTime since then
 	avgBytes      [numClasses]float64       // smoothed answer size in bytes
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
@@ -116,7 +118,7 @@
 func (q *Queue) enqueue(now time.Time, a Attempt) Decision {
 	wait := q.expectedWait(a.Class)
 	switch {
-	case now.Add(wait + q.avgRunTime[a.Class]).After(a.Deadline):
+	case q.wouldEndLate(now.Add(wait), now, a):
 		return Decision{Reason: TooLate}
 	case wait > q.cfg.MaxWait:
 		return Decision{Reason: QueueFull}
@@ -205,6 +207,10 @@
 		return 0, nil, nil
 	}
 	c := q.running[i].Class
+	if q.refused[c] && q.running[i].started.Sub(q.ranAt[c]) >= trialAfter {
+		q.runs[c] = 0 // what was known of the class is replaced by this trial
+	}
+	q.ranAt[c], q.refused[c] = now, false
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
 	q.updateAverages(c, run)
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -65,7 +65,17 @@
 	if q.fault.noWaitLimit {
 		return false
 	}
-	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || now.Add(q.avgRunTime[w.Class]).After(w.Deadline)
+	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || q.wouldEndLate(now, now, w)
+}
+
+// wouldEndLate reports whether an attempt that starts at a given time would not finish by
+// its deadline.
+func (q *Queue) wouldEndLate(start, now time.Time, w Attempt) bool {
+	if !start.Add(q.expectedRunTime(now, w.Class)).After(w.Deadline) {
+		return false
+	}
+	q.refused[w.Class] = true
+	return true
 }
 
 func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
