Let in a class of which one answer was far larger than usual

Where others fill a host's link, a large answer is let in by the mean size of its class. One huge answer lifts that mean so far that no answer of the class seems to fit, and nothing lowers it: in TestOneLargeAnswerClosesLinkForGood a class got 50 runs in 10 s, and none in 10 s a minute after an answer 600 times as large as usual.

After refusals for at least 2 s without an answer, and for eight times as long as the link needs for one of the expected size, one attempt is let in, and the size of its answer replaces the mean. Trials thus take an eighth of the link at most. The time counts from the first refusal, now also for trials of run times: a class of which nobody asked anything has been refused nothing.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -49,8 +49,8 @@
 	bypassed      [numClasses]int           // starts of more urgent classes since the last start of this class while it waited
 	avgRunTime    [numClasses]time.Duration // smoothed run time
 	avgRunTimeAll time.Duration             // smoothed run time over all classes
-	ranAt         [numClasses]time.Time     // end of the last run
-	refused       [numClasses]bool          // attempts were refused for avgRunTime since then
+	runRefused    [numClasses]time.Time     // first refusal for avgRunTime since a run ended; zero: none
+	sizeRefused   [numClasses]time.Time     // first refusal for avgBytes since an answer was added to it; zero: none
 	avgBytes      [numClasses]float64       // smoothed answer size in bytes
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
@@ -207,25 +207,29 @@
 		return 0, nil, nil
 	}
 	c := q.running[i].Class
-	if q.refused[c] && q.running[i].started.Sub(q.ranAt[c]) >= trialAfter {
-		q.runs[c] = 0 // what was known of the class is replaced by this trial
-	}
-	q.ranAt[c], q.refused[c] = now, false
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
-	q.updateAverages(c, run)
+	q.updateAverages(now, c, run)
 	start, dropped = q.startWaiting(now)
 	return waited, start, dropped
 }
 
 // updateAverages adds a finished run to the smoothed run times and answer sizes.
-func (q *Queue) updateAverages(c Class, run Run) {
+func (q *Queue) updateAverages(now time.Time, c Class, run Run) {
+	if q.runTrialDue(now, c) {
+		q.runs[c] = 0 // the trial replaces what was known of the class
+	}
+	q.runRefused[c] = time.Time{}
 	q.runs[c], q.runsAll = min(q.runs[c]+1, smoothingWindow), min(q.runsAll+1, smoothingWindow)
 	q.avgRunTime[c] += (run.Took - q.avgRunTime[c]) / time.Duration(q.runs[c])
 	q.avgRunTimeAll += (run.Took - q.avgRunTimeAll) / time.Duration(q.runsAll)
 	if run.Failed {
 		return
 	}
+	if q.sizeTrialDue(now, c) {
+		q.answers[c] = 0
+	}
+	q.sizeRefused[c] = time.Time{}
 	q.answers[c] = min(q.answers[c]+1, smoothingWindow)
 	q.avgBytes[c] += (float64(run.Bytes) - q.avgBytes[c]) / float64(q.answers[c])
 }
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -47,14 +47,24 @@
 	q.answers[a.Class], q.avgBytes[a.Class] = expectedWeight, float64(a.AnswerBytes)
 }
 
-// linkOpensIn returns zero if the answer of an attempt can be sent, and relayed by the
+// linkOpensIn returns zero if an attempt is let in as far as the links are concerned.
+// Otherwise it returns the time until it would be if no other attempt came.
+func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
+	opensIn := q.roomIn(now, w)
+	if opensIn > 0 && w.Relay.Backlog == 0 && q.takesSizeTrial(now, w) {
+		return 0
+	}
+	return opensIn
+}
+
+// roomIn returns zero if the answer of an attempt can be sent, and relayed by the
 // entry node, by its deadline and by its target time. Otherwise it returns the time until
 // it could if no other attempt came. An answer that misses its target time would use
 // bandwidth at the expense of answers that could still meet theirs. It is let in only
 // where they would leave the links idle: if no large answers are expected here nor wait at
 // the entry node, or, if not even idle links could send it in time, behind at most one that
 // is ready before it.
-func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
+func (q *Queue) roomIn(now time.Time, w Attempt) time.Duration {
 	if q.avgBytes[w.Class] < largeAnswerBytes || w.OnHost || q.fault.linkIgnored {
 		return 0
 	}
--- a/core/admission/stall_test.go
+++ b/core/admission/stall_test.go
@@ -1,12 +1,14 @@
 package admission_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 var simStart = time.Unix(1000, 0)
@@ -117,3 +119,67 @@
 	t.Logf("slot time %v", s.busy)
 	is.True(s.busy <= 2*20*time.Second/6)
 }
+
+// TestOneLargeAnswerClosesLinkForGood guards against a class that is refused as long as others
+// fill the host's link, since one of its answers was far larger than usual.
+func TestOneLargeAnswerClosesLinkForGood(t *testing.T) {
+	for _, deadline := range []time.Duration{2 * time.Second, 10 * time.Second} { // the huge answer's mean would end after and before it
+		is := is.New(t)
+		before, after := playHugeAnswer(deadline)
+		t.Logf("batch runs in 10 s: %d, and %d a minute after the large answer", before, after)
+		is.True(before > 0)
+		is.True(after > before/2)
+	}
+}
+
+// playHugeAnswer has two classes of large answers fill a link, of which one has a huge answer
+// after 10 s. It returns the runs of that class in the 10 s before, and a minute later.
+func playHugeAnswer(deadline time.Duration) (before, after int) {
+	const usualBytes, hugeBytes = 100_000, 60_000_000
+	at, busyUntil, next := simStart, simStart, uint64(0)
+	q := admission.New(admission.DefaultConfig(100))
+	ends, bytes, class := map[admission.ID]time.Time{}, map[admission.ID]int64{}, map[admission.ID]admission.Class{}
+	run := map[admission.Class]int{}
+	huge, rng := false, rand.New(rand.NewPCG(1, 1))
+	arrive := func(c admission.Class) {
+		next++
+		id := admission.ID{Origin: 1, Number: next}
+		q.SetLink(uplink.Load{Backlog: int64(max(busyUntil.Sub(at), 0).Seconds() * linkBytes), Rate: linkBytes})
+		if q.Arrive(at, admission.Attempt{ID: id, Class: c, Deadline: at.Add(deadline), TargetTime: at.Add(time.Second)}).Run {
+			run[c]++
+			ends[id], class[id], bytes[id] = at.Add(quickRun), c, usualBytes
+			if c == admission.Batch && huge {
+				bytes[id], huge = hugeBytes, false
+			}
+		}
+	}
+	play := func(d time.Duration) {
+		for end := at.Add(d); at.Before(end); at = at.Add(10 * time.Millisecond) {
+			for id, due := range ends {
+				if at.Before(due) {
+					continue
+				}
+				delete(ends, id)
+				if busyUntil.Before(at) {
+					busyUntil = at
+				}
+				if bytes[id] == usualBytes { // the huge one is given up by its caller
+					busyUntil = busyUntil.Add(time.Duration(float64(bytes[id]) / linkBytes * float64(time.Second)))
+				}
+				q.Done(at, id, admission.Run{Took: quickRun, Bytes: bytes[id]})
+			}
+			if rng.IntN(3) == 0 {
+				arrive(admission.Batch)
+			} else {
+				arrive(admission.Interactive)
+			}
+		}
+	}
+	play(10 * time.Second)
+	before = run[admission.Batch]
+	huge = true
+	play(60 * time.Second)
+	clear(run)
+	play(10 * time.Second)
+	return before, run[admission.Batch]
+}
--- a/core/admission/trial.go
+++ b/core/admission/trial.go
@@ -5,22 +5,53 @@
 	"time"
 )
 
-// trialAfter is the time without a run of a class after which its smoothed run time
-// refuses no attempt until another has run. A class whose runs never end in time thus
-// takes no more than one slot, and that one but for this time between two runs.
-const trialAfter = 2 * time.Second
+// Attempts are refused because of the smoothed run time and answer size of their class,
+// and those that are refused are not there to lower them. After trialAfter in which only
+// refusals came of it, one attempt is let in whatever the figure says, and its run
+// replaces the figure.
+const (
+	// trialAfter is the time between two trials, so that those of a class that never ends
+	// in time take a part of one slot only.
+	trialAfter = 2 * time.Second
+	// linkTrialShare is the divisor of a link's time that gives what trial answers of a
+	// class may take of it, by their expected size.
+	linkTrialShare = 8
+)
+
+// runTrialDue reports whether attempts of a class were refused for their run time since
+// trialAfter, and none has ended.
+func (q *Queue) runTrialDue(now time.Time, c Class) bool {
+	return !q.runRefused[c].IsZero() && now.Sub(q.runRefused[c]) >= trialAfter
+}
+
+// sizeTrialDue reports whether attempts of a class were refused for the size of their
+// answers for as long that a trial is due.
+func (q *Queue) sizeTrialDue(now time.Time, c Class) bool {
+	after := max(trialAfter, linkTrialShare*transferTime(q.link, q.avgBytes[c]))
+	return !q.sizeRefused[c].IsZero() && now.Sub(q.sizeRefused[c]) >= after
+}
 
-// expectedRunTime returns how long an attempt of a class is expected to run, as far as
-// attempts may be refused because of it. Those that are refused are not there to lower
-// the smoothed run time, so after trialAfter one is let in whatever that says.
-func (q *Queue) expectedRunTime(now time.Time, c Class) time.Duration {
-	if q.trialDue(now, c) {
-		return 0
+// takesSizeTrial reports whether an attempt that the expected size of its answer refuses is
+// let in as a trial. One that is late anyway is none.
+func (q *Queue) takesSizeTrial(now time.Time, w Attempt) bool {
+	switch {
+	case !w.TargetTime.IsZero() && w.TargetTime.Sub(now) <= passedTarget:
+		return false
+	case q.sizeTrialDue(now, w.Class) && !q.runsAny(w.Class) && q.waiting[w.Class].len() == 0:
+		return true
 	}
-	return q.avgRunTime[c]
+	noteFirst(&q.sizeRefused[w.Class], now)
+	return false
+}
+
+// runsAny reports whether an attempt of a class runs.
+func (q *Queue) runsAny(c Class) bool {
+	return slices.ContainsFunc(q.running, func(w Attempt) bool { return w.Class == c })
 }
 
-// trialDue reports whether nothing of a class runs, and nothing has for trialAfter.
-func (q *Queue) trialDue(now time.Time, c Class) bool {
-	return now.Sub(q.ranAt[c]) >= trialAfter && !slices.ContainsFunc(q.running, func(w Attempt) bool { return w.Class == c })
+// noteFirst sets a time that is not set yet.
+func noteFirst(at *time.Time, now time.Time) {
+	if at.IsZero() {
+		*at = now
+	}
 }
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -71,10 +71,13 @@
 // wouldEndLate reports whether an attempt that starts at a given time would not finish by
 // its deadline.
 func (q *Queue) wouldEndLate(start, now time.Time, w Attempt) bool {
-	if !start.Add(q.expectedRunTime(now, w.Class)).After(w.Deadline) {
+	if !start.Add(q.avgRunTime[w.Class]).After(w.Deadline) {
 		return false
 	}
-	q.refused[w.Class] = true
+	if q.runTrialDue(now, w.Class) && !q.runsAny(w.Class) {
+		return start.After(w.Deadline)
+	}
+	noteFirst(&q.runRefused[w.Class], now)
 	return true
 }
 
