--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -240,7 +240,7 @@
 func (b *Balancer) slowdown(now time.Time, e *Endpoint) float64 {
 	slow := 1.0
 	if e.relativeLatency > 0 {
-		slow += (e.relativeLatency - 1) * decay(now.Sub(e.answeredAt), b.cfg.HealthStale)
+		slow += (e.relativeLatency - 1) * decay(now.Sub(e.timedAt), b.cfg.HealthStale)
 	}
 	if e.inFlight > 0 {
 		if ratio := e.silenceRatio(now); ratio > minSilenceRatio {
@@ -300,7 +300,7 @@
 		e.closeLink(now, res)
 	}
 	if res.Took > 0 && !res.Failed && !res.ErrorAnswer {
-		e.answeredAt = now
+		e.answeredAt, e.timedAt = now, now
 		e.observe(now, res)
 	}
 	if res.Took > 0 || res.ErrorAnswer {
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -25,7 +25,8 @@
 	relativeLatency float64 // smoothed latency over the group's for the same kind of request; zero: unknown
 	errorShare      float64 // smoothed share of answers that were errors
 	errorAt         time.Time
-	answeredAt      time.Time
+	answeredAt      time.Time // of the last answer or refusal that told of the endpoint
+	timedAt         time.Time // of the last answer in relativeLatency
 	silentSince     time.Time // start of the time without an answer, while requests are in flight
 	failures        int       // consecutive attempts without an answer
 	failedAt        time.Time
--- a/core/balance/usual_test.go
+++ b/core/balance/usual_test.go
@@ -64,3 +64,25 @@
 	at = answer(at, 120, 500*time.Millisecond, 1200*time.Millisecond)
 	is.True(g.LatencyBound(at.Add(2*time.Second), "k", 4) < 550*time.Millisecond)
 }
+
+// TestRefusalsKeepEndpointSlow guards against an endpoint that counts as slow for good, since
+// what it refuses tells its queue from time to time and nothing of its latency.
+func TestRefusalsKeepEndpointSlow(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(2))
+	slow, other := endpointOf(g, "n0000"), endpointOf(g, "n0001")
+	for range 50 {
+		b.Done(now, other, balance.Result{Queue: 0, Took: 10 * time.Millisecond})
+	}
+	for range 6 {
+		b.Done(now, slow, balance.Result{Queue: 0, Took: time.Second})
+	}
+	is.True(countPicks(b, g, now, 100)["n0000"] < 10)
+	at := now
+	for range 12 {
+		at = at.Add(time.Second)
+		b.Done(at, slow, balance.Result{Queue: 0})
+	}
+	is.True(countPicks(b, g, at, 100)["n0000"] > 25)
+}
