Know the latency of a service's kinds of request beyond the 64th

A group holds figures of 64 kinds, those that come later share one. That one was written and never read: a route beyond the 64th counted as never answered, and a stopping node refused its calls unless their whole budget fitted into the time left. Latencies are read there now. Sizes are not: answers to the kinds that share the figure may be large and small, and a short one must not wait for room on a link.

TestKindsBeyondBoundHaveNoLatency failed before.

--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -113,13 +113,18 @@
 // maxKinds bounds the number of kinds per group. Further kinds share one entry.
 const maxKinds = 64
 
+// kindName returns the name under which the figures of a kind of request are held.
+func (g *Group) kindName(name string) string {
+	if _, known := g.kinds[name]; !known && len(g.kinds) >= maxKinds {
+		return ""
+	}
+	return name
+}
+
 // observe updates the figures of a kind of request from an answer, and returns the
 // smoothed latency of that kind.
 func (g *Group) observe(now time.Time, res Result) time.Duration {
-	name := res.Kind
-	if _, known := g.kinds[name]; !known && len(g.kinds) >= maxKinds {
-		name = ""
-	}
+	name := g.kindName(res.Kind)
 	k := g.kinds[name]
 	k.answers = min(k.answers+1, groupSmoothing)
 	k.latency += (res.Took - k.latency) / time.Duration(k.answers)
@@ -137,12 +142,12 @@
 }
 
 // UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
-func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[name].latency }
+func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[g.kindName(name)].latency }
 
 // LatencyBound returns factor times the usual latency of a kind of request, which a single
 // stall hardly raises, zero if it is unknown.
 func (g *Group) LatencyBound(now time.Time, name string, factor float64) time.Duration {
-	k := g.kinds[name]
+	k := g.kinds[g.kindName(name)]
 	if k.usual == nil {
 		return 0
 	}
--- a/core/balance/usual_test.go
+++ b/core/balance/usual_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,17 @@
 	}
 	is.True(countPicks(b, g, at, 100)["n0000"] > 25)
 }
+
+// TestKindsBeyondBoundHaveNoLatency guards against a kind of request that counts as never
+// answered, since the services' kinds before it are as many as are kept apart.
+func TestKindsBeyondBoundHaveNoLatency(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer()
+	g := b.Group(nil, local(1))
+	e := endpointOf(g, "n0000")
+	for i := range 70 {
+		b.Done(now, e, balance.Result{Queue: -1, Took: 10 * time.Millisecond, Kind: fmt.Sprint("k", i)})
+	}
+	is.True(g.LatencyBound(now, "k69", 4) >= 40*time.Millisecond)
+	is.True(g.UsualLatency("k69") > 0)
+}
