--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -65,7 +65,20 @@
 	if q.fault.noWaitLimit {
 		return false
 	}
-	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || now.Add(q.avgRunTime[w.Class]).After(w.Deadline)
+	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || q.wouldEndLate(now, now, w)
+}
+
+// wouldEndLate reports whether an attempt that starts at a given time would not finish by
+// its deadline.
+func (q *Queue) wouldEndLate(start, now time.Time, w Attempt) bool {
+	if !start.Add(q.avgRunTime[w.Class]).After(w.Deadline) {
+		return false
+	}
+	if q.runTrialDue(now, w.Class) && !q.runsAny(w.Class) {
+		return start.After(w.Deadline)
+	}
+	noteFirst(&q.runRefused[w.Class], now)
+	return true
 }
 
 func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -25,7 +25,8 @@
 	relativeLatency float64 // smoothed latency over the group's for the same kind of request; zero: unknown
 	errorShare      float64 // smoothed share of answers that were errors
 	errorAt         time.Time
-	answeredAt      time.Time
+	answeredAt      time.Time // of the last answer or refusal that told of the endpoint
+	timedAt         time.Time // of the last answer in relativeLatency
 	silentSince     time.Time // start of the time without an answer, while requests are in flight
 	failures        int       // consecutive attempts without an answer
 	failedAt        time.Time
@@ -43,11 +44,11 @@
 func (e *Endpoint) IsLeaving() bool { return e.leaving }
 
 // observe updates the relative latency of an endpoint from an answer.
-func (e *Endpoint) observe(res Result) {
+func (e *Endpoint) observe(now time.Time, res Result) {
 	if e.group == nil {
 		return
 	}
-	usual := e.group.observe(res)
+	usual := e.group.observe(now, res)
 	relative := min(max(float64(res.Took)/float64(usual), minRelativeLatency), maxRelativeLatency)
 	if e.answers == 0 {
 		e.relativeLatency = 1
@@ -100,6 +101,7 @@
 // kind holds smoothed figures on the answers to one kind of request.
 type kind struct {
 	latency     time.Duration // zero: unknown
+	usual       *usual        // of the same latencies; nil: none
 	bytes       float64
 	answers     int  // in these figures, at most groupSmoothing
 	linkRefused bool // a request was refused for lack of room on a host's link
@@ -111,16 +113,25 @@
 // maxKinds bounds the number of kinds per group. Further kinds share one entry.
 const maxKinds = 64
 
-// observe updates the figures of a kind of request from an answer, and returns the
-// smoothed latency of that kind.
-func (g *Group) observe(res Result) time.Duration {
-	name := res.Kind
+// kindName returns the name under which the figures of a kind of request are held.
+func (g *Group) kindName(name string) string {
 	if _, known := g.kinds[name]; !known && len(g.kinds) >= maxKinds {
-		name = ""
+		return ""
 	}
+	return name
+}
+
+// observe updates the figures of a kind of request from an answer, and returns the
+// smoothed latency of that kind.
+func (g *Group) observe(now time.Time, res Result) time.Duration {
+	name := g.kindName(res.Kind)
 	k := g.kinds[name]
 	k.answers = min(k.answers+1, groupSmoothing)
 	k.latency += (res.Took - k.latency) / time.Duration(k.answers)
+	if k.usual == nil {
+		k.usual = &usual{}
+	}
+	k.usual.observe(now, res.Took)
 	k.bytes += (float64(res.Bytes) - k.bytes) / float64(k.answers)
 	g.kinds[name] = k
 	g.maxLatency = 0
@@ -131,7 +142,17 @@
 }
 
 // UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
-func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[name].latency }
+func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[g.kindName(name)].latency }
+
+// LatencyBound returns factor times the usual latency of a kind of request, which a single
+// stall hardly raises, zero if it is unknown.
+func (g *Group) LatencyBound(now time.Time, name string, factor float64) time.Duration {
+	k := g.kinds[g.kindName(name)]
+	if k.usual == nil {
+		return 0
+	}
+	return k.usual.bound(now, factor)
+}
 
 // Group builds the group of rows. The state of each endpoint whose incarnation has
 // not changed is taken over. old is the previous group or nil; it must not be used
--- a/core/drain.go
+++ b/core/drain.go
@@ -48,19 +48,31 @@
 
 // limitToExit shortens a new call's budget to the time until the process ends. It
 // returns false if the call might not be answered by then: not within its budget, nor
-// within longRunFactor times the usual time of its kind, and answerMargin.
+// within longRunFactor times the usual time of its kind, and answerMargin. A kind never
+// answered here gets its whole budget.
 func (s *State) limitToExit(service, kind string, budget time.Duration) (time.Duration, bool) {
 	if !s.backend.stopping || s.requestFaults.ignoreExit {
 		return budget, true
 	}
 	left := s.exitAt().Sub(s.now)
 	need := budget
-	if usual := s.group(service).UsualLatency(kind); usual > 0 {
-		need = min(need, longRunFactor*usual)
+	if bound := s.group(service).LatencyBound(s.now, kind, longRunFactor); bound > 0 {
+		need = min(need, bound)
 	}
 	return min(budget, left), need <= left-answerMargin
 }
 
+// answerFits reports whether a call that has not run can still be answered before this
+// process ends.
+func (s *State) answerFits(c *call) bool {
+	_, ok := s.limitToExit(c.service, c.route.Name, c.deadline.Sub(s.now))
+	return ok
+}
+
+// endsTooSoon is the reason of a call that is refused because it might not be answered
+// before this process ends.
+const endsTooSoon = "node ends before the answer is due"
+
 func (s *State) beginDrain() {
 	if s.backend.draining {
 		return
@@ -90,13 +102,18 @@
 
 // acceptsCalls reports whether a new call is accepted, and the reason if it
 // is not. Calls are still accepted for DrainAtLeast after a stop, since
-// callers learn of it by polling readiness.
-func (s *State) acceptsCalls() (bool, string) {
+// callers learn of it by polling readiness, and those of runs that the stop
+// waits for until it ends.
+func (s *State) acceptsCalls(fromMesh bool) (bool, string) {
 	ok, why := s.Ready()
-	if !ok && s.backend.stopping && s.hasCurrentConfig() && s.now.Sub(s.backend.drainSince) < s.cfg.DrainAtLeast {
+	if ok || !s.backend.stopping || !s.hasCurrentConfig() {
+		return ok, why
+	}
+	running, _ := s.backend.queue.Load()
+	if s.now.Sub(s.backend.drainSince) < s.cfg.DrainAtLeast || fromMesh && running > 0 {
 		return true, ""
 	}
-	return ok, why
+	return false, why
 }
 
 func (s *State) hasCurrentConfig() bool { return s.configVersion() != 0 && s.member.current }
