admission: size on the link by kind of request, not by class alone

Cause: the gate measured the size of answers by class. With 280 kB downloads in the class, the mean of all made each short call count as a large answer: it was refused for want of room on the link, and its share of the mean made the downloads look smaller than they are.

The entry node knows the usual size for each kind of request and tells it already if it is large. It now tells it always; the gate asks no room for an attempt whose answer is known to be small, does not count it on the link and leaves it out of the mean. Without that word the class's mean stands as before.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -49,7 +49,7 @@
 	bypassed      [numClasses]int           // starts of more urgent classes since the last start of this class while it waited
 	avgRunTime    [numClasses]time.Duration // smoothed run time
 	avgRunTimeAll time.Duration             // smoothed run time over all classes
-	avgBytes      [numClasses]float64       // smoothed answer size in bytes
+	avgBytes      [numClasses]float64       // smoothed size in bytes of answers that are not known to be small
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
@@ -204,24 +204,28 @@
 	if i < 0 {
 		return 0, nil, nil
 	}
-	c := q.running[i].Class
+	c, small := q.running[i].Class, q.running[i].isSmall()
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
-	q.updateAverages(c, run)
+	q.updateRunTimes(c, run.Took)
+	if !run.Failed && !small {
+		q.updateBytes(c, run.Bytes)
+	}
 	start, dropped = q.startWaiting(now)
 	return waited, start, dropped
 }
 
-// updateAverages adds a finished run to the smoothed run times and answer sizes.
-func (q *Queue) updateAverages(c Class, run Run) {
+// updateRunTimes adds a finished run to the smoothed run times.
+func (q *Queue) updateRunTimes(c Class, took time.Duration) {
 	q.runs[c], q.runsAll = min(q.runs[c]+1, smoothingWindow), min(q.runsAll+1, smoothingWindow)
-	q.avgRunTime[c] += (run.Took - q.avgRunTime[c]) / time.Duration(q.runs[c])
-	q.avgRunTimeAll += (run.Took - q.avgRunTimeAll) / time.Duration(q.runsAll)
-	if run.Failed {
-		return
-	}
+	q.avgRunTime[c] += (took - q.avgRunTime[c]) / time.Duration(q.runs[c])
+	q.avgRunTimeAll += (took - q.avgRunTimeAll) / time.Duration(q.runsAll)
+}
+
+// updateBytes adds an answer to the smoothed sizes of those that are not known to be small.
+func (q *Queue) updateBytes(c Class, bytes int64) {
 	q.answers[c] = min(q.answers[c]+1, smoothingWindow)
-	q.avgBytes[c] += (float64(run.Bytes) - q.avgBytes[c]) / float64(q.answers[c])
+	q.avgBytes[c] += (float64(bytes) - q.avgBytes[c]) / float64(q.answers[c])
 }
 
 // Load returns the numbers of running and of waiting attempts.
--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -61,7 +61,7 @@
 	Deadline   time.Time
 	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
 	// AnswerBytes is the usual size of the answers to this kind of request, as the entry
-	// node knows it; zero: unknown.
+	// node knows it; zero: unknown. Requests of one class can differ in it.
 	AnswerBytes int64
 	OnHost      bool        // the caller is on this host: the answer does not go over the host's link
 	Relay       uplink.Load // state of the network link over which the answer goes on from the entry node; zero: none, or unknown
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -6,10 +6,10 @@
 	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
-// largeAnswerBytes is the average answer size from which a class counts as having
-// large answers. For such a class the bandwidth of the host's network link
+// largeAnswerBytes is the average answer size from which a class, or a kind of request,
+// counts as having large answers. For such the bandwidth of the host's network link
 // determines how many answers arrive in time.
-const largeAnswerBytes = 32 << 10
+const largeAnswerBytes = uplink.LargeBytes
 
 // waitShare is the part of the time that a large answer can spare until its target which
 // it may spend waiting for the link. The rest is for what the estimate lacks: the spread
@@ -47,6 +47,10 @@
 	q.answers[a.Class], q.avgBytes[a.Class] = expectedWeight, float64(a.AnswerBytes)
 }
 
+// isSmall reports whether an attempt's answer is known to be small, whatever others of its
+// class have.
+func (a *Attempt) isSmall() bool { return a.AnswerBytes > 0 && a.AnswerBytes < largeAnswerBytes }
+
 // linkOpensIn returns zero if the answer of an attempt can be sent, and relayed by the
 // entry node, by its deadline and by its target time. Otherwise it returns the time until
 // it could if no other attempt came. An answer that misses its target time would use
@@ -55,7 +59,7 @@
 // the entry node, or, if not even idle links could send it in time, behind at most one that
 // is ready before it.
 func (q *Queue) linkOpensIn(now time.Time, w Attempt) time.Duration {
-	if q.avgBytes[w.Class] < largeAnswerBytes || w.OnHost || q.fault.linkIgnored {
+	if q.avgBytes[w.Class] < largeAnswerBytes || w.OnHost || w.isSmall() || q.fault.linkIgnored {
 		return 0
 	}
 	free, relayFree := q.linkFreeAt(now), now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
@@ -112,7 +116,7 @@
 // freeAfter returns when the link is free after the answer to an attempt, which is ready
 // at a given time, if it is free from another time on before.
 func (q *Queue) freeAfter(free, ready time.Time, w *Attempt) time.Time {
-	if w.OnHost {
+	if w.OnHost || w.isSmall() {
 		return free
 	}
 	return q.sentAt(free, ready, w.Class)
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -88,7 +88,7 @@
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
 		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), SoftBudget: c.softBudget(s.now), Key: c.homeKey(),
-		AnswerBytes: s.group(c.service).LargeAnswerBytes(c.route.Name),
+		AnswerBytes: s.group(c.service).AnswerBytes(c.route.Name),
 		Said:        s.requests.notices[p.Row.ID],
 		MayRetry:    c.replayable && c.idempotent(s) && c.backendAttempts+1 < c.route.Policy.MaxAttempts,
 	})
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Config holds the settings of a Balancer. Loads are expressed as requests per slot.
@@ -70,7 +71,7 @@
 
 // largeAnswerBytes is the average answer size from which a kind of request counts as
 // having large answers.
-const largeAnswerBytes = 32 << 10
+const largeAnswerBytes = uplink.LargeBytes
 
 // Balancer holds the load and health of endpoints as seen from this node.
 type Balancer struct {
--- a/core/balance/link.go
+++ b/core/balance/link.go
@@ -52,13 +52,14 @@
 	}
 }
 
-// LargeAnswerBytes returns the usual size of the answers to a kind of request if they are
-// large. Otherwise, and if it is unknown, it returns zero.
-func (g *Group) LargeAnswerBytes(name string) int64 {
-	if k := g.kinds[name]; k.bytes >= largeAnswerBytes {
-		return int64(k.bytes)
+// AnswerBytes returns the usual size of the answers to a kind of request, at least one if
+// it is known, zero if it is not.
+func (g *Group) AnswerBytes(name string) int64 {
+	k := g.kinds[name]
+	if k.answers == 0 {
+		return 0
 	}
-	return 0
+	return max(int64(k.bytes), 1)
 }
 
 func (g *Group) anyLinkClosed(now time.Time, r Request) bool {
--- a/core/balance/link_test.go
+++ b/core/balance/link_test.go
@@ -174,5 +174,5 @@
 		b.Done(now, e, balance.Result{Took: took, Bytes: bytes, Kind: largeKind})
 	}
 	is.True(g.UsualLatency(largeKind) < 110*time.Millisecond)
-	is.True(g.LargeAnswerBytes(largeKind) < 210<<10)
+	is.True(g.AnswerBytes(largeKind) < 210<<10)
 }
--- a/core/uplink/scheduler.go
+++ b/core/uplink/scheduler.go
@@ -13,6 +13,9 @@
 // response waits behind at most one of them.
 const PieceBytes = 16 << 10
 
+// LargeBytes is the size from which a response counts as large.
+const LargeBytes = 32 << 10
+
 const (
 	// maxTurn is the time for which the link sends one response before another one
 	// that waits gets its turn: a response may be without end.
@@ -124,12 +127,19 @@
 	return t
 }
 
-// Expect records that a large response of n bytes is asked for, which will be sent on
-// over the link. Came must follow.
-func (s *Scheduler) Expect(n int64) { s.expected += s.inTurn(n) }
+// Expect records that a response of n bytes is asked for, which will be sent on over the
+// link. It counts if it is large. Came must follow.
+func (s *Scheduler) Expect(n int64) { s.expected += s.expectedBytes(n) }
 
 // Came records that such a response is there, or will not come.
-func (s *Scheduler) Came(n int64) { s.expected -= s.inTurn(n) }
+func (s *Scheduler) Came(n int64) { s.expected -= s.expectedBytes(n) }
+
+func (s *Scheduler) expectedBytes(n int64) int64 {
+	if n < LargeBytes {
+		return 0
+	}
+	return s.inTurn(n)
+}
 
 // Want records that a transfer has a piece of n bytes to send, and that left bytes
 // are not sent yet, these included.
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Defaults of Config.
@@ -48,7 +49,7 @@
 	copyBufBytes  = 32 << 10
 	// largeResponseBytes is the size over which a response waits for the host's
 	// network link.
-	largeResponseBytes = 32 << 10
+	largeResponseBytes = uplink.LargeBytes
 	// bufferedResponseBytes is the size of a response that a server buffers
 	// without waiting for the receiver.
 	bufferedResponseBytes = 2 << 10
