admission: a patient class leaves room on the link for the others

Callers of urgent downloads with a target latency of 0.6 s were served none of 605 where others asked the same hosts for downloads of a less urgent class with a target of 3 s, or with none, at three times what the links carry. Of those a third was served.

Cause: room on the link went by arrival, up to the wait that each request could spare. The patient requests kept the link as long as they could wait, 2 s and more, so that a request that could wait for 0.2 s found no room ever, whatever its class. A request that would be late in any case was let in behind a whole answer, too, where one that could be in time was refused.

A gate now knows how long attempts of each class could lately wait for the link. A class fills the link no longer than others could wait, and to three quarters of that if they are more urgent. A class that has not come for ten seconds, or can wait for less than run times differ by, does not count.

TestPatientClassFillsLink shows the same at one gate.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -55,6 +55,7 @@
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
 	rate          rate                      // limit on starts
 	link          uplink.Load               // state of the host's network link, as last reported
+	patience      [numClasses]patience      // how long attempts with large answers could recently wait for the link
 	emptyAt       time.Time                 // when the queue was last empty
 	statusEmptyAt time.Time                 // when no attempt of class Status was last waiting
 	started       []Attempt                 // returned by startWaiting; reused by the next call
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -64,25 +64,78 @@
 	}
 	free, relayFree := q.linkFreeAt(now), now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
 	bothFree := later(free, relayFree)
-	if !bothFree.After(now) {
-		return 0
-	}
 	ready := now.Add(q.avgRunTime[w.Class])
 	sent, soonestSent := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
 	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
 	delivered, soonest := later(sent, relayFree).Add(relayTime), soonestSent.Add(relayTime)
-	planned := soonest.Add(time.Duration(waitShare * float64(w.TargetTime.Sub(soonest))))
+	planned := soonest.Add(q.limitPatience(now, w.Class, q.notePatience(now, w, soonest)))
+	inTime := w.TargetTime.IsZero() || soonest.Before(w.TargetTime)
 	switch {
+	case !bothFree.After(now):
+		return 0
 	case !delivered.Before(w.Deadline):
 		return delivered.Sub(w.Deadline) + 1
-	case w.TargetTime.IsZero() || soonest.Before(w.TargetTime) && !delivered.After(planned):
+	case inTime && !delivered.After(planned):
 		return 0
+	case inTime:
+		return delivered.Sub(planned)
 	case w.TargetTime.Sub(now) <= passedTarget:
 		return bothFree.Sub(now)
-	case soonest.Before(w.TargetTime):
-		return delivered.Sub(planned)
 	}
-	return max(bothFree.Sub(soonestSent), 0)
+	return max(bothFree.Sub(ready)-q.limitPatience(now, w.Class, soonestSent.Sub(ready)), 0)
+}
+
+// patience is how long attempts of a class could wait for the link.
+type patience struct {
+	wait time.Duration // smoothed
+	at   time.Time     // of the last attempt
+}
+
+func (p *patience) observe(now time.Time, wait time.Duration) {
+	if now.Sub(p.at) > patienceWindow {
+		p.wait = wait
+	}
+	p.wait += (wait - p.wait) / smoothingWindow
+	p.at = now
+}
+
+const (
+	// patienceWindow is the time for which the patience of a class counts after an attempt.
+	patienceWindow = 10 * time.Second
+	// minPatience is the patience below which a class does not count: run times differ by
+	// more, so room kept for it would mostly be kept in vain.
+	minPatience = 50 * time.Millisecond
+	// yieldShare is the part of the patience of a more urgent class that others may use.
+	yieldShare = 0.75
+)
+
+// notePatience records how long an attempt can wait for the links, and returns that. soonest
+// is when its answer could be delivered without a wait.
+func (q *Queue) notePatience(now time.Time, w Attempt, soonest time.Time) time.Duration {
+	wait := w.Deadline.Sub(soonest)
+	if !w.TargetTime.IsZero() {
+		wait = time.Duration(waitShare * float64(w.TargetTime.Sub(soonest)))
+	}
+	if wait > 0 {
+		q.patience[w.Class].observe(now, wait)
+	}
+	return wait
+}
+
+// limitPatience returns the wait that a class may fill the links to, if it could wait for
+// a given time: no longer than attempts of other classes could wait, and less if they are
+// more urgent. They would never find the links as short as they need them otherwise.
+func (q *Queue) limitPatience(now time.Time, c Class, wait time.Duration) time.Duration {
+	for i, other := range q.patience {
+		if Class(i) == c || other.wait < minPatience || now.Sub(other.at) > patienceWindow {
+			continue
+		}
+		if Class(i) < c {
+			other.wait = time.Duration(yieldShare * float64(other.wait))
+		}
+		wait = min(wait, other.wait)
+	}
+	return wait
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -358,3 +358,28 @@
 	is.Equal([]int{running, waiting}, []int{2, 1})
 	is.Equal(q.LinkWait(now), before)
 }
+
+// TestPatientClassFillsLink has a class with a long target ask for large answers until it is
+// refused, on a host where a class with a short one asks too. That must find room still.
+func TestPatientClassFillsLink(t *testing.T) {
+	is := is.New(t)
+	q, now := admission.New(admission.DefaultConfig(50)), time.Unix(1000, 0)
+	q.SetLink(uplink.Load{Rate: linkBytes})
+	next := uint64(0)
+	arrive := func(c admission.Class, target time.Duration, bytes int64) admission.Reason {
+		next++
+		return q.Arrive(now, admission.Attempt{
+			ID: admission.ID{Number: next}, Class: c, Deadline: now.Add(6 * time.Second), TargetTime: now.Add(target), AnswerBytes: bytes,
+		}).Reason
+	}
+	const urgent, patient = admission.Interactive, admission.Batch
+	is.Equal(arrive(urgent, 600*time.Millisecond, 100_000), admission.Admitted)
+	admitted := 0
+	for arrive(patient, 3*time.Second, largeBytes) == admission.Admitted {
+		admitted++
+	}
+	is.True(admitted > 0)
+	is.Equal(arrive(urgent, 600*time.Millisecond, 100_000), admission.Admitted)
+	now = now.Add(time.Minute) // the urgent class does not ask any more
+	is.Equal(arrive(patient, 3*time.Second, largeBytes), admission.Admitted)
+}
