--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -16,10 +16,10 @@
 	StatusSlots int           // the part of Slots that is reserved for class Status
 	MaxQueue    int           // maximum number of waiting attempts over all classes
 	MaxWait     time.Duration // maximum time an attempt waits in the queue
-	// Target replaces MaxWait for all classes but Status once the queue has not
-	// been empty for Interval (controlled delay: Nichols and Jacobson,
-	// "Controlling Queue Delay"). A standing queue delays every answer without
-	// increasing throughput.
+	// Target replaces MaxWait once the queue has not been empty for Interval
+	// (controlled delay: Nichols and Jacobson, "Controlling Queue Delay"). A
+	// standing queue delays every answer without increasing throughput. For class
+	// Status, only its own part of the queue counts: it goes before the others.
 	Target   time.Duration
 	Interval time.Duration
 }
@@ -51,13 +51,15 @@
 	avgRunTimeAll time.Duration             // smoothed run time over all classes
 	runRefused    [numClasses]time.Time     // first refusal for avgRunTime since a run ended; zero: none
 	sizeRefused   [numClasses]time.Time     // first refusal for avgBytes since an answer was added to it; zero: none
-	avgBytes      [numClasses]float64       // smoothed answer size in bytes
+	avgBytes      [numClasses]float64       // smoothed size in bytes of answers that are not known to be small
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
 	rate          rate                      // limit on starts
 	link          uplink.Load               // state of the host's network link, as last reported
+	patience      [numClasses]patience      // how long attempts with large answers could recently wait for the link
 	emptyAt       time.Time                 // when the queue was last empty
+	statusEmptyAt time.Time                 // when no attempt of class Status was last waiting
 	started       []Attempt                 // returned by startWaiting; reused by the next call
 	dropped       []Attempt                 // returned by several methods; reused by the next call
 	fault         fault
@@ -95,9 +97,7 @@
 	a.arrived = now
 	q.expectBytes(a)
 	linkOpensIn := q.linkOpensIn(now, a)
-	if q.numWaiting == 0 {
-		q.emptyAt = now
-	}
+	q.noteEmpty(now)
 	switch {
 	case !now.Before(a.Deadline):
 		return Decision{Reason: TooLate}
@@ -206,32 +206,36 @@
 	if i < 0 {
 		return 0, nil, nil
 	}
-	c := q.running[i].Class
+	c, small := q.running[i].Class, q.running[i].isSmall()
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
-	q.updateAverages(now, c, run)
+	q.updateRunTimes(now, c, run.Took)
+	if !run.Failed && !small {
+		q.updateBytes(now, c, run.Bytes)
+	}
 	start, dropped = q.startWaiting(now)
 	return waited, start, dropped
 }
 
-// updateAverages adds a finished run to the smoothed run times and answer sizes.
-func (q *Queue) updateAverages(now time.Time, c Class, run Run) {
+// updateRunTimes adds a finished run to the smoothed run times.
+func (q *Queue) updateRunTimes(now time.Time, c Class, took time.Duration) {
 	if q.runTrialDue(now, c) {
 		q.runs[c] = 0 // the trial replaces what was known of the class
 	}
 	q.runRefused[c] = time.Time{}
 	q.runs[c], q.runsAll = min(q.runs[c]+1, smoothingWindow), min(q.runsAll+1, smoothingWindow)
-	q.avgRunTime[c] += (run.Took - q.avgRunTime[c]) / time.Duration(q.runs[c])
-	q.avgRunTimeAll += (run.Took - q.avgRunTimeAll) / time.Duration(q.runsAll)
-	if run.Failed {
-		return
-	}
+	q.avgRunTime[c] += (took - q.avgRunTime[c]) / time.Duration(q.runs[c])
+	q.avgRunTimeAll += (took - q.avgRunTimeAll) / time.Duration(q.runsAll)
+}
+
+// updateBytes adds an answer to the smoothed sizes of those that are not known to be small.
+func (q *Queue) updateBytes(now time.Time, c Class, bytes int64) {
 	if q.sizeTrialDue(now, c) {
 		q.answers[c] = 0
 	}
 	q.sizeRefused[c] = time.Time{}
 	q.answers[c] = min(q.answers[c]+1, smoothingWindow)
-	q.avgBytes[c] += (float64(run.Bytes) - q.avgBytes[c]) / float64(q.answers[c])
+	q.avgBytes[c] += (float64(bytes) - q.avgBytes[c]) / float64(q.answers[c])
 }
 
 // Load returns the numbers of running and of waiting attempts.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/uplink"
 )
 
 // Config holds the settings of a Balancer. Loads are expressed as requests per slot.
@@ -70,7 +71,7 @@
 
 // largeAnswerBytes is the average answer size from which a kind of request counts as
 // having large answers.
-const largeAnswerBytes = 32 << 10
+const largeAnswerBytes = uplink.LargeBytes
 
 // Balancer holds the load and health of endpoints as seen from this node.
 type Balancer struct {
@@ -287,11 +288,17 @@
 	Kind        string        // kind of the request
 	Left        time.Duration // Request.Left when it was sent
 	Bytes       int64         // size of a complete answer
+	GivenUp     bool          // the caller left before an answer: nothing is known but Waited
+	Waited      time.Duration // GivenUp: time without an answer; zero: unknown
 }
 
 // Done records the end of a request at an endpoint.
 func (b *Balancer) Done(now time.Time, e *Endpoint, res Result) {
 	e.inFlight = max(e.inFlight-1, 0)
+	if res.GivenUp {
+		e.observeWait(now, res)
+		return
+	}
 	e.silentSince = now
 	if res.Queue >= 0 {
 		e.queue, e.answeredAt = res.Queue, now
