Leave the retries that reruns have earned to them

What callers saw: an urgent request whose answer was broken failed though it may be repeated, while less urgent requests of the same service asked for more than its servers can run.

Cause: one budget by service, handed out by arrival. Refusals are so frequent in an overload that they take each retry as it is earned, and a rerun needs one as well.

Change: a retry after a refusal leaves as many retries as there are saved reruns. No retry is added by that. Not taken: a budget of its own for refusals, which adds attempts in an overload.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -83,10 +83,11 @@
 }
 
 // Take spends one retry if the budget allows it. after is the outcome of the previous
-// attempt; after Unknown it spends a rerun as well.
+// attempt; after Unknown it spends a rerun as well. Retries after NotRun leave as many as
+// there are saved reruns: in an overload refusals are so frequent that they would take all.
 func (b *Budget) Take(after Outcome) bool {
 	switch {
-	case b.tokens < 1:
+	case b.tokens < 1, after == NotRun && b.tokens < 1+b.rerunTokens:
 		return false
 	case after == Unknown && b.rerunTokens < 1:
 		return false
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -52,3 +52,19 @@
 		is.True(float64(taken) >= 0.9*tt.limit*calls)
 	}
 }
+
+// TestRefusalsLeaveNoReruns guards against refusals that use up the retries which reruns have
+// earned.
+func TestRefusalsLeaveNoReruns(t *testing.T) {
+	is := is.New(t)
+	b := retry.NewBudget(retry.Config{Share: 0.1, Reserve: 10, RerunReserve: 3})
+	refusals := 0
+	for b.Take(retry.NotRun) {
+		refusals++
+	}
+	is.Equal(refusals, 7)
+	for range 3 {
+		is.True(b.Take(retry.Unknown))
+	}
+	is.True(!b.Take(retry.Unknown))
+}
