Charge what is left for reruns to refusals of servers alone

Change: the rule holds for the budget that reruns share, and reruns have their 2.5 beside the 10 of refusals.

--- a/core/retry.go
+++ b/core/retry.go
@@ -7,8 +7,11 @@
 	"github.com/agatekeel/agatekeel/core/retry"
 )
 
-// retryReserve is the number of retries allowed when there are few calls.
-const retryReserve = 10
+// Numbers of retries allowed when there are few calls.
+const (
+	retryReserve = 10  // after refusals
+	rerunReserve = 2.5 // reruns, beside those
+)
 
 // retryHeldAnswer retries a call whose backend server answered with a
 // failure. If the call may not be retried, it releases that answer to the
@@ -33,20 +36,22 @@
 // and divided by the number of nodes in the endpoint table. A newly started
 // node has few nodes in its table, and so do all that start together with
 // it. Therefore it starts without reruns and earns them with its calls.
-func (s *State) budget(service string) *retry.Budget { return s.budgetIn(s.requests.budgets, service) }
+func (s *State) budget(service string) *retry.Budget {
+	return s.budgetIn(s.requests.budgets, service, retryReserve+rerunReserve)
+}
 
 // linkBudget returns the budget of a service for retries after refusals for lack of room
 // on a host's link. While links are scarce, those refusals are so frequent that they
 // would use up the budget of the service's other requests.
 func (s *State) linkBudget(service string) *retry.Budget {
-	return s.budgetIn(s.requests.linkBudgets, service)
+	return s.budgetIn(s.requests.linkBudgets, service, retryReserve)
 }
 
-func (s *State) budgetIn(budgets map[string]*retry.Budget, service string) *retry.Budget {
+func (s *State) budgetIn(budgets map[string]*retry.Budget, service string, reserve float64) *retry.Budget {
 	b, ok := budgets[service]
 	if !ok {
 		b = retry.NewBudget(retry.Config{
-			Share: s.cfg.RetryShare, Reserve: retryReserve, RerunShare: s.cfg.RerunShare, NoInitialReruns: s.cfg.RerunReserve > 0,
+			Share: s.cfg.RetryShare, Reserve: reserve, RerunShare: s.cfg.RerunShare, RerunReserve: rerunReserve, NoInitialReruns: s.cfg.RerunReserve > 0,
 		})
 		budgets[service] = b
 	}
@@ -59,7 +64,7 @@
 // retryTokens returns the remaining retries of the service that has the
 // fewest.
 func (s *State) retryTokens() float64 {
-	least := float64(retryReserve)
+	least := retryReserve + rerunReserve
 	for _, b := range s.requests.budgets {
 		least = min(least, b.Tokens())
 	}
@@ -113,8 +118,11 @@
 	if s.requestFaults.unlimitedRetries || c.backendAttempts == 0 && c.newlyExcluded(e) {
 		return true
 	}
-	if after == retry.NotRun && admission.Reason(e.Reason) == admission.LinkFull {
+	switch {
+	case after == retry.NotRun && admission.Reason(e.Reason) == admission.LinkFull:
 		return s.linkBudget(c.service).Take(after)
+	case after == retry.NotRun:
+		return s.budget(c.service).TakeSpare()
 	}
 	return s.budget(c.service).Take(after)
 }
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -83,11 +83,10 @@
 }
 
 // Take spends one retry if the budget allows it. after is the outcome of the previous
-// attempt; after Unknown it spends a rerun as well. Retries after NotRun leave as many as
-// there are saved reruns: in an overload refusals are so frequent that they would take all.
+// attempt; after Unknown it spends a rerun as well.
 func (b *Budget) Take(after Outcome) bool {
 	switch {
-	case b.tokens < 1, after == NotRun && b.tokens < 1+b.rerunTokens:
+	case b.tokens < 1:
 		return false
 	case after == Unknown && b.rerunTokens < 1:
 		return false
@@ -98,6 +97,16 @@
 	return true
 }
 
+// TakeSpare spends one retry if as many are left as there are saved reruns. It is for
+// retries after refusals, which in an overload are so frequent that they would take all.
+func (b *Budget) TakeSpare() bool {
+	if b.tokens < 1+b.rerunTokens {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Allowed reports whether the outcome of the last attempt permits another one: always
 // after NotRun, and after Unknown only if the call is idempotent and no part of an
 // answer has been passed on.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	b := retry.NewBudget(retry.Config{Share: 0.1, Reserve: 10, RerunReserve: 3})
 	refusals := 0
-	for b.Take(retry.NotRun) {
+	for b.TakeSpare() {
 		refusals++
 	}
 	is.Equal(refusals, 7)
