Answer calls whose attempts are at work beyond a stop

A call that was taken before a planned stop, and whose backend server still worked on it when the process ended, got no answer: its connection was closed 0.5 s after the end of the drain. Calls taken during the stop get the process's end as their deadline; those of before have sent theirs.

When the servers are stopped, calls that wait for a response get 0.4 s more, then their attempts are ended: one that the other node confirms as not run is refused as such, all others are answered as unknown. Responses that have begun to come are passed on as before. The stop takes no longer.

The harness stops servers as the program does.

--- a/node/module.go
+++ b/node/module.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -233,11 +232,11 @@
 			return nil
 		},
 		OnStop: func(context.Context) error {
-			var stopping sync.WaitGroup
+			var stopping []proxy.Server
 			for _, s := range servers {
-				stopping.Go(func() { proxy.StopServer(s.http) })
+				stopping = append(stopping, s.http)
 			}
-			stopping.Wait()
+			p.Proxy.StopServers(stopping...)
 			p.Node.Stop()
 			p.Transport.Stop()
 			p.Proxy.Close()
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -18,7 +18,9 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
 	defer cancel()
 	c.body.limitUpload(f.Budget + hopGrace)
+	responded := context.AfterFunc(c.proxy.ending, cancel)
 	resp, err := c.sendAndBuffer(ctx, cancel, f)
+	responded()
 	if err == nil {
 		c.respond(resp, f)
 		return
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -165,7 +165,7 @@
 	select {
 	case <-mn.node.Drained():
 		if !mn.abortsResponses {
-			proxy.StopServer(s)
+			mn.proxy.StopServers(s)
 			return
 		}
 	default:
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -21,6 +21,7 @@
 	readHeaderTimeout = 10 * time.Second
 	shortBodyTimeout  = 10 * time.Second
 	stopTimeout       = 500 * time.Millisecond             // requests had the drain to finish; only the last bytes of responses remain
+	endCallsAfter     = stopTimeout - hopGrace             // the rest is for the answers that calls get in place of a response
 	maxTransfer       = config.MaxTimeout + 10*time.Second // time to transfer one request or response
 	serverIdleTimeout = 180 * time.Second
 	clientIdleTimeout = 60 * time.Second
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -110,6 +111,8 @@
 	sent       sentCounters
 	injected   injectedFaults
 	sameHost   func(local, remote net.Addr) bool // tells callers on this host from those on others
+	ending     context.Context                   // done once calls must not wait for responses any more
+	endCalls   context.CancelFunc
 }
 
 // injectedFaults are faults that tests switch on to show that their checks
@@ -134,6 +137,7 @@
 		calls:   metrics.GetOrRegisterTimer("proxy.calls", r),
 		refused: metrics.GetOrRegisterCounter("proxy.refused", r), sameHost: sameHost,
 	}
+	p.ending, p.endCalls = context.WithCancel(context.Background())
 	hopDial := counting(cfg.HopDial, p.recordSent)
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
 	p.maxBody.Store(cfg.MaxBodyBytes)
@@ -155,6 +159,18 @@
 	})
 }
 
+// StopServers stops servers of this proxy together, as StopServer does. Calls that still
+// wait for a response are answered before their connections are closed.
+func (p *Proxy) StopServers(servers ...Server) {
+	end := time.AfterFunc(endCallsAfter, p.endCalls)
+	defer end.Stop()
+	var stopping sync.WaitGroup
+	for _, s := range servers {
+		stopping.Go(func() { StopServer(s) })
+	}
+	stopping.Wait()
+}
+
 // Close closes idle connections.
 func (p *Proxy) Close() {
 	for _, t := range []*http.Transport{p.backend, p.hop, p.query} {
