--- a/cmd/agatekeel/node_test.go
+++ b/cmd/agatekeel/node_test.go
@@ -76,16 +76,21 @@
 	}
 }
 
+// drainSettings returns the settings of a node that listens on loopback, with a platform at an address.
+func drainSettings(platform string, drain settings.Drain) settings.Settings {
+	return settings.Settings{
+		Node: "n", DataCentre: "derby", DataCentres: []string{"derby"}, Platform: "http://" + platform,
+		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
+		Drain:  drain,
+		Log:    settings.Log{Level: "error"},
+	}
+}
+
 // TestSignalDuringStartEndsProcessAtOnce guards against a node that serves already and is
 // killed by the signal that should drain it.
 func TestSignalDuringStartEndsProcessAtOnce(t *testing.T) {
 	is := is.New(t)
-	s := settings.Settings{
-		Node: "n", DataCentre: "derby", DataCentres: []string{"derby"}, Platform: "http://127.0.0.1:1",
-		Listen: settings.Listen{Callers: "127.0.0.1:0", Hop: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
-		Drain:  settings.Drain{AtLeast: settings.Duration(time.Millisecond), AtMost: settings.Duration(100 * time.Millisecond)},
-		Log:    settings.Log{Level: "error"},
-	}
+	s := drainSettings("127.0.0.1:1", settings.Drain{AtLeast: settings.Duration(time.Millisecond), AtMost: settings.Duration(100 * time.Millisecond)})
 	is.NoErr(settings.Check("test", s))
 	var running runningNode
 	is.NoErr(runNode(func() (r runningNode, err error) {
@@ -95,3 +100,37 @@
 	}))
 	<-running.node.Drained()
 }
+
+// exitTime is the time for which a process may live after drain.atMost before its platform
+// kills it.
+const exitTime = 700 * time.Millisecond
+
+// TestSilentPlatformDelaysEndOfProcess guards against a process that outlives its grace
+// period, since the platform takes its connections and says nothing, or callers are not done.
+func TestSilentPlatformDelaysEndOfProcess(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	const atMost = 300 * time.Millisecond
+	s := drainSettings(silent.Addr().String(), settings.Drain{AtLeast: settings.Duration(100 * time.Millisecond), AtMost: settings.Duration(atMost)})
+	is.NoErr(settings.Check("test", s))
+	var stopped time.Time
+	is.NoErr(runNode(func() (runningNode, error) {
+		running, err := startNode(s)
+		is.NoErr(err)
+		for _, sent := range []string{"", "GET / HT", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"} {
+			caller, err := net.Dial("tcp", running.listeners.Callers.Addr().String())
+			is.NoErr(err)
+			t.Cleanup(func() { _ = caller.Close() })
+			_, err = caller.Write([]byte(sent))
+			is.NoErr(err)
+		}
+		time.Sleep(100 * time.Millisecond) // the node is waiting for the platform
+		stopped = time.Now()
+		return running, syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	}))
+	took := time.Since(stopped)
+	t.Logf("ended after %v", took)
+	is.True(took < atMost+exitTime)
+}
