Refuse a request of HTTP/1.0 with a transfer coding

What callers saw: a request of HTTP/1.0 with "Transfer-Encoding: chunked" was passed on without its body, or with as many bytes of the chunks as its Content-Length said. What followed was read as further requests of the connection, so that one could be inside the body of another.

Cause: http.ReadRequest ignores the field in a request before HTTP/1.1 and removes it. RFC 9112, section 6.1: the framing of such a request is faulty.

Change: the server looks at the request line first. Requests of HTTP/1.1 are read as before.

The node uses the same function for answers. Four new cases of TestInvalidRequestsAreRejected fail without the change ("handler called for a request that must be rejected"); TestOldRequestsAreServed checks that other requests of HTTP/1.0 are served, also in single bytes.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -222,7 +222,7 @@
 
 func (c *conn) readRequest() (*http.Request, error) {
 	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
-	r, err := http.ReadRequest(c.in)
+	r, err := c.parseRequest()
 	if err != nil {
 		if c.headerLimit.N <= 0 {
 			return nil, ErrHeaderTooLarge
--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -195,6 +195,10 @@
 		{"space in a name", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding x: chunked\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
 		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 36\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
 		{"unknown transfer coding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"chunks in HTTP/1.0", "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"chunks and a length in HTTP/1.0", "POST / HTTP/1.0\nHost: a\ntransfer-encoding: chunked\nContent-Length: 0\n\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"long header of HTTP/1.0", "POST / HTTP/1.0\r\nHost: a\r\nX: " + strings.Repeat("x", 8<<10) + "\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
+		{"long request line of HTTP/1.0", "POST /" + strings.Repeat("x", 8<<10) + " HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
 		{"carriage return in a field", "POST / HTTP/1.1\r\nHost: a\r\nX: y\rContent-Length: 36\r\n\r\n" + getRequest("/inside"), http.StatusBadRequest},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -209,6 +213,24 @@
 	}
 }
 
+// TestOldRequestsAreServed checks that other requests of HTTP/1.0 are served, also in pieces.
+func TestOldRequestsAreServed(t *testing.T) {
+	for _, head := range []string{"GET / HTTP/1.0\r\n\r\n", "POST / HTTP/1.0\nContent-Length: 28\n\nTransfer-Encoding: chunked\r\n"} {
+		is := is.New(t)
+		_, c := start(t, h1.Config{}, func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(w, r.Body)
+			is.NoErr(err)
+		})
+		for _, b := range []byte(head) {
+			_, err := c.Write([]byte{b})
+			is.NoErr(err)
+		}
+		resp, body := readResponse(t, bufio.NewReader(c))
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.True(strings.HasSuffix(head, body))
+	}
+}
+
 // TestDrainAnswersPipelinedRequests checks that a draining server answers all
 // requests received before it closes the connection, and announces the close in
 // the last response only.
--- a/proxy/oldhead.go
+++ b/proxy/oldhead.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
+
+	"github.com/agatekeel/agatekeel/h1"
 )
 
 const oldVersion = "HTTP/1.0"
@@ -56,22 +57,8 @@
 	switch {
 	case !bytes.HasPrefix(head, []byte(oldVersion)):
 		return responseRejected(resp, "is of version "+resp.Proto+" behind other bytes")
-	case hasField(head, "Transfer-Encoding"):
+	case h1.HasField(head, "Transfer-Encoding"):
 		return responseRejected(resp, "is of version "+resp.Proto+" and has a transfer coding")
 	}
 	return nil
 }
-
-// hasField reports whether the head at the beginning of some bytes has a field of a name.
-func hasField(head []byte, name string) bool {
-	for line := range bytes.Lines(head) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			return false
-		}
-		if field, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(field), name) {
-			return true
-		}
-	}
-	return false
-}
