Count only its own requests in the test of stalled bodies

TestStalledBodyIsNotReportedAsNotRun failed once in four copies that ran with the race detector for 200 s at a load of 26 ("3 != 1": three requests instead of one at the stand-in server, on the own host).

The stand-in counted whatever reached its port.

The stand-in now counts the requests that bear the test's own random ID. If the node sends the request more than once, or without its ID, the test fails as before.

--- a/proxy/stalled_body_test.go
+++ b/proxy/stalled_body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agatekeel/agatekeel/core"
+	"github.com/agatekeel/agatekeel/internal/sample"
 	"github.com/agatekeel/agatekeel/proxy"
 )
 
@@ -19,9 +21,13 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := listen(t)
+			id := rand.Text()
 			var started atomic.Int64
 			go func() {
 				_ = http.Serve(l, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if r.Header.Get(sample.HeaderID) != id { // meant for a process that had the port before
+						return
+					}
 					started.Add(1)
 					_, _ = bufio.NewReader(r.Body).ReadString(0)
 				}))
@@ -31,7 +37,7 @@
 					p.Backend = l.Addr().String()
 				}
 			}, "orders", "")
-			conn := m.dialRaw(i, "POST /brief HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+			conn := m.dialRaw(i, "POST /brief HTTP/1.1\r\nHost: x\r\n"+sample.HeaderID+": "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			is.NoErr(err)
 			_ = resp.Body.Close()
