Seal connections under writes without pause in the test of uncounted writes

TestWriteGoesOutUncounted holds the order in which a write is counted and the seal is looked at: a write that goes out uncounted belongs to a request that is reported as not run.

--- a/proxy/seal_race_test.go
+++ b/proxy/seal_race_test.go
@@ -32,20 +32,18 @@
 	for range rounds {
 		under := &countedConn{}
 		c := &trackedConn{Conn: under}
-		var begin, ended atomic.Bool
+		ended := make(chan struct{})
 		go func() {
-			for !begin.Load() {
-				runtime.Gosched()
+			defer close(ended)
+			for err := error(nil); err == nil; {
+				_, err = c.Write([]byte("request"))
 			}
-			_, _ = c.Write([]byte("request"))
-			ended.Store(true)
 		}()
-		runtime.Gosched()
-		begin.Store(true)
-		counted := c.seal()
-		for !ended.Load() {
+		for under.writes.Load() == 0 {
 			runtime.Gosched()
 		}
+		counted := c.seal()
+		<-ended
 		is.True(under.writes.Load() <= counted)
 	}
 }
