--- a/proxy/stale_hop_test.go
+++ b/proxy/stale_hop_test.go
@@ -23,8 +23,14 @@
 	for _, tc := range []struct {
 		name         string
 		hop, queried string // values of the header that names the attempt; empty: none
-		own          bool   // the attempt itself is named too
-	}{{"both of another attempt", "1-1", "1-1", false}, {"both without an attempt", "", "", false}, {"both of two attempts", "1-1", "1-1", true}} {
+		before       bool   // the attempt itself is named before
+		behind       bool   // the attempt itself is named behind
+	}{
+		{"both of another attempt", "1-1", "1-1", false, false},
+		{"both without an attempt", "", "", false, false},
+		{"both of two attempts", "1-1", "1-1", true, false},
+		{"both of two attempts in the other order", "1-1", "1-1", false, true},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.SilenceAfter = testDeadline }, "", "orders")
@@ -39,12 +45,15 @@
 					own, _, _ = strings.Cut(hop, " ")
 				}
 				count.Add(1)
-				if tc.own {
-					w.Header().Set("Agatekeel-Attempt", own)
+				if tc.before {
+					w.Header().Add("Agatekeel-Attempt", own)
 				}
 				if attempt != "" {
 					w.Header().Add("Agatekeel-Attempt", attempt)
 				}
+				if tc.behind {
+					w.Header().Add("Agatekeel-Attempt", own)
+				}
 				w.Header().Set(proxy.HeaderOutcome, "not-run")
 				w.WriteHeader(status)
 			})}
