peer: messages are encoded outside the node's lock, and once for all links

Callers of a node waited while it sent a configuration down the tree: Send encoded and compressed the message under the lock that every request needs, once for each child.

Cause: the queue of a link held frames. It now holds messages, and the link's sender encodes them, in order. The queue's bound is as it was. Links that are sent the same version, or the same change, share one frame, which is made by the first sender that needs it and is gone when the last one has sent it. Messages may no longer be modified by their sender either; package message says so. No sender in core modifies one: all slices in them are built for the message or belong to a set or a change, which are immutable.

Send no longer returns an error for a message that can't be encoded. Such a message is not sent, as before; node, the only caller, ignored that error.

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -1,5 +1,6 @@
-// Package message defines the messages that nodes exchange over a link. A receiver must
-// not modify them.
+// Package message defines the messages that nodes exchange over a link. Neither the
+// sender nor a receiver may modify what has been sent: it is encoded later, and for
+// several links at once.
 package message
 
 import (
--- a/peer/link.go
+++ b/peer/link.go
@@ -11,42 +11,35 @@
 
 // Link is an open link to another node.
 type Link struct {
-	cancel   context.CancelFunc // ends the stream
-	mu       sync.Mutex         // guards closed and is held while a frame is queued
-	closed   bool
-	closing  chan struct{} // closed by Close; no message is queued after that
-	compress bool
-	queue    chan *pb.Frame
-	remote   Identity // set when the first message is received
+	cancel  context.CancelFunc // ends the stream
+	mu      sync.Mutex         // guards closed and is held while a message is queued
+	closed  bool
+	closing chan struct{} // closed by Close; no message is queued after that
+	packer  *packer
+	queue   chan *queued
+	remote  Identity // set when the first message is received
 }
 
 // Remote returns the Identity of the other end. It may only be called within
 // Handler.Received.
 func (l *Link) Remote() Identity { return l.remote }
 
-func newLink(cancel context.CancelFunc, compress bool) *Link {
-	return &Link{cancel: cancel, compress: compress, queue: make(chan *pb.Frame, maxQueuedMessages), closing: make(chan struct{})}
+func newLink(cancel context.CancelFunc, p *packer) *Link {
+	return &Link{cancel: cancel, packer: p, queue: make(chan *queued, maxQueuedMessages), closing: make(chan struct{})}
 }
 
-// Send queues a message. It does not block: if the queue is full, the link is
-// closed.
+// Send queues a message, which must not be modified from then on. It neither blocks
+// nor encodes, since its caller holds up the node's requests: if the queue is full,
+// the link is closed. A message that can't be encoded is not sent.
 func (l *Link) Send(m message.Message) error {
-	f, err := Encode(m)
-	if err != nil {
-		return err
-	}
-	if l.compress {
-		if f, err = Compress(f); err != nil {
-			return err
-		}
-	}
+	q := l.packer.pack(m)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return ErrClosed
 	}
 	select {
-	case l.queue <- f:
+	case l.queue <- q:
 		return nil
 	default:
 		l.closed = true
@@ -92,13 +85,13 @@
 	Recv() (*pb.Frame, error)
 }
 
-// write sends queued frames until the stream ends or the link is closed. In the
+// write encodes and sends queued messages until the stream ends or the link is closed. In the
 // latter case it then calls finish, which ends this side of the stream.
 func (l *Link) write(s stream, finish func()) {
 	for {
 		select {
-		case f := <-l.queue:
-			if !l.sendFrame(s, f) {
+		case q := <-l.queue:
+			if !l.sendQueued(s, q) {
 				return
 			}
 		case <-l.closing:
@@ -111,9 +104,13 @@
 	}
 }
 
-// sendFrame sends one frame and reports whether the stream took it. If not, the link
-// is closed.
-func (l *Link) sendFrame(s stream, f *pb.Frame) bool {
+// sendQueued sends one message and reports whether the stream still works. If not, the
+// link is closed.
+func (l *Link) sendQueued(s stream, q *queued) bool {
+	f, err := q.frame()
+	if err != nil {
+		return true
+	}
 	if err := s.Send(f); err != nil {
 		l.abort()
 		return false
@@ -121,12 +118,12 @@
 	return true
 }
 
-// flush sends the frames queued before the link was closed.
+// flush sends the messages queued before the link was closed.
 func (l *Link) flush(s stream) {
 	for {
 		select {
-		case f := <-l.queue:
-			if !l.sendFrame(s, f) {
+		case q := <-l.queue:
+			if !l.sendQueued(s, q) {
 				return
 			}
 		default:
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -56,12 +56,12 @@
 // Transport opens and accepts links.
 type Transport struct {
 	pb.UnimplementedPeerServer
-	handler  Handler
-	server   *grpc.Server
-	creds    credentials.TransportCredentials
-	compress bool
-	traffic  *traffic // nil: not counted
-	wg       sync.WaitGroup
+	handler Handler
+	server  *grpc.Server
+	creds   credentials.TransportCredentials
+	packer  *packer
+	traffic *traffic // nil: not counted
+	wg      sync.WaitGroup
 }
 
 // Config holds the settings of a Transport.
@@ -78,7 +78,7 @@
 
 // NewTransport returns a Transport that reports the events of its links to h.
 func NewTransport(cfg Config, h Handler) *Transport {
-	t := &Transport{handler: h, creds: cfg.Client, compress: cfg.Compress}
+	t := &Transport{handler: h, creds: cfg.Client, packer: newPacker(cfg.Compress)}
 	if t.creds == nil {
 		t.creds = insecure.NewCredentials()
 	}
@@ -115,7 +115,7 @@
 func (t *Transport) Link(s pb.Peer_LinkServer) error {
 	closed, cancel := context.WithCancel(context.Background()) // cancelled only when the link is closed; read reports the end of the stream
 	defer cancel()
-	l := newLink(cancel, t.compress)
+	l := newLink(cancel, t.packer)
 	link := t.handler.Accepted(l)
 	go l.write(s, cancel)
 	ended := make(chan string, 1)
@@ -153,7 +153,7 @@
 		_ = conn.Close()
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
-	l := newLink(cancel, t.compress)
+	l := newLink(cancel, t.packer)
 	link := opened(l)
 	t.wg.Add(1)
 	go l.write(s, func() { _ = s.CloseSend() }) // CloseSend fails only if the stream has ended
