core: a set that is sent to several children is sorted once

Cause: sendConfig built the message anew for each link. It is now kept until the next tick, so that it holds no memory between. The objects may be shared, as neither senders nor receivers modify messages.

--- a/core/config_distribution.go
+++ b/core/config_distribution.go
@@ -37,10 +37,24 @@
 		l.peerVersion = set.Version
 		return
 	}
-	s.send(id, message.ConfigWhole{Version: set.Version, Hash: set.Hash(), Objects: set.Sorted()})
+	s.send(id, s.wholeConfig())
 	l.peerVersion = set.Version
 }
 
+// wholeConfig returns the message with the held set. It is kept until the next tick, since
+// sorting a large set takes long and several children often need it at once.
+func (s *State) wholeConfig() message.ConfigWhole {
+	h := &s.holder
+	if h.wholeOf != h.set {
+		h.wholeOf = h.set
+		h.whole = message.ConfigWhole{Version: h.set.Version, Hash: h.set.Hash(), Objects: h.set.Sorted()}
+	}
+	return h.whole
+}
+
+// forgetWholeConfig releases the memory of the message with the held set.
+func (s *State) forgetWholeConfig() { s.holder.wholeOf, s.holder.whole = nil, message.ConfigWhole{} }
+
 func (s *State) deltaReceived(id LinkID, l *link, m message.ConfigDelta) {
 	l.peerVersion = max(l.peerVersion, m.Delta.To)
 	if m.Delta.To <= s.holder.set.Version {
--- a/core/holder.go
+++ b/core/holder.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
 
@@ -18,6 +19,9 @@
 	deltas   []config.Delta  // consecutive; the last one leads to set
 	refused  string          // why the newest version received was not applied; empty: it was
 	encoded  *config.Encoded // stored form of set or of an older set; nil while not needed
+
+	whole   message.ConfigWhole // has the set wholeOf; see State.wholeConfig
+	wholeOf *config.Set         // nil: none
 }
 
 func newHolder() holder { return holder{set: config.NewSet(0, nil), snapshot: &config.Snapshot{}} }
--- a/core/state.go
+++ b/core/state.go
@@ -120,6 +120,7 @@
 	s.backendTick()
 	s.reportTick()
 	s.batchTick()
+	s.forgetWholeConfig()
 	s.lastTick = s.now
 	s.claimTick()
 }
