Test that no link is kept for answers of runs that fail

Cause: a gate counts each run with a large answer as an answer of the usual size to come, also where many runs fail: their own calls are refused or come too late, and they end after some hundred milliseconds without an answer.

Change: the simulation of a gate's link lets a share of the runs fail. TestRunsThatFailKeepLinkIdle asks for the share of the link that is used where none fails.

The slots suffice: 4.2 of 8 are used.

--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -27,6 +27,11 @@
 	q         *admission.Queue
 	rate      float64       // bytes per second that are reported to q
 	largeRun  time.Duration // run time of a request with a large answer
+	failShare float64       // probability that a run with a large answer fails
+	failRun   time.Duration // run time of one that fails
+	rng       *rand.Rand    // decides which fail
+	returning bool          // each second request came back after a refusal, with half of its target latency left
+	fails     map[admission.ID]bool
 	now       time.Time
 	next      uint64
 	ends      map[admission.ID]time.Time // end of each run
@@ -40,7 +45,8 @@
 
 func newLinkSim(slots int) *linkSim {
 	return &linkSim{
-		q: admission.New(admission.DefaultConfig(slots)), rate: linkBytes, largeRun: largeRun, now: time.Unix(1000, 0), ends: map[admission.ID]time.Time{}, targets: map[admission.ID]time.Time{},
+		q: admission.New(admission.DefaultConfig(slots)), rate: linkBytes, largeRun: largeRun, now: time.Unix(1000, 0), ends: map[admission.ID]time.Time{}, targets: map[admission.ID]time.Time{}, fails: map[admission.ID]bool{},
+		rng: rand.New(rand.NewPCG(2, 1)),
 	}
 }
 
@@ -48,6 +54,9 @@
 	takes := shortRun
 	if !r.targets[id].IsZero() {
 		takes = r.largeRun
+		if r.rng.Float64() < r.failShare {
+			takes, r.fails[id] = r.failRun, true
+		}
 	}
 	r.ends[id] = r.now.Add(takes)
 }
@@ -58,6 +67,9 @@
 	if large {
 		r.offered++
 		w.Class, w.Deadline, w.TargetTime = admission.Batch, r.now.Add(6*time.Second), r.now.Add(largeTarget)
+		if r.returning && r.offered%2 == 0 {
+			w.TargetTime = r.now.Add(largeTarget / 2)
+		}
 		r.targets[w.ID] = w.TargetTime
 	}
 	r.q.SetLink(uplink.Load{Backlog: int64(max(r.busyUntil.Sub(r.now), 0).Seconds() * linkBytes), Rate: r.rate})
@@ -76,12 +88,15 @@
 			continue
 		}
 		delete(r.ends, id)
-		bytes, takes := int64(500), shortRun
-		if target := r.targets[id]; !target.IsZero() {
-			bytes, takes = largeBytes, r.largeRun
+		run, target := admission.Run{Took: shortRun, Bytes: 500}, r.targets[id]
+		switch {
+		case r.fails[id]:
+			run = admission.Run{Took: r.failRun, Failed: true}
+		case !target.IsZero():
+			run = admission.Run{Took: r.largeRun, Bytes: largeBytes}
 			r.send(target)
 		}
-		_, start, _ := r.q.Done(r.now, id, admission.Run{Took: takes, Bytes: bytes})
+		_, start, _ := r.q.Done(r.now, id, run)
 		for _, w := range start {
 			r.startRun(w.ID)
 		}
@@ -151,6 +166,22 @@
 	}
 }
 
+// TestRunsThatFailKeepLinkIdle offers many more large answers than the link can
+// carry, of a backend server that fails half of the requests after waiting for a call of
+// its own. No bandwidth may be kept for answers that do not come.
+func TestRunsThatFailKeepLinkIdle(t *testing.T) {
+	is := is.New(t)
+	const minute, carried = 60, linkBytes / largeBytes
+	used := func(failShare float64) float64 {
+		r := newLinkSim(8)
+		r.returning, r.failShare, r.failRun = true, failShare, 600*time.Millisecond
+		r.run(12*carried, 20)
+		return float64(r.inTime+r.late) / (minute * carried)
+	}
+	t.Logf("none fails %.3f, a third %.3f, half %.3f of the link used", used(0), used(1.0/3), used(0.5))
+	is.True(used(0.5) > 0.95*used(0)) // the slots suffice: 4.2 of 8 are used on average
+}
+
 // TestUnderloadedLinkRefusesLittle offers 30 % of the link's capacity. Fewer than
 // 5 % of the large requests may be refused.
 func TestUnderloadedLinkRefusesLittle(t *testing.T) {
