--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -181,6 +181,23 @@
 	is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded)) // the client need not wait for the rest
 }
 
+// TestLongResponseIsTruncated checks that a response longer than its Content-Length is not
+// seen as complete, nor its rest as the next response.
+func TestLongResponseIsTruncated(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t, h1.Config{}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "3")
+		_, _ = fmt.Fprint(w, "ab")
+		_, err := fmt.Fprint(w, "cd")
+		is.True(errors.Is(err, h1.ErrLongResponse))
+	})
+	_, err := c.Write([]byte(getRequest("/") + getRequest("/")))
+	is.NoErr(err)
+	all, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(!strings.Contains(string(all), "abc"))
+}
+
 // TestInvalidRequestsAreRejected checks the requests that the server rejects
 // without calling the handler.
 func TestInvalidRequestsAreRejected(t *testing.T) {
--- a/proxy/basic_test.go
+++ b/proxy/basic_test.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/internal/sample"
+	"github.com/agatekeel/agatekeel/proxy"
 )
 
 // do sends a request to node i and returns the response with its body read.
@@ -158,3 +161,28 @@
 	before, _, _ := strings.Cut(s, `"run":`)
 	return before
 }
+
+// TestEncodedAnswerIsUnpacked guards against an answer whose body is not the backend server's, since
+// a node asked for an encoding that the caller did not ask for, and undid it.
+func TestEncodedAnswerIsUnpacked(t *testing.T) {
+	is := is.New(t)
+	const packed = "\x1f\x8b no such thing"
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Asked-For", r.Header.Get("Accept-Encoding"))
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, packed)
+	}))
+	t.Cleanup(backend.Close)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) {
+		if p.Backend != "" {
+			p.Backend = strings.TrimPrefix(backend.URL, "http://")
+		}
+	}, "", "orders")
+	for node := range m.nodes {
+		resp, body, err := m.do(node, http.MethodGet, "/", "")
+		is.NoErr(err)
+		is.Equal(resp.Header.Get("Asked-For"), "")
+		is.Equal(resp.Header.Get("Content-Encoding"), "gzip")
+		is.Equal(body, packed)
+	}
+}
