Count runs that fail as answers to come again

The runs fail since the service that they call lacks slots; more of them at the gates take slots and processor time from calls that would end well. The link that is kept for them is not what is scarce there.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -53,7 +53,6 @@
 	sizeRefused   [numClasses]time.Time     // first refusal for avgBytes since an answer was added to it; zero: none
 	avgBytes      [numClasses]float64       // smoothed size in bytes of answers that are not known to be small
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
-	failedShare   [numClasses]float64       // smoothed share of runs that failed
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
 	rate          rate                      // limit on starts
@@ -211,7 +210,6 @@
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
 	q.updateRunTimes(now, c, run.Took)
-	q.updateFailed(c, run.Failed)
 	if !run.Failed && !small {
 		q.updateBytes(now, c, run.Bytes)
 	}
@@ -230,15 +228,6 @@
 	q.avgRunTimeAll += (took - q.avgRunTimeAll) / time.Duration(q.runsAll)
 }
 
-// updateFailed adds a finished run to the smoothed share of those that failed.
-func (q *Queue) updateFailed(c Class, failed bool) {
-	share := 0.0
-	if failed {
-		share = 1
-	}
-	q.failedShare[c] += (share - q.failedShare[c]) / smoothingWindow
-}
-
 // updateBytes adds an answer to the smoothed sizes of those that are not known to be small.
 func (q *Queue) updateBytes(now time.Time, c Class, bytes int64) {
 	if q.sizeTrialDue(now, c) {
