Learn nothing of a server from callers who leave, again

Their waits made whichever server they had waited for look slow, and requests went to other data centres.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -227,17 +227,11 @@
 	Kind        string        // kind of the request
 	Left        time.Duration // Request.Left when it was sent
 	Bytes       int64         // size of a complete answer
-	GivenUp     bool          // the caller left before an answer: nothing is known but Waited
-	Waited      time.Duration // GivenUp: time without an answer; zero: unknown
 }
 
 // Done records the end of a request at an endpoint.
 func (b *Balancer) Done(now time.Time, e *Endpoint, res Result) {
 	e.inFlight = max(e.inFlight-1, 0)
-	if res.GivenUp {
-		e.observeWait(now, res)
-		return
-	}
 	e.silentSince = now
 	if res.Queue >= 0 {
 		e.queue, e.answeredAt = res.Queue, now
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -49,30 +49,7 @@
 		return
 	}
 	usual := e.group.observe(now, res)
-	e.smoothLatency(min(max(float64(res.Took)/float64(usual), minRelativeLatency), maxRelativeLatency))
-}
-
-// observeWait updates the relative latency of an endpoint from a request whose caller did
-// not wait for its answer, if it took longer already than expected. An endpoint whose
-// callers all leave would be known by none of its answers otherwise.
-func (e *Endpoint) observeWait(now time.Time, res Result) {
-	if e.group == nil {
-		return
-	}
-	usual := e.group.UsualLatency(res.Kind)
-	if usual == 0 {
-		return
-	}
-	relative := min(float64(res.Waited)/float64(usual), maxRelativeLatency)
-	if relative <= max(e.relativeLatency, 1) {
-		return
-	}
-	e.smoothLatency(relative)
-	e.timedAt = now
-}
-
-// smoothLatency adds a sample to the relative latency.
-func (e *Endpoint) smoothLatency(relative float64) {
+	relative := min(max(float64(res.Took)/float64(usual), minRelativeLatency), maxRelativeLatency)
 	if e.answers == 0 {
 		e.relativeLatency = 1
 	}
--- a/core/event.go
+++ b/core/event.go
@@ -150,11 +150,8 @@
 }
 
 // CallClosed reports that the caller disconnected or has received the full
-// answer. Uploading is set if the request had not come whole by then.
-type CallClosed struct {
-	Call      CallID
-	Uploading bool
-}
+// answer.
+type CallClosed struct{ Call CallID }
 
 // AttemptArrived is an attempt that reached the backend server's node. Run
 // or Refuse follows, immediately or later. ForIncarnation is the
--- a/core/request.go
+++ b/core/request.go
@@ -197,8 +197,8 @@
 }
 
 // callClosed ends a call whose caller has disconnected.
-func (s *State) callClosed(e CallClosed) {
-	c, ok := s.requests.calls[e.Call]
+func (s *State) callClosed(id CallID) {
+	c, ok := s.requests.calls[id]
 	if !ok {
 		return
 	}
@@ -206,17 +206,8 @@
 		Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()})
 	o := retry.NotRun
 	if c.attempts > 0 {
-		s.requests.balancer.Done(s.now, c.target, balance.Result{GivenUp: true, Waited: c.waited(s.now, e), Kind: c.route.Name})
+		s.requests.balancer.Done(s.now, c.target, balance.Result{Queue: -1})
 		o = retry.Unknown
 	}
-	s.endCall(e.Call, c, o, 0)
-}
-
-// waited returns how long the caller who left had waited for the backend server, zero if
-// it was the caller who was waited for.
-func (c *call) waited(now time.Time, e CallClosed) time.Duration {
-	if e.Uploading {
-		return 0
-	}
-	return now.Sub(c.sent)
+	s.endCall(id, c, o, 0)
 }
--- a/core/state.go
+++ b/core/state.go
@@ -86,7 +86,7 @@
 	case AttemptEnded:
 		s.attemptEnded(e)
 	case CallClosed:
-		s.callClosed(e)
+		s.callClosed(e.Call)
 	case AttemptArrived:
 		s.attemptArrived(e)
 	case AttemptDone:
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -101,16 +101,6 @@
 	return !b.overflowed && (b.err == nil || b.err == io.EOF)
 }
 
-// complete reports whether all of the body has come.
-func (b *requestBody) complete() bool {
-	if !b.streams() {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.err == io.EOF || b.length >= 0 && b.read >= b.length
-}
-
 // failure returns the error with which reading from the caller ended, if any.
 func (b *requestBody) failure() error {
 	if !b.streams() {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -135,7 +135,7 @@
 	defer c.dropHeld()
 	defer func() {
 		if !c.done {
-			p.core.Step(core.CallClosed{Call: c.id, Uploading: !c.body.complete()})
+			p.core.Step(core.CallClosed{Call: c.id})
 		}
 	}()
 	for !c.done {
@@ -180,7 +180,7 @@
 // attempt.
 func (c *call) bodyFailed(err error) {
 	c.done = true
-	c.proxy.core.Step(core.CallClosed{Call: c.id, Uploading: true})
+	c.proxy.core.Step(core.CallClosed{Call: c.id})
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errBodyTooLarge):
