Keep a figure of the balancer that only tests read with the tests

A stop reads the bound of a kind's latency since the latch of stops was mended; nothing but tests reads the mean any more.

--- a/core/balance/export_test.go
+++ b/core/balance/export_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // CheckInvariants reports the first inconsistency in a group's indexes and exclusions.
 func (g *Group) CheckInvariants() error {
@@ -16,3 +19,6 @@
 	}
 	return nil
 }
+
+// UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
+func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[g.kindName(name)].latency }
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -141,9 +141,6 @@
 	return max(k.latency, 1)
 }
 
-// UsualLatency returns the smoothed latency of a kind of request, zero if it is unknown.
-func (g *Group) UsualLatency(name string) time.Duration { return g.kinds[g.kindName(name)].latency }
-
 // LatencyBound returns factor times the usual latency of a kind of request, which a single
 // stall hardly raises, zero if it is unknown.
 func (g *Group) LatencyBound(now time.Time, name string, factor float64) time.Duration {
