Keep the time without an answer when callers leave

Cause: the time for which an endpoint has not answered began anew with each caller who left and with each refusal by the node beside it, though neither is a sign of the backend server.

Change: only an answer, an error or a failure of the backend server ends that time. It is summed over callers who left, and counts less with age once no request is in flight. A slow server answers some of its callers and so is not touched: TestCallersWhoLeaveSlowEndpointDoNotBarIt has both.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -227,12 +227,19 @@
 	Kind        string        // kind of the request
 	Left        time.Duration // Request.Left when it was sent
 	Bytes       int64         // size of a complete answer
+	GivenUp     bool          // the caller left before an answer: the endpoint said nothing
 }
 
 // Done records the end of a request at an endpoint.
 func (b *Balancer) Done(now time.Time, e *Endpoint, res Result) {
 	e.inFlight = max(e.inFlight-1, 0)
-	e.silentSince = now
+	if res.GivenUp {
+		e.noteGivenUp(now)
+		return
+	}
+	if res.Failed || res.Took > 0 || res.ErrorAnswer {
+		e.silentSince, e.silentBefore = now, 0 // the node of the endpoint may refuse while that hangs
+	}
 	if res.Queue >= 0 {
 		e.queue, e.answeredAt = res.Queue, now
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -281,3 +281,43 @@
 	b.Sent(now, hung)
 	is.Equal(countPicks(b, g, now.Add(200*time.Millisecond), 1000)["n0001"], 0)
 }
+
+// TestCallersWhoLeaveSlowEndpointDoNotBarIt has most callers of one endpoint leave. It is
+// avoided only if none of them had an answer.
+func TestCallersWhoLeaveSlowEndpointDoNotBarIt(t *testing.T) {
+	const usual, patience = 20 * time.Millisecond, 90 * time.Millisecond
+	tests := []struct {
+		name    string
+		answers bool // a third of its callers get an answer
+		avoided bool
+	}{
+		{"slow", true, false},
+		{"hung", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, at := newBalancer(), now
+			g := b.Group(nil, local(3))
+			answer := func(e *balance.Endpoint) {
+				b.Sent(at, e)
+				b.Done(at.Add(usual), e, balance.Result{Queue: 0, Took: usual})
+			}
+			for e := range g.All() {
+				answer(e)
+			}
+			odd := endpointOf(g, "n0001")
+			for i := range 12 {
+				if tt.answers && i%3 == 2 {
+					answer(odd)
+					continue
+				}
+				b.Sent(at, odd)
+				at = at.Add(patience)
+				b.Done(at, odd, balance.Result{GivenUp: true})
+			}
+			picks := countPicks(b, g, at, 300)["n0001"]
+			is.Equal(picks == 0, tt.avoided)
+		})
+	}
+}
--- a/core/balance/group.go
+++ b/core/balance/group.go
@@ -25,10 +25,12 @@
 	relativeLatency float64 // smoothed latency over the group's for the same kind of request; zero: unknown
 	errorShare      float64 // smoothed share of answers that were errors
 	errorAt         time.Time
-	answeredAt      time.Time // of the last answer or refusal that told of the endpoint
-	timedAt         time.Time // of the last answer in relativeLatency
-	silentSince     time.Time // start of the time without an answer, while requests are in flight
-	failures        int       // consecutive attempts without an answer
+	answeredAt      time.Time     // of the last answer or refusal that told of the endpoint
+	timedAt         time.Time     // of the last answer in relativeLatency
+	silentSince     time.Time     // start of the time without an answer, while requests are in flight
+	silentBefore    time.Duration // time without an answer, up to when the last caller left that waited for one
+	givenUpAt       time.Time     // when that caller left
+	failures        int           // consecutive attempts without an answer
 	failedAt        time.Time
 	ejections       int                   // consecutive ejections without an answer in between
 	leaving         bool                  // excluded because it announced that it is leaving, regardless of MaxEjected
@@ -72,13 +74,32 @@
 	}
 }
 
-// silenceRatio returns how long an endpoint with requests in flight has not answered,
-// as a multiple of the latency of its group's slowest kind of request.
+// noteGivenUp records that the caller of a request in flight has left. If it was the last
+// one, the time that the endpoint was silent is kept: an answer ends it, a caller does not.
+// A slow endpoint answers some of its callers, one that hangs none.
+func (e *Endpoint) noteGivenUp(now time.Time) {
+	e.givenUpAt = now
+	if e.inFlight == 0 {
+		e.silentBefore += now.Sub(e.silentSince)
+		e.silentSince = now
+	}
+}
+
+// silence returns for how long an endpoint has not answered while it had requests in flight.
+func (e *Endpoint) silence(now time.Time) time.Duration {
+	if e.inFlight == 0 {
+		return e.silentBefore
+	}
+	return e.silentBefore + now.Sub(e.silentSince)
+}
+
+// silenceRatio returns silence as a multiple of the latency of the group's slowest kind of
+// request.
 func (e *Endpoint) silenceRatio(now time.Time) float64 {
 	if e.group == nil || e.group.maxLatency == 0 {
 		return 0
 	}
-	return float64(now.Sub(e.silentSince)) / float64(e.group.maxLatency)
+	return float64(e.silence(now)) / float64(e.group.maxLatency)
 }
 
 // set holds the endpoints of a group on one side, local or remote. Those with an index
--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -37,10 +37,12 @@
 	if e.relativeLatency > 0 {
 		slow += (e.relativeLatency - 1) * decay(now.Sub(e.timedAt), b.cfg.HealthStale)
 	}
-	if e.inFlight > 0 {
-		if ratio := e.silenceRatio(now); ratio > minSilenceRatio {
-			slow = max(slow, min(ratio, maxRelativeLatency))
+	if ratio := e.silenceRatio(now); ratio > minSilenceRatio {
+		fresh := 1.0
+		if e.inFlight == 0 {
+			fresh = decay(now.Sub(e.givenUpAt), b.cfg.HealthStale)
 		}
+		slow = max(slow, min(ratio, maxRelativeLatency)*fresh)
 	}
 	return slow
 }
--- a/core/request.go
+++ b/core/request.go
@@ -206,7 +206,7 @@
 		Attr{"tookMillis", s.now.Sub(c.arrived).Milliseconds()})
 	o := retry.NotRun
 	if c.attempts > 0 {
-		s.requests.balancer.Done(s.now, c.target, balance.Result{Queue: -1})
+		s.requests.balancer.Done(s.now, c.target, balance.Result{GivenUp: true})
 		o = retry.Unknown
 	}
 	s.endCall(id, c, o, 0)
