Let a node that starts rely on a tree that has not failed

Change: the 3 s hold after a tree was seen to fail. A node that starts lists once, watches once, and stops as soon as the tree confirms what it holds.

TestStartReadsSourceTwice failed before (more than 2 reads). TestSourceChangeIsInForceInTime passes as before.

--- a/core/source.go
+++ b/core/source.go
@@ -36,8 +36,8 @@
 }
 
 // treeFreshTime is the time for which heartbeats must have confirmed the
-// configuration before a node stops reading the source itself, so that it does
-// not rely on a tree that is still being built.
+// configuration again before a node stops reading the source itself, so that it
+// does not rely on a tree that is still being rebuilt.
 const treeFreshTime = 3 * time.Second
 
 // maxSourceAge is the age of the configuration above which a node reads the
@@ -45,13 +45,17 @@
 // the path through the tree.
 func (c Config) maxSourceAge() time.Duration { return c.SourceWait + 2*c.HeartbeatEvery }
 
-// readsSource reports whether this node has to read the source itself.
+// readsSource reports whether this node has to read the source itself. A node that has
+// just started relies on the tree from the first heartbeat on that confirms what it
+// listed: until the tree was seen to fail, waiting for it to prove itself would cost each
+// start several calls.
 func (s *State) readsSource() bool {
 	src := &s.source
-	if s.now.Sub(src.treeConfirmedAt) > s.cfg.maxSourceAge() {
+	inTree := !src.treeConfirmedAt.IsZero()
+	if inTree && s.now.Sub(src.treeConfirmedAt) > s.cfg.maxSourceAge() {
 		src.treeStaleAt = s.now
 	}
-	return s.member.phase == phaseRoot || !src.everListed || s.now.Sub(src.treeStaleAt) < treeFreshTime
+	return s.member.phase == phaseRoot || !src.everListed || !inTree || s.now.Sub(src.treeStaleAt) < treeFreshTime
 }
 
 // whySourceRead names the reason for which this node reads the source: it is a root, it
--- a/core/source_mesh_test.go
+++ b/core/source_mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +88,30 @@
 	}
 }
 
+// TestStartReadsSourceTwice restarts nodes of a calm mesh, which may list the source and
+// watch it once each.
+func TestStartReadsSourceTwice(t *testing.T) {
+	is := is.New(t)
+	m := newSourceMesh(t, 1)
+	roots := m.roots()
+	clear(m.reads)
+	for _, n := range m.Nodes() {
+		if !slices.Contains(roots, n.Name) {
+			m.Restart(n.Name)
+			m.Run(10 * time.Second)
+		}
+	}
+	is.Equal(len(m.roots()), 2)
+	restarted := 0
+	for name, reads := range m.reads {
+		if !slices.Contains(roots, name) {
+			restarted++
+			is.True(reads <= 2)
+		}
+	}
+	is.Equal(restarted, 8)
+}
+
 // TestSourceChangeIsInForceInTime causes a failure at the roots and changes the
 // source up to 3 s later: every node that runs and can reach the platform must
 // hold the change within sourceInForceWithin.
