Serve callers who can be in time first, and tell others to come back later

Cause: in an overload whoever was refused came back after 30 to 150 ms, and was queued with those who had just come. Its run was late, and made another one late. The order of the queue did not know who could still be in time, and the time to come back did not know that there was no room.

Change: within a class, attempts that can't meet their target latency go behind the others, and are refused at once while the queue stands. A caller that came back is told by the time it has left, below what all but few callers have while nothing is refused; the hop tells it in a header that older nodes ignore. Retry-After grows with the share of refused calls of the service, up to a third of the caller's time.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -44,7 +44,7 @@
 type Queue struct {
 	cfg           Config
 	running       []Attempt // at most Slots, except after SetSlots has lowered it
-	waiting       [numClasses]fifo
+	waiting       [numClasses]line
 	numWaiting    int
 	bypassed      [numClasses]int           // starts of more urgent classes since the last start of this class while it waited
 	avgRunTime    [numClasses]time.Duration // smoothed run time
@@ -58,8 +58,8 @@
 	rate          rate                      // limit on starts
 	link          uplink.Load               // state of the host's network link, as last reported
 	patience      [numClasses]patience      // how long attempts with large answers could recently wait for the link
-	emptyAt       time.Time                 // when the queue was last empty
-	statusEmptyAt time.Time                 // when no attempt of class Status was last waiting
+	emptyAt       time.Time                 // when nothing was last waiting that could meet its target time
+	statusEmptyAt time.Time                 // the same of class Status alone
 	started       []Attempt                 // returned by startWaiting; reused by the next call
 	dropped       []Attempt                 // returned by several methods; reused by the next call
 	fault         fault
@@ -116,15 +116,19 @@
 
 // enqueue lets an attempt wait, or refuses it.
 func (q *Queue) enqueue(now time.Time, a Attempt) Decision {
-	wait := q.expectedWait(a.Class)
+	wait := q.expectedWait(a.Class, false)
+	late := q.missesTarget(now.Add(wait), a)
+	if late {
+		wait = q.expectedWait(a.Class, true)
+	}
 	switch {
 	case q.wouldEndLate(now.Add(wait), now, a):
 		return Decision{Reason: TooLate}
-	case wait > q.cfg.MaxWait:
+	case wait > q.cfg.MaxWait, late && q.isStanding(now, a.Class):
 		return Decision{Reason: QueueFull}
 	}
 	q.dropped = q.dropped[:0]
-	if q.numWaiting >= q.cfg.MaxQueue && !q.evictFor(a.Class) {
+	if q.numWaiting >= q.cfg.MaxQueue && !q.evictFor(a.Class, late) {
 		return Decision{Reason: QueueFull}
 	}
 	reason := QueueFull
@@ -132,7 +136,7 @@
 		q.evictBeyondRate(1)
 		reason = RateLimited
 	}
-	q.waiting[a.Class].push(a)
+	q.waiting[a.Class].push(a, late)
 	q.numWaiting++
 	return Decision{Evicted: q.dropped, EvictedFor: reason}
 }
@@ -168,10 +172,14 @@
 	return q.numWaiting == 0 || c == Status && q.waiting[Status].len() == 0
 }
 
-// expectedWait estimates how long a new arrival of a class will wait.
-func (q *Queue) expectedWait(c Class) time.Duration {
-	ahead := 1
-	for i := range c + 1 {
+// expectedWait estimates how long a new arrival of a class will wait. One that is late for
+// its target time waits for all others of its class.
+func (q *Queue) expectedWait(c Class, late bool) time.Duration {
+	ahead := 1 + q.waiting[c].timely.len()
+	if late {
+		ahead += q.waiting[c].late.len()
+	}
+	for i := range c {
 		ahead += q.waiting[i].len()
 	}
 	return q.avgRunTimeAll * time.Duration(ahead) / time.Duration(max(q.cfg.Slots, 1))
@@ -179,18 +187,27 @@
 
 // evictFor makes room for an attempt of a class. It evicts the newest attempt of
 // the least urgent class that holds more than its reserved part of the queue,
-// and reports whether there was one.
-func (q *Queue) evictFor(c Class) bool {
+// and reports whether there was one. If there was none, one of its own class that is late for
+// its target time makes room for one that is not.
+func (q *Queue) evictFor(c Class, late bool) bool {
 	for i := numClasses - 1; i > c; i-- {
 		if l := &q.waiting[i]; l.len() > q.cfg.MaxQueue/reservedDivisor {
-			q.dropped = append(q.dropped, l.popLast())
-			q.numWaiting--
+			q.evictLast(l)
 			return true
 		}
 	}
+	if l := &q.waiting[c]; !late && l.late.len() > 0 {
+		q.evictLast(l)
+		return true
+	}
 	return false
 }
 
+func (q *Queue) evictLast(l *line) {
+	q.dropped = append(q.dropped, l.popLast())
+	q.numWaiting--
+}
+
 // Run is the result of a run.
 type Run struct {
 	Took   time.Duration
@@ -241,5 +258,15 @@
 // Load returns the numbers of running and of waiting attempts.
 func (q *Queue) Load() (running, waiting int) { return len(q.running), q.numWaiting }
 
+// WaitingInTime returns the number of waiting attempts that are not known to be late for their
+// target time. These are the ones for which another one would wait.
+func (q *Queue) WaitingInTime() int {
+	n := 0
+	for c := range q.waiting {
+		n += q.waiting[c].timely.len()
+	}
+	return n
+}
+
 // WaitingIn returns the number of waiting attempts of a class.
 func (q *Queue) WaitingIn(c Class) int { return q.waiting[c].len() }
--- a/core/admission/attempt.go
+++ b/core/admission/attempt.go
@@ -60,6 +60,9 @@
 	Class      Class
 	Deadline   time.Time
 	TargetTime time.Time // time at which the answer meets the request's target latency; zero: no target
+	// Waited is how long before this call its caller asked first: with it, the target latency
+	// is passed as much earlier. Room on links does not depend on it.
+	Waited time.Duration
 	// AnswerBytes is the usual size of the answers to this kind of request, as the entry
 	// node knows it; zero: unknown. Requests of one class can differ in it.
 	AnswerBytes int64
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -115,9 +115,8 @@
 		free = q.freeAfter(free, w.started.Add(q.avgRunTime[w.Class]), w)
 	}
 	for c := range numClasses {
-		waiting := q.waiting[c].all()
-		for i := range waiting {
-			free = q.freeAfter(free, now.Add(q.avgRunTime[c]), &waiting[i])
+		for w := range q.waiting[c].all() {
+			free = q.freeAfter(free, now.Add(q.avgRunTime[c]), w)
 		}
 	}
 	return free
--- a/core/admission/waiting.go
+++ b/core/admission/waiting.go
@@ -14,12 +14,14 @@
 		if c == numClasses {
 			break
 		}
-		w := q.waiting[c].pop()
-		q.numWaiting--
-		if q.overdue(now, w) {
-			q.dropped = append(q.dropped, w)
+		l := &q.waiting[c]
+		q.dropOverdue(now, l)
+		l.moveLate(func(w Attempt) bool { return q.missesTarget(now, w) })
+		if l.len() == 0 {
 			continue
 		}
+		w := l.pop()
+		q.numWaiting--
 		q.countBypassed(c)
 		q.begin(now, w)
 		q.started = append(q.started, w)
@@ -28,12 +30,13 @@
 	return q.started, q.dropped
 }
 
-// noteEmpty records the time if nothing waits, and if nothing of class Status waits.
+// noteEmpty records the time if nothing waits that can meet its target time, and if nothing of
+// class Status does.
 func (q *Queue) noteEmpty(now time.Time) {
-	if q.numWaiting == 0 {
+	if q.WaitingInTime() == 0 {
 		q.emptyAt = now
 	}
-	if q.waiting[Status].len() == 0 {
+	if q.waiting[Status].timely.len() == 0 {
 		q.statusEmptyAt = now
 	}
 }
@@ -67,8 +70,8 @@
 	}
 }
 
-// overdue reports whether an attempt has waited too long or can no longer finish
-// by its deadline.
+// overdue reports whether an attempt has waited too long or can no longer finish by its
+// deadline.
 func (q *Queue) overdue(now time.Time, w Attempt) bool {
 	if q.fault.noWaitLimit {
 		return false
@@ -76,6 +79,19 @@
 	return now.Sub(w.arrived) > q.maxWait(now, w.Class) || q.wouldEndLate(now, now, w)
 }
 
+// missesTarget reports whether an attempt that starts at a given time would not meet its
+// target time.
+func (q *Queue) missesTarget(start time.Time, w Attempt) bool {
+	return !w.TargetTime.IsZero() && start.Add(q.avgRunTime[w.Class]+w.Waited).After(w.TargetTime)
+}
+
+// dropOverdue moves the overdue attempts of a class to q.dropped.
+func (q *Queue) dropOverdue(now time.Time, l *line) {
+	before := l.len()
+	q.dropped = l.popOverdue(q.dropped, func(w Attempt) bool { return q.overdue(now, w) })
+	q.numWaiting -= before - l.len()
+}
+
 // wouldEndLate reports whether an attempt that starts at a given time would not finish by
 // its deadline.
 func (q *Queue) wouldEndLate(start, now time.Time, w Attempt) bool {
@@ -90,14 +106,19 @@
 }
 
 func (q *Queue) maxWait(now time.Time, c Class) time.Duration {
+	if q.isStanding(now, c) {
+		return q.cfg.Target
+	}
+	return q.cfg.MaxWait
+}
+
+// isStanding reports whether the queue of a class has not been empty for Config.Interval.
+func (q *Queue) isStanding(now time.Time, c Class) bool {
 	emptyAt := q.emptyAt
 	if c == Status {
 		emptyAt = q.statusEmptyAt
 	}
-	if now.Sub(emptyAt) > q.cfg.Interval {
-		return q.cfg.Target
-	}
-	return q.cfg.MaxWait
+	return now.Sub(emptyAt) > q.cfg.Interval
 }
 
 // Expire drops overdue attempts, and returns them. It covers periods in which no
@@ -106,9 +127,7 @@
 func (q *Queue) Expire(now time.Time) []Attempt {
 	q.dropped = q.dropped[:0]
 	for c := range numClasses {
-		for l := &q.waiting[c]; l.len() > 0 && q.overdue(now, l.head()); q.numWaiting-- {
-			q.dropped = append(q.dropped, l.pop())
-		}
+		q.dropOverdue(now, &q.waiting[c])
 	}
 	return q.dropped
 }
--- a/core/admit.go
+++ b/core/admit.go
@@ -90,7 +90,7 @@
 	b.queue.SetLink(e.Link)
 	d := b.queue.Arrive(s.now, admission.Attempt{
 		ID: e.Attempt, Request: e.Request, Class: e.Class, Deadline: s.now.Add(e.Budget),
-		TargetTime: s.softDeadline(e.SoftBudget), OnHost: e.OnHost, Relay: e.Relay, AnswerBytes: e.AnswerBytes,
+		TargetTime: s.softDeadline(e.SoftBudget), Waited: e.Waited, OnHost: e.OnHost, Relay: e.Relay, AnswerBytes: e.AnswerBytes,
 	})
 	for _, w := range d.Evicted {
 		s.dropWaiting(w, d.EvictedFor)
@@ -214,9 +214,8 @@
 	s.refuseAttempt("", e.Attempt, admission.Cancelled, retry.NotRun)
 }
 
-// Waiting returns the length of the queue at the local backend server: the attempts
-// that wait for a slot, and more where a limit on its requests is nearly used up.
+// Waiting returns the length of the queue at the local backend server: the attempts in front
+// of which another one would not start, and more where a limit on its requests is nearly used up.
 func (s *State) Waiting() int {
-	_, waiting := s.backend.queue.Load()
-	return waiting + s.backend.queue.RateQueue(s.now)
+	return s.backend.queue.WaitingInTime() + s.backend.queue.RateQueue(s.now)
 }
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -87,7 +87,7 @@
 		Attr{"leftMillis", c.deadline.Sub(s.now).Milliseconds()}, Attr{"version", s.configVersion()})
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
-		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), SoftBudget: c.softBudget(s.now), Key: c.homeKey(),
+		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), SoftBudget: c.softBudget(s.now), Waited: c.waited, Key: c.homeKey(),
 		AnswerBytes: s.group(c.service).AnswerBytes(c.route.Name),
 		Said:        s.requests.notices[p.Row.ID],
 		MayRetry:    c.replayable && c.idempotent(s) && c.backendAttempts+1 < c.route.Policy.MaxAttempts,
@@ -172,6 +172,7 @@
 // answered ends a call whose backend server has answered.
 func (s *State) answered(c *call, e AttemptEnded) {
 	s.logAnswered(c, e)
+	s.pressure(c.service).observe(s.now, false)
 	s.endCall(e.Call, c, retry.Ran, e.Status)
 }
 
--- a/core/coretest/attempt.go
+++ b/core/coretest/attempt.go
@@ -95,7 +95,7 @@
 	target := t.mesh.nodes[f.Hop]
 	t.mesh.step(target, target.Generation, core.AttemptArrived{
 		Attempt: f.Attempt, Class: f.Class, Budget: f.Budget, ForIncarnation: f.Incarnation, Key: f.Key, Said: f.Said,
-		SoftBudget: f.SoftBudget, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), OnHost: t.Links.onHost(a), Relay: a.relay,
+		SoftBudget: f.SoftBudget, Waited: f.Waited, AnswerBytes: f.AnswerBytes, Link: t.Links.load(target), OnHost: t.Links.onHost(a), Relay: a.relay,
 	})
 }
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -87,6 +87,7 @@
 	Class       admission.Class
 	Budget      time.Duration // time left until the call's deadline
 	SoftBudget  time.Duration // time left until the policy's target latency, at least 1 ns if that has passed; zero if the policy has none
+	Waited      time.Duration // how long before this call its caller asked first, at least
 	AnswerBytes int64         // usual size of the answers to this kind of request; zero: unknown
 	Key         idempotency.Key
 	Said        BackendNotice // what the backend server said in the last answer from there
--- a/core/event.go
+++ b/core/event.go
@@ -166,6 +166,7 @@
 	Class          admission.Class
 	Budget         time.Duration // time left until the call's deadline
 	SoftBudget     time.Duration // as in Forward
+	Waited         time.Duration // as in Forward
 	AnswerBytes    int64         // as in Forward
 	ForIncarnation endpoint.Incarnation
 	Key            idempotency.Key
--- a/core/request.go
+++ b/core/request.go
@@ -21,6 +21,8 @@
 	freeCalls   []*call // for reuse
 	claims      claims
 	notices     map[string]BackendNotice // by target: what its backend server says of itself
+	pressures   map[string]*pressure     // by service
+	callerTimes map[string]*callerTime   // by route
 	lastAttempt uint64
 	origin      uint64 // random number of this process, part of every attempt ID
 }
@@ -30,11 +32,13 @@
 type call struct {
 	request         string
 	arrived         time.Time
+	waited          time.Duration // how long before arrived the caller asked first, as far as its time left tells
 	method          string
 	route           *config.Route
 	service         string // service of the route, or the one chosen from its traffic split
 	class           admission.Class
 	deadline        time.Time
+	callerDeadline  time.Time // when the caller gives up, as far as it told: not before deadline
 	replayable      bool
 	attempts        int
 	backendAttempts int      // attempts that a backend server may have seen
@@ -52,7 +56,7 @@
 func newRequests(cfg Config, b *balance.Balancer) requests {
 	return requests{
 		balancer: b, groups: map[string]*group{}, calls: map[CallID]*call{},
-		budgets: map[string]*retry.Budget{}, linkBudgets: map[string]*retry.Budget{}, notices: map[string]BackendNotice{},
+		budgets: map[string]*retry.Budget{}, linkBudgets: map[string]*retry.Budget{}, notices: map[string]BackendNotice{}, pressures: map[string]*pressure{}, callerTimes: map[string]*callerTime{},
 		claims: claims{tokens: claimBurst},
 		origin: uint64(cfg.Incarnation.Start)<<20 ^ uint64(cfg.Incarnation.Random),
 	}
@@ -101,8 +105,8 @@
 	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, method: e.Method, route: route, service: service, class: classOf(route.Policy),
-		deadline: s.now.Add(budget), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
+		request: e.Request, arrived: s.now, waited: s.waited(route.Name, service, e.Budget), method: e.Method, route: route, service: service, class: classOf(route.Policy),
+		deadline: s.now.Add(budget), callerDeadline: s.now.Add(max(budget, e.Budget)), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
 	}
 	s.requests.calls[e.Call] = c
 	s.budget(c.service).AddCall()
@@ -118,6 +122,23 @@
 	s.forward(e.Call, c)
 }
 
+// waited returns how long ago the caller of a request asked first, at least.
+func (s *State) waited(route, service string, budget time.Duration) time.Duration {
+	if budget <= 0 {
+		return 0
+	}
+	t, ok := s.requests.callerTimes[route]
+	if !ok {
+		t = &callerTime{}
+		s.requests.callerTimes[route] = t
+	}
+	waited := t.waited(budget)
+	if s.pressure(service).share(s.now) < calmShare {
+		t.observe(budget)
+	}
+	return waited
+}
+
 // maxFreeCalls bounds the memory kept for reuse by later calls.
 const maxFreeCalls = 1024
 
@@ -150,8 +171,14 @@
 	if c.maybeRan && f.Outcome == retry.NotRun && !s.requestFaults.forgetUnknown {
 		f.Outcome = retry.Unknown
 	}
-	if f.Outcome == retry.NotRun {
+	linkFull := f.Reason == string(admission.LinkFull)
+	s.pressure(c.service).observe(s.now, f.Outcome == retry.NotRun && !linkFull)
+	switch {
+	case f.Outcome != retry.NotRun:
+	case linkFull:
 		f.RetryAfter = s.retryAfter(f.RetryAfter, c.deadline.Sub(s.now))
+	default:
+		f.RetryAfter = s.retryAfterRefusal(c)
 	}
 	s.logEnded(c, f)
 	s.endCall(f.Call, c, f.Outcome, f.Status)
@@ -185,6 +212,33 @@
 	return after
 }
 
+// returnDivisor is the part of a caller's time after which it comes back at the latest: what
+// is left is enough for two more tries.
+const returnDivisor = 3
+
+// retryAfterRefusal returns how long the caller of a refused call should wait. While few calls
+// of a service are refused, a caller finds room at once, and still meets its target. The more
+// there are, the later it comes back: it would be refused again, and those who are in time
+// with it. Its tries are spread over its time, so that they outlast a burst.
+func (s *State) retryAfterRefusal(c *call) time.Duration {
+	left := c.callerDeadline.Sub(s.now)
+	soon := s.retryAfter(0, left)
+	latest := left / returnDivisor
+	share := s.pressure(c.service).share(s.now)
+	spread := time.Duration(min(2*share, 1) * (0.5 + 0.5*s.rng.Float64()) * float64(latest))
+	return min(soon+spread, max(latest, soon))
+}
+
+// pressure returns the pressure on a service.
+func (s *State) pressure(service string) *pressure {
+	p, ok := s.requests.pressures[service]
+	if !ok {
+		p = &pressure{}
+		s.requests.pressures[service] = p
+	}
+	return p
+}
+
 // endCall removes a call and releases its claim.
 func (s *State) endCall(id CallID, c *call, o retry.Outcome, status int) {
 	delete(s.requests.calls, id)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -37,6 +37,7 @@
 	headerPrefix      = "Agatekeel-"
 	headerHop         = "Agatekeel-Hop"               // encoded hopHeader
 	headerSoftBudget  = "Agatekeel-Wanted-Micros"     // soft budget of an attempt
+	headerWaited      = "Agatekeel-Waited-Micros"     // see core.Forward.Waited
 	headerAnswerBytes = "Agatekeel-Answer-Bytes"      // core.Forward.AnswerBytes
 	headerRelay       = "Agatekeel-Relay-Link"        // state of the entry node's network link: backlog in bytes, bytes per second
 	headerSaid        = "Agatekeel-Backend-Says"      // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
@@ -92,6 +93,7 @@
 	class       admission.Class
 	budget      time.Duration // remaining time of the call, sent in microseconds
 	softBudget  time.Duration // see core.Forward.SoftBudget; sent in a separate header, which older nodes ignore
+	waited      time.Duration // see core.Forward.Waited; sent like softBudget
 	answerBytes int64         // see core.Forward.AnswerBytes; sent in a separate header, which older nodes ignore
 	depth       int
 	incarnation endpoint.Incarnation // incarnation of the receiving node; zero: unknown
@@ -125,6 +127,9 @@
 	if h.softBudget > 0 {
 		to[headerSoftBudget] = []string{formatMicros(h.softBudget)}
 	}
+	if h.waited > 0 {
+		to[headerWaited] = []string{formatMicros(h.waited)}
+	}
 	if h.answerBytes > 0 {
 		to[headerAnswerBytes] = []string{strconv.FormatInt(h.answerBytes, 10)}
 	}
@@ -140,8 +145,12 @@
 	if err != nil {
 		return h, err
 	}
-	if value := from.Get(headerSoftBudget); value != "" {
-		if h.softBudget, err = parseMicros(headerSoftBudget, value); err != nil {
+	for name, field := range map[string]*time.Duration{headerSoftBudget: &h.softBudget, headerWaited: &h.waited} {
+		value := from.Get(name)
+		if value == "" {
+			continue
+		}
+		if *field, err = parseMicros(name, value); err != nil {
 			return h, err
 		}
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -54,7 +54,7 @@
 func (p *Proxy) admit(ctx context.Context, r *http.Request, h hopHeader) (core.Run, error) {
 	effects, opened := p.core.OpenAttempt(core.AttemptArrived{
 		Attempt: h.attempt, Request: get(r.Header, p.cfg.Names.RequestID), Class: h.class,
-		Budget: h.budget, SoftBudget: h.softBudget, AnswerBytes: h.answerBytes, ForIncarnation: h.incarnation, Key: h.key,
+		Budget: h.budget, SoftBudget: h.softBudget, Waited: h.waited, AnswerBytes: h.answerBytes, ForIncarnation: h.incarnation, Key: h.key,
 		Link: p.link.load(), OnHost: h.onHost, Relay: h.relay, Said: h.said,
 	})
 	if !opened {
