Take the lease of a root whose process has ended

Cause: the lease of its data centre named a root that was gone. The address refused the node's connection at once, and the node waited for the lease to expire all the same, twice, since it knew no other member to ask.

Change: a refused dial of the holder's address says that its process has ended. The lease is read again after a random wait, and taken if it is unchanged. The epoch fences a holder that runs all the same, as before. While the platform is down, and in a search without it, nothing changes.

--- a/core/coretest/nodelink.go
+++ b/core/coretest/nodelink.go
@@ -51,7 +51,8 @@
 	m.After(m.random(m.Faults.LinkDelay), func() {
 		to, ok := m.nodes[e.Address]
 		if !ok || !to.Alive || m.partitioned[pair(n.Name, e.Address)] || to == n {
-			m.step(n, gen, core.LinkDown{Link: e.Link, Reason: "connection failed"})
+			ended := ok && !to.Alive && !m.partitioned[pair(n.Name, e.Address)]
+			m.step(n, gen, core.LinkDown{Link: e.Link, Refused: ended, Reason: "connection failed"})
 			return
 		}
 		if n.Generation != gen || !n.Alive {
--- a/core/event.go
+++ b/core/event.go
@@ -73,10 +73,12 @@
 	Dialled bool
 }
 
-// LinkDown reports that a link was closed, or that a dial failed.
+// LinkDown reports that a link was closed, or that a dial failed. Refused is set if the
+// address refused the connection: no process listens there.
 type LinkDown struct {
-	Link   LinkID
-	Reason string
+	Link    LinkID
+	Refused bool
+	Reason  string
 }
 
 // LinkMessage is a message received over a link.
--- a/core/export_tree_test.go
+++ b/core/export_tree_test.go
@@ -17,6 +17,7 @@
 	NoSuspicion    TestFault = "suspicion off"
 	NoWatchdog     TestFault = "watchdog off"
 	SwapUncompiled TestFault = "set swapped without its compiled form"
+	NoTakeover     TestFault = "lease of an ended holder left to expire"
 )
 
 // WithTestFault returns the settings with a deliberate fault.
@@ -24,7 +25,7 @@
 	c.treeFaults = treeFaults{
 		anyVersion: f == AnyVersion, noDigests: f == NoDigests,
 		noGrace: f == NoGrace, noCycleCheck: f == NoCycleCheck, noSuspicion: f == NoSuspicion,
-		noWatchdog: f == NoWatchdog, swapUncompiled: f == SwapUncompiled,
+		noWatchdog: f == NoWatchdog, swapUncompiled: f == SwapUncompiled, noTakeover: f == NoTakeover,
 	}
 	return c
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -47,6 +47,7 @@
 	renewAt     time.Time  // when the next renewal is due
 	retryAt     time.Time  // earliest time of a write after one whose result is unknown
 	epochFloor  uint64     // the next acquisition writes an epoch above it
+	endedAt     uint64     // version whose holder is known to have ended; zero: none
 	pending     *sentWrite // nil: no write is in progress
 	unconfirmed *sentWrite // the last write whose result is unknown
 	faults      faults
@@ -145,16 +146,28 @@
 // free reports whether nobody holds the lease: it does not exist, or was given up.
 func (m *Machine) free() bool { return m.version == 0 || m.record.Holder == "" }
 
-// Expired reports whether the lease may be acquired: it is free or outdated, or this
-// process has observed the same version of it for TTL.
+// HolderEnded records that no process listens at the holder's address. The lease may be
+// acquired unless it has changed since: a holder that was started again at that address holds
+// nothing, and one that runs all the same is fenced by the epoch.
+func (m *Machine) HolderEnded() {
+	if m.observed {
+		m.endedAt = m.version
+	}
+}
+
+// ended reports whether the holder of the last observed version is known to have ended.
+func (m *Machine) ended() bool { return m.endedAt != 0 && m.endedAt == m.version }
+
+// Expired reports whether the lease may be acquired: it is free or outdated, its holder has
+// ended, or this process has observed the same version of it for TTL.
 func (m *Machine) Expired(now time.Time) bool {
-	return m.observed && (m.free() || m.Outdated() || now.Sub(m.seenAt) >= m.cfg.TTL)
+	return m.observed && (m.free() || m.Outdated() || m.ended() || now.Sub(m.seenAt) >= m.cfg.TTL)
 }
 
 // ExpiresIn returns the time until the lease may be acquired if it is not
 // renewed. It is zero if the lease may be acquired now or has not been observed.
 func (m *Machine) ExpiresIn(now time.Time) time.Duration {
-	if !m.observed || m.free() || m.Outdated() {
+	if !m.observed || m.free() || m.Outdated() || m.ended() {
 		return 0
 	}
 	return max(0, m.seenAt.Add(m.cfg.TTL).Sub(now))
--- a/core/member.go
+++ b/core/member.go
@@ -148,6 +148,22 @@
 	}
 }
 
+// holderRefused handles a refused dial of the node that holds the root lease: its process has
+// ended. The lease is read again after a random wait, so that of all members that notice one
+// takes it and the others find that one.
+func (s *State) holderRefused(id LinkID) {
+	m := &s.member
+	rec, known := m.lease.Record()
+	if s.platform.down || m.inFallback {
+		return // the lease can't be taken, other members are asked
+	}
+	if m.parent != id || m.phase != phaseJoining || !known || rec.Address != m.dialledAddress || s.cfg.treeFaults.noTakeover {
+		return
+	}
+	m.lease.HolderEnded()
+	s.restartSeeking(s.cfg.JoinJitter)
+}
+
 func (s *State) candidateFailed() {
 	switch {
 	case len(s.member.candidates) > 0 || s.member.inFallback:
--- a/core/settings.go
+++ b/core/settings.go
@@ -87,6 +87,7 @@
 	noCycleCheck   bool // a path that contains this node is not detected as a cycle
 	noWatchdog     bool // a refused probe is treated like one without an answer
 	noSuspicion    bool // neighbours that go silent are not suspected
+	noTakeover     bool // a lease whose holder has ended is left to expire
 	swapUncompiled bool // the set is replaced without its compiled form
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -68,6 +68,9 @@
 	case LinkUp:
 		s.linkUp(e)
 	case LinkDown:
+		if e.Refused {
+			s.holderRefused(e.Link)
+		}
 		s.linkDown(e.Link, e.Reason)
 	case LinkMessage:
 		s.linkMessage(e)
--- a/core/suspect_test.go
+++ b/core/suspect_test.go
@@ -154,3 +154,34 @@
 		})
 	}
 }
+
+// TestEndedRootLeavesNodesAlone kills the process of a root, or those of a whole data centre of
+// which all but the root come back. The nodes must be in one tree long before the root's lease
+// expires.
+func TestEndedRootLeavesNodesAlone(t *testing.T) {
+	const limit = time.Second // the lease lasts for 5 s
+	takes := func(restartAll bool, fault core.TestFault) time.Duration {
+		m := newTree(t, 8, 2, fault)
+		ended := roots(m)[0]
+		m.Crash(ended)
+		for _, n := range m.Nodes() {
+			if restartAll && n.Name != ended {
+				m.Restart(n.Name)
+			}
+		}
+		took, whole := time.Duration(0), func() bool { return len(roots(m)) == 1 && countJoined(m) == 6 }
+		for ; took < 20*time.Second && !whole(); took += 50 * time.Millisecond {
+			m.Run(50 * time.Millisecond)
+		}
+		return took
+	}
+	for _, restartAll := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all restarted %v", restartAll), func(t *testing.T) {
+			is := is.New(t)
+			took := takes(restartAll, core.NoFault)
+			t.Logf("in one tree after %v", took)
+			is.True(took <= limit)
+			is.True(takes(restartAll, core.NoTakeover) > limit) // the check detects the fault
+		})
+	}
+}
--- a/node/link.go
+++ b/node/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/message"
@@ -22,7 +23,7 @@
 		return e.Link
 	})
 	if err != nil {
-		n.Step(core.LinkDown{Link: e.Link, Reason: err.Error()})
+		n.Step(core.LinkDown{Link: e.Link, Refused: errors.Is(err, peer.ErrRefused), Reason: err.Error()})
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -35,6 +38,8 @@
 	// ErrFrame reports that a frame is invalid or that a frame or message is of
 	// an unknown type.
 	ErrFrame = fmt.Errorf("unknown frame")
+	// ErrRefused reports that an address refused a connection: no process listens there.
+	ErrRefused = fmt.Errorf("connection refused")
 	// ErrClosed reports that a link is closed.
 	ErrClosed = fmt.Errorf("link is closed")
 	// ErrBacklog reports that the other end does not read messages fast enough.
@@ -131,11 +136,26 @@
 	return nil
 }
 
+// dialTCP opens a connection, and notes in refused whether the address refused it: gRPC
+// passes the text of an error on, not the error.
+func dialTCP(refused *atomic.Bool) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		refused.Store(errors.Is(err, syscall.ECONNREFUSED))
+		if err != nil {
+			return nil, fmt.Errorf("dial: %w", err)
+		}
+		return conn, nil
+	}
+}
+
 // Dial opens a link to a node. It returns once the stream is open or has
 // failed. opened is called before the first message is read; the value it
 // returns is passed to the Handler as link.
 func (t *Transport) Dial(ctx context.Context, address string, opened func(*Link) (link any)) error {
+	var refused atomic.Bool
 	opts := []grpc.DialOption{
+		grpc.WithContextDialer(dialTCP(&refused)),
 		grpc.WithTransportCredentials(t.creds), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
 		grpc.WithWriteBufferSize(bufferBytes), grpc.WithReadBufferSize(bufferBytes),
 	}
@@ -151,6 +171,9 @@
 	if err != nil {
 		cancel()
 		_ = conn.Close()
+		if refused.Load() {
+			return fmt.Errorf("dial %s: %w: %w", address, ErrRefused, err)
+		}
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
 	l := newLink(cancel, t.packer)
