Replace a lease record that can't be read

It could happen here: a record of a root lease that another program had replaced could be neither read nor taken. After its root had ended the data centre had no root with a lease again, and other data centres lost its root.

Change: such a record is that of a lease that nobody holds. It is replaced at its version by the next holder; an epoch above 2^53 counts as unreadable, since no higher one could follow.

--- a/core/roots.go
+++ b/core/roots.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/json"
 	"maps"
 	"strings"
 	"time"
@@ -42,10 +41,7 @@
 	others := map[string]lease.Record{}
 	publisherSeen, ownSeen := false, false
 	for _, o := range list.Objects {
-		var rec lease.Record
-		if json.Unmarshal(o.Data, &rec) != nil {
-			continue
-		}
+		rec := parseLease(o.Data)
 		dc, isRoot := strings.CutPrefix(o.Key, keyspace.RootLeases)
 		switch {
 		case o.Key == keyspace.PublisherLease:
@@ -54,7 +50,7 @@
 		case isRoot && dc == s.cfg.DataCentre:
 			ownSeen = true
 			s.member.lease.Observe(s.now, rec, o.Version)
-		case isRoot:
+		case isRoot && rec.Address != "":
 			others[dc] = rec
 		}
 	}
--- a/core/store.go
+++ b/core/store.go
@@ -156,7 +156,8 @@
 }
 
 // readLease returns the record read by a get; version zero means that none
-// exists.
+// exists. A record that can't be read, as another program may leave it, is that of a lease
+// that nobody holds: it is replaced at its version by the next holder.
 func readLease(done StoreDone) (lease.Record, uint64, error) {
 	switch {
 	case done.Err == StoreNotFound:
@@ -164,11 +165,20 @@
 	case done.Err != StoreOK || len(done.Objects) != 1:
 		return lease.Record{}, 0, fmt.Errorf("read lease: %s", done.Detail)
 	}
+	return parseLease(done.Objects[0].Data), done.Objects[0].Version, nil
+}
+
+// maxEpoch is the highest epoch of a lease that is taken for one: no holder gets there, and
+// those after it have to be higher.
+const maxEpoch = 1 << 53
+
+// parseLease returns the record of a lease, the zero Record if it can't be read.
+func parseLease(data []byte) lease.Record {
 	var rec lease.Record
-	if err := json.Unmarshal(done.Objects[0].Data, &rec); err != nil {
-		return lease.Record{}, 0, fmt.Errorf("read lease %q: %w", done.Objects[0].Key, err)
+	if json.Unmarshal(data, &rec) != nil || rec.Epoch > maxEpoch {
+		return lease.Record{}
 	}
-	return rec, done.Objects[0].Version, nil
+	return rec
 }
 
 // leaseWriteFailed passes the result of a failed write to the lease's state
--- a/core/suspect_test.go
+++ b/core/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/coretest"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 )
@@ -185,3 +187,29 @@
 		})
 	}
 }
+
+// TestUnreadableLeaseLeavesDataCentreWithoutRoot has another program replace the record of a
+// root lease while its root runs, and again when that has ended.
+func TestUnreadableLeaseLeavesDataCentreWithoutRoot(t *testing.T) {
+	key := keyspace.RootLeases + "a"
+	for _, odd := range []string{`[]`, `"x"`, `{"epoch":1e400}`, `{"holder":7}`, `{"epoch":-1}`, `{"epoch":18446744073709551615}`, ``} {
+		t.Run(odd, func(t *testing.T) {
+			is := is.New(t)
+			m := newTree(t, 5, 2, core.NoFault)
+			for range 2 {
+				o, err := m.Store.Get(t.Context(), key)
+				is.NoErr(err)
+				_, err = m.Store.Put(t.Context(), key, []byte(odd), o.Version)
+				is.NoErr(err)
+				m.Run(15 * time.Second)
+				is.Equal(len(roots(m)), 1)
+				o, err = m.Store.Get(t.Context(), key)
+				is.NoErr(err)
+				is.True(strings.Contains(string(o.Data), roots(m)[0])) // the lease is held again
+				if m.Node("a5").Alive {
+					m.Crash(roots(m)[0])
+				}
+			}
+		})
+	}
+}
