Bound the times in headers of the hop

Cause: a number of microseconds above 9.2e15 overflowed when it was made a duration, and became any time. Found by reading, for the report of malformed messages; no message of a node has one.

--- a/proxy/header.go
+++ b/proxy/header.go
@@ -201,9 +201,12 @@
 	return max(opens, 0)
 }
 
+// maxMicros bounds what is read as a time, so that it can be added to others.
+const maxMicros = int64(24 * time.Hour / time.Microsecond)
+
 func parseMicros(name, s string) (time.Duration, error) {
 	micros, err := strconv.ParseInt(s, 10, 64)
-	if err != nil {
+	if err != nil || micros > maxMicros || micros < -maxMicros {
 		return 0, fmt.Errorf("header %s: %q is not a number", name, s)
 	}
 	return time.Duration(micros) * time.Microsecond, nil
