Count the end of a backend server without an earlier heartbeat of it

Report of other operators: after a restart of a process a server that had left was in use again.

It could happen here: a process that had started, and received the end of its backend server before any heartbeat, ignored it, and put the server into service when a late heartbeat came. The same with the end of a newer instance than the one in service.

Change: the end is remembered like a heartbeat; one of an instance that is not known to be newer than the one in service is ignored as before. TestLateHeartbeatBringsBackEndedServer failed before in three of five cases.

TestRestartForgetsLeavingServer shows the part that is not mended and is listed: nothing outside of the process remembers what it acknowledged.

--- a/core/backend_heartbeat.go
+++ b/core/backend_heartbeat.go
@@ -36,12 +36,19 @@
 	s.announceServing(e, newInstance)
 }
 
-// backendEnded handles the notice that an instance of the backend server ended.
+// backendEnded handles the notice that an instance of the backend server ended. It counts
+// without an earlier heartbeat of that instance too, as after a start of this process:
+// otherwise a late one would put the instance into service again.
 func (s *State) backendEnded(e BackendReported, newInstance bool) {
+	b := &s.backend
+	if newInstance && b.heartbeat.Backend != "" && e.StartMillis <= b.heartbeat.StartMillis {
+		return // not known to be newer than the instance in service
+	}
 	if newInstance {
-		return // no heartbeat of this instance was received, so nothing has to be drained
+		b.heartbeat, b.heartbeatAt = e, s.now
+		s.forgetNotice()
 	}
-	s.backend.heartbeat.State = endpoint.Gone
+	b.heartbeat.State = endpoint.Gone
 	s.beginDrain()
 }
 
--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -155,3 +155,54 @@
 		is.Equal(backend, "i-2")
 	}
 }
+
+// TestLateHeartbeatBringsBackEndedServer lets a process that has received no heartbeat learn that its
+// backend server has ended, and then deliver one that was sent before.
+func TestLateHeartbeatBringsBackEndedServer(t *testing.T) {
+	tests := []struct {
+		name     string
+		before   []core.BackendReported
+		ended    core.BackendReported
+		late     core.BackendReported
+		wantsRun string // backend server that an attempt runs at afterwards; empty: none
+	}{
+		{"no heartbeat before", nil, core.BackendReported{Backend: "i-1", StartMillis: 5, State: endpoint.Gone},
+			heartbeat("i-1", 5, 7, endpoint.Ready), ""},
+		{"no start time", nil, core.BackendReported{Backend: "i-1", State: endpoint.Gone},
+			heartbeat("i-1", 5, 7, endpoint.Ready), ""},
+		{"earlier instance in service", []core.BackendReported{heartbeat("i-0", 4, 9, endpoint.Ready)},
+			core.BackendReported{Backend: "i-1", StartMillis: 5, State: endpoint.Gone}, heartbeat("i-1", 5, 7, endpoint.Ready), ""},
+		{"later instance in service", []core.BackendReported{heartbeat("i-2", 6, 1, endpoint.Ready)},
+			core.BackendReported{Backend: "i-1", StartMillis: 5, State: endpoint.Gone}, heartbeat("i-2", 6, 2, endpoint.Ready), "i-2"},
+		{"next instance comes", nil, core.BackendReported{Backend: "i-1", StartMillis: 5, State: endpoint.Gone},
+			heartbeat("i-2", 6, 1, endpoint.Ready), "i-2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newAnnouncedNode(t)
+			for _, e := range append(tt.before, tt.ended) {
+				h.step(e)
+			}
+			h.advance(2 * time.Second)
+			h.step(tt.late)
+			h.advance(time.Second)
+			run, _ := h.sendAttempt()
+			is.Equal(run, tt.wantsRun)
+		})
+	}
+}
+
+// TestRestartForgetsLeavingServer restarts the node's process after its backend server has said
+// that it leaves, and then delivers a heartbeat that was sent before.
+func TestRestartForgetsLeavingServer(t *testing.T) {
+	is := is.New(t)
+	before := newAnnouncedNode(t)
+	before.step(heartbeat("i-1", 5, 7, endpoint.Ready))
+	before.step(heartbeat("i-1", 5, 9, endpoint.Draining))
+	after := newAnnouncedNode(t)
+	after.step(heartbeat("i-1", 5, 8, endpoint.Ready))
+	after.advance(time.Second)
+	run, _ := after.sendAttempt()
+	is.Equal(run, "")
+}
