--- a/core/state.go
+++ b/core/state.go
@@ -139,6 +139,9 @@
 // ConfigVersion returns the configuration version in force on the node.
 func (s *State) ConfigVersion() uint64 { return s.configVersion() }
 
+// Stopping reports whether the process is about to end.
+func (s *State) Stopping() bool { return s.backend.stopping }
+
 // Ready reports whether the node may serve callers, and the reason if it
 // may not.
 func (s *State) Ready() (bool, string) {
--- a/node/node.go
+++ b/node/node.go
@@ -168,6 +168,13 @@
 	return n.state.ConfigVersion()
 }
 
+// Stopping reports whether the process is about to end.
+func (n *Node) Stopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Stopping()
+}
+
 // Ready reports whether the node may serve callers, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	n.mu.Lock()
