--- a/core/pressure.go
+++ b/core/pressure.go
@@ -35,3 +35,13 @@
 
 // share returns the share of calls that end without room.
 func (p *pressure) share(now time.Time) float64 { return p.refused * p.kept(now) }
+
+// pressure returns the pressure on a service.
+func (s *State) pressure(service string) *pressure {
+	p, ok := s.requests.pressures[service]
+	if !ok {
+		p = &pressure{}
+		s.requests.pressures[service] = p
+	}
+	return p
+}
--- a/core/request.go
+++ b/core/request.go
@@ -105,7 +105,7 @@
 	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, waited: s.waited(route.Name, service, e.Budget), method: e.Method, route: route, service: service, class: classOf(route.Policy),
+		request: e.Request, arrived: s.now, waited: s.waited(e, route.Name, service), method: e.Method, route: route, service: service, class: classOf(route.Policy),
 		deadline: s.now.Add(budget), callerDeadline: s.now.Add(max(budget, e.Budget)), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
 	}
 	s.requests.calls[e.Call] = c
@@ -122,23 +122,6 @@
 	s.forward(e.Call, c)
 }
 
-// waited returns how long ago the caller of a request asked first, at least.
-func (s *State) waited(route, service string, budget time.Duration) time.Duration {
-	if budget <= 0 {
-		return 0
-	}
-	t, ok := s.requests.callerTimes[route]
-	if !ok {
-		t = &callerTime{}
-		s.requests.callerTimes[route] = t
-	}
-	waited := t.waited(budget)
-	if s.pressure(service).share(s.now) < calmShare {
-		t.observe(budget)
-	}
-	return waited
-}
-
 // maxFreeCalls bounds the memory kept for reuse by later calls.
 const maxFreeCalls = 1024
 
@@ -191,54 +174,6 @@
 	s.emit(f)
 }
 
-// Bounds of the time after which a refused caller may retry. It is random
-// between them, so that callers that were refused together do not retry
-// together.
-const (
-	minRetryAfter = 30 * time.Millisecond
-	maxRetryAfter = 150 * time.Millisecond
-	// A caller is told to wait for at most the remaining time divided by
-	// retryAfterDivisor, which leaves enough for the request itself.
-	retryAfterDivisor = 4
-)
-
-// retryAfter returns how long a caller with the given time left should wait
-// before it retries a request that can't be served before earliest.
-func (s *State) retryAfter(earliest, left time.Duration) time.Duration {
-	after := earliest + minRetryAfter + s.jitter(maxRetryAfter-minRetryAfter)
-	if left > 0 {
-		after = min(after, left/retryAfterDivisor)
-	}
-	return after
-}
-
-// returnDivisor is the part of a caller's time after which it comes back at the latest: what
-// is left is enough for two more tries.
-const returnDivisor = 3
-
-// retryAfterRefusal returns how long the caller of a refused call should wait. While few calls
-// of a service are refused, a caller finds room at once, and still meets its target. The more
-// there are, the later it comes back: it would be refused again, and those who are in time
-// with it. Its tries are spread over its time, so that they outlast a burst.
-func (s *State) retryAfterRefusal(c *call) time.Duration {
-	left := c.callerDeadline.Sub(s.now)
-	soon := s.retryAfter(0, left)
-	latest := left / returnDivisor
-	share := s.pressure(c.service).share(s.now)
-	spread := time.Duration(min(2*share, 1) * (0.5 + 0.5*s.rng.Float64()) * float64(latest))
-	return min(soon+spread, max(latest, soon))
-}
-
-// pressure returns the pressure on a service.
-func (s *State) pressure(service string) *pressure {
-	p, ok := s.requests.pressures[service]
-	if !ok {
-		p = &pressure{}
-		s.requests.pressures[service] = p
-	}
-	return p
-}
-
 // endCall removes a call and releases its claim.
 func (s *State) endCall(id CallID, c *call, o retry.Outcome, status int) {
 	delete(s.requests.calls, id)
