Count runs that fail by what they bring, but not those that lack a call

What callers saw: downloads refused for lack of room on a link of which 0.765 was used, where half of the runs failed after 600 ms.

Cause: each run counted as an answer of the usual size to come.

Change: a run that fails while calls of this host to other services find no room is not counted. Of the others the smoothed share that fails lowers what is kept of the link.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -53,6 +53,7 @@
 	sizeRefused   [numClasses]time.Time     // first refusal for avgBytes since an answer was added to it; zero: none
 	avgBytes      [numClasses]float64       // smoothed size in bytes of answers that are not known to be small
 	runs          [numClasses]int           // finished runs, at most smoothingWindow
+	failedShare   [numClasses]float64       // smoothed share of runs that failed
 	answers       [numClasses]int           // answers in avgBytes, at most smoothingWindow
 	runsAll       int                       // finished runs over all classes, at most smoothingWindow
 	rate          rate                      // limit on starts
@@ -213,6 +214,9 @@
 	Took   time.Duration
 	Bytes  int64 // size of the answer
 	Failed bool  // the answer is an error or incomplete: its size is not typical of the class
+	// Starved is set if the run failed while calls of this host find no room: it says nothing of
+	// how many runs fail otherwise, and more of them would take more of what is short.
+	Starved bool
 }
 
 // Done records the end of a run. It returns how long the attempt had waited for a
@@ -227,6 +231,9 @@
 	waited = max(now.Sub(q.running[i].arrived)-run.Took, 0)
 	q.running = slices.Delete(q.running, i, i+1)
 	q.updateRunTimes(now, c, run.Took)
+	if !run.Starved {
+		q.updateFailed(c, run.Failed)
+	}
 	if !run.Failed && !small {
 		q.updateBytes(now, c, run.Bytes)
 	}
@@ -245,6 +252,15 @@
 	q.avgRunTimeAll += (took - q.avgRunTimeAll) / time.Duration(q.runsAll)
 }
 
+// updateFailed adds a finished run to the smoothed share of those that failed.
+func (q *Queue) updateFailed(c Class, failed bool) {
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	q.failedShare[c] += (share - q.failedShare[c]) / smoothingWindow
+}
+
 // updateBytes adds an answer to the smoothed sizes of those that are not known to be small.
 func (q *Queue) updateBytes(now time.Time, c Class, bytes int64) {
 	if q.sizeTrialDue(now, c) {
--- a/core/admission/link.go
+++ b/core/admission/link.go
@@ -74,8 +74,8 @@
 	}
 	free, relayFree := q.linkFreeAt(now), now.Add(transferTime(w.Relay, float64(w.Relay.Backlog)))
 	bothFree := later(free, relayFree)
-	ready := now.Add(q.avgRunTime[w.Class])
-	sent, soonestSent := q.sentAt(free, ready, w.Class), q.sentAt(ready, ready, w.Class)
+	ready, size := now.Add(q.avgRunTime[w.Class]), q.largeAnswerSize(w.Class)
+	sent, soonestSent := q.sentAt(free, ready, size), q.sentAt(ready, ready, size)
 	relayTime := transferTime(w.Relay, q.avgBytes[w.Class])
 	delivered, soonest := later(sent, relayFree).Add(relayTime), soonestSent.Add(relayTime)
 	planned := soonest.Add(q.limitPatience(now, w.Class, q.notePatience(now, w, soonest)))
@@ -123,18 +123,18 @@
 }
 
 // freeAfter returns when the link is free after the answer to an attempt, which is ready
-// at a given time, if it is free from another time on before.
+// at a given time, if it is free from another time on before. Of runs that fail no answer
+// comes, so each counts for as much as usual runs of its class bring.
 func (q *Queue) freeAfter(free, ready time.Time, w *Attempt) time.Time {
 	if w.OnHost || w.isSmall() {
 		return free
 	}
-	return q.sentAt(free, ready, w.Class)
+	return q.sentAt(free, ready, q.largeAnswerSize(w.Class)*(1-q.failedShare[w.Class]))
 }
 
-// sentAt returns when the link has sent an answer of a class that is ready at a given
+// sentAt returns when the link has sent an answer of some size that is ready at a given
 // time, if the link is free from another time on.
-func (q *Queue) sentAt(free, ready time.Time, c Class) time.Time {
-	bytes := q.largeAnswerSize(c)
+func (q *Queue) sentAt(free, ready time.Time, bytes float64) time.Time {
 	if bytes == 0 {
 		return free
 	}
--- a/core/admission/link_test.go
+++ b/core/admission/link_test.go
@@ -163,8 +163,12 @@
 		q.Done(now, id, run)
 		now = now.Add(time.Minute)
 	}
-	is.True(q.Arrive(now, admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(time.Minute)}).Run)
-	is.Equal(q.LinkWait(now), largeRun+time.Duration(largeBytes/linkBytes*float64(time.Second)))
+	q.SetLink(uplink.Load{Rate: linkBytes, Backlog: 1})
+	needs := largeRun + time.Duration(largeBytes/linkBytes*float64(time.Second))
+	late := admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(needs - time.Millisecond)}
+	is.Equal(q.Arrive(now, late).Reason, admission.LinkFull)
+	inTime := admission.Attempt{ID: admission.ID{Number: 101}, Class: admission.Batch, Deadline: now.Add(needs + time.Millisecond)}
+	is.Equal(q.Arrive(now, inTime).Reason, admission.Admitted)
 }
 
 // TestFullLinkTellsWhenItHasRoom checks that a request is refused for the time that a
@@ -295,3 +299,28 @@
 	now = now.Add(time.Minute) // the urgent class does not ask any more
 	is.Equal(arrive(patient, 3*time.Second, largeBytes), admission.Admitted)
 }
+
+// TestStarvedRunsMakeRoomForMore ends runs that failed since calls of the host found no room:
+// the link is kept for as much as before.
+func TestStarvedRunsMakeRoomForMore(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	linkWait := func(failed admission.Run) time.Duration {
+		q := admission.New(admission.DefaultConfig(8))
+		q.SetLink(uplink.Load{Rate: linkBytes})
+		run := admission.Run{Took: largeRun, Bytes: largeBytes}
+		for i := range uint64(20) {
+			id := admission.ID{Number: i}
+			q.Arrive(now, admission.Attempt{ID: id, Class: admission.Batch, Deadline: now.Add(time.Minute)})
+			q.Done(now, id, run)
+			if i == 10 {
+				run = failed
+			}
+		}
+		q.Arrive(now, admission.Attempt{ID: admission.ID{Number: 100}, Class: admission.Batch, Deadline: now.Add(time.Minute)})
+		return q.LinkWait(now)
+	}
+	whole := linkWait(admission.Run{Took: largeRun, Bytes: largeBytes})
+	is.Equal(linkWait(admission.Run{Took: largeRun, Failed: true, Starved: true}), whole)
+	is.True(linkWait(admission.Run{Took: largeRun, Failed: true}) < whole-100*time.Millisecond)
+}
--- a/core/admit.go
+++ b/core/admit.go
@@ -171,8 +171,9 @@
 	if !e.Truncated && e.Status != 0 && e.Status < firstServerError {
 		b.servedAt = s.now
 	}
+	failed := e.Truncated || e.Status >= firstServerError
 	waited, start, dropped := b.queue.Done(s.now, e.Attempt, admission.Run{
-		Took: e.Took, Bytes: e.Bytes, Failed: e.Truncated || e.Status >= firstServerError,
+		Took: e.Took, Bytes: e.Bytes, Failed: failed, Starved: failed && s.othersPressed(),
 	})
 	running, waiting := b.queue.Load()
 	s.log(notice.AttemptRan, Attr{"request", e.Request}, Attr{"attempt", e.Attempt.String()}, Attr{"backend", b.heartbeat.Backend},
--- a/core/pressure.go
+++ b/core/pressure.go
@@ -45,3 +45,14 @@
 	}
 	return p
 }
+
+// othersPressed reports whether calls of this host to other services than that of its backend
+// server find no room.
+func (s *State) othersPressed() bool {
+	for service, p := range s.requests.pressures {
+		if service != s.backend.entry.Service && p.share(s.now) >= calmShare {
+			return true
+		}
+	}
+	return false
+}
