Take a Welcome without a heartbeat for one that says nothing

Report of other operators: one malformed message took a whole process down.

It could happen here: a Welcome without its heartbeat, valid protobuf, ended the process of the node that received it (nil pointer in peer.decodeHeartbeat), since gRPC's handlers and the links' readers do not outlive a panic. Only a process that is taken for a node can send one.

Change: it counts as one that says nothing.

--- a/peer/convert.go
+++ b/peer/convert.go
@@ -140,7 +140,11 @@
 	return &a
 }
 
+// decodeHeartbeat returns the zero Heartbeat for nil: a Welcome may lack it.
 func decodeHeartbeat(m *pb.Heartbeat) message.Heartbeat {
+	if m == nil {
+		return message.Heartbeat{}
+	}
 	return message.Heartbeat{
 		Source: decodeAge(m.SourceAgeMillis),
 		Same:   m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
