--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -88,7 +88,7 @@
 	Run         bool          // the attempt starts now; if false and it is admitted, it waits
 	Reason      Reason        // Admitted for an attempt that starts or waits
 	LinkOpensIn time.Duration // if Reason is LinkFull: time until the link will have room if no other attempt comes
-	Evicted     []Attempt     // less urgent attempts removed from the queue for this one
+	Evicted     []Attempt     // attempts removed from the queue for this one: less urgent ones, or one that is late
 	EvictedFor  Reason        // why they were removed
 }
 
