Take no holder for ended twice that holds its lease again

Found by reading: a connection can be refused by what stands between, while the holder runs. Two processes that refuse each other, and both reach the platform, would have taken the lease in turn every 0.4 s.

Change: a holder that has its lease again after it was taken for ended was misjudged, and its refusals count no more at that process. TestTwoHoldersTakeLeaseInTurn: at most three acquisitions in a minute; without the change it fails. TestHolderThatEndedIsReplaced holds what is wanted.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -48,6 +48,8 @@
 	retryAt     time.Time  // earliest time of a write after one whose result is unknown
 	epochFloor  uint64     // the next acquisition writes an epoch above it
 	endedAt     uint64     // version whose holder is known to have ended; zero: none
+	takenFrom   string     // holder whose lease was acquired because it had ended; empty: none
+	misjudged   string     // holder that had not ended: it held the lease again afterwards; empty: none
 	pending     *sentWrite // nil: no write is in progress
 	unconfirmed *sentWrite // the last write whose result is unknown
 	faults      faults
@@ -79,6 +81,7 @@
 	if !m.observed || version != m.version {
 		m.seenAt = now
 	}
+	m.noteReturn(r)
 	m.epochFloor = max(m.epochFloor, m.record.Epoch)
 	m.observed, m.record, m.version = true, r, version
 	if r.Holder != m.cfg.Holder {
@@ -148,13 +151,22 @@
 
 // HolderEnded records that no process listens at the holder's address. The lease may be
 // acquired unless it has changed since: a holder that was started again at that address holds
-// nothing, and one that runs all the same is fenced by the epoch.
+// nothing, and one that runs all the same is fenced by the epoch. If the same holder has it
+// again later, whatever refused the connection was not the end of its process, and does not
+// count a second time: two processes that can't reach each other would take the lease in turn.
 func (m *Machine) HolderEnded() {
-	if m.observed {
+	if m.observed && m.record.Holder != m.misjudged {
 		m.endedAt = m.version
 	}
 }
 
+// noteReturn records that a holder has the lease again that was taken for ended.
+func (m *Machine) noteReturn(r Record) {
+	if m.takenFrom != "" && r.Holder == m.takenFrom {
+		m.misjudged, m.takenFrom = r.Holder, ""
+	}
+}
+
 // ended reports whether the holder of the last observed version is known to have ended.
 func (m *Machine) ended() bool { return m.endedAt != 0 && m.endedAt == m.version }
 
@@ -221,6 +233,9 @@
 		at = now
 	}
 	p := *m.pending
+	if m.ended() {
+		m.takenFrom = m.record.Holder
+	}
 	m.pending, m.unconfirmed = nil, nil
 	if m.observed && version < m.version {
 		return // a read has returned a later version, so another process has written since
