--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -55,10 +55,18 @@
 	return out
 }
 
+// stabilityWindow is stability_window_ms: a machine is in touch once its process has run so long.
+const stabilityWindow = 3 * time.Second
+
 // judgeDrain reports whether the rule DRAIN was broken: a request reached an upstream later
-// than drain_ms after a machine acknowledged that it leaves.
-func (w *world) judgeDrain(u *upstream, acknowledged time.Time, answers []answer) bool {
-	late := u.runsAfter(acknowledged.Add(drainMS * time.Millisecond))
+// than drain_ms after a machine acknowledged that it leaves. Only requests count that came
+// when that machine was in touch; its process was started at a time (zero: long before).
+func (w *world) judgeDrain(u *upstream, acknowledged, started time.Time, answers []answer) bool {
+	from := acknowledged.Add(drainMS * time.Millisecond)
+	if inTouch := started.Add(stabilityWindow); inTouch.After(from) {
+		from = inTouch
+	}
+	late := u.runsAfter(from)
 	for _, r := range late {
 		w.rec.note("request %s reached %s %s after the acknowledgement that it leaves", r.id, u.id, millis(r.at.Sub(acknowledged)))
 	}
@@ -89,6 +97,7 @@
 	stop := make(chan struct{})
 	answers := orderLoop(newClient(entry, w.rec), 200*time.Millisecond, stop)
 	time.Sleep(500 * time.Millisecond)
+	started := time.Time{}
 	if w.trouble {
 		u.node.kill()
 		w.rec.note("process of %s killed", u.node.name)
@@ -100,6 +109,7 @@
 		if err := awaitReady(readyIn, u.node); err != nil {
 			return false, err
 		}
+		started = time.Now() // not before it is ready
 		w.rec.note("%s is ready", u.node.name)
 	}
 	time.Sleep(time.Until(acknowledged.Add(5 * time.Second)))
@@ -109,7 +119,7 @@
 	w.rec.note("%s has ended", u.id)
 	time.Sleep(500 * time.Millisecond)
 	close(stop)
-	return w.judgeDrain(u, acknowledged, <-answers), nil
+	return w.judgeDrain(u, acknowledged, started, <-answers), nil
 }
 
 // otherWriter: a heartbeat from another writer, with a field missing, arrives. Then the
@@ -143,5 +153,5 @@
 	w.rec.note("%s has ended", u.id)
 	time.Sleep(500 * time.Millisecond)
 	close(stop)
-	return w.judgeDrain(u, acknowledged, <-answers), nil
+	return w.judgeDrain(u, acknowledged, time.Time{}, <-answers), nil
 }
