Drop no leaving for its sequence

Cause: reports of one instance count by their sequence, and one that is out of date is dropped, yet answered with 200. A heartbeat of another writer with a high sequence put all later ones of the backend server out of date, so its draining too. A late one of its own that says draining was dropped in the same way.

Change: that an instance leaves is never out of date, since it does not take it back. It counts whatever its sequence; a report that it serves still counts by sequence.

--- a/core/backend_heartbeat.go
+++ b/core/backend_heartbeat.go
@@ -71,12 +71,13 @@
 	return e.Backend == b.heartbeat.Backend && (e.StartMillis == b.heartbeat.StartMillis || e.StartMillis == 0 || b.heartbeat.StartMillis == 0)
 }
 
-// outdated reports whether a newer heartbeat than e has been received.
+// outdated reports whether a newer report than e has been received. That an instance leaves is
+// never out of date: it does not take that back.
 func (b *backend) outdated(e BackendReported) bool {
 	if !b.sameInstance(e) {
 		return e.StartMillis < b.heartbeat.StartMillis
 	}
-	return e.Sequence != 0 && e.Sequence <= b.heartbeat.Sequence
+	return e.State.Serves() && e.Sequence != 0 && e.Sequence <= b.heartbeat.Sequence
 }
 
 // silenceTick announces the backend server as Failed if it has sent no heartbeat
--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -194,6 +194,23 @@
 	}
 }
 
+// TestLeavingBehindHigherSequence guards against a leaving that is acknowledged and dropped
+// since a report with a higher sequence came before it, be it another writer's or the sender's own.
+func TestLeavingBehindHigherSequence(t *testing.T) {
+	for _, leaving := range []core.BackendReported{heartbeat("a", 10, 8, endpoint.Draining), ended("a", 10)} {
+		t.Run(leaving.State.String(), func(t *testing.T) {
+			is := is.New(t)
+			h := newAnnouncedNode(t)
+			is.True(h.report(heartbeat("a", 10, 7, endpoint.Ready)))
+			is.True(h.report(heartbeat("a", 10, 4000, endpoint.Ready)))
+			is.True(h.report(leaving))
+			is.Equal(h.runs(), "")
+			is.True(h.report(heartbeat("a", 10, 4001, endpoint.Ready)))
+			is.Equal(h.runs(), "")
+		})
+	}
+}
+
 // TestLostAnswerToLeavingIsSettled loses the platform's answer to the write.
 func TestLostAnswerToLeavingIsSettled(t *testing.T) {
 	is := is.New(t)
