Recover from an odd sequence among a backend server's reports

Cause: a report of another writer that is whole but for a sequence far too high put all later reports of the backend server out of date for good.

Change: three reports in a row whose sequences rise show that the highest one was not the instance's own; the third counts. A single late one does not.

Evidence: TestOddSequenceSilencesServer failed before (no request ran after 20 heartbeats).

--- a/core/announce.go
+++ b/core/announce.go
@@ -33,8 +33,9 @@
 	keys         *idempotency.Registry
 	heartbeat    BackendReported // newest one of the current instance
 	heartbeatAt  time.Time       // when it was received
-	notice       BackendNotice   // what this instance says of itself
-	answered     bool            // this instance has answered this process
+	below        belowSequence
+	notice       BackendNotice // what this instance says of itself
+	answered     bool          // this instance has answered this process
 }
 
 func newBackend(cfg Config) backend {
--- a/core/backend_heartbeat.go
+++ b/core/backend_heartbeat.go
@@ -9,9 +9,10 @@
 // within one instance the higher sequence.
 func (s *State) backendHeartbeat(e BackendReported) {
 	b := &s.backend
-	if b.outdated(e) {
+	if b.outdated(e) && !b.sequenceIsOdd(e) {
 		return
 	}
+	b.below = belowSequence{}
 	newInstance := !b.sameInstance(e)
 	if e.State == endpoint.Gone {
 		s.backendEnded(e, newInstance)
@@ -80,6 +81,31 @@
 	return e.State.Serves() && e.Sequence != 0 && e.Sequence <= b.heartbeat.Sequence
 }
 
+// oddAfter is the number of reports in a row, each with a higher sequence than the one before,
+// that show the highest sequence of their instance not to be its own. Late reports of before
+// come in a burst at most, and would tell an older state for one heartbeat.
+const oddAfter = 3
+
+// belowSequence counts the reports of the instance in service that are out of date, as long as
+// their sequences rise.
+type belowSequence struct {
+	last  uint64
+	count int
+}
+
+// sequenceIsOdd reports whether the sequence that puts e out of date must be another writer's.
+func (b *backend) sequenceIsOdd(e BackendReported) bool {
+	if !b.sameInstance(e) {
+		return false
+	}
+	if e.Sequence <= b.below.last {
+		b.below = belowSequence{last: e.Sequence, count: 1}
+		return false
+	}
+	b.below = belowSequence{last: e.Sequence, count: b.below.count + 1}
+	return b.below.count >= oddAfter
+}
+
 // silenceTick announces the backend server as Failed if it has sent no heartbeat
 // for SilentAfter and has served no request successfully in that time.
 func (s *State) silenceTick() {
--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -144,6 +144,25 @@
 	is.Equal(runs, "a")
 }
 
+// TestOddSequenceSilencesServer guards against a report of another writer, whole but for its
+// sequence, after which those of the backend server itself never count again. A single late one
+// still counts for nothing.
+func TestOddSequenceSilencesServer(t *testing.T) {
+	is := is.New(t)
+	h := newAnnouncedNode(t)
+	h.step(heartbeat("a", 10, 1, endpoint.Ready))
+	h.step(heartbeat("a", 10, 1<<53, endpoint.Ready))
+	for sequence := range uint64(20) {
+		h.advance(1500 * time.Millisecond)
+		h.step(heartbeat("a", 10, 2+sequence, endpoint.Ready))
+	}
+	is.Equal(h.runs(), "a")
+	late := heartbeat("a", 10, 3, endpoint.Ready)
+	late.Slots = 99
+	h.step(late)
+	is.Equal(h.state.Dump().Endpoints[0].Slots, 2)
+}
+
 // TestBackendHeartbeatSetsSlots checks that as many attempts run at once as the
 // heartbeat has slots.
 func TestBackendHeartbeatSetsSlots(t *testing.T) {
