Bound what the buffers of answers occupy, all together

Cause: answers read ahead and answers held had a bound each, an eighth of the memory, and it counted the bytes pending. The buffers behind them grew by doubling, were copied and left to the garbage collector, so that they occupied up to four times as much; a 500 that may be sent again was in both.

Change: bodies take memory in blocks of 32 KiB, which are reserved as a whole before they are filled, used again, and counted in one bound for all. Each body that is read ahead has one block in any case, so that it moves on. A held body of a declared length takes that and no more.

Evidence: TestEndlessBodiesTakeTheMemory runs the nodes as processes with memory_mb = 134 and eight clients.

--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -107,6 +107,9 @@
 				if n := server.sent.Load(); n >= tt.maxBytes*server.answers.Load() {
 					t.Errorf("the server could send %d bytes in %d answers, at most %d each are expected", n, server.answers.Load(), tt.maxBytes)
 				}
+				m.eventually("the memory is free again", func() bool {
+					return m.nodes[0].proxy.HeldBytes() == 0 && m.nodes[1].proxy.HeldBytes() == 0
+				})
 				m.eventually("the slot is free", func() bool { return m.nodes[1].node.Dump().Backend.Running == 0 })
 			})
 		}
--- a/proxy/export_test.go
+++ b/proxy/export_test.go
@@ -23,4 +23,4 @@
 }
 
 // HeldBytes returns the memory that responses take which are read before they are relayed.
-func (p *Proxy) HeldBytes() int64 { return p.held.reserved.Load() }
+func (p *Proxy) HeldBytes() int64 { return p.bodies.reserved.Load() }
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -27,18 +26,22 @@
 
 // heldBody is a body of which the beginning, or all, has been read into memory.
 type heldBody struct {
-	memory   *memoryBound
-	reserved int
-	read     bytes.Buffer
+	memory   *bodyMemory
+	reserved int // bytes
+	read     blockQueue
 	rest     io.ReadCloser // nil: all has been read
 }
 
 // Read implements io.Reader.
 func (b *heldBody) Read(p []byte) (int, error) {
-	if b.read.Len() > 0 || b.rest == nil {
-		return b.read.Read(p)
+	if b.read.pending > 0 {
+		n, _ := b.read.read(p)
+		return n, nil
 	}
 	b.free()
+	if b.rest == nil {
+		return 0, io.EOF
+	}
 	return b.rest.Read(p)
 }
 
@@ -53,7 +56,8 @@
 
 func (b *heldBody) free() {
 	b.memory.release(b.reserved)
-	b.reserved, b.read = 0, bytes.Buffer{}
+	b.reserved = 0
+	b.read.drop()
 }
 
 // reserve takes memory for n more bytes and reports whether there is as much.
@@ -71,12 +75,12 @@
 
 // fill reads the body while there is memory, up to maxHeldBytes.
 func (b *heldBody) fill() error {
-	buf := copyBufs.Get().(*[copyBufBytes]byte)
-	defer copyBufs.Put(buf)
-	for b.read.Len() <= maxHeldBytes {
-		n, err := b.rest.Read(buf[:])
-		missing := b.read.Len() + n - b.reserved
-		_, _ = b.read.Write(buf[:n]) // never fails
+	for b.read.pending <= maxHeldBytes {
+		if len(b.read.space()) == 0 && !b.grow() {
+			return nil
+		}
+		n, err := b.rest.Read(b.read.space())
+		b.read.written(n)
 		switch {
 		case err == io.EOF:
 			_ = b.rest.Close()
@@ -84,26 +88,37 @@
 			return nil
 		case err != nil:
 			return err
-		case missing > 0 && !b.reserve(missing):
-			return nil
 		}
 	}
 	return nil
 }
 
+// grow adds a block, and reports whether there was memory for it. Of a body with a declared length
+// it is reserved; one byte more than that shows where it ends.
+func (b *heldBody) grow() bool {
+	size := blockBytes
+	switch left := b.reserved - b.read.size; {
+	case left > 0:
+		size = min(left, blockBytes)
+	case !b.reserve(blockBytes):
+		return false
+	}
+	b.read.grow(size)
+	return true
+}
+
 // bufferResponse reads a response completely while the call may still be sent
 // again, so that no part of a truncated response has been relayed by then. A
 // response over maxHeldBytes, or for which there is no memory, is left to be streamed.
 func (c *call) bufferResponse(resp *http.Response) error {
-	declared := max(resp.ContentLength, 0)
+	b := &heldBody{memory: &c.proxy.bodies, rest: resp.Body, read: blockQueue{memory: &c.proxy.bodies}}
+	declared := resp.ContentLength
 	if resp.Request.Method == http.MethodHead {
 		declared = 0
 	}
-	b := &heldBody{memory: &c.proxy.held, rest: resp.Body}
-	if declared > maxHeldBytes || !b.reserve(int(declared)) {
+	if declared > maxHeldBytes || declared >= 0 && !b.reserve(int(declared)+1) {
 		return nil
 	}
-	b.read.Grow(int(declared))
 	resp.Body = b
 	if err := b.fill(); err != nil {
 		_ = b.Close()
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -48,6 +48,8 @@
 	// can be sent again.
 	keptBodyBytes = 64 << 10
 	copyBufBytes  = 32 << 10
+	// blockBytes is the size of the parts in which bodies take memory.
+	blockBytes = 32 << 10
 	// largeResponseBytes is the size over which a response waits for the host's
 	// network link.
 	largeResponseBytes = uplink.LargeBytes
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,7 +58,7 @@
 	MaxBodyBytes   int64         // maximum size of a request body
 	MaxDepth       int           // maximum length of a chain of calls that backend servers make to one another through the mesh
 	SilenceAfter   time.Duration // time without a response after which the receiving node is asked about the attempt
-	ReadAheadBytes int64         // memory for large responses that are read before the network takes them, and as much for those that are read whole before they are relayed
+	ReadAheadBytes int64         // memory for bodies: large responses that are read before the network takes them, and those that are read whole before they are relayed
 	LinkBytes      float64       // bytes per second that the host's network link carries; zero: unknown
 
 	Service string // service of this node's backend server, sent in the header Names.Service
@@ -106,8 +106,8 @@
 	calls      metrics.Timer
 	refused    metrics.Counter
 	maxBody    atomic.Int64 // maximum size in bytes of a caller's request body
+	bodies     bodyMemory
 	readAhead  readAhead
-	held       memoryBound // of responses that are read before they are relayed
 	link       *link
 	notices    notices
 	sent       sentCounters
@@ -144,7 +144,7 @@
 	hopDial := counting(cfg.HopDial, p.recordSent)
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
 	p.maxBody.Store(cfg.MaxBodyBytes)
-	p.readAhead.limit, p.held.limit = cfg.ReadAheadBytes, cfg.ReadAheadBytes
+	p.bodies.limit, p.readAhead.memory = cfg.ReadAheadBytes, &p.bodies
 	return p
 }
 
--- a/proxy/readahead.go
+++ b/proxy/readahead.go
@@ -1,47 +1,26 @@
 package proxy
 
 import (
-	"bytes"
 	"io"
 	"sync"
-	"sync/atomic"
 )
 
 // readAheadShare is the divisor of the memory for reading ahead that gives the
 // part of it which a single response may take.
 const readAheadShare = 2
 
-// memoryBound bounds the memory that responses take together.
-type memoryBound struct {
-	limit    int64 // bytes
-	reserved atomic.Int64
-}
-
-// reserve reports whether n bytes fit into a limit, which is that of the memory or a part
-// of it, and takes them.
-func (m *memoryBound) reserve(n int, limit int64) bool {
-	if m.reserved.Add(int64(n)) <= limit {
-		return true
-	}
-	m.release(n)
-	return false
-}
-
-// release gives back n bytes.
-func (m *memoryBound) release(n int) { m.reserved.Add(-int64(n)) }
-
 // readAhead reads large responses of this node's backend server into memory as
 // fast as they arrive, so that a response that waits for the network occupies
 // no slot.
-type readAhead struct{ memoryBound }
+type readAhead struct{ memory *bodyMemory }
 
 // read returns a body that is read into memory ahead of its reader, as far as
 // there is memory. A body that is declared to be short is returned unchanged.
-func (a *readAhead) read(src io.ReadCloser, declared int64) io.ReadCloser {
+func (a readAhead) read(src io.ReadCloser, declared int64) io.ReadCloser {
 	if declared >= 0 && declared <= largeResponseBytes {
 		return src
 	}
-	b := &readAheadBody{owner: a, src: src}
+	b := &readAheadBody{memory: a.memory, src: src, queue: blockQueue{memory: a.memory}}
 	b.progress.L = &b.mu
 	return b
 }
@@ -49,75 +28,90 @@
 // readAheadBody is a body that fill reads into memory from its first Read on. Before
 // that the names of the response's trailers can be read, which fill changes.
 type readAheadBody struct {
-	owner *readAhead
-	src   io.ReadCloser
-	start sync.Once
+	memory *bodyMemory
+	src    io.ReadCloser
+	start  sync.Once
 
 	mu       sync.Mutex // guards the fields below
 	progress sync.Cond
-	pending  bytes.Buffer // read from src and not from this body
-	reserved int          // bytes of pending that count against owner's limit
-	err      error        // the error with which src ended
+	queue    blockQueue // read from src and not from this body
+	filling  bool       // a part is being read into the last block
+	err      error      // the error with which src ended
 	closed   bool
 }
 
 // fill reads src to its end, or until the body is closed.
 func (b *readAheadBody) fill() {
-	buf := copyBufs.Get().(*[copyBufBytes]byte)
-	defer copyBufs.Put(buf)
 	for {
-		n, err := b.src.Read(buf[:])
-		if !b.add(buf[:n], err) {
+		space := b.space()
+		if space == nil {
+			return
+		}
+		n, err := b.src.Read(space)
+		if !b.filled(n, err) {
 			return
 		}
 	}
 }
 
-// add appends what was read from src, and waits for memory before. While nothing is
-// pending, it does not wait. It returns false if nothing more is to be read.
-func (b *readAheadBody) add(p []byte, err error) bool {
+// space returns where the next part is to be read, and waits for memory before. The first
+// block is given in any case, so a body whose memory others take is read as its reader
+// takes it. It returns nil if nothing more is to be read.
+func (b *readAheadBody) space() []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reserved := b.reserve(len(p))
-	for !reserved && !b.closed && b.pending.Len() > 0 {
+	for !b.closed && len(b.queue.space()) == 0 && !b.grow() {
 		b.progress.Wait()
-		reserved = b.reserve(len(p))
 	}
 	if b.closed {
-		if reserved {
-			b.owner.release(len(p))
-		}
-		return false
+		b.drop()
+		return nil
 	}
-	if reserved {
-		b.reserved += len(p)
+	b.filling = true
+	return b.queue.space()
+}
+
+// grow adds a block, and reports whether there was memory for it.
+func (b *readAheadBody) grow() bool {
+	switch size := b.queue.size; {
+	case size == 0:
+		b.memory.reserved.Add(blockBytes)
+	case int64(size+blockBytes) > b.memory.limit/readAheadShare || !b.memory.reserve(blockBytes, b.memory.limit):
+		return false
 	}
-	_, _ = b.pending.Write(p) // never fails
-	b.err = err
-	b.progress.Broadcast()
-	return err == nil
+	b.queue.grow(blockBytes)
+	return true
 }
 
-// reserve reports whether n more bytes may be read ahead, and takes them.
-func (b *readAheadBody) reserve(n int) bool {
-	if int64(b.reserved+n) > b.owner.limit/readAheadShare {
+// filled notes what was read into space. It returns false if nothing more is to be read.
+func (b *readAheadBody) filled(n int, err error) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.filling = false
+	b.queue.written(n)
+	b.err = err
+	if b.closed {
+		b.drop()
 		return false
 	}
-	return b.owner.reserve(n, b.owner.limit)
+	b.progress.Broadcast()
+	return err == nil
 }
 
-// release gives back the memory of up to n bytes.
-func (b *readAheadBody) release(n int) {
-	n = min(n, b.reserved)
-	b.reserved -= n
-	b.owner.release(n)
+// drop frees the memory, unless a part is being read into it.
+func (b *readAheadBody) drop() {
+	if b.filling {
+		return
+	}
+	b.memory.release(b.queue.size)
+	b.queue.drop()
 }
 
 // buffered returns how many bytes are ready to be read.
 func (b *readAheadBody) buffered() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.pending.Len()
+	return b.queue.pending
 }
 
 // Read implements io.Reader.
@@ -125,17 +119,18 @@
 	b.start.Do(func() { go b.fill() })
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.pending.Len() == 0 && b.err == nil && !b.closed {
+	for b.queue.pending == 0 && b.err == nil && !b.closed {
 		b.progress.Wait()
 	}
 	switch {
 	case b.closed:
 		return 0, errBodyClosed
-	case b.pending.Len() == 0:
+	case b.queue.pending == 0:
+		b.drop()
 		return 0, b.err
 	}
-	n, _ := b.pending.Read(p) // fails only if nothing is pending
-	b.release(n)
+	n, freed := b.queue.read(p)
+	b.memory.release(freed)
 	b.progress.Broadcast()
 	return n, nil
 }
@@ -145,7 +140,7 @@
 	b.mu.Lock()
 	closed := b.closed
 	b.closed = true
-	b.release(b.reserved)
+	b.drop()
 	b.progress.Broadcast()
 	b.mu.Unlock()
 	if closed {
