Count the bodies of requests in the memory of bodies

Cause: what is kept of a request's body, so that it can be sent again, took up to 64 KiB a request (more while its buffer grew), without a bound over all of them: 2,000 callers who stop in the middle take the memory of the smallest host.

Change: it is taken from the memory of bodies before it is allocated. A short body for which there is none is read while it is sent, as longer ones are, and one that can't be kept can't be sent again.

Evidence: TestUploadsTakeMoreThanTheirMemory: 24 callers with 40 kB each and 200 kB of memory; all are served, and the memory is free again afterwards. It can't fail on the code before, which counted nothing.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,37 +17,41 @@
 )
 
 // requestBody is the body of a request. A short one is read before anything
-// else, so that a slow caller occupies no slot. A longer one is read while it
-// is sent; its beginning is kept in memory, up to keptBodyBytes, so that it can
-// be sent again.
+// else, so that a slow caller occupies no slot. A longer one, or one for which there
+// is no memory, is read while it is sent; its beginning is kept in memory, up to
+// keptBodyBytes, so that it can be sent again.
 type requestBody struct {
+	memory   *bodyMemory
 	length   int64  // declared length, -1: not declared
 	buffered []byte // the complete body if src is nil
 	limit    int64
 	conn     *http.ResponseController
+	reserved atomic.Int64 // bytes of memory
+	freed    atomic.Bool
 
 	mu         sync.Mutex // guards the fields below
 	src        io.Reader
 	kept       []byte
 	read       int64 // bytes read from src
-	overflowed bool  // more was read than can be kept
+	overflowed bool  // more was read than can be kept, or is kept any more
 	err        error // the error with which src ended
 }
 
 // newRequestBody returns the body of r, or nil if it has none. It fails if a
-// short body does not arrive completely.
-func newRequestBody(w http.ResponseWriter, r *http.Request, limit int64) (*requestBody, error) {
+// short body does not arrive completely. free has to be called at the end of the request.
+func (p *Proxy) newRequestBody(w http.ResponseWriter, r *http.Request, limit int64) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
-	b := &requestBody{length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
-	if b.length < 0 || b.length > keptBodyBytes {
+	b := &requestBody{memory: &p.bodies, length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
+	if b.length < 0 || b.length > keptBodyBytes || !b.reserve(int(b.length)) {
 		b.src = r.Body
 		return b, nil
 	}
 	_ = b.conn.SetReadDeadline(time.Now().Add(shortBodyTimeout))
 	b.buffered = make([]byte, b.length)
 	if _, err := io.ReadFull(r.Body, b.buffered); err != nil {
+		b.free()
 		return nil, fmt.Errorf("request body did not come whole: %w", err)
 	}
 	return b, nil
@@ -142,13 +147,61 @@
 	if b.overflowed {
 		return
 	}
-	if b.read > keptBodyBytes {
-		b.overflowed, b.kept = true, nil
+	if b.read > keptBodyBytes || !b.makeRoom(len(p)) {
+		b.drop()
 		return
 	}
 	b.kept = append(b.kept, p...)
 }
 
+// firstKeptBytes is the size of the memory in which the beginning of a body is kept at first.
+const firstKeptBytes = 4 << 10
+
+// makeRoom gets memory to keep n more bytes, and reports whether there was as much.
+func (b *requestBody) makeRoom(n int) bool {
+	size := cap(b.kept)
+	for size = max(size, firstKeptBytes); size < len(b.kept)+n; size *= 2 {
+	}
+	if size == cap(b.kept) {
+		return true
+	}
+	if !b.reserve(size - cap(b.kept)) {
+		return false
+	}
+	b.kept = append(make([]byte, 0, size), b.kept...)
+	return true
+}
+
+// reserve takes memory for n more bytes, and reports whether there is as much.
+func (b *requestBody) reserve(n int) bool {
+	if !b.memory.reserve(n, b.memory.limit) {
+		return false
+	}
+	b.reserved.Add(int64(n))
+	if b.freed.Load() {
+		b.release() // by a reader that has outlived the request
+	}
+	return true
+}
+
+func (b *requestBody) release() { b.memory.release(int(b.reserved.Swap(0))) }
+
+// drop frees the memory. What was kept can't be sent again.
+func (b *requestBody) drop() {
+	b.overflowed, b.kept = true, nil
+	b.release()
+}
+
+// free frees the memory at the end of the request. It does not wait for a reader that outlives
+// it, so it takes no lock.
+func (b *requestBody) free() {
+	if b == nil {
+		return
+	}
+	b.freed.Store(true)
+	b.release()
+}
+
 // bodyReader reads a requestBody for one attempt. The transport may
 // continue to read it after the attempt has ended, until it is closed.
 type bodyReader struct {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -52,6 +52,7 @@
 	defer func() { p.calls.UpdateSince(started) }()
 	c := &call{proxy: p, w: w, r: r, onHost: p.sameHost(endsOf(r))}
 	arrived, rejected := c.read()
+	defer func() { c.body.free() }()
 	if rejected != nil {
 		p.fail(w, rejected.status, retry.NotRun, rejected.reason)
 		return
@@ -81,7 +82,7 @@
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
 	}
-	if c.body, err = newRequestBody(c.w, r, p.maxBody.Load()); err != nil {
+	if c.body, err = p.newRequestBody(c.w, r, p.maxBody.Load()); err != nil {
 		return core.CallArrived{}, &rejection{http.StatusRequestTimeout, err.Error()}
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -23,11 +23,12 @@
 		return
 	}
 	w.Header()[headerAttempt] = []string{formatAttempt(h.attempt)} // lets the sender verify that the response belongs to its attempt
-	body, err := newRequestBody(w, r, math.MaxInt64)
+	body, err := p.newRequestBody(w, r, math.MaxInt64)
 	if err != nil {
 		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
 		return
 	}
+	defer body.free()
 	ctx, cancel := context.WithTimeout(r.Context(), h.budget)
 	defer cancel()
 	body.limitUpload(h.budget)
--- a/proxy/stalled_body_test.go
+++ b/proxy/stalled_body_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"crypto/rand"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -47,3 +49,55 @@
 		})
 	}
 }
+
+// TestUploadsTakeMoreThanTheirMemory guards against the bodies of requests taking memory without a
+// bound: many callers send theirs, of a declared length or in chunks, and stop before the end.
+// All of them are served once they have gone on.
+func TestUploadsTakeMoreThanTheirMemory(t *testing.T) {
+	const callers, size, memory = 24, 40_000, 200_000
+	is := is.New(t)
+	m := newMesh(t, func(c *core.Config, p *proxy.Config) { c.Slots, p.ReadAheadBytes = callers, memory }, "", "orders")
+	goOn := make(chan struct{})
+	statuses := make(chan int, callers)
+	for i := range callers {
+		go func() {
+			body, w := io.Pipe()
+			go func() {
+				_, _ = w.Write(make([]byte, size-1))
+				<-goOn
+				_, _ = w.Write([]byte("x"))
+				_ = w.Close()
+			}()
+			r, err := http.NewRequest(http.MethodPost, "http://"+m.nodes[0].callers+"/once", body)
+			if err != nil {
+				t.Error(err)
+			}
+			if i%2 == 0 {
+				r.ContentLength = size
+			}
+			resp, err := m.client.Do(r)
+			if err != nil {
+				t.Error(err)
+				statuses <- 0
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			statuses <- resp.StatusCode
+		}()
+	}
+	most := int64(0)
+	for range 100 {
+		most = max(most, m.nodes[0].proxy.HeldBytes(), m.nodes[1].proxy.HeldBytes())
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(most > memory/2) // it is used
+	is.True(most <= memory)
+	close(goOn)
+	for range callers {
+		is.Equal(<-statuses, http.StatusOK)
+	}
+	m.eventually("the memory is free again", func() bool {
+		return m.nodes[0].proxy.HeldBytes() == 0 && m.nodes[1].proxy.HeldBytes() == 0
+	})
+}
