Count what a listener buffers in the memory of bodies

Cause: the listener read bodies of up to 64 KiB whole before their handlers ran, and buffered up to 32 KiB of each response whose turn had not come, 16 a connection, without a bound over all connections.

Change: both are reserved in the memory of bodies first. Without memory a body is read by its handler as it comes, and a response waits for its turn. A node that gets a body which the entry node streams takes the attempt in before the body has come: one that had stopped was refused as never received.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -20,6 +20,7 @@
 	done     chan struct{}            // closed once the response has been sent
 	body     *body                    // nil: no body, or one read completely before the handler runs
 	cancel   context.CancelFunc
+	reserved int // bytes of memory, by the reader of the connection and then by the handler
 
 	head  sync.Mutex // held while 100 Continue is sent; guards the field below
 	begun bool       // the response is being sent
@@ -34,18 +35,35 @@
 	return e
 }
 
-// prepareBody reads a short body completely and sets up the reading of a longer
-// one.
+// reserve takes memory for n more bytes, and reports whether there is as much.
+func (e *exchange) reserve(n int) bool {
+	if !e.conn.server.cfg.Reserve(n) {
+		return false
+	}
+	e.reserved += n
+	return true
+}
+
+// release gives back up to n bytes of memory.
+func (e *exchange) release(n int) {
+	n = min(n, e.reserved)
+	e.reserved -= n
+	e.conn.server.cfg.Release(n)
+}
+
+// prepareBody reads a short body completely, if there is memory, and sets up the
+// reading of another one.
 func (e *exchange) prepareBody() error {
 	r := e.request
 	if r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
 	expects := r.ProtoAtLeast(1, 1) && r.Header.Get("Expect") != ""
-	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects {
+	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects && e.reserve(int(r.ContentLength)) {
 		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
 		data := make([]byte, r.ContentLength)
 		if _, err := io.ReadFull(r.Body, data); err != nil {
+			e.release(e.reserved)
 			return fmt.Errorf("read request body: %w", err)
 		}
 		_ = e.conn.net.SetReadDeadline(time.Time{})
@@ -90,6 +108,7 @@
 			e.fail(w.active)
 		}
 		e.cancel()
+		e.release(e.reserved)
 		c.pending.Add(-1)
 		<-c.inFlight
 		if w.closesConn {
--- /dev/null
+++ b/h1/memory_test.go
@@ -0,0 +1,66 @@
+package h1_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agatekeel/agatekeel/h1"
+)
+
+// TestBuffersTakeMoreThanTheirMemory sends requests with bodies behind a slow one. What is
+// buffered of bodies and responses stays within the memory, all responses come whole and in
+// order, and the memory is free again afterwards.
+func TestBuffersTakeMoreThanTheirMemory(t *testing.T) {
+	const limit, requests, size = 100_000, 12, 30_000
+	is := is.New(t)
+	var reserved, most atomic.Int64
+	slow := make(chan struct{})
+	_, c := start(t, h1.Config{
+		Reserve: func(n int) bool {
+			now := reserved.Add(int64(n))
+			if now > limit {
+				reserved.Add(-int64(n))
+				return false
+			}
+			most.Store(max(most.Load(), now))
+			return true
+		},
+		Release: func(n int) { reserved.Add(-int64(n)) },
+	}, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || len(body) != size {
+			t.Errorf("body of %d bytes: %v", len(body), err)
+		}
+		if r.URL.Path == "/0" {
+			<-slow
+		}
+		_, _ = io.WriteString(w, r.URL.Path+strings.Repeat("x", size))
+	})
+	go func() {
+		for i := range requests {
+			_, _ = fmt.Fprintf(c, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", i, size, strings.Repeat("y", size))
+		}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	is.True(most.Load() > limit/2) // it is used
+	close(slow)
+	in := bufio.NewReader(c)
+	for i := range requests {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), fmt.Sprintf("/%d", i)+strings.Repeat("x", size))
+	}
+	for end := time.Now().Add(5 * time.Second); reserved.Load() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(reserved.Load(), int64(0))
+}
--- a/h1/server.go
+++ b/h1/server.go
@@ -52,6 +52,10 @@
 	// OnSent is called with the number of bytes of each write to a client;
 	// nil: they are not counted.
 	OnSent func(to net.Conn, n int)
+	// Reserve reports whether n bytes of memory may be taken for bodies, and Release
+	// gives them back; nil: there is no bound.
+	Reserve func(n int) bool
+	Release func(n int)
 }
 
 func (c Config) withDefaults() Config {
@@ -66,6 +70,9 @@
 	if c.OnSent == nil {
 		c.OnSent = func(net.Conn, int) {}
 	}
+	if c.Reserve == nil || c.Release == nil {
+		c.Reserve, c.Release = func(int) bool { return true }, func(int) {}
+	}
 	return c
 }
 
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -59,7 +59,7 @@
 		return 0, ErrLongResponse
 	}
 	w.written += int64(len(p))
-	if !w.active && len(w.buffer)+len(p) <= maxBufferedBytes {
+	if !w.active && w.makeRoom(len(p)) {
 		w.buffer = append(w.buffer, p...)
 		return len(p), nil
 	}
@@ -72,6 +72,27 @@
 	return len(p), nil
 }
 
+// leastBufferBytes is the size of the first buffer of a response.
+const leastBufferBytes = 1 << 10
+
+// makeRoom gets memory to buffer n more bytes, and reports whether there was as much.
+func (w *writer) makeRoom(n int) bool {
+	size, need := cap(w.buffer), len(w.buffer)+n
+	if need > maxBufferedBytes {
+		return false
+	}
+	for size = max(size, leastBufferBytes); size < need; size *= 2 {
+	}
+	if size == cap(w.buffer) {
+		return true
+	}
+	if !w.exchange.reserve(size - cap(w.buffer)) {
+		return false
+	}
+	w.buffer = append(make([]byte, 0, size), w.buffer...)
+	return true
+}
+
 // hasBody reports whether the response has a body.
 func (w *writer) hasBody() bool {
 	return w.exchange.request.Method != http.MethodHead && w.status != http.StatusNoContent && w.status != http.StatusNotModified
@@ -100,6 +121,7 @@
 	if len(buffered) == 0 {
 		return nil
 	}
+	defer w.exchange.release(cap(buffered))
 	return w.send(buffered)
 }
 
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -39,12 +39,13 @@
 
 // newRequestBody returns the body of r, or nil if it has none. It fails if a
 // short body does not arrive completely. free has to be called at the end of the request.
-func (p *Proxy) newRequestBody(w http.ResponseWriter, r *http.Request, limit int64) (*requestBody, error) {
+// streams says that a short one is read while it is sent, too.
+func (p *Proxy) newRequestBody(w http.ResponseWriter, r *http.Request, limit int64, streams bool) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
 	b := &requestBody{memory: &p.bodies, length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
-	if b.length < 0 || b.length > keptBodyBytes || !b.reserve(int(b.length)) {
+	if streams || b.length < 0 || b.length > keptBodyBytes || !b.reserve(int(b.length)) {
 		b.src = r.Body
 		return b, nil
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -82,7 +82,7 @@
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
 	}
-	if c.body, err = p.newRequestBody(c.w, r, p.maxBody.Load()); err != nil {
+	if c.body, err = p.newRequestBody(c.w, r, p.maxBody.Load(), false); err != nil {
 		return core.CallArrived{}, &rejection{http.StatusRequestTimeout, err.Error()}
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -23,7 +23,8 @@
 		return
 	}
 	w.Header()[headerAttempt] = []string{formatAttempt(h.attempt)} // lets the sender verify that the response belongs to its attempt
-	body, err := p.newRequestBody(w, r, math.MaxInt64)
+	// a body that the entry node reads while it sends it may stop: the attempt is known before
+	body, err := p.newRequestBody(w, r, math.MaxInt64, r.Header.Get("Expect") != "")
 	if err != nil {
 		p.fail(w, http.StatusRequestTimeout, retry.NotRun, err.Error())
 		return
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -233,5 +233,6 @@
 	return h1.New(h1.Config{
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
 		WriteTimeout: maxTransfer, OnError: onError, OnSent: onSent,
+		Reserve: func(n int) bool { return p.bodies.reserve(n, p.bodies.limit) }, Release: p.bodies.release,
 	}, h)
 }
--- a/proxy/stalled_body_test.go
+++ b/proxy/stalled_body_test.go
@@ -81,8 +81,11 @@
 				statuses <- 0
 				return
 			}
-			_, _ = io.Copy(io.Discard, resp.Body)
+			answer, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Logf("%d %s", resp.StatusCode, answer)
+			}
 			statuses <- resp.StatusCode
 		}()
 	}
