Answer a cut answer with a failure where nothing of it was passed on

Cause: an answer was read whole before any of it was passed on only if its call could be sent again. Of another one the head had gone when its end was missing; only the end of the connection can tell that, and it takes what is behind along.

Change: an answer that declares a length (up to 256 KiB, while there is memory) is read whole in any case, and one without a length if requests are behind it; if it is cut the caller gets 502, outcome unknown, and the connection stays. A request that comes while the response in front of it is being sent is not passed on before that has ended: if it is cut, the request has not been read.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -18,6 +18,7 @@
 	request  *http.Request
 	previous atomic.Pointer[exchange] // the exchange whose response is sent before this one; nil: none is pending
 	done     chan struct{}            // closed once the response has been sent
+	followed atomic.Bool              // another request of the connection was read behind this one
 	body     *body                    // nil: no body, or one read completely before the handler runs
 	cancel   context.CancelFunc
 	reserved int // bytes of memory, by the reader of the connection and then by the handler
@@ -29,6 +30,9 @@
 func newExchange(c *conn, r *http.Request) *exchange {
 	e := &exchange{conn: c, done: make(chan struct{})}
 	e.previous.Store(c.last)
+	if c.last != nil {
+		c.last.followed.Store(true)
+	}
 	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, exchangeKey{}, e))
 	e.cancel = cancel
 	e.request = r.WithContext(ctx)
@@ -129,6 +133,13 @@
 	}
 }
 
+// hasBegun reports whether the response is being sent.
+func (e *exchange) hasBegun() bool {
+	e.head.Lock()
+	defer e.head.Unlock()
+	return e.begun
+}
+
 // begin marks the response as begun. 100 Continue is not sent from then on.
 func (e *exchange) begin() {
 	e.head.Lock()
@@ -185,3 +196,33 @@
 	}
 	return nil
 }
+
+// IsFollowed reports whether further requests of the same connection have been read behind
+// this one.
+func IsFollowed(r *http.Request) bool {
+	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
+	return ok && e.followed.Load()
+}
+
+// AwaitBegun waits until no response in front of that to r is being sent. If such a response
+// is cut, the connection ends, and a client sends again what was not read.
+func AwaitBegun(r *http.Request) error {
+	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
+	if !ok {
+		return nil
+	}
+	for p := e.previous.Load(); p != nil; p = p.previous.Load() {
+		if !p.hasBegun() {
+			continue
+		}
+		select {
+		case <-p.done:
+		case <-e.conn.ctx.Done():
+			return ErrClosed
+		}
+		if e.conn.closing.Load() {
+			return ErrClosed // that response was the last one
+		}
+	}
+	return nil
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/core/uplink"
+	"github.com/agatekeel/agatekeel/h1"
 )
 
 // attempt sends one attempt and relays its response, or reports how it failed.
@@ -49,7 +50,10 @@
 }
 
 // sendAndBuffer sends an attempt and returns its response, completely read if the call
-// may still be sent again.
+// may still be sent again, or if a cut of the response could be answered with a failure
+// otherwise: of one that has begun, only the end of the connection tells the caller, and
+// with it go the requests behind this one. A response without a length may be a stream; it
+// is read completely only if there are requests behind it.
 func (c *call) sendAndBuffer(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	var relay uplink.Load
 	if !f.Local && !c.onHost {
@@ -57,7 +61,7 @@
 		defer c.proxy.link.asked(f.AnswerBytes)
 	}
 	resp, err := c.send(ctx, cancel, f, relay)
-	if err != nil || !f.MayRetry {
+	if err != nil || !f.MayRetry && resp.ContentLength < 0 && !h1.IsFollowed(c.r) {
 		return resp, err
 	}
 	if err := c.bufferResponse(resp); err != nil {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -57,7 +57,11 @@
 		p.fail(w, rejected.status, retry.NotRun, rejected.reason)
 		return
 	}
-	if h1.IsPipelined(r) && !p.core.IsIdempotent(r.Method, r.Host, r.URL.Path) && h1.AwaitTurn(r) != nil {
+	wait := h1.AwaitTurn
+	if p.core.IsIdempotent(r.Method, r.Host, r.URL.Path) {
+		wait = h1.AwaitBegun // it would be lost if that response were cut
+	}
+	if h1.IsPipelined(r) && wait(r) != nil {
 		panic(http.ErrAbortHandler) // an earlier response closed the connection; the client repeats the request
 	}
 	c.run(arrived)
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -107,8 +107,8 @@
 	return true
 }
 
-// bufferResponse reads a response completely while the call may still be sent
-// again, so that no part of a truncated response has been relayed by then. A
+// bufferResponse reads a response completely, so that no part of a truncated response
+// has been relayed when the call is sent again or fails. A
 // response over maxHeldBytes, or for which there is no memory, is left to be streamed.
 func (c *call) bufferResponse(resp *http.Response) error {
 	b := &heldBody{memory: &c.proxy.bodies, rest: resp.Body, read: blockQueue{memory: &c.proxy.bodies}}
