Let a process answer for each life that it has announced

Cause: a process that finds an entry of its name with a later life takes a later one still into its own entry (State.refute). Attempts are sent for that life, but the process compared them with the one of its start, and refused them as meant for an earlier process. Besides, the life that it took kept the random number of the other one: two processes that found the same entry took the same life, and each would have answered for what the other one ran.

Change: a process answers for all lives that it has announced, 16 at most, and those bear its own random number.

--- a/core/admit.go
+++ b/core/admit.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/agatekeel/agatekeel/core/admission"
@@ -146,9 +147,10 @@
 
 // forEarlierIncarnation reports whether a message was meant for an earlier
 // process at this address. This process has no record of what that one ran,
-// so it can't answer for an attempt sent to it.
+// so it can't answer for an attempt sent to it. It answers for all lives that it has
+// announced: where an earlier one seemed to be later than its own, it took another.
 func (s *State) forEarlierIncarnation(meant endpoint.Incarnation) bool {
-	return meant != endpoint.Incarnation{} && meant != s.cfg.Incarnation && !s.requestFaults.ignoreIncarnation
+	return meant != endpoint.Incarnation{} && !slices.Contains(s.backend.lives, meant) && !s.requestFaults.ignoreIncarnation
 }
 
 func (s *State) refuseAttempt(request string, id AttemptID, reason admission.Reason, o retry.Outcome) {
--- a/core/announce.go
+++ b/core/announce.go
@@ -17,17 +17,18 @@
 // health and admission.
 type backend struct {
 	entry        endpoint.Entry
-	probeAt      time.Time // when the next probe is due
-	probing      bool      // a probe is in progress
-	missedProbes int       // consecutive
-	slowStartEnd time.Time // when Warming ends
-	stopping     bool      // the process is to end
-	draining     bool      // takes no new requests
-	drainSince   time.Time // when the drain, or the stop of the process, began
-	drained      bool      // the drain has finished
-	releaseSince time.Time // since when the node gives up its leases to end; zero: it does not
-	servedAt     time.Time // when the last complete answer without error was received
-	relays       int       // large answers that are being sent to other nodes
+	lives        []endpoint.Incarnation // all that this process has announced
+	probeAt      time.Time              // when the next probe is due
+	probing      bool                   // a probe is in progress
+	missedProbes int                    // consecutive
+	slowStartEnd time.Time              // when Warming ends
+	stopping     bool                   // the process is to end
+	draining     bool                   // takes no new requests
+	drainSince   time.Time              // when the drain, or the stop of the process, began
+	drained      bool                   // the drain has finished
+	releaseSince time.Time              // since when the node gives up its leases to end; zero: it does not
+	servedAt     time.Time              // when the last complete answer without error was received
+	relays       int                    // large answers that are being sent to other nodes
 	queue        *admission.Queue
 	dedup        *admission.DedupWindow
 	keys         *idempotency.Registry
@@ -40,6 +41,7 @@
 
 func newBackend(cfg Config) backend {
 	return backend{
+		lives: []endpoint.Incarnation{cfg.Incarnation},
 		entry: endpoint.Entry{
 			ID: cfg.Node, Service: cfg.Service, DataCentre: cfg.DataCentre, Peer: cfg.Peer, Hop: cfg.Hop,
 			Incarnation: cfg.Incarnation, Slots: cfg.Slots, State: endpoint.Failed,
--- a/core/antientropy.go
+++ b/core/antientropy.go
@@ -160,6 +160,10 @@
 	s.scheduleReport()
 }
 
+// maxLives bounds the lives that a process answers for. It announces a new one only where it
+// finds a later one of another process, so there are few.
+const maxLives = 16
+
 // refute overrides an update of this node's own entry that another node
 // wrote, by announcing the entry with a higher sequence number.
 func (s *State) refute(e endpoint.Entry) {
@@ -172,9 +176,10 @@
 			return // a later process with this ID runs elsewhere: this one is out of date
 		}
 		// This process has the address, so the other one has ended, and the
-		// host's clock was set back in between.
-		b.entry.Incarnation = e.Incarnation
-		b.entry.Incarnation.Start++
+		// host's clock was set back in between. The random number stays: another
+		// process may have announced a life after the same one.
+		b.entry.Incarnation = endpoint.Incarnation{Start: e.Incarnation.Start + 1, Random: s.cfg.Incarnation.Random}
+		b.lives = append(b.lives[max(0, len(b.lives)+1-maxLives):], b.entry.Incarnation)
 	}
 	b.entry.Sequence = e.Sequence
 	s.announce(b.entry.State)
--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -36,7 +36,7 @@
 	h.starts++
 	h.state = core.New(core.Config{
 		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: true, Source: true, SilentAfter: 6 * time.Second,
-		Incarnation: endpoint.Incarnation{Start: h.starts}, Seed: 1,
+		Incarnation: endpoint.Incarnation{Start: h.starts, Random: uint32(100 + h.starts)}, Seed: 1,
 	})
 	h.step(core.Tick{})
 }
--- a/core/export_tree_test.go
+++ b/core/export_tree_test.go
@@ -1,6 +1,9 @@
 package core
 
-import "github.com/agatekeel/agatekeel/core/config"
+import (
+	"github.com/agatekeel/agatekeel/core/config"
+	"github.com/agatekeel/agatekeel/core/endpoint"
+)
 
 // TestFault is a deliberate fault in the code under test, used to show that a
 // check detects it. Each one but NoFault sets the field of testFaults with the
@@ -42,3 +45,9 @@
 // RoutingVersion returns the version of the compiled configuration that routes
 // requests.
 func (s *State) RoutingVersion() uint64 { return s.holder.snapshot.Version }
+
+// ReceiveForTest delivers entries as another node sends them.
+func (s *State) ReceiveForTest(entries ...endpoint.Entry) { s.endpointsReceived(0, entries) }
+
+// OwnEntryForTest returns the entry that the node announces.
+func (s *State) OwnEntryForTest() endpoint.Entry { return s.backend.entry }
