Write no response behind one that was given up for a closed connection

Cause: when a connection is closed for a cut response, the one behind it gives up its turn and counts as done while the cut one is still being written. The third then found its turn come, if its select happened to look there first, and wrote into the same buffer: bytes of another answer in the body of a cut one, until the socket was closed.

Change: a turn does not come on a connection that is closed.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -162,6 +162,9 @@
 	if e.conn.closing.Load() {
 		return ErrClosed // an earlier response was the last one
 	}
+	if e.conn.ctx.Err() != nil {
+		return ErrClosed // the one in front may have given up for that, while another is still being sent
+	}
 	return nil
 }
 
