Notice that a client leaves behind many requests of one connection

Cause: after 16 requests in work, the reader of a connection waited for one of them to end and read nothing meanwhile.

Change: while a request waits for its turn to be handled, the connection is read ahead, up to 16 KiB that are reserved in the memory of bodies; its end cancels what is in work. Beyond that, and without memory, it waits as before.

Evidence: TestDisconnectBehindManyRequests failed before (no handler was cancelled within 10 s, with 1, 4 and 100 requests more).

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -33,7 +33,8 @@
 type conn struct {
 	server      *Server
 	net         net.Conn
-	headerLimit *io.LimitedReader // limits what is read for one request header; unlimited otherwise
+	ahead       *ahead            // reads from net
+	headerLimit *io.LimitedReader // reads from ahead; limits what is read for one request header; unlimited otherwise
 	in          *bufio.Reader     // reads from headerLimit
 	out         *bufio.Writer
 	ctx         context.Context
@@ -44,6 +45,10 @@
 	closing     atomic.Bool   // a response announced that the connection closes
 	endsBody    atomic.Bool   // the end of the connection would end the body of the response that is being sent
 
+	slots         sync.Mutex // guards waiting, and the read deadline while it is set
+	waiting       bool       // awaitSlot reads the connection
+	aheadReserved bool       // memory for ahead is reserved
+
 	// accepting is held while a request is added to pending, and while a response
 	// decides whether it is the last one.
 	accepting sync.Mutex
@@ -53,7 +58,8 @@
 	ctx := context.WithValue(context.Background(), http.LocalAddrContextKey, nc.LocalAddr())
 	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.headerLimit = &io.LimitedReader{R: nc}
+	c.ahead = &ahead{src: nc}
+	c.headerLimit = &io.LimitedReader{R: c.ahead}
 	c.in = bufio.NewReaderSize(c.headerLimit, readBufferBytes)
 	c.out = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
@@ -120,6 +126,7 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
+	defer c.releaseAhead()
 	if err := c.handshake(); err != nil {
 		c.server.cfg.OnError(err)
 		c.abort()
@@ -173,9 +180,7 @@
 		c.reject(err)
 		return false
 	}
-	select {
-	case c.inFlight <- struct{}{}:
-	case <-c.ctx.Done():
+	if !c.awaitSlot() {
 		return false
 	}
 	if !c.accept() {
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -114,7 +114,7 @@
 		e.cancel()
 		e.release(e.reserved)
 		c.pending.Add(-1)
-		<-c.inFlight
+		c.freeSlot()
 		if w.closesConn {
 			_ = c.net.SetReadDeadline(time.Unix(1, 0)) // interrupts the reader, which then closes the connection
 		}
--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -113,6 +113,65 @@
 	receive(t, cancelled, "the handler's context to be cancelled")
 }
 
+// TestDisconnectBehindManyRequests checks the same of a client that has sent more requests than
+// are handled at once: with the one that waits, or many, unread.
+func TestDisconnectBehindManyRequests(t *testing.T) {
+	for _, more := range []int{1, 4, 100} {
+		t.Run(fmt.Sprint(more), func(t *testing.T) {
+			is := is.New(t)
+			const handled = 3
+			arrived, cancelled := make(chan string, handled+more), make(chan string, handled+more)
+			_, c := start(t, h1.Config{MaxPipelined: handled}, func(_ http.ResponseWriter, r *http.Request) {
+				arrived <- r.URL.Path
+				<-r.Context().Done()
+				cancelled <- r.URL.Path
+			})
+			_, err := c.Write([]byte(strings.Repeat(getRequest("/"), handled+more)))
+			is.NoErr(err)
+			for range handled {
+				receive(t, arrived, "a request")
+			}
+			time.Sleep(20 * time.Millisecond)
+			is.NoErr(c.Close())
+			for range handled {
+				receive(t, cancelled, "the handler's context to be cancelled")
+			}
+			is.Equal(len(arrived), 0) // no other request is handled
+		})
+	}
+}
+
+// TestManyRequestsOnOneConnection sends more requests than are handled at once, in pieces, and
+// with bodies. All are answered in order.
+func TestManyRequestsOnOneConnection(t *testing.T) {
+	is := is.New(t)
+	const requests = 2000
+	_, c := start(t, h1.Config{MaxPipelined: 3}, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if len(body)%7 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = fmt.Fprintf(w, "%s:%d", r.URL.Path, len(body))
+	})
+	go func() {
+		var all strings.Builder
+		for i := range requests {
+			_, _ = fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", i, i%50, strings.Repeat("x", i%50))
+		}
+		text := all.String()
+		for i := 0; len(text) > 0; i++ {
+			n := min(len(text), 1+(i*7919)%3000)
+			_, _ = io.WriteString(c, text[:n])
+			text = text[n:]
+		}
+	}()
+	in := bufio.NewReader(c)
+	for i := range requests {
+		_, body := readResponse(t, in)
+		is.Equal(body, fmt.Sprintf("/%d:%d", i, i%50))
+	}
+}
+
 // TestAwaitTurn checks that a handler can wait until all earlier requests have
 // been answered.
 func TestAwaitTurn(t *testing.T) {
