Ask for no record of a leaving at the first start of the whole mesh

Cause: each process reads whether its backend server has left.

Change: backend.firstStart, from the platform's first_start, says that no process has kept anything before. The first write creates the record, and reads it if there is one all the same.

Evidence: TestFirstStartReadsNothing. Also one test file is formatted.

--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -15,13 +15,14 @@
 // announcedNode drives the reducer of a node whose backend server announces
 // itself with heartbeats.
 type announcedNode struct {
-	t        *testing.T
-	state    *core.State
-	now      time.Time
-	attempts uint64
-	starts   int64 // processes so far
-	probes   int   // of the backend server
-	records  *leavingStore
+	t          *testing.T
+	state      *core.State
+	now        time.Time
+	attempts   uint64
+	starts     int64 // processes so far
+	firstStart bool
+	probes     int // of the backend server
+	records    *leavingStore
 }
 
 func newAnnouncedNode(t *testing.T) *announcedNode {
@@ -35,7 +36,7 @@
 func (h *announcedNode) restart() {
 	h.starts++
 	h.state = core.New(core.Config{
-		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: true, Source: true, SilentAfter: 6 * time.Second,
+		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: true, FirstStart: h.firstStart, Source: true, SilentAfter: 6 * time.Second,
 		Incarnation: endpoint.Incarnation{Start: h.starts, Random: uint32(100 + h.starts)}, Seed: 1,
 	})
 	h.step(core.Tick{})
--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -250,6 +250,30 @@
 	is.Equal([]int{h.records.reads, h.records.writes}, []int{1, 2})
 }
 
+// TestFirstStartReadsNothing starts the whole mesh for the first time, where no process has kept
+// anything before. What it keeps itself is read by the next one.
+func TestFirstStartReadsNothing(t *testing.T) {
+	is := is.New(t)
+	h := newAnnouncedNode(t)
+	h.records.reads = 0
+	h.firstStart = true
+	h.restart()
+	is.True(h.report(heartbeat("a", 10, 7, endpoint.Ready)))
+	is.Equal(h.runs(), "a")
+	is.Equal(h.records.reads, 0)
+	is.True(h.report(heartbeat("a", 10, 8, endpoint.Draining)))
+	is.Equal([]int{h.records.reads, h.records.writes}, []int{0, 1})
+	h.firstStart = false
+	h.restart()
+	is.True(h.report(heartbeat("a", 10, 7, endpoint.Ready)))
+	is.Equal(h.runs(), "")
+	h.firstStart = true // wrongly: the write meets the record, which is read then
+	h.restart()
+	is.True(h.report(heartbeat("b", 20, 1, endpoint.Ready)))
+	is.True(h.report(heartbeat("b", 20, 2, endpoint.Draining)))
+	is.Equal([]int{h.records.reads, h.records.writes}, []int{2, 3})
+}
+
 // TestServerLeavingInAnswerIsForgotten lets an answer alone say that the backend server leaves.
 func TestServerLeavingInAnswerIsForgotten(t *testing.T) {
 	is := is.New(t)
--- a/core/settings.go
+++ b/core/settings.go
@@ -24,6 +24,7 @@
 	Incarnation endpoint.Incarnation
 	Seed        uint64        // seed of the random numbers
 	Source      bool          // configuration is read from keyspace.Source, not from a publisher
+	FirstStart  bool          // the whole mesh starts for the first time: no process of this node has kept anything before
 	Announced   bool          // the backend server sends status reports (BackendReported) and is not probed
 	SourceWait  time.Duration // longest wait of one watch of the source
 	SilentAfter time.Duration // an announced backend server that sends no report for this long counts as failed
--- a/core/state.go
+++ b/core/state.go
@@ -52,6 +52,7 @@
 	s.holder = newHolder()
 	s.publisher = newPublisher(cfg)
 	s.backend = newBackend(cfg)
+	s.leaving.read = cfg.FirstStart // there is no record to read
 	s.requests = newRequests(cfg, balance.New(cfg.balance(), rng))
 	return s
 }
--- a/node/config.go
+++ b/node/config.go
@@ -21,7 +21,7 @@
 		MaxQueue: s.Backend.Queue.Length, QueueMaxWait: time.Duration(s.Backend.Queue.MaxWait),
 		QueueTarget: time.Duration(s.Backend.Queue.Target), QueueInterval: time.Duration(s.Backend.Queue.Interval),
 		ProbeEvery: time.Duration(s.Backend.ProbeEvery), SlowStart: time.Duration(s.Backend.SlowStart),
-		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter),
+		Announced: s.Backend.Announces, SilentAfter: time.Duration(s.Backend.SilentAfter), FirstStart: s.Backend.FirstStart,
 		Source: s.Distribution.Source == settings.SourceStore, SourceWait: time.Duration(s.Distribution.SourceWait),
 		Fanout: s.Distribution.Fanout, Favour: core.Favour(s.Distribution.Favour), Seeds: s.Seeds,
 		HeartbeatEvery: time.Duration(s.Distribution.HeartbeatEvery), MissedLimit: s.Distribution.MissedHeartbeats,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,6 +65,7 @@
 	SlowStart   Duration `json:"slowStart,omitempty" validate:"omitempty,min=1ms,max=10m"`
 	Announces   bool     `json:"announces,omitempty"`
 	SilentAfter Duration `json:"silentAfter,omitempty" validate:"omitempty,min=100ms,max=10m"`
+	FirstStart  bool     `json:"firstStart,omitempty"`
 }
 
 // Queue bounds the attempts that wait for a slot.
