--- a/h1/conn.go
+++ b/h1/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -263,7 +264,9 @@
 func (c *conn) reject(reason error) {
 	status := http.StatusBadRequest
 	var network net.Error
+	var target *url.Error // is a net.Error too
 	switch {
+	case errors.As(reason, &target):
 	case errors.Is(reason, ErrHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(reason, &network) && network.Timeout():
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -73,6 +73,8 @@
 	switch {
 	case r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect:
 		return core.CallArrived{}, &rejection{http.StatusNotImplemented, "connections can't be upgraded or tunnelled"}
+	case !canSendTarget(r):
+		return core.CallArrived{}, &rejection{http.StatusBadRequest, "the path holds characters that have to be encoded"}
 	case r.ContentLength > p.maxBody.Load():
 		return core.CallArrived{}, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf(
 			"request body has %d bytes, at most %d are allowed", r.ContentLength, p.maxBody.Load())}
