Free the memory of requests that are not handled, and ask for repeats only behind others

Cause: a request whose client left while it waited for others kept what was reserved for its body, for good. And each request, not only one behind others, was looked up to see whether it may run twice.

Evidence: TestMemoryOfUnhandledRequestsIsFreed failed before.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -181,10 +181,8 @@
 		c.reject(err)
 		return false
 	}
-	if !c.awaitSlot() {
-		return false
-	}
-	if !c.accept() {
+	if !c.awaitSlot() || !c.accept() {
+		e.release(e.reserved) // it is not handled
 		return false
 	}
 	c.last = e
--- a/h1/memory_test.go
+++ b/h1/memory_test.go
@@ -15,6 +15,32 @@
 	"github.com/agatekeel/agatekeel/h1"
 )
 
+// TestMemoryOfUnhandledRequestsIsFreed has clients leave while requests of theirs, whose bodies have
+// come, wait for others.
+func TestMemoryOfUnhandledRequestsIsFreed(t *testing.T) {
+	is := is.New(t)
+	var reserved atomic.Int64
+	for range 5 {
+		arrived := make(chan bool, 1)
+		_, c := start(t, h1.Config{
+			MaxPipelined: 1,
+			Reserve:      func(n int) bool { reserved.Add(int64(n)); return true },
+			Release:      func(n int) { reserved.Add(-int64(n)) },
+		}, func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- true
+			<-r.Context().Done()
+		})
+		_, err := io.WriteString(c, strings.Repeat("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", 2))
+		is.NoErr(err)
+		receive(t, arrived, "a request")
+		time.Sleep(20 * time.Millisecond)
+		is.NoErr(c.Close())
+	}
+	for end := time.Now().Add(5 * time.Second); reserved.Load() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(reserved.Load(), int64(0))
+}
+
 // TestBuffersTakeMoreThanTheirMemory sends requests with bodies behind a slow one. What is
 // buffered of bodies and responses stays within the memory, all responses come whole and in
 // order, and the memory is free again afterwards.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -57,16 +57,21 @@
 		p.fail(w, rejected.status, retry.NotRun, rejected.reason)
 		return
 	}
-	wait := h1.AwaitTurn
-	if p.core.IsIdempotent(r.Method, r.Host, r.URL.Path) {
-		wait = h1.AwaitBegun // it would be lost if that response were cut
-	}
-	if h1.IsPipelined(r) && wait(r) != nil {
+	if h1.IsPipelined(r) && p.awaitTurn(r) != nil {
 		panic(http.ErrAbortHandler) // an earlier response closed the connection; the client repeats the request
 	}
 	c.run(arrived)
 }
 
+// awaitTurn waits until a request behind others of its connection may run: at once if it may run
+// twice, unless a response is being sent, with which it would be lost if that were cut.
+func (p *Proxy) awaitTurn(r *http.Request) error {
+	if p.core.IsIdempotent(r.Method, r.Host, r.URL.Path) {
+		return h1.AwaitBegun(r)
+	}
+	return h1.AwaitTurn(r)
+}
+
 // read validates the caller's request and converts it to an event.
 func (c *call) read() (core.CallArrived, *rejection) {
 	p, r := c.proxy, c.r
