Wait until bytes are counted before the test asks for them

Cause: the bytes sent to a caller are counted after the write returns, and under load the caller has read them before.

It asks for the same figures, and for the other two only after all is counted.

--- a/proxy/transfer_test.go
+++ b/proxy/transfer_test.go
@@ -48,10 +48,10 @@
 		is.Equal(resp.StatusCode, http.StatusOK)
 		is.True(len(body) >= bytes)
 	}
+	m.eventually("the answers are counted", func() bool { return m.nodes[0].counted(proxy.OnHostMetric) >= 2*bytes })
 	sent, large := m.nodes[0].sentBytes()
 	is.Equal(large, int64(0))
 	is.True(sent < link)
-	is.True(m.nodes[0].counted(proxy.OnHostMetric) >= 2*bytes)
 	const overHop = 2 * link
 	resp, body, err := m.do(1, http.MethodGet, "/checks?answerBytes="+strconv.Itoa(overHop), "")
 	is.NoErr(err)
