Decide in one step whether requests are behind an answer and that it begins

Cause: an answer without a length is held only if requests are behind it. One that was read between that question and the beginning of the answer met neither: the answer was not held, and the request did not wait.

Change: BeginUnlessFollowed asks and marks the answer as begun under one lock; a request that is read later finds the mark.

Evidence: the window is closed by the order of the two steps: the request is noted before it looks for the mark.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -24,7 +24,7 @@
 	reserved int // bytes of memory, by the reader of the connection and then by the handler
 
 	head  sync.Mutex // held while 100 Continue is sent; guards the field below
-	begun bool       // the response is being sent
+	begun bool       // the response is being sent, or is about to be
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -200,11 +200,21 @@
 	return nil
 }
 
-// IsFollowed reports whether further requests of the same connection have been read behind
-// this one.
-func IsFollowed(r *http.Request) bool {
+// BeginUnlessFollowed marks the response to r as begun, and reports true, unless further
+// requests of the same connection have been read behind this one. One that is read later meets the
+// mark in AwaitBegun.
+func BeginUnlessFollowed(r *http.Request) bool {
 	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
-	return ok && e.followed.Load()
+	if !ok {
+		return true
+	}
+	e.head.Lock()
+	defer e.head.Unlock()
+	if e.followed.Load() {
+		return false
+	}
+	e.begun = true
+	return true
 }
 
 // AwaitBegun waits until no response in front of that to r is being sent. If such a response
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -61,7 +61,7 @@
 		defer c.proxy.link.asked(f.AnswerBytes)
 	}
 	resp, err := c.send(ctx, cancel, f, relay)
-	if err != nil || !f.MayRetry && resp.ContentLength < 0 && !h1.IsFollowed(c.r) {
+	if err != nil || !f.MayRetry && resp.ContentLength < 0 && h1.BeginUnlessFollowed(c.r) {
 		return resp, err
 	}
 	if err := c.bufferResponse(resp); err != nil {
