--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -274,6 +274,22 @@
 	is.Equal([]int{h.records.reads, h.records.writes}, []int{2, 3})
 }
 
+// TestReportForAnotherServiceIsAcknowledged guards against an acknowledgement of a report that names
+// another service and is not applied.
+func TestReportForAnotherServiceIsAcknowledged(t *testing.T) {
+	for _, state := range []endpoint.State{endpoint.Ready, endpoint.Draining} {
+		is := is.New(t)
+		h := newAnnouncedNode(t)
+		is.True(h.report(heartbeat("a", 10, 7, endpoint.Ready)))
+		other := heartbeat("a", 10, 8, state)
+		other.Service, other.Report = "books", 1000
+		answer, ok := firstEffect[core.AnswerReport](h.step(other))
+		is.True(ok)
+		is.Equal(answer.Verdict, core.ReportRefused)
+		is.Equal(h.runs(), "a")
+	}
+}
+
 // TestServerLeavingInAnswerIsForgotten lets an answer alone say that the backend server leaves.
 func TestServerLeavingInAnswerIsForgotten(t *testing.T) {
 	is := is.New(t)
