Let two checks of leavings fail, and name the fault of a health path as others are

Cause: with the safeguard taken out, two tests stayed green. One let so much time pass that the backend server counted as silent, which hid that it was not drained; the other sent no heartbeat after a probe that another had answered.

Change: both ask at the time that counts. The fault of a service's health path is told for the field healthPath, in the words of the others.

--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -109,7 +109,7 @@
 		return
 	}
 	if spec.HealthPath != "" && !strings.HasPrefix(spec.HealthPath, "/") {
-		c.addFault(k, "spec.healthPath", "%q does not begin with a slash", spec.HealthPath)
+		c.addFault(k, "healthPath", "%q does not start with '/'", spec.HealthPath)
 		return
 	}
 	c.snapshot.services[k.Name] = c.resolve(k, spec.Policy)
--- a/core/config/health_test.go
+++ b/core/config/health_test.go
@@ -36,5 +36,5 @@
 	}
 	_, faults = Compile(NewSet(9, []Object{service(`{"healthPath":"no-slash"}`)}))
 	is.Equal(len(faults), 1)
-	is.Equal(faults[0].Field, "spec.healthPath")
+	is.Equal(faults[0].Field, "healthPath")
 }
--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -327,9 +327,11 @@
 			is.Equal(h.probes, 1)
 			h.step(tt.probe)
 			is.Equal(h.runs(), tt.want)
+			is.True(h.report(heartbeat("a", 10, 8, endpoint.Ready)))
+			is.Equal(h.runs(), tt.want)
 			h.records.down = false
 			h.advance(10 * time.Second)
-			is.True(h.report(heartbeat("a", 10, 8, endpoint.Ready)))
+			is.True(h.report(heartbeat("a", 10, 9, endpoint.Ready)))
 			is.Equal(h.runs(), "a") // the platform knows of no leaving
 		})
 	}
@@ -350,7 +352,7 @@
 	h.step(core.BackendProbed{OK: true, Backend: "a"})
 	is.Equal(h.runs(), "a")
 	h.records.down = false
-	h.advance(10 * time.Second)
+	h.advance(4 * time.Second) // the platform is asked again, and the backend server is not silent for long yet
 	is.Equal(h.runs(), "")
 }
 
