--- a/h1/memory_test.go
+++ b/h1/memory_test.go
@@ -41,11 +41,17 @@
 	is.Equal(reserved.Load(), int64(0))
 }
 
-// TestBuffersTakeMoreThanTheirMemory sends requests with bodies behind a slow one. What is
+// TestBuffersTakeMoreThanTheirMemory sends requests behind a slow one, some with bodies. What is
 // buffered of bodies and responses stays within the memory, all responses come whole and in
 // order, and the memory is free again afterwards.
 func TestBuffersTakeMoreThanTheirMemory(t *testing.T) {
-	const limit, requests, size = 100_000, 12, 30_000
+	for _, tt := range []struct{ body, response int }{{30_000, 30_000}, {30_000, 0}, {0, 30_000}} {
+		t.Run(fmt.Sprint(tt), func(t *testing.T) { testBuffers(t, tt.body, tt.response) })
+	}
+}
+
+func testBuffers(t *testing.T, size, response int) {
+	const limit, requests = 100_000, 12
 	is := is.New(t)
 	var reserved, most atomic.Int64
 	slow := make(chan struct{})
@@ -68,7 +74,7 @@
 		if r.URL.Path == "/0" {
 			<-slow
 		}
-		_, _ = io.WriteString(w, r.URL.Path+strings.Repeat("x", size))
+		_, _ = io.WriteString(w, r.URL.Path+strings.Repeat("x", response))
 	})
 	go func() {
 		for i := range requests {
@@ -84,7 +90,7 @@
 		is.NoErr(err)
 		body, err := io.ReadAll(resp.Body)
 		is.NoErr(err)
-		is.Equal(string(body), fmt.Sprintf("/%d", i)+strings.Repeat("x", size))
+		is.Equal(string(body), fmt.Sprintf("/%d", i)+strings.Repeat("x", response))
 	}
 	for end := time.Now().Add(5 * time.Second); reserved.Load() != 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -156,7 +156,12 @@
 	go func() {
 		var all strings.Builder
 		for i := range requests {
-			_, _ = fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", i, i%50, strings.Repeat("x", i%50))
+			body := strings.Repeat("x", i%50)
+			if i%3 == 0 && i%50 > 0 {
+				_, _ = fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", i, i%50, body)
+				continue
+			}
+			_, _ = fmt.Fprintf(&all, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", i, i%50, body)
 		}
 		text := all.String()
 		for i := 0; len(text) > 0; i++ {
