Hold an answer only where requests are behind it

Since a request that is read behind a begun answer waits for its end, an answer with no request behind it can begin at once, whatever length it declares. Holding each of them cost memory and time, and turned cut answers into 502 where nothing was lost.

--- a/h1/server_test.go
+++ b/h1/server_test.go
@@ -177,6 +177,51 @@
 	}
 }
 
+// TestBeginUnlessFollowed decides that a response begins before another request is read, and after.
+func TestBeginUnlessFollowed(t *testing.T) {
+	is := is.New(t)
+	arrived, goOn := make(chan string, 3), make(chan bool)
+	begun, passed := make(chan bool, 2), make(chan string, 2)
+	_, c := start(t, h1.Config{}, func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- r.URL.Path
+		if r.URL.Path == "/2" {
+			is.NoErr(h1.AwaitBegun(r))
+			passed <- r.URL.Path
+			return
+		}
+		<-goOn
+		begun <- h1.BeginUnlessFollowed(r)
+		<-goOn
+	})
+	for _, alone := range []bool{true, false} {
+		_, err := io.WriteString(c, getRequest("/1"))
+		is.NoErr(err)
+		is.Equal(receive(t, arrived, "the first request"), "/1")
+		if alone {
+			goOn <- true
+			is.True(receive(t, begun, "the decision"))
+		}
+		_, err = io.WriteString(c, getRequest("/2"))
+		is.NoErr(err)
+		is.Equal(receive(t, arrived, "the second request"), "/2")
+		if alone {
+			time.Sleep(20 * time.Millisecond)
+			is.Equal(len(passed), 0) // it waits
+		} else {
+			receive(t, passed, "the second request to go on")
+			goOn <- true
+			is.True(!receive(t, begun, "the decision"))
+		}
+		goOn <- true
+		if alone {
+			receive(t, passed, "the second request to go on")
+		}
+		in := bufio.NewReader(c)
+		readResponse(t, in)
+		readResponse(t, in)
+	}
+}
+
 // TestAwaitTurn checks that a handler can wait until all earlier requests have
 // been answered.
 func TestAwaitTurn(t *testing.T) {
