Keep what an operator drains in the platform

What callers saw: after a restart of its node, a backend server that an operator had taken out of service (POST /drain, answered 202) got requests again, by its next heartbeat or probe.

The drain is kept in the record of the leaving before it is answered, and read at each start, now also where the backend server is probed. The record says who spoke: DELETE /drain takes back an operator's word alone, and answers 409 where the backend server itself leaves (it put such a server back into service). Taking back leaves a record that still covers earlier instances. What an operator said is not deleted for its age. 503 says that a next process would not know.

TestRestartForgetsOperatorDrain failed before in all four forms (heartbeats, probes; one end, three), TestSweepOfLeavings for the record of an operator. On the users' platform nothing is added.

--- a/core/announce.go
+++ b/core/announce.go
@@ -71,7 +71,7 @@
 		s.announce(endpoint.Failed) // makes the node itself known from its first tick on
 	}
 	s.silenceTick()
-	if s.cfg.Service != "" && !s.cfg.Announced && !b.probing && !s.now.Before(b.probeAt) {
+	if s.cfg.Service != "" && !s.cfg.Announced && !b.probing && !s.now.Before(b.probeAt) && s.leaving.probeMayServe(s.now) {
 		b.probing = true
 		b.probeAt = s.now.Add(s.cfg.ProbeEvery)
 		s.emit(ProbeBackend{})
--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -21,8 +21,11 @@
 	attempts   uint64
 	starts     int64 // processes so far
 	firstStart bool
-	probes     int // of the backend server
-	records    *leavingStore
+	probed     bool // the backend server sends no heartbeats, and is probed
+	probes     int  // of the backend server
+
+	probesAnswered int // those that were asked for before
+	records        *leavingStore
 }
 
 func newAnnouncedNode(t *testing.T) *announcedNode {
@@ -35,8 +38,9 @@
 // restart replaces the node's process, which ends without a word.
 func (h *announcedNode) restart() {
 	h.starts++
+	h.probesAnswered = h.probes
 	h.state = core.New(core.Config{
-		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: true, FirstStart: h.firstStart, Source: true, SilentAfter: 6 * time.Second,
+		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: !h.probed, FirstStart: h.firstStart, Source: true, SilentAfter: 6 * time.Second,
 		Incarnation: endpoint.Incarnation{Start: h.starts, Random: uint32(100 + h.starts)}, Seed: 1,
 	})
 	h.step(core.Tick{})
--- a/core/drain.go
+++ b/core/drain.go
@@ -95,8 +95,9 @@
 // server. Once the connection was refused, the old process is gone and the
 // next one to answer is a new process.
 func (s *State) probedWhileDraining(e BackendProbed) {
-	if e.Refused {
+	if e.Refused && !s.backend.stopping {
 		s.cancelDrain()
+		s.forgetOperatorDrain()
 	}
 }
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -74,20 +74,20 @@
 // endpoint, empty for the one of the settings.
 type ProbeBackend struct{ Path string }
 
-// AnswerReport answers a BackendReported. Reason is empty for ReportApplied.
+// AnswerReport answers an event with a ReportID. Reason is empty for ReportApplied.
 type AnswerReport struct {
 	Report  ReportID
 	Verdict ReportVerdict
 	Reason  string
 }
 
-// ReportVerdict is what became of a BackendReported.
+// ReportVerdict is what became of an event with a ReportID.
 type ReportVerdict uint8
 
 // The verdicts on reports.
 const (
 	ReportApplied ReportVerdict = iota // for good: if the backend server leaves, also the next process knows it
-	ReportRefused                      // it is not one of this node's backend server
+	ReportRefused                      // not applied, for the reason given
 	ReportNotKept                      // applied by this process, but a next one might not know it
 )
 
--- a/core/event.go
+++ b/core/event.go
@@ -25,7 +25,8 @@
 // CallID identifies a caller's request within one process.
 type CallID uint64
 
-// ReportID identifies a BackendReported within one process.
+// ReportID identifies a BackendReported, a BackendDraining or a BackendDrainCancelled within
+// one process.
 type ReportID uint64
 
 // AttemptID identifies one attempt of a call across all nodes.
@@ -112,14 +113,18 @@
 	ColdRemaining time.Duration // time until its slow start is over
 }
 
-// BackendDraining reports that the backend server announced its own
-// shutdown, or that an operator takes it out of service.
-type BackendDraining struct{}
+// BackendDraining reports that an operator takes the backend server out of service. That holds
+// over ends of this process too, until BackendDrainCancelled or the next instance.
+type BackendDraining struct {
+	Report ReportID // as in BackendReported
+}
 
 // BackendDrainCancelled cancels a BackendDraining. It is also needed after a
 // restart of the backend server between two probes: no probe was refused, so
 // the new process would still count as draining.
-type BackendDrainCancelled struct{}
+type BackendDrainCancelled struct {
+	Report ReportID // as in BackendReported
+}
 
 // Stop requests that the node drain and shut down.
 type Stop struct{}
--- a/core/leaving.go
+++ b/core/leaving.go
@@ -23,11 +23,26 @@
 )
 
 // LeavingRecord is the stored value of keyspace.Leavings: the newest instance of a node's
-// backend server that was acknowledged as leaving.
+// backend server that was acknowledged as leaving, or that an operator took out of service.
+// The zero value of Backend and Operator stands for none.
 type LeavingRecord struct {
-	Backend     string `json:"backend"`
+	Backend     string `json:"backend"`           // empty with Operator: the one that runs, whose name is not known
 	StartMillis int64  `json:"started,omitempty"` // as in BackendReported
-	AtMillis    int64  `json:"at"`                // when it said so, in Unix milliseconds of its host
+	AtMillis    int64  `json:"at"`                // when that was said, in Unix milliseconds of the node's host
+	Operator    bool   `json:"operator,omitempty"`
+	InService   bool   `json:"inService,omitempty"` // an operator has taken it back: only earlier instances have left
+}
+
+// names reports whether the record names an instance.
+func (r LeavingRecord) names() bool { return r.Backend != "" || r.Operator }
+
+// byItself reports whether the backend server itself has said that it leaves.
+func (r LeavingRecord) byItself() bool { return r.Backend != "" && !r.Operator && !r.InService }
+
+// includes reports whether nothing is left to keep of o beside r. What an operator says can be
+// taken back, so it doesn't include what the backend server says.
+func (r LeavingRecord) includes(o LeavingRecord) bool {
+	return r.names() && !r.InService && r.Backend == o.Backend && r.StartMillis == o.StartMillis && (!r.Operator || o.Operator)
 }
 
 // covers reports whether what a backend server says of itself comes from the instance that
@@ -35,13 +50,15 @@
 // is a later one if it started after the leaving.
 func (r LeavingRecord) covers(backend string, startMillis int64) bool {
 	switch {
-	case r.Backend == "":
+	case !r.names():
 		return false
+	case r.Backend == "":
+		return startMillis <= r.AtMillis
 	case startMillis == 0:
-		return backend == r.Backend
+		return backend == r.Backend && !r.InService
 	case r.StartMillis == 0:
-		return backend == r.Backend && startMillis <= r.AtMillis
-	case backend == r.Backend:
+		return backend == r.Backend && startMillis <= r.AtMillis && !r.InService
+	case backend == r.Backend && !r.InService:
 		return startMillis <= r.StartMillis
 	}
 	return startMillis < r.StartMillis
@@ -56,8 +73,9 @@
 	wanted  LeavingRecord // to be stored; the zero value: nothing
 
 	callPending bool
-	reread      bool // a write failed or met another record: read before the next
-	failed      bool // the last call failed
+	askedAt     time.Time // when the first call was made
+	reread      bool      // a write failed or met another record: read before the next
+	failed      bool      // the last call failed
 	retryAt     time.Time
 	backoff     backoff
 
@@ -75,6 +93,12 @@
 // kept reports whether all that has to be stored is.
 func (l *leaving) kept() bool { return l.read && l.wanted == (LeavingRecord{}) }
 
+// probeMayServe reports whether a probe may put the backend server into service, as far as it is
+// known whether an operator took it out. A platform that is away delays that for keepWait.
+func (l *leaving) probeMayServe(now time.Time) bool {
+	return l.read || l.failed || !l.askedAt.IsZero() && now.Sub(l.askedAt) >= keepWait
+}
+
 // hold keeps a report until it is known which instance has left. The oldest one goes if there
 // are too many.
 func (l *leaving) hold(e BackendReported) {
@@ -113,8 +137,13 @@
 // servingReported applies a report of an instance that serves, unless the instance has left.
 func (s *State) servingReported(e BackendReported) {
 	l := &s.leaving
-	if l.stored.covers(e.Backend, e.StartMillis) || l.wanted.covers(e.Backend, e.StartMillis) {
-		s.log(notice.LeftBackendReported, Attr{"backend", e.Backend}, Attr{"started", e.StartMillis}, Attr{"sequence", e.Sequence})
+	for _, r := range []LeavingRecord{l.stored, l.wanted} {
+		if !r.covers(e.Backend, e.StartMillis) {
+			continue
+		}
+		if !r.Operator { // one that an operator took out of service goes on with its heartbeats
+			s.log(notice.LeftBackendReported, Attr{"backend", e.Backend}, Attr{"started", e.StartMillis}, Attr{"sequence", e.Sequence})
+		}
 		return
 	}
 	s.backendHeartbeat(e)
@@ -128,38 +157,50 @@
 		return
 	}
 	s.keepLeaving()
+	s.answerWhenKept(e.Report)
+}
+
+// answerWhenKept answers once all is kept that has to be.
+func (s *State) answerWhenKept(id ReportID) {
 	if s.leaving.kept() {
-		s.answerReport(e.Report, ReportApplied, "")
+		s.answerReport(id, ReportApplied, "")
 		return
 	}
-	if e.Report != 0 {
-		s.leaving.awaiting = append(s.leaving.awaiting, awaitingReport{id: e.Report, at: s.now})
+	if id != 0 {
+		s.leaving.awaiting = append(s.leaving.awaiting, awaitingReport{id: id, at: s.now})
 	}
 }
 
+// currentLeaving is the record that the current instance leaves.
+func (s *State) currentLeaving() LeavingRecord {
+	h := &s.backend.heartbeat
+	return LeavingRecord{Backend: h.Backend, StartMillis: h.StartMillis, AtMillis: s.now.UnixMilli()}
+}
+
 // keepLeaving has the platform keep that the current instance leaves.
 func (s *State) keepLeaving() {
-	l, h := &s.leaving, &s.backend.heartbeat
-	if !s.cfg.Announced || h.Backend == "" {
-		return
+	if s.cfg.Announced && s.backend.heartbeat.Backend != "" {
+		s.keep(s.currentLeaving())
 	}
-	for _, r := range []LeavingRecord{l.stored, l.wanted} {
-		if r.Backend == h.Backend && r.StartMillis == h.StartMillis {
-			return
-		}
+}
+
+func (s *State) keep(r LeavingRecord) {
+	l := &s.leaving
+	if l.stored.includes(r) || l.wanted.includes(r) {
+		return
 	}
-	l.wanted = LeavingRecord{Backend: h.Backend, StartMillis: h.StartMillis, AtMillis: s.now.UnixMilli()}
+	l.wanted = r
 	s.leavingCall()
 }
 
 // leavingTick sends the call that is due, and answers reports that have waited for long.
 func (s *State) leavingTick() {
-	if !s.cfg.Announced {
+	if !s.cfg.Announced && s.cfg.Service == "" {
 		return
 	}
 	l := &s.leaving
 	for len(l.awaiting) > 0 && s.now.Sub(l.awaiting[0].at) >= keepWait {
-		s.answerReport(l.awaiting[0].id, ReportNotKept, "the platform has not kept yet that it leaves: ask again")
+		s.answerReport(l.awaiting[0].id, ReportNotKept, "the platform has not kept it yet: ask again")
 		l.awaiting = l.awaiting[1:]
 	}
 	s.leavingCall()
@@ -171,6 +212,9 @@
 // leavingCall reads the record if it is not known, or writes the one that is wanted.
 func (s *State) leavingCall() {
 	l := &s.leaving
+	if l.askedAt.IsZero() {
+		l.askedAt = s.now
+	}
 	switch {
 	case l.callPending || s.now.Before(l.retryAt):
 	case !l.read || l.reread:
@@ -196,9 +240,7 @@
 		l.version = done.Objects[0].Version
 		l.stored = parseLeaving(done.Objects[0].Data)
 	}
-	if l.stored.covers(l.wanted.Backend, l.wanted.StartMillis) {
-		l.wanted = LeavingRecord{}
-	}
+	s.compareWanted()
 	if b := &s.backend; l.stored.covers(b.heartbeat.Backend, b.heartbeat.StartMillis) {
 		s.beginDrain()
 	}
@@ -206,6 +248,20 @@
 	s.leavingCall()
 }
 
+// compareWanted drops what need not be written any more beside the record that was read.
+func (s *State) compareWanted() {
+	l := &s.leaving
+	w := l.wanted
+	switch {
+	case w.InService && l.stored.Operator:
+		l.stored = w
+	case w.InService, // there is nothing to take back
+		w.Operator && w.Backend == "" && l.stored.byItself(),
+		l.stored.covers(w.Backend, w.StartMillis) && (!l.stored.Operator || w.Operator):
+		l.wanted = LeavingRecord{}
+	}
+}
+
 // parseLeaving returns the record, the zero value if it can't be read: another program may have
 // left it. It is replaced at its version.
 func parseLeaving(data []byte) LeavingRecord {
@@ -231,7 +287,7 @@
 		l.wanted = LeavingRecord{}
 	}
 	s.log(notice.LeavingKept, Attr{"backend", l.stored.Backend}, Attr{"started", l.stored.StartMillis},
-		Attr{"tookMillis", s.now.UnixMilli() - l.stored.AtMillis})
+		Attr{"operator", l.stored.Operator}, Attr{"inService", l.stored.InService}, Attr{"tookMillis", s.now.UnixMilli() - l.stored.AtMillis})
 	s.releaseReports()
 	s.leavingCall()
 }
--- a/core/leaving_sweep.go
+++ b/core/leaving_sweep.go
@@ -42,15 +42,16 @@
 }
 
 // leavingsListed collects the old records. One that can't be read counts as old; a node whose
-// record is deleted writes the next one anew.
+// record is deleted writes the next one anew. What an operator said holds until it is taken back.
 func (s *State) leavingsListed(done StoreDone) {
 	w := &s.root.leavings
 	if done.Err != StoreOK || s.member.phase != phaseRoot || len(w.expired) > 0 {
 		return
 	}
 	for _, o := range done.Objects {
-		age := time.Duration(s.now.UnixMilli()-parseLeaving(o.Data).AtMillis) * time.Millisecond
-		if age >= leavingKeep && len(w.expired) < leavingSweepBatch {
+		r := parseLeaving(o.Data)
+		age := time.Duration(s.now.UnixMilli()-r.AtMillis) * time.Millisecond
+		if !r.Operator && age >= leavingKeep && len(w.expired) < leavingSweepBatch {
 			w.expired = append(w.expired, expiredLeaving{key: o.Key, version: o.Version})
 		}
 	}
--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -402,6 +402,7 @@
 	}
 	for key, data := range map[string][]byte{
 		"a/young": record(23 * time.Hour), "a/old": record(25 * time.Hour), "a/older": record(250 * time.Hour), "a/odd": []byte("]["),
+		"a/operator": fmt.Appendf(nil, `{"backend":"i","started":7,"at":%d,"operator":true}`, m.Now.Add(-250*time.Hour).UnixMilli()),
 		"b/old": record(25 * time.Hour), // of a data centre without a root
 	} {
 		_, err := m.Store.Put(t.Context(), keyspace.Leavings+key, data, 0)
@@ -417,5 +418,5 @@
 	for _, o := range left {
 		keys = append(keys, o.Key)
 	}
-	is.Equal(keys, []string{keyspace.Leavings + "a/young", keyspace.Leavings + "b/old"})
+	is.Equal(keys, []string{keyspace.Leavings + "a/operator", keyspace.Leavings + "a/young", keyspace.Leavings + "b/old"})
 }
--- a/core/state.go
+++ b/core/state.go
@@ -81,9 +81,9 @@
 	case BackendReported:
 		s.backendReported(e)
 	case BackendDraining:
-		s.beginDrain()
+		s.drainRequested(e)
 	case BackendDrainCancelled:
-		s.cancelDrain()
+		s.drainTakenBack(e)
 	case Stop:
 		s.stop()
 	case CallArrived:
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
@@ -34,13 +35,23 @@
 		_ = writeText(c.Writer, r) // fails only if the client has disconnected
 	})
 	e.GET("/debug/state", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, n.ProcessState()) })
-	e.POST("/drain", func(c *gin.Context) {
-		n.Step(core.BackendDraining{})
-		c.String(http.StatusAccepted, "draining\n")
-	})
-	e.DELETE("/drain", func(c *gin.Context) {
-		n.Step(core.BackendDrainCancelled{})
-		c.String(http.StatusAccepted, "back in service once it is healthy\n")
-	})
+	e.POST("/drain", func(c *gin.Context) { answerDrain(c, "draining", n.Drain) })
+	e.DELETE("/drain", func(c *gin.Context) { answerDrain(c, "back in service once it is healthy", n.CancelDrain) })
 	return e
 }
+
+// answerDrain applies what an operator says of the backend server, and tells whether the next
+// process of the node would know it.
+func answerDrain(c *gin.Context, done string, apply func(context.Context) (core.AnswerReport, error)) {
+	answer, err := apply(c.Request.Context())
+	switch {
+	case err != nil:
+		c.String(http.StatusServiceUnavailable, "%s: ask again\n", err)
+	case answer.Verdict == core.ReportRefused:
+		c.String(http.StatusConflict, "%s\n", answer.Reason)
+	case answer.Verdict == core.ReportNotKept:
+		c.String(http.StatusServiceUnavailable, "%s, until this process ends: %s\n", done, answer.Reason)
+	default:
+		c.String(http.StatusAccepted, "%s\n", done)
+	}
+}
--- a/node/admin_test.go
+++ b/node/admin_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/keyspace"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
@@ -38,10 +39,13 @@
 func (noProber) Probe(context.Context, string) core.BackendProbed { return core.BackendProbed{} }
 
 // newTestNode returns a node that has not been started, and its registry.
-func newTestNode() (*Node, metrics.Registry) {
+func newTestNode() (*Node, metrics.Registry) { return newTestNodeOn(storetest.NewStore()) }
+
+// newTestNodeOn returns a node of the same name as all others here, on a platform.
+func newTestNodeOn(s store.Store) (*Node, metrics.Registry) {
 	r := metrics.NewRegistry()
 	cfg := core.Config{Node: "n1", DataCentre: "derby", Service: "orders"}.WithDefaults()
-	n := New(cfg, &manualClock{now: time.Unix(1000, 0)}, newMeteredStore(storetest.NewStore(), r), noProber{}, eventlog.Nop())
+	n := New(cfg, &manualClock{now: time.Unix(1000, 0)}, newMeteredStore(s, r), noProber{}, eventlog.Nop())
 	n.SetRegistry(r)
 	return n, r
 }
@@ -97,6 +101,63 @@
 	is.Equal(n.Dump().Backend.State, "warming")
 }
 
+// TestAdminDrainOutlivesProcess takes the backend server out of service through one process, and
+// back into it through a later one.
+func TestAdminDrainOutlivesProcess(t *testing.T) {
+	is := is.New(t)
+	platform := storetest.NewStore()
+	send := func(n *Node, r metrics.Registry, method string) int {
+		w := httptest.NewRecorder()
+		admin(n, r).ServeHTTP(w, httptest.NewRequest(method, "/drain", nil))
+		return w.Code
+	}
+	n, r := newTestNodeOn(platform)
+	n.Step(core.BackendProbed{OK: true})
+	is.Equal(send(n, r, http.MethodPost), http.StatusAccepted)
+	n.Stop()
+	n, r = newTestNodeOn(platform)
+	n.Step(core.Tick{})
+	for end := time.Now().Add(10 * time.Second); n.Dump().Backend.State == "failed" && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(n.Dump().Backend.State, "draining")
+	is.Equal(send(n, r, http.MethodDelete), http.StatusAccepted)
+	n.Stop()
+	kept, err := platform.Get(t.Context(), keyspace.Leavings+"derby/n1")
+	is.NoErr(err)
+	is.True(strings.Contains(string(kept.Data), `"inService":true`))
+}
+
+// TestAdminDrainIsNotKept answers an operator while the platform is away, and after the end of the
+// node's work.
+func TestAdminDrainIsNotKept(t *testing.T) {
+	is := is.New(t)
+	platform := storetest.NewStore()
+	platform.SetFaults(storetest.Faults{Down: true})
+	n, r := newTestNodeOn(platform)
+	clock := n.clock.(*manualClock)
+	answers := make(chan *httptest.ResponseRecorder, 1)
+	send := func() {
+		w := httptest.NewRecorder()
+		admin(n, r).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/drain", nil))
+		answers <- w
+	}
+	go send()
+	for end := time.Now().Add(10 * time.Second); len(answers) == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		n.mu.Lock()
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		n.mu.Unlock()
+		n.Step(core.Tick{})
+	}
+	w := <-answers
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Body.String(), "draining, until this process ends: the platform has not kept it yet: ask again\n")
+	is.Equal(n.Dump().Backend.State, "draining") // all the same
+	n.Stop()
+	send()
+	is.Equal((<-answers).Code, http.StatusServiceUnavailable)
+}
+
 // metricNames returns the names of all metrics that a node registers at its start.
 func metricNames(t *testing.T) []string {
 	t.Helper()
--- a/node/node.go
+++ b/node/node.go
@@ -164,17 +164,36 @@
 // comes within a second. It returns ctx's error if that ends first, and an error if the
 // node does.
 func (n *Node) Report(ctx context.Context, e core.BackendReported) (core.AnswerReport, error) {
+	return n.stepAnswered(ctx, func(id core.ReportID) core.Event {
+		e.Report = id
+		return e
+	})
+}
+
+// Drain takes the backend server out of service for an operator. Its answer and its errors are
+// those of Report.
+func (n *Node) Drain(ctx context.Context) (core.AnswerReport, error) {
+	return n.stepAnswered(ctx, func(id core.ReportID) core.Event { return core.BackendDraining{Report: id} })
+}
+
+// CancelDrain takes back what Drain did. Its answer and its errors are those of Report.
+func (n *Node) CancelDrain(ctx context.Context) (core.AnswerReport, error) {
+	return n.stepAnswered(ctx, func(id core.ReportID) core.Event { return core.BackendDrainCancelled{Report: id} })
+}
+
+// stepAnswered passes an event with a ReportID to the reducer and waits for its answer.
+func (n *Node) stepAnswered(ctx context.Context, event func(core.ReportID) core.Event) (core.AnswerReport, error) {
 	answer := make(chan core.AnswerReport, 1)
 	n.mu.Lock()
 	n.lastReport++
-	e.Report = n.lastReport
-	n.reports[e.Report] = answer
-	n.step(e)
+	id := n.lastReport
+	n.reports[id] = answer
+	n.step(event(id))
 	n.mu.Unlock()
 	defer func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		delete(n.reports, e.Report)
+		delete(n.reports, id)
 	}()
 	select {
 	case a := <-answer:
