Answer at the latest 0.3 s after a call's deadline where its node is frozen

What callers saw: while the node beside a backend server was frozen, 502 for requests that can't be repeated came 0.6 s after the time-out of their route.

Cause: an attempt ends 0.1 s after the deadline, then the node was asked for up to 0.5 s what became of it.

The outcome is asked for until 0.3 s after the deadline, and for 0.1 s at least. Before the deadline nothing changes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/retry"
@@ -16,7 +17,8 @@
 
 // attempt sends one attempt and relays its response, or reports how it failed.
 func (c *call) attempt(f core.Forward) {
-	ctx, cancel := context.WithTimeout(c.r.Context(), f.Budget+hopGrace)
+	deadline := time.Now().Add(f.Budget)
+	ctx, cancel := context.WithDeadline(c.r.Context(), deadline.Add(hopGrace))
 	defer cancel()
 	c.body.limitUpload(f.Budget + hopGrace)
 	responded := context.AfterFunc(c.proxy.ending, cancel)
@@ -35,7 +37,7 @@
 		c.bodyFailed(err)
 		return
 	}
-	failed := c.cancelUnknown(f, asAttemptError(err))
+	failed := c.cancelUnknown(f, asAttemptError(err), deadline)
 	c.proxy.core.Step(core.AttemptEnded{
 		ReachedBackend: failed.arrived,
 		Call:           f.Call, Attempt: f.Attempt, Outcome: failed.outcome, Failed: !failed.healthy, Queue: c.queueAt(f, failed.header), Said: saidIn(failed.header),
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -44,6 +44,10 @@
 	hopGrace = 100 * time.Millisecond
 	// queryTimeout limits one query to another node about an attempt.
 	queryTimeout = 500 * time.Millisecond
+	// lastQueryGrace is the time after a call's deadline until which the outcome of its last
+	// attempt is asked for, and leastQueryTimeout the least time for that.
+	lastQueryGrace    = 300 * time.Millisecond
+	leastQueryTimeout = 100 * time.Millisecond
 	// keptBodyBytes limits the part of a request body that is kept so that it
 	// can be sent again.
 	keptBodyBytes = 64 << 10
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -18,15 +18,17 @@
 
 // cancelUnknown asks the receiving node to cancel an attempt of unknown
 // outcome. If the node confirms that the attempt did not run and never will,
-// the outcome becomes NotRun.
-func (c *call) cancelUnknown(f core.Forward, failed *attemptError) *attemptError {
+// the outcome becomes NotRun. The answer is awaited for lastQueryGrace after the
+// call's deadline, and in any case for leastQueryTimeout.
+func (c *call) cancelUnknown(f core.Forward, failed *attemptError, deadline time.Time) *attemptError {
 	if c.proxy.injected.resendsUnknown {
 		return &attemptError{outcome: retry.NotRun, err: failed.err}
 	}
 	if failed.outcome != retry.Unknown || failed.reported || f.Local || c.proxy.injected.neverQueries {
 		return failed
 	}
-	outcome, err := c.proxy.queryAttempt(headerCancel, f)
+	limit := max(time.Until(deadline.Add(lastQueryGrace)), leastQueryTimeout)
+	outcome, err := c.proxy.queryAttempt(headerCancel, f, min(limit, queryTimeout))
 	if err != nil || outcome != retry.NotRun.String() {
 		return failed
 	}
@@ -39,14 +41,14 @@
 	if f.Local {
 		return
 	}
-	go func() { _, _ = c.proxy.queryAttempt(headerCancel, f) }()
+	go func() { _, _ = c.proxy.queryAttempt(headerCancel, f, queryTimeout) }()
 }
 
 // queryAttempt asks the node at an attempt's hop for the outcome of the
 // attempt. With headerCancel the node cancels the attempt unless it is running
 // already; with headerQuery only if it never arrived.
-func (p *Proxy) queryAttempt(header string, f core.Forward) (string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+func (p *Proxy) queryAttempt(header string, f core.Forward, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	req := (&http.Request{
 		Method: http.MethodDelete, URL: &url.URL{Scheme: "http", Host: f.Hop, Path: "/"},
@@ -130,7 +132,7 @@
 // check queries the receiving node once and schedules the next check unless the
 // outcome is decided.
 func (s *silenceWatch) check() {
-	outcome, err := s.proxy.queryAttempt(headerQuery, s.forward)
+	outcome, err := s.proxy.queryAttempt(headerQuery, s.forward, queryTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
