Ignore a record of a leaving whose times are far ahead

TestOddLeavingRecord: three of the five new forms failed before (started too late, said too late, drained too late); a number too large and deep nesting did not.

--- a/core/leaving.go
+++ b/core/leaving.go
@@ -238,7 +238,7 @@
 	l.stored, l.version = LeavingRecord{}, 0
 	if done.Err == StoreOK && len(done.Objects) == 1 && !s.requestFaults.forgetNotices {
 		l.version = done.Objects[0].Version
-		l.stored = parseLeaving(done.Objects[0].Data)
+		l.stored = s.parseLeaving(done.Objects[0].Data)
 	}
 	s.compareWanted()
 	if b := &s.backend; l.stored.covers(b.heartbeat.Backend, b.heartbeat.StartMillis) {
@@ -262,11 +262,16 @@
 	}
 }
 
+// maxAhead bounds the times of a record. One beyond it was left by another program, and would keep
+// later instances out of service.
+const maxAhead = time.Hour
+
 // parseLeaving returns the record, the zero value if it can't be read: another program may have
 // left it. It is replaced at its version.
-func parseLeaving(data []byte) LeavingRecord {
+func (s *State) parseLeaving(data []byte) LeavingRecord {
 	var rec LeavingRecord
-	if json.Unmarshal(data, &rec) != nil {
+	latest := s.now.Add(maxAhead).UnixMilli()
+	if json.Unmarshal(data, &rec) != nil || rec.StartMillis > latest || rec.AtMillis > latest {
 		return LeavingRecord{}
 	}
 	return rec
--- a/core/leaving_sweep.go
+++ b/core/leaving_sweep.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for _, o := range done.Objects {
-		r := parseLeaving(o.Data)
+		r := s.parseLeaving(o.Data)
 		age := time.Duration(s.now.UnixMilli()-r.AtMillis) * time.Millisecond
 		if !r.Operator && age >= leavingKeep && len(w.expired) < leavingSweepBatch {
 			w.expired = append(w.expired, expiredLeaving{key: o.Key, version: o.Version})
--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -377,7 +377,11 @@
 
 // TestOddLeavingRecord starts a process whose record another program has overwritten.
 func TestOddLeavingRecord(t *testing.T) {
-	for name, data := range map[string]string{"no JSON": "][", "other types": `{"backend":7}`, "empty": `{}`, "null": `null`} {
+	for name, data := range map[string]string{"no JSON": "][", "other types": `{"backend":7}`, "empty": `{}`, "null": `null`,
+		"started too late": `{"backend":"a","started":9000000000000000000,"at":1800000000000}`, "said too late": `{"backend":"a","at":9000000000000000000}`,
+		"drained too late": `{"operator":true,"at":9000000000000000000}`, "number too large": `{"backend":"a","started":1e400}`,
+		"deeply nested": `{"backend":"a","at":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`,
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h := newAnnouncedNode(t)
