Keep a leaving again that a restored platform has lost

What callers saw: orders at a backend server that had been acknowledged as leaving, or that an operator had drained, if the platform was restored from a copy of before and the node's process ended afterwards. Seen in tests alone.

Cause: the record of the leaving is written once. Most nodes make no call to the platform after their start, so they don't notice a restore.

The node that notices one steps an event with the era; the highest era goes on in heartbeats, also to those that start later. A node with a record reads it and writes it again if the copy lacks it or has an older one. Until then no report is answered as kept.

--- a/core/event.go
+++ b/core/event.go
@@ -71,6 +71,10 @@
 	Version  uint64
 }
 
+// PlatformRestored reports that the platform was restored from a copy, which begins an era. It has
+// lost what was written since the copy was made.
+type PlatformRestored struct{ Era uint64 }
+
 // LinkUp reports that a link is open.
 type LinkUp struct {
 	Link    LinkID
@@ -219,6 +223,7 @@
 }
 
 func (Tick) isEvent()                  {}
+func (PlatformRestored) isEvent()      {}
 func (StoreDone) isEvent()             {}
 func (LinkUp) isEvent()                {}
 func (LinkDown) isEvent()              {}
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -9,7 +9,7 @@
 func (s *State) heartbeat() message.Heartbeat {
 	return message.Heartbeat{
 		Path: s.path(), Rooted: s.rooted(), Config: s.configVersion(), Newest: s.member.newestVersion,
-		Table: s.table.Digest(), Census: s.member.census, Source: s.sourceAge(),
+		Table: s.table.Digest(), Census: s.member.census, Source: s.sourceAge(), Restored: s.platform.restored,
 	}
 }
 
@@ -44,7 +44,7 @@
 
 func sameHeartbeat(a, b message.Heartbeat) bool {
 	return a.Rooted == b.Rooted && a.Config == b.Config && a.Newest == b.Newest && a.Table == b.Table &&
-		a.Census == b.Census && slices.Equal(a.Path, b.Path)
+		a.Census == b.Census && a.Restored == b.Restored && slices.Equal(a.Path, b.Path)
 }
 
 func (s *State) heartbeatReceived(id LinkID, l *link, m message.Heartbeat) {
@@ -56,6 +56,7 @@
 	}
 	l.peerVersion = max(l.peerVersion, l.receivedState.Config)
 	s.sourceAgeReceived(m.Source, l.receivedState.Config)
+	s.platformRestored(l.receivedState.Restored)
 	switch {
 	case id == s.member.parent:
 		s.parentHeartbeat(id, l)
--- a/core/leaving.go
+++ b/core/leaving.go
@@ -75,6 +75,7 @@
 	callPending bool
 	askedAt     time.Time // when the first call was made
 	reread      bool      // a write failed or met another record: read before the next
+	restored    bool      // the platform was restored from a copy: it may lack the record
 	failed      bool      // the last call failed
 	retryAt     time.Time
 	backoff     backoff
@@ -91,7 +92,7 @@
 func (l *leaving) known() bool { return l.read || l.vouched }
 
 // kept reports whether all that has to be stored is.
-func (l *leaving) kept() bool { return l.read && l.wanted == (LeavingRecord{}) }
+func (l *leaving) kept() bool { return l.read && !l.restored && l.wanted == (LeavingRecord{}) }
 
 // probeMayServe reports whether a probe may put the backend server into service, as far as it is
 // known whether an operator took it out. A platform that is away delays that for keepWait.
@@ -235,6 +236,10 @@
 	}
 	l.read, l.reread, l.failed = true, false, false
 	l.backoff.reset()
+	if l.restored && l.wanted == (LeavingRecord{}) {
+		l.wanted = l.stored // written again if it is lost
+	}
+	l.restored = false
 	l.stored, l.version = LeavingRecord{}, 0
 	if done.Err == StoreOK && len(done.Objects) == 1 && !s.requestFaults.forgetNotices {
 		l.version = done.Objects[0].Version
@@ -248,6 +253,20 @@
 	s.leavingCall()
 }
 
+// platformRestored has the record written again if the platform has lost it, and tells other nodes:
+// most of them make no call that would show them.
+func (s *State) platformRestored(era uint64) {
+	if era <= s.platform.restored {
+		return
+	}
+	s.platform.restored = era
+	if l := &s.leaving; l.stored != (LeavingRecord{}) || l.wanted != (LeavingRecord{}) || l.callPending {
+		l.restored, l.reread = true, true
+		s.leavingCall()
+	}
+	s.notifyChildren()
+}
+
 // compareWanted drops what need not be written any more beside the record that was read.
 func (s *State) compareWanted() {
 	l := &s.leaving
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -62,6 +62,10 @@
 	Newest uint64   // newest version known to the root
 	Table  uint64   // digest of the sender's endpoint table
 	Census uint64   // number of the root's latest census, which all nodes of its tree answer with Present; zero: none
+
+	// Restored is the highest era of the platform that began, as far as the sender knows, since
+	// any of the nodes has run: it was restored from a copy then. Zero: none.
+	Restored uint64
 }
 
 // Age is an elapsed time. It is sent instead of a timestamp, since the nodes' clocks
--- a/core/state.go
+++ b/core/state.go
@@ -67,6 +67,8 @@
 		s.tick()
 	case StoreDone:
 		s.storeDone(e)
+	case PlatformRestored:
+		s.platformRestored(e.Era)
 	case LinkUp:
 		s.linkUp(e)
 	case LinkDown:
--- a/core/store.go
+++ b/core/store.go
@@ -49,10 +49,11 @@
 // platformState tracks outages of the platform, so that each is logged once
 // and not for every call, and holds the calls that are to be sent later.
 type platformState struct {
-	down    bool
-	backoff backoff // for reads that are retried
-	retries []delayedList
-	limit   callLimit
+	down     bool
+	restored uint64  // highest era that began with a restore from a copy, as far as known; zero: none
+	backoff  backoff // for reads that are retried
+	retries  []delayedList
+	limit    callLimit
 }
 
 // delayedList is a list call that is sent after a delay.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -118,7 +118,7 @@
 func encodeHeartbeat(m message.Heartbeat) *pb.Heartbeat {
 	return &pb.Heartbeat{
 		SourceAgeMillis: encodeAge(m.Source),
-		Same:            m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census,
+		Same:            m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census, Restored: m.Restored,
 	}
 }
 
@@ -148,7 +148,7 @@
 	return message.Heartbeat{
 		Source: decodeAge(m.SourceAgeMillis),
 		Same:   m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
-		Table: m.GetTable(), Census: m.GetCensus(),
+		Table: m.GetTable(), Census: m.GetCensus(), Restored: m.GetRestored(),
 	}
 }
 
--- a/peer/frame_fuzz_test.go
+++ b/peer/frame_fuzz_test.go
@@ -25,7 +25,7 @@
 		{Body: &pb.Frame_Welcome{Welcome: &pb.Welcome{Node: "x", DataCentre: "dc"}}},
 		{Body: &pb.Frame_Welcome{Welcome: &pb.Welcome{Heartbeat: &pb.Heartbeat{Config: most, Newest: most, Census: most}}}},
 		{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{}}},
-		{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{Path: []string{"n", "n"}, Config: most, SourceAgeMillis: proto.Uint32(1<<32 - 1)}}},
+		{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{Path: []string{"n", "n"}, Config: most, SourceAgeMillis: proto.Uint32(1<<32 - 1), Restored: most}}},
 		{Body: &pb.Frame_Redirect{Redirect: &pb.Redirect{Peer: "::::"}}},
 		{Body: &pb.Frame_ComeBack{ComeBack: &pb.ComeBack{AfterMillis: most, Config: most}}},
 		{Body: &pb.Frame_ConfigDelta{ConfigDelta: &pb.ConfigDelta{From: most, To: 1, Puts: []*pb.Object{{Kind: "Route", Spec: []byte(`{`)}}, Deletes: []*pb.Key{{}}}}},
