--- a/core/leaving_test.go
+++ b/core/leaving_test.go
@@ -79,19 +79,27 @@
 // report delivers a report that the sender waits for, for up to a second, and returns whether
 // it was acknowledged.
 func (h *announcedNode) report(e core.BackendReported) bool {
+	h.t.Helper()
+	return h.verdict(func(id core.ReportID) core.Event {
+		e.Report = id
+		return e
+	}) == core.ReportApplied
+}
+
+// verdict steps an event with a ReportID and returns its answer, which comes within a second.
+func (h *announcedNode) verdict(event func(core.ReportID) core.Event) core.ReportVerdict {
 	h.t.Helper()
 	h.attempts++
-	e.Report = core.ReportID(h.attempts)
-	effects := h.step(e)
+	effects := h.step(event(core.ReportID(h.attempts)))
 	for range 20 {
 		if a, ok := firstEffect[core.AnswerReport](effects); ok {
-			return a.Verdict == core.ReportApplied
+			return a.Verdict
 		}
 		h.now = h.now.Add(50 * time.Millisecond)
 		effects = h.step(core.Tick{})
 	}
-	h.t.Fatal("a report got no answer within a second")
-	return false
+	h.t.Fatal("no answer within a second")
+	return 0
 }
 
 // runs returns the backend server that a request runs at now, empty for none.
--- a/core/operator_drain_test.go
+++ b/core/operator_drain_test.go
@@ -35,22 +35,6 @@
 	return h.runs() != ""
 }
 
-// verdict steps an event with a ReportID and returns its answer, which comes within a second.
-func (h *announcedNode) verdict(event func(core.ReportID) core.Event) core.ReportVerdict {
-	h.t.Helper()
-	h.attempts++
-	effects := h.step(event(core.ReportID(h.attempts)))
-	for range 20 {
-		if a, ok := firstEffect[core.AnswerReport](effects); ok {
-			return a.Verdict
-		}
-		h.now = h.now.Add(50 * time.Millisecond)
-		effects = h.step(core.Tick{})
-	}
-	h.t.Fatal("no answer within a second")
-	return 0
-}
-
 func (h *announcedNode) drain() core.ReportVerdict {
 	h.t.Helper()
 	return h.verdict(func(id core.ReportID) core.Event { return core.BackendDraining{Report: id} })
