Show that the checks of kept leavings and drains can fail

No fault behind a test hook turned the checks of restarts red in the reducer, for a drain by an operator in particular. TestForgottenDrainIsNoticed injects the one of ignoring what is kept: served in all three forms with it, in none without.

--- a/core/backend_heartbeat_test.go
+++ b/core/backend_heartbeat_test.go
@@ -21,8 +21,9 @@
 	attempts   uint64
 	starts     int64 // processes so far
 	firstStart bool
-	probed     bool // the backend server sends no heartbeats, and is probed
-	probes     int  // of the backend server
+	probed     bool              // the backend server sends no heartbeats, and is probed
+	fault      core.RequestFault // of the processes that are started
+	probes     int               // of the backend server
 
 	probesAnswered int // those that were asked for before
 	records        *leavingStore
@@ -43,6 +44,7 @@
 		Node: "n", DataCentre: "dc", Peer: "n", Hop: "n", Service: "orders", Announced: !h.probed, FirstStart: h.firstStart, Source: true, SilentAfter: 6 * time.Second,
 		Incarnation: endpoint.Incarnation{Start: h.starts, Random: uint32(100 + h.starts)}, Seed: 1,
 	})
+	h.state.InjectRequestFault(h.fault)
 	h.step(core.Tick{})
 }
 
--- a/core/operator_drain_test.go
+++ b/core/operator_drain_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// TestForgottenDrainIsNoticed shows that the checks of restarts can fail: a process that ignores what
+// is kept serves a backend server that was drained, whoever said so.
+func TestForgottenDrainIsNoticed(t *testing.T) {
+	for _, fault := range []core.RequestFault{"", core.ForgetNotices} {
+		for _, probed := range []bool{false, true} {
+			is := is.New(t)
+			h := newOperatedNode(t, probed)
+			is.True(h.alive())
+			is.Equal(h.drain(), core.ReportApplied)
+			h.fault = fault
+			h.restart()
+			is.Equal(h.alive(), fault != "")
+		}
+		is := is.New(t)
+		h := newOperatedNode(t, false)
+		is.True(h.report(heartbeat("a", 10, 9, endpoint.Draining)))
+		h.fault = fault
+		h.restart()
+		is.True(h.report(heartbeat("a", 10, 8, endpoint.Ready)))
+		is.Equal(h.runs() != "", fault != "")
+	}
+}
+
 // TestOperatorTakesBackOwnLeaving guards against requests for a backend server that has said
 // itself that it leaves, since an operator puts it back into service: in this process or a later one.
 func TestOperatorTakesBackOwnLeaving(t *testing.T) {
