--- a/core/admit.go
+++ b/core/admit.go
@@ -29,7 +29,7 @@
 	serveWhileDraining  bool // a draining backend server accepts new attempts
 	skipDrainWait       bool // a drain does not wait for requests in flight
 	ignoreExit          bool // a stopping node accepts calls without regard to the time left
-	forgetNotices       bool // a node ignores what others know of its backend server
+	forgetNotices       bool // a node ignores what others, and the platform, know of its backend server
 	retryNonIdempotent  bool // non-idempotent calls are retried after an unknown outcome
 }
 
--- a/core/announce.go
+++ b/core/announce.go
@@ -89,6 +89,10 @@
 func (s *State) backendProbed(e BackendProbed) {
 	b := &s.backend
 	b.probing = false
+	if s.cfg.Announced {
+		s.backendVouched(e)
+		return
+	}
 	e.Refused = e.Refused && !s.cfg.treeFaults.noWatchdog
 	if b.draining {
 		s.probedWhileDraining(e)
--- a/core/backend_heartbeat.go
+++ b/core/backend_heartbeat.go
@@ -4,12 +4,12 @@
 	"github.com/agatekeel/agatekeel/core/endpoint"
 )
 
-// backendHeartbeat applies a heartbeat of this node's backend server. Heartbeats
+// backendHeartbeat applies a report of this node's backend server. Reports
 // may arrive out of order: of two instances the one started later counts, and
 // within one instance the higher sequence.
 func (s *State) backendHeartbeat(e BackendReported) {
 	b := &s.backend
-	if !s.cfg.Announced || e.Service != "" && e.Service != s.cfg.Service || b.outdated(e) {
+	if b.outdated(e) {
 		return
 	}
 	newInstance := !b.sameInstance(e)
--- a/core/backendnotice.go
+++ b/core/backendnotice.go
@@ -88,6 +88,7 @@
 	}
 	if n.Leaving {
 		s.beginDrain()
+		s.keepLeaving()
 	}
 }
 
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 func Compile(set *Set) (*Snapshot, []Fault) {
 	c := &compiler{set: set, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
 		Version: set.Version, routes: map[string][]*Route{}, hosts: map[string]int{},
-		policies: map[string]*Policy{}, services: map[string]*Policy{},
+		policies: map[string]*Policy{}, services: map[string]*Policy{}, healthPaths: map[string]string{},
 	}}
 	c.checkSize()
 	keys := sortedKeys(set.Objects)
@@ -107,7 +108,14 @@
 	if k.Kind != KindService || !decode(c, k, &spec) {
 		return
 	}
+	if spec.HealthPath != "" && !strings.HasPrefix(spec.HealthPath, "/") {
+		c.addFault(k, "spec.healthPath", "%q does not begin with a slash", spec.HealthPath)
+		return
+	}
 	c.snapshot.services[k.Name] = c.resolve(k, spec.Policy)
+	if spec.HealthPath != "" {
+		c.snapshot.healthPaths[k.Name] = spec.HealthPath
+	}
 }
 
 // limits compiles the object of kind Limits, of which there may be only one.
--- a/core/config/compile_delta.go
+++ b/core/config/compile_delta.go
@@ -20,7 +20,7 @@
 		return Compile(next)
 	}
 	c := &compiler{set: next, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
-		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services, limits: prev.limits,
+		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services, healthPaths: prev.healthPaths, limits: prev.limits,
 	}}
 	c.checkSize()
 	c.checkNames(d.keys())
@@ -120,9 +120,10 @@
 	if len(changed) == 0 {
 		return
 	}
-	c.snapshot.services = maps.Clone(c.snapshot.services)
+	c.snapshot.services, c.snapshot.healthPaths = maps.Clone(c.snapshot.services), maps.Clone(c.snapshot.healthPaths)
 	for name := range changed {
 		delete(c.snapshot.services, name)
+		delete(c.snapshot.healthPaths, name)
 		if k := (Key{KindService, name}); c.exists(k) {
 			c.service(k)
 		}
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -126,7 +126,8 @@
 // ServiceSpec declares a service, a group of backend servers that register
 // themselves.
 type ServiceSpec struct {
-	Policy string `json:"policy,omitempty"`
+	Policy     string `json:"policy,omitempty"`
+	HealthPath string `json:"healthPath,omitempty"` // of the health endpoint of its backend servers; empty: that of their nodes' settings
 }
 
 // PolicySpec defines how the requests of a route are handled. An omitted field is
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -13,8 +13,14 @@
 	policies map[string]*Policy
 	services map[string]*Policy
 	limits   LimitsSpec
+
+	healthPaths map[string]string // by service; only those that are given
 }
 
+// HealthPath returns the path of the health endpoint of a service's backend servers, empty if
+// the service names none.
+func (s *Snapshot) HealthPath(service string) string { return s.healthPaths[service] }
+
 // Limits returns the limits on callers' requests.
 func (s *Snapshot) Limits() LimitsSpec { return s.limits }
 
--- a/core/effect.go
+++ b/core/effect.go
@@ -70,8 +70,26 @@
 	Reason string
 }
 
-// ProbeBackend requests a health probe of the local backend server.
-type ProbeBackend struct{}
+// ProbeBackend requests a health probe of the local backend server. Path is that of its health
+// endpoint, empty for the one of the settings.
+type ProbeBackend struct{ Path string }
+
+// AnswerReport answers a BackendReported. Reason is empty for ReportApplied.
+type AnswerReport struct {
+	Report  ReportID
+	Verdict ReportVerdict
+	Reason  string
+}
+
+// ReportVerdict is what became of a BackendReported.
+type ReportVerdict uint8
+
+// The verdicts on reports.
+const (
+	ReportApplied ReportVerdict = iota // for good: if the backend server leaves, also the next process knows it
+	ReportRefused                      // it is not one of this node's backend server
+	ReportNotKept                      // applied by this process, but a next one might not know it
+)
 
 // Forward sends an attempt of a call to a backend server's node. The data
 // path writes it to one connection, once. Incarnation is sent with it and
@@ -161,6 +179,7 @@
 func (Send) isEffect()          {}
 func (CloseLink) isEffect()     {}
 func (ProbeBackend) isEffect()  {}
+func (AnswerReport) isEffect()  {}
 func (Forward) isEffect()       {}
 func (ReleaseAnswer) isEffect() {}
 func (Finish) isEffect()        {}
--- a/core/event.go
+++ b/core/event.go
@@ -25,6 +25,9 @@
 // CallID identifies a caller's request within one process.
 type CallID uint64
 
+// ReportID identifies a BackendReported within one process.
+type ReportID uint64
+
 // AttemptID identifies one attempt of a call across all nodes.
 type AttemptID = admission.ID
 
@@ -93,11 +96,14 @@
 type BackendProbed struct {
 	OK      bool
 	Refused bool
+	Backend string // ID that the backend server gave; empty: none
+	Leaving bool   // it said that it takes no new requests
 }
 
 // BackendReported is a status report that the local backend server sent.
 type BackendReported struct {
-	Backend       string // ID of the backend server; it usually changes with a restart
+	Report        ReportID // AnswerReport follows, immediately or later; zero: nobody waits for it
+	Backend       string   // ID of the backend server; it usually changes with a restart
 	Service       string
 	StartMillis   int64          // start time in Unix milliseconds; zero if not reported
 	Sequence      uint64         // increases with each report of one process; zero if not reported
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -13,5 +13,6 @@
 	Leases         = "lease/"           // prefix of all leases
 	RootLeases     = "lease/root/"      // by data centre
 	PublisherLease = "lease/publisher"
-	Claims         = "claim/" // by hash of an Idempotency-Key
+	Claims         = "claim/"   // by hash of an Idempotency-Key
+	Leavings       = "leaving/" // by data centre and node
 )
--- a/core/limit.go
+++ b/core/limit.go
@@ -43,6 +43,8 @@
 	switch c.purpose {
 	case forRootLeaseWrite, forPublisherLease:
 		return classLease
+	case forLeavingSweep, forLeavingDelete:
+		return classGarbage
 	case forPublisher:
 		if c.step == stepListGarbage || c.step == stepDeleteGarbage {
 			return classGarbage
@@ -60,6 +62,8 @@
 		return false
 	case forSourceRead, forSourceWatch:
 		return false // one at a time; a watch is answered by a change or when its wait ends, and failed reads back off
+	case forLeavingRead, forLeavingWrite:
+		return false // one at a time, few in the life of a backend server; failed ones back off
 	}
 	return true
 }
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -37,6 +37,9 @@
 	EndpointSuspected   Code = 5002
 	HeartbeatRefused    Code = 5003
 	BackendNoticed      Code = 5004
+	LeavingKept         Code = 5005
+	LeftBackendReported Code = 5006
+	BackendVouched      Code = 5007
 	RequestsRefused     Code = 6001
 	ListenerFault       Code = 6002
 	UplinkUsed          Code = 6003
@@ -82,6 +85,9 @@
 	EndpointSuspected:   "endpoint suspected",
 	HeartbeatRefused:    "heartbeat refused",
 	BackendNoticed:      "notice of the backend server changed",
+	LeavingKept:         "leaving of the backend server kept",
+	LeftBackendReported: "late heartbeat of a backend server that has left",
+	BackendVouched:      "backend server in service on its own word",
 	RequestsRefused:     "requests refused",
 	ListenerFault:       "listener fault",
 	UplinkUsed:          "network link used",
--- a/core/root.go
+++ b/core/root.go
@@ -37,7 +37,8 @@
 	absent          []string        // nodes that had not answered at absentAt
 	absentAt        time.Time       // when absent was last updated
 	sweptAt         time.Time       // when suspects were last checked for removal
-	removedAbsent   bool            // the deliberate fault testFaults.noGrace has taken effect
+	leavings        leavingSweep
+	removedAbsent   bool // the deliberate fault testFaults.noGrace has taken effect
 }
 
 func newRoot(cfg Config) root {
@@ -94,6 +95,7 @@
 		return
 	}
 	s.writeRootLeaseIfDue()
+	s.sweepLeavings()
 	if !s.root.listPending && !s.now.Before(s.root.nextList) {
 		s.root.listPending, s.root.listSentAt = true, s.now
 		s.storeList(keyspace.Leases, storeCall{purpose: forLeaseList})
--- a/core/state.go
+++ b/core/state.go
@@ -32,6 +32,7 @@
 	source        source
 	table         *endpoint.Table
 	backend       backend
+	leaving       leaving
 	platform      platformState
 	requests      requests
 	requestFaults requestFaults
@@ -77,7 +78,7 @@
 	case BackendProbed:
 		s.backendProbed(e)
 	case BackendReported:
-		s.backendHeartbeat(e)
+		s.backendReported(e)
 	case BackendDraining:
 		s.beginDrain()
 	case BackendDrainCancelled:
@@ -120,6 +121,7 @@
 	s.rootTick()
 	s.suspectTick()
 	s.publisherTick()
+	s.leavingTick()
 	s.backendTick()
 	s.reportTick()
 	s.batchTick()
--- a/core/store.go
+++ b/core/store.go
@@ -28,6 +28,10 @@
 	forClaimRead
 	forClaimEnd
 	forClaimSweep
+	forLeavingRead
+	forLeavingWrite
+	forLeavingSweep
+	forLeavingDelete
 )
 
 // storeCall is the context kept for a platform call until its result
@@ -37,8 +41,9 @@
 	name    string // name of the object, if the purpose has several
 	version uint64 // configuration version that a chunk is read for
 	step    publishStep
-	request CallID // call that a claim belongs to
-	round   uint64 // round of the publisher; results of an older round are dropped
+	request CallID        // call that a claim belongs to
+	leaving LeavingRecord // that is written
+	round   uint64        // round of the publisher; results of an older round are dropped
 }
 
 // platformState tracks outages of the platform, so that each is logged once
@@ -148,6 +153,12 @@
 		s.claimRead(c.request, done)
 	case forClaimSweep:
 		s.claimsListed(done)
+	case forLeavingRead:
+		s.leavingRead(done)
+	case forLeavingWrite:
+		s.leavingWritten(c, done)
+	case forLeavingSweep:
+		s.leavingsListed(done)
 	case forPublisher:
 		if c.round == s.publisher.round {
 			s.publisherStep(c, done)
--- a/node/module.go
+++ b/node/module.go
@@ -131,26 +131,31 @@
 
 type httpProber struct {
 	client *http.Client
-	url    string
+	base   string // URL without a path
+	path   string // unless a probe names another one
+	names  proxy.Names
 }
 
-func newProber(s settings.Settings) Prober {
-	path := cmp.Or(s.Backend.HealthPath, "/healthz")
-	return &httpProber{client: &http.Client{Timeout: probeTimeout}, url: "http://" + s.Backend.Address + path}
+func newProber(s settings.Settings, names proxy.Names) Prober {
+	return &httpProber{
+		client: &http.Client{Timeout: probeTimeout}, base: "http://" + s.Backend.Address,
+		path: cmp.Or(s.Backend.HealthPath, "/healthz"), names: names,
+	}
 }
 
 // Probe implements Prober.
-func (p *httpProber) Probe(ctx context.Context) (ok, refused bool) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
+func (p *httpProber) Probe(ctx context.Context, path string) core.BackendProbed {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+cmp.Or(path, p.path), nil)
 	if err != nil {
-		return false, false
+		return core.BackendProbed{}
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return false, errors.Is(err, syscall.ECONNREFUSED)
+		return core.BackendProbed{Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK, false
+	backend, leaving := p.names.HealthOf(resp.Header)
+	return core.BackendProbed{OK: resp.StatusCode == http.StatusOK, Backend: backend, Leaving: leaving}
 }
 
 type runParams struct {
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,11 +42,13 @@
 
 // Prober checks the health of the node's backend server.
 type Prober interface {
-	// Probe reports whether the backend server is healthy and, if not, whether it
-	// refused the connection.
-	Probe(ctx context.Context) (ok, refused bool)
+	// Probe asks the health endpoint at a path, or for an empty one that of the settings.
+	Probe(ctx context.Context, path string) core.BackendProbed
 }
 
+// errEnding is the error of what a node that has been stopped can no longer answer.
+var errEnding = fmt.Errorf("the node's process ends")
+
 // Node runs one core.State.
 type Node struct {
 	clock  Clock
@@ -67,6 +70,8 @@
 	lastAccepted core.LinkID // odd; core gives even IDs to the links that it dials
 	calls        map[core.CallID]chan core.Effect
 	attempts     map[core.AttemptID]chan core.Effect
+	reports      map[core.ReportID]chan core.AnswerReport
+	lastReport   core.ReportID
 	observer     *observer
 	onLimits     func(config.LimitsSpec)
 }
@@ -79,6 +84,7 @@
 		drained: make(chan struct{}), draining: make(chan struct{}), state: core.New(cfg),
 		openLinks: map[core.LinkID]*peer.Link{}, lastAccepted: 1,
 		calls: map[core.CallID]chan core.Effect{}, attempts: map[core.AttemptID]chan core.Effect{},
+		reports:  map[core.ReportID]chan core.AnswerReport{},
 		observer: newObserver(metrics.NewRegistry(), log, clock), onLimits: func(config.LimitsSpec) {},
 	}
 }
@@ -154,6 +160,32 @@
 	return effects
 }
 
+// Report passes a report of the backend server to the reducer and waits for its answer, which
+// comes within a second. It returns ctx's error if that ends first, and an error if the
+// node does.
+func (n *Node) Report(ctx context.Context, e core.BackendReported) (core.AnswerReport, error) {
+	answer := make(chan core.AnswerReport, 1)
+	n.mu.Lock()
+	n.lastReport++
+	e.Report = n.lastReport
+	n.reports[e.Report] = answer
+	n.step(e)
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.reports, e.Report)
+	}()
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		return core.AnswerReport{}, ctx.Err()
+	case <-n.ctx.Done():
+		return core.AnswerReport{}, errEnding
+	}
+}
+
 // Dump returns the state for display.
 func (n *Node) Dump() core.Dump {
 	n.mu.Lock()
@@ -206,7 +238,12 @@
 	case core.Dial:
 		n.run(func() { n.dial(e) })
 	case core.ProbeBackend:
-		n.run(n.probe)
+		n.run(func() { n.Step(n.prober.Probe(n.ctx, e.Path)) })
+	case core.AnswerReport:
+		if ch, ok := n.reports[e.Report]; ok {
+			delete(n.reports, e.Report)
+			ch <- e
+		}
 	case core.Log:
 		n.log.Write(e.Code, e.Attrs...)
 	case core.LimitCallers:
@@ -228,8 +265,3 @@
 		f()
 	}()
 }
-
-func (n *Node) probe() {
-	ok, refused := n.prober.Probe(n.ctx)
-	n.Step(core.BackendProbed{OK: ok, Refused: refused})
-}
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -36,6 +36,19 @@
 	RateLimit string
 	// Leaving marks the responses of a backend server that takes no new requests.
 	Leaving string
+	// Instance is the ID of a backend server in the responses of its health endpoint.
+	Instance string
+}
+
+// HealthOf returns what the header of a health endpoint's response says: the ID of the backend
+// server, and whether it takes no new requests.
+func (n Names) HealthOf(h http.Header) (backend string, leaving bool) {
+	return h.Get(n.Instance), n.saysLeaving(h)
+}
+
+func (n Names) saysLeaving(h http.Header) bool {
+	leaving := get(h, n.Leaving)
+	return leaving != "" && leaving != "0"
 }
 
 // DefaultNames are the names used unless the settings give others.
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -45,8 +45,7 @@
 // readNotice reads what the header of a response says of the backend server. A part
 // that can't be read stays as it is in e.
 func (n Names) readNotice(h http.Header, e *core.BackendAnswered) {
-	leaving := get(h, n.Leaving)
-	e.Leaving = leaving != "" && leaving != "0"
+	e.Leaving = n.saysLeaving(h)
 	text := get(h, n.RateLimit)
 	if text == "" {
 		e.Limited, e.RateLimit = false, 0
