Check callers' keys against client accounts

Cause: a configuration with client accounts was refused whole, since its type was not known, so no request of such a deployment was served.

Sets hold digests of keys; the entry node takes the key off the request, and the backend server gets the account's name. The account's rank goes before the policy.

Quotas are not enforced yet.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -83,13 +83,14 @@
 	c.attempt = AttemptID{Origin: s.requests.origin, Number: s.requests.lastAttempt}
 	s.requests.balancer.Sent(s.now, p)
 	s.log(notice.AttemptSent, Attr{"request", c.request}, Attr{"attempt", c.attempt.String()}, Attr{"route", c.route.Name},
-		Attr{"service", c.service}, Attr{"target", p.Row.ID}, Attr{"dataCentre", p.Row.DataCentre}, Attr{"number", c.attempts},
+		Attr{"service", c.service}, Attr{"target", p.Row.ID}, Attr{"dataCentre", p.Row.DataCentre}, Attr{"number", c.attempts}, Attr{"account", c.accountName()},
 		Attr{"leftMillis", c.deadline.Sub(s.now).Milliseconds()}, Attr{"version", s.configVersion()})
 	s.emit(Forward{
 		Call: id, Attempt: c.attempt, Target: p.Row.ID, Incarnation: p.Row.Incarnation, Hop: p.Row.Hop,
 		Local: p.Row.ID == s.cfg.Node, Class: c.class, Budget: c.deadline.Sub(s.now), SoftBudget: c.softBudget(s.now), Waited: c.waited, Key: c.homeKey(),
 		AnswerBytes: s.group(c.service).AnswerBytes(c.route.Name),
 		Said:        s.requests.notices[p.Row.ID],
+		Account:     c.accountName(),
 		MayRetry:    c.replayable && c.idempotent(s) && c.backendAttempts+1 < c.route.Policy.MaxAttempts,
 	})
 }
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -38,12 +38,12 @@
 func Compile(set *Set) (*Snapshot, []Fault) {
 	c := &compiler{set: set, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
 		Version: set.Version, routes: map[string][]*Route{}, hosts: map[string]int{},
-		policies: map[string]*Policy{}, services: map[string]*Policy{}, healthPaths: map[string]string{},
+		policies: map[string]*Policy{}, services: map[string]*Policy{}, healthPaths: map[string]string{}, accounts: map[string]*Account{}, keys: map[KeyDigest]*Account{},
 	}}
 	c.checkSize()
 	keys := sortedKeys(set.Objects)
 	c.checkNames(keys)
-	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route, c.limits} {
+	for _, step := range []func(Key){c.policySpec, c.policy, c.service, c.route, c.limits, c.account} {
 		for _, k := range keys {
 			step(k)
 		}
--- a/core/config/compile_delta.go
+++ b/core/config/compile_delta.go
@@ -21,6 +21,7 @@
 	}
 	c := &compiler{set: next, specs: map[string]PolicySpec{}, snapshot: &Snapshot{
 		Version: next.Version, routes: maps.Clone(prev.routes), hosts: maps.Clone(prev.hosts), policies: prev.policies, services: prev.services, healthPaths: prev.healthPaths, limits: prev.limits,
+		accounts: prev.accounts, keys: prev.keys,
 	}}
 	c.checkSize()
 	c.checkNames(d.keys())
@@ -31,6 +32,7 @@
 	c.recompileServices(d)
 	c.updateRoutes(d)
 	c.addRoutes(d)
+	c.recompileAccounts(d)
 	if len(c.faults) > 0 {
 		return Compile(next)
 	}
--- a/core/config/object.go
+++ b/core/config/object.go
@@ -21,6 +21,7 @@
 	KindService Kind = "Service"
 	KindPolicy  Kind = "Policy"
 	KindLimits  Kind = "Limits"
+	KindAccount Kind = "ClientAccount"
 )
 
 // Limits on operators' objects and sets.
@@ -67,7 +68,7 @@
 }
 
 func (k Kind) known() bool {
-	return k == KindRoute || k == KindService || k == KindPolicy || k == KindLimits
+	return k == KindRoute || k == KindService || k == KindPolicy || k == KindLimits || k == KindAccount
 }
 
 // Compare orders keys by kind, then by name.
@@ -111,6 +112,7 @@
 	Service    string   `json:"service,omitempty"` // empty if Split is given
 	Split      []Share  `json:"split,omitempty"`
 	Policy     string   `json:"policy,omitempty"` // empty: the policy of the service, or the defaults if Split is given
+	Public     bool     `json:"public,omitempty"` // needs no key, even if there are client accounts
 }
 
 // lookupKey returns the key under which a Snapshot indexes the route.
@@ -152,6 +154,15 @@
 	IdleTimeoutMillis   int `json:"idleTimeoutMillis,omitempty"`   // time that a connection may be without a request
 }
 
+// AccountSpec declares a client account: the callers that hold one of its keys. If a set holds
+// any account, requests need a key, except for those on public routes.
+type AccountSpec struct {
+	Keys          []KeyDigest `json:"keys"`                    // digests of the keys; no two accounts share a key
+	Rank          *int        `json:"rank,omitempty"`          // replaces the priority of the policies, from 0, the most urgent, to MaxRank
+	RatePerSecond float64     `json:"ratePerSecond,omitempty"` // requests per second on all nodes together; zero: no limit
+	Burst         float64     `json:"burst,omitempty"`         // requests beyond RatePerSecond that may come at once
+}
+
 // Priority is a priority class of the queue at a backend server's node.
 type Priority string
 
--- a/core/config/route.go
+++ b/core/config/route.go
@@ -15,6 +15,7 @@
 	Service        string  // empty if Split is given
 	Split          []Share // all weights are positive
 	Policy         *Policy
+	Public         bool // needs no key
 	inheritsPolicy bool // Policy is that of the service
 }
 
@@ -75,6 +76,7 @@
 	c.snapshot.routes[spec.lookupKey()] = append(c.snapshot.routes[spec.lookupKey()], &Route{
 		Name: k.Name, Host: spec.Host, PathPrefix: spec.PathPrefix, Methods: spec.Methods,
 		Service: spec.Service, Split: spec.Split, Policy: policy, inheritsPolicy: spec.Policy == "" && spec.Service != "",
+		Public: spec.Public,
 	})
 	if spec.Host != "" {
 		c.snapshot.hosts[spec.Host]++
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -13,6 +13,8 @@
 	policies map[string]*Policy
 	services map[string]*Policy
 	limits   LimitsSpec
+	accounts map[string]*Account
+	keys     map[KeyDigest]*Account
 
 	healthPaths map[string]string // by service; only those that are given
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -109,6 +109,7 @@
 	AnswerBytes int64         // usual size of the answers to this kind of request; zero: unknown
 	Key         idempotency.Key
 	Said        BackendNotice // what the backend server said in the last answer from there
+	Account     string        // client account of the caller; empty: none
 	MayRetry    bool          // another attempt may follow, as long as no part of an answer was sent to the caller
 }
 
@@ -122,6 +123,8 @@
 	Call       CallID
 	Outcome    retry.Outcome
 	NoRoute    bool // no route matches the request
+	NoAccount  bool // the route needs a key, and the caller has none that an account holds
+	OverQuota  bool // the caller's account has used up its quota
 	Status     int
 	RetryAfter time.Duration // when the caller may retry after NotRun; zero if not given
 	Reason     string
--- a/core/event.go
+++ b/core/event.go
@@ -140,10 +140,11 @@
 	Method     string
 	Host       string
 	Path       string
-	Key        string        // Idempotency-Key; empty if none was given
-	Budget     time.Duration // the caller's time limit, if shorter than the policy's; zero if not given
-	Replayable bool          // the body can be sent again
-	FromMesh   bool          // sent by a backend server of the mesh, not by an external caller
+	Key        string            // Idempotency-Key; empty if none was given
+	Budget     time.Duration     // the caller's time limit, if shorter than the policy's; zero if not given
+	Replayable bool              // the body can be sent again
+	FromMesh   bool              // sent by a backend server of the mesh, not by an external caller
+	Credential *config.KeyDigest // digest of the client account's key that came with the request; nil: none
 }
 
 // AttemptEnded reports at the entry node how an attempt of a call ended.
--- a/core/request.go
+++ b/core/request.go
@@ -35,7 +35,8 @@
 	waited          time.Duration // how long before arrived the caller asked first, as far as its time left tells
 	method          string
 	route           *config.Route
-	service         string // service of the route, or the one chosen from its traffic split
+	account         *config.Account // of the caller; nil: none
+	service         string          // service of the route, or the one chosen from its traffic split
 	class           admission.Class
 	deadline        time.Time
 	callerDeadline  time.Time // when the caller gives up, as far as it told: not before deadline
@@ -63,8 +64,11 @@
 	}
 }
 
-// classOf returns the admission class of a policy.
-func classOf(p *config.Policy) admission.Class {
+// classOf returns the admission class of a request. The rank of its account goes before the policy.
+func classOf(p *config.Policy, a *config.Account) admission.Class {
+	if a != nil && a.Rank != nil {
+		return admission.Class(min(*a.Rank, int(admission.MaxClass)))
+	}
 	if p.Rank != nil {
 		return admission.Class(min(*p.Rank, int(admission.MaxClass)))
 	}
@@ -94,6 +98,11 @@
 		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, NoRoute: true, Reason: string(admission.UnknownRoute)})
 		return
 	}
+	account, ok := s.authenticate(route, e.Credential)
+	if !ok {
+		s.rejectCall(e, Finish{Call: e.Call, Outcome: retry.NotRun, NoAccount: true, Reason: noAccountReason(e.Credential)})
+		return
+	}
 	budget := route.Policy.Timeout
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
@@ -106,7 +115,7 @@
 	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, waited: s.waited(e, route.Name, service), method: e.Method, route: route, service: service, class: classOf(route.Policy),
+		request: e.Request, arrived: s.now, waited: s.waited(e, route.Name, service), method: e.Method, route: route, account: account, service: service, class: classOf(route.Policy, account),
 		deadline: s.now.Add(budget), callerDeadline: s.now.Add(max(budget, e.Budget)), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
 	}
 	s.requests.calls[e.Call] = c
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -116,7 +116,7 @@
 // a response of another node goes on.
 func (c *call) send(ctx context.Context, cancel context.CancelFunc, f core.Forward, relay uplink.Load) (*http.Response, error) {
 	h := hopHeader{
-		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, waited: f.Waited, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said, relay: relay,
+		attempt: f.Attempt, class: f.Class, budget: f.Budget, softBudget: f.SoftBudget, waited: f.Waited, answerBytes: f.AnswerBytes, depth: c.depth + 1, incarnation: f.Incarnation, key: f.Key, said: f.Said, relay: relay, account: f.Account,
 	}
 	if f.Local {
 		h.entry, h.onHost = true, c.onHost
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -75,6 +75,7 @@
 // read validates the caller's request and converts it to an event.
 func (c *call) read() (core.CallArrived, *rejection) {
 	p, r := c.proxy, c.r
+	credential := p.cfg.Names.takeCredential(r.Header)
 	switch {
 	case r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect:
 		return core.CallArrived{}, &rejection{http.StatusNotImplemented, "connections can't be upgraded or tunnelled"}
@@ -100,6 +101,7 @@
 	return core.CallArrived{
 		Call: c.id, Request: get(r.Header, p.cfg.Names.RequestID), Method: r.Method, Host: r.Host, Path: r.URL.Path,
 		Key: r.Header.Get("Idempotency-Key"), Budget: budget, Replayable: true, FromMesh: c.depth > 0,
+		Credential: credential,
 	}, nil
 }
 
@@ -176,8 +178,13 @@
 			return
 		}
 		status := statusOf(e.Outcome)
-		if e.NoRoute {
+		switch {
+		case e.NoRoute:
 			status = http.StatusNotFound
+		case e.NoAccount:
+			status = http.StatusUnauthorized
+		case e.OverQuota:
+			status = http.StatusTooManyRequests
 		}
 		if e.RetryAfter > 0 {
 			c.w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -33,6 +33,10 @@
 	// HeaderDepth is the number of calls in the mesh that led to a request. A
 	// backend server copies it to the calls that it makes.
 	HeaderDepth = "Agatekeel-Depth"
+	// HeaderKey is the key of a caller's client account.
+	HeaderKey = "Agatekeel-Key"
+	// HeaderAccount is the name of the caller's client account, for the backend server.
+	HeaderAccount = "Agatekeel-Account"
 
 	headerPrefix      = "Agatekeel-"
 	headerHop         = "Agatekeel-Hop"               // encoded hopHeader
@@ -40,6 +44,7 @@
 	headerWaited      = "Agatekeel-Waited-Micros"     // see core.Forward.Waited
 	headerAnswerBytes = "Agatekeel-Answer-Bytes"      // core.Forward.AnswerBytes
 	headerRelay       = "Agatekeel-Relay-Link"        // state of the entry node's network link: backlog in bytes, bytes per second
+	headerForAccount  = "Agatekeel-For-Account"       // core.Forward.Account
 	headerSaid        = "Agatekeel-Backend-Says"      // core.BackendNotice: in a request what the entry node knows, in a response what the node knows that sends it
 	headerAttempt     = "Agatekeel-Attempt"           // attempt that a response is about
 	headerArrived     = "Agatekeel-Arrived"           // set if the backend server may have received the attempt
@@ -98,6 +103,7 @@
 	depth       int
 	incarnation endpoint.Incarnation // incarnation of the receiving node; zero: unknown
 	key         idempotency.Key      // zero: none
+	account     string               // see core.Forward.Account; sent in a separate header, which older nodes ignore
 	relay       uplink.Load          // state of the entry node's network link; sent in a separate header, which older nodes ignore
 	said        core.BackendNotice   // see core.Forward.Said; sent in a separate header, which older nodes ignore
 	entry       bool                 // this node is the entry node; not sent
@@ -136,6 +142,9 @@
 	if h.relay.Rate > 0 {
 		to[headerRelay] = []string{formatLoad(h.relay)}
 	}
+	if h.account != "" {
+		to[headerForAccount] = []string{h.account}
+	}
 	setNotice(to, h.said)
 }
 
@@ -164,6 +173,7 @@
 			return h, err
 		}
 	}
+	h.account = get(from, headerForAccount)
 	h.said, err = readSaid(from)
 	return h, err
 }
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -74,6 +74,9 @@
 	if h.entry {
 		set(out.Header, p.cfg.Names.Service, p.cfg.Service)
 	}
+	if h.account != "" {
+		set(out.Header, p.cfg.Names.Account, h.account)
+	}
 	deadline, _ := ctx.Deadline()
 	p.cfg.Names.setBackendHeaders(out.Header, run.Backend, h.depth, time.Until(deadline))
 	p.closeSuspectIdle(r)
--- a/proxy/names.go
+++ b/proxy/names.go
@@ -3,7 +3,10 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/agatekeel/agatekeel/core/config"
 )
 
 // Names are the names of the headers that callers, nodes and backend servers
@@ -36,6 +39,11 @@
 	RateLimit string
 	// Leaving marks the responses of a backend server that takes no new requests.
 	Leaving string
+	// Credential is the key of the caller's client account. It is never passed on.
+	Credential string
+	// Account is the name of the caller's client account, which the backend server receives. What a
+	// caller sends in it is not passed on.
+	Account string
 	// Instance is the ID of a backend server in the responses of its health endpoint.
 	Instance string
 }
@@ -52,7 +60,7 @@
 }
 
 // DefaultNames are the names used unless the settings give others.
-var DefaultNames = Names{Timeout: HeaderTimeout, Depth: HeaderDepth}
+var DefaultNames = Names{Timeout: HeaderTimeout, Depth: HeaderDepth, Credential: HeaderKey, Account: HeaderAccount}
 
 // get returns the value of the header with the given canonical name.
 func get(h http.Header, name string) string {
@@ -62,6 +70,21 @@
 	return ""
 }
 
+// takeCredential removes the headers about the caller's account from a request. It returns the
+// digest of its key, nil if it has none.
+func (n Names) takeCredential(h http.Header) *config.KeyDigest {
+	if n.Account != "" {
+		delete(h, n.Account)
+	}
+	keys := h[n.Credential]
+	if n.Credential == "" || len(keys) == 0 {
+		return nil
+	}
+	delete(h, n.Credential)
+	digest := config.DigestKey(strings.Join(keys, ",")) // several keys are none that an account holds
+	return &digest
+}
+
 func set(h http.Header, name, value string) {
 	if name != "" {
 		h[name] = []string{value}
