Enforce quotas of client accounts over all nodes

Cause: an account could send any number of requests. Requests were ranked by their account alone, so kinds of one account were not told apart.

Change: each node owns an equal share of each limit and lends it up the tree for a time that ends at the borrower first; the top grants tokens on demand. Beyond the limit callers get 429 with Retry-After. A request ranks by its account, then by its route.

A pool that was asked for spare tokens below half gained tokens; the test on two real nodes found it.

Conclusion: the limit holds in histories with kills, pauses, partitions and late or doubled messages; three safeguards taken out turn the check red.

--- a/core/config/account_test.go
+++ b/core/config/account_test.go
@@ -69,3 +69,38 @@
 	is.Equal(len(faults), 1) // two accounts hold one key
 	is.Equal(faults[0].Field, "keys[0]")
 }
+
+// TestRankOfAccountGoesFirst guards against a request of a less urgent account that goes before one
+// of a more urgent account, and against kinds of one account that are not told apart.
+func TestRankOfAccountGoesFirst(t *testing.T) {
+	is := is.New(t)
+	rank := func(n int) *int { return &n }
+	objects := []Object{{Kind: KindService, Name: "s", Spec: []byte(`{}`)}}
+	for _, o := range []struct {
+		kind Kind
+		name string
+		spec any
+	}{
+		{KindPolicy, "p0", PolicySpec{Rank: rank(0)}}, {KindPolicy, "p2", PolicySpec{Rank: rank(2)}},
+		{KindRoute, "r0", RouteSpec{PathPrefix: "/0/", Service: "s", Policy: "p0"}}, {KindRoute, "r2", RouteSpec{PathPrefix: "/2/", Service: "s", Policy: "p2"}},
+		{KindAccount, "a0", AccountSpec{Keys: []KeyDigest{{1}}, Rank: rank(0)}}, {KindAccount, "a1", AccountSpec{Keys: []KeyDigest{{2}}, Rank: rank(1)}},
+	} {
+		object, err := NewObject(o.kind, o.name, o.spec)
+		is.NoErr(err)
+		objects = append(objects, object)
+	}
+	s, faults := Compile(NewSet(1, objects))
+	is.Equal(len(faults), 0)
+	of := func(policy, account string) int { return s.RankOf(s.policies[policy], s.accounts[account]) }
+	is.True(of("p0", "a0") < of("p2", "a0"))
+	is.True(of("p2", "a0") < of("p0", "a1"))
+	is.True(of("p0", "a1") < of("p2", "a1"))
+	is.Equal(of("p0", ""), of("p0", "a0")) // calls of backend servers
+
+	many := append(objects, accountObject(t, "a7", "x"))
+	many[len(many)-1].Spec, many[len(many)-1].decoded = []byte(`{"keys":[],"rank":7}`), nil
+	s, faults = Compile(NewSet(2, many))
+	is.Equal(len(faults), 0)
+	is.True(of("p0", "a0") < of("p0", "a7"))
+	is.True(of("p2", "a7") <= MaxRank)
+}
--- a/core/config/compile.go
+++ b/core/config/compile.go
@@ -52,6 +52,7 @@
 		slices.SortStableFunc(c.faults, func(a, b Fault) int { return a.Object.Compare(b.Object) })
 		return nil, c.faults
 	}
+	c.snapshot.rankAll()
 	return c.snapshot, nil
 }
 
--- a/core/config/compile_delta.go
+++ b/core/config/compile_delta.go
@@ -36,6 +36,7 @@
 	if len(c.faults) > 0 {
 		return Compile(next)
 	}
+	c.snapshot.rankAll()
 	return c.snapshot, nil
 }
 
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -15,6 +15,7 @@
 	limits   LimitsSpec
 	accounts map[string]*Account
 	keys     map[KeyDigest]*Account
+	ranks    ranks
 
 	healthPaths map[string]string // by service; only those that are given
 }
--- a/core/heartbeat.go
+++ b/core/heartbeat.go
@@ -25,10 +25,11 @@
 	h := s.heartbeat()
 	if sameHeartbeat(h, l.sentState) && l.unchangedSent < maxSameHeartbeats {
 		l.unchangedSent++
-		s.send(id, message.Heartbeat{Same: true, Source: h.Source})
+		s.send(id, message.Heartbeat{Same: true, Source: h.Source, Quota: s.quotaHeartbeat(id, l)})
 		return
 	}
 	l.sentState, l.unchangedSent = h, 0
+	h.Quota = s.quotaHeartbeat(id, l)
 	s.send(id, h)
 }
 
@@ -57,6 +58,7 @@
 	l.peerVersion = max(l.peerVersion, l.receivedState.Config)
 	s.sourceAgeReceived(m.Source, l.receivedState.Config)
 	s.platformRestored(l.receivedState.Restored)
+	s.quotaHeartbeatReceived(id, l, m.Quota)
 	switch {
 	case id == s.member.parent:
 		s.parentHeartbeat(id, l)
--- a/core/link.go
+++ b/core/link.go
@@ -47,6 +47,8 @@
 	laggard          bool              // the child is reported as a laggard
 	batch            map[string]bool   // IDs of endpoints to send once the batch window has passed
 	batchDue         time.Time         // when batch is sent
+	quotaStamp       time.Duration     // clock of the other end in its last heartbeat
+	quotaStampAt     time.Time         // when that arrived; zero: none has
 }
 
 func (s *State) dial(address string, role linkRole) LinkID {
@@ -103,6 +105,7 @@
 		return
 	}
 	delete(s.links, id)
+	s.quotaLinkDown(id)
 	s.log(notice.LinkDown, Attr{"peer", l.peer}, Attr{"remote", l.node}, Attr{"role", l.role.String()}, Attr{"reason", reason})
 	switch l.role {
 	case roleParent:
@@ -180,6 +183,10 @@
 		s.presentReceived(m)
 	case message.Report:
 		s.reportReceived(l, m)
+	case message.QuotaAsk:
+		s.quotaAsked(e.Link, l, m)
+	case message.QuotaGrant:
+		s.quotaGranted(e.Link, m)
 	}
 }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
+	"github.com/agatekeel/agatekeel/core/quota"
 )
 
 // Message is implemented by the message types of this package.
@@ -54,7 +55,7 @@
 // Heartbeat shows that the sender is alive. It includes the sender's path to its root, so
 // that the members of a cycle in the tree detect it.
 type Heartbeat struct {
-	Same   bool     // all fields but Source are as in the previous heartbeat on this link and are omitted
+	Same   bool     // all fields but Source and Quota are as in the previous heartbeat on this link and are omitted
 	Source *Age     // age of the sender's last information from the configuration source; nil: none
 	Path   []string // IDs of the nodes from the sender up to its root
 	Rooted bool     // the path ends at a root, and all of its nodes have caught up
@@ -66,8 +67,22 @@
 	// Restored is the highest era of the platform that began, as far as the sender knows, since
 	// any of the nodes has run: it was restored from a copy then. Zero: none.
 	Restored uint64
+
+	Quota *QuotaHeartbeat // nil: there are no client accounts
+}
+
+// QuotaHeartbeat is the part of a heartbeat about the quotas of client accounts.
+type QuotaHeartbeat struct {
+	Stamp time.Duration // the sender's clock, from its start on
+	Loan  quota.Loan    // what the sender lends to the receiver, its parent
 }
 
+// QuotaAsk asks the parent for tokens of client accounts.
+type QuotaAsk struct{ quota.Ask }
+
+// QuotaGrant answers a QuotaAsk.
+type QuotaGrant struct{ quota.Grant }
+
 // Age is an elapsed time. It is sent instead of a timestamp, since the nodes' clocks
 // differ.
 type Age time.Duration
@@ -142,3 +157,5 @@
 func (Leaving) isMessage()      {}
 func (Present) isMessage()      {}
 func (Report) isMessage()       {}
+func (QuotaAsk) isMessage()     {}
+func (QuotaGrant) isMessage()   {}
--- a/core/request.go
+++ b/core/request.go
@@ -36,6 +36,9 @@
 	method          string
 	route           *config.Route
 	account         *config.Account // of the caller; nil: none
+	charged         time.Time       // when the account was charged; zero: it was not
+	awaitsQuota     bool            // the account is being charged
+	needsClaim      bool            // the first attempt waits for a claim of key
 	service         string          // service of the route, or the one chosen from its traffic split
 	class           admission.Class
 	deadline        time.Time
@@ -64,21 +67,9 @@
 	}
 }
 
-// classOf returns the admission class of a request. The rank of its account goes before the policy.
-func classOf(p *config.Policy, a *config.Account) admission.Class {
-	if a != nil && a.Rank != nil {
-		return admission.Class(min(*a.Rank, int(admission.MaxClass)))
-	}
-	if p.Rank != nil {
-		return admission.Class(min(*p.Rank, int(admission.MaxClass)))
-	}
-	switch p.Priority {
-	case config.PriorityStatus:
-		return admission.Status
-	case config.PriorityBatch:
-		return admission.Batch
-	}
-	return admission.Interactive
+// classOf returns the admission class of a request.
+func (s *State) classOf(p *config.Policy, a *config.Account) admission.Class {
+	return admission.Class(min(s.holder.snapshot.RankOf(p, a), int(admission.MaxClass)))
 }
 
 // IsIdempotent reports whether a request may run more than once. It is true
@@ -115,7 +106,7 @@
 	}
 	c := s.newCall()
 	*c = call{
-		request: e.Request, arrived: s.now, waited: s.waited(e, route.Name, service), method: e.Method, route: route, account: account, service: service, class: classOf(route.Policy, account),
+		request: e.Request, arrived: s.now, waited: s.waited(e, route.Name, service), method: e.Method, route: route, account: account, service: service, class: s.classOf(route.Policy, account),
 		deadline: s.now.Add(budget), callerDeadline: s.now.Add(max(budget, e.Budget)), replayable: e.Replayable, tried: c.tried[:0], barred: c.barred[:0],
 	}
 	s.requests.calls[e.Call] = c
@@ -125,11 +116,17 @@
 	if scope != config.KeyScopeNone {
 		c.key = idempotency.KeyOf(c.service, e.Key)
 	}
-	if scope == config.KeyScopePlatform {
-		s.claim(e.Call, c)
+	c.needsClaim = scope == config.KeyScopePlatform
+	s.charge(e.Call, c)
+}
+
+// begin sends the first attempt of a call that may run.
+func (s *State) begin(id CallID, c *call) {
+	if c.needsClaim {
+		s.claim(id, c)
 		return
 	}
-	s.forward(e.Call, c)
+	s.forward(id, c)
 }
 
 // maxFreeCalls bounds the memory kept for reuse by later calls.
@@ -187,6 +184,7 @@
 // endCall removes a call and releases its claim.
 func (s *State) endCall(id CallID, c *call, o retry.Outcome, status int) {
 	delete(s.requests.calls, id)
+	s.endCharge(id, c, o)
 	if c.claim != nil {
 		s.endClaim(id, c, o, status)
 	}
--- a/core/settings.go
+++ b/core/settings.go
@@ -63,6 +63,10 @@
 	QueueTarget   time.Duration // longest wait for a slot once the queue, for status checks that of their own class, has not been empty for QueueInterval
 	QueueInterval time.Duration // as in QueueTarget
 
+	QuotaWindow  time.Duration // as Window in quota.Config
+	QuotaOverage float64       // as Overage in quota.Config
+	QuotaSlack   float64       // as Slack in quota.Config
+
 	KeyKeep         time.Duration // how long a node remembers an Idempotency-Key
 	ClaimKeep       time.Duration // how long a claim is kept in the platform
 	ClaimsPerSecond float64       // rate at which this node may create claims
@@ -126,6 +130,8 @@
 	setDefault(&c.TombstoneFor, 10*time.Minute)
 	setDefault(&c.SweepEvery, 15*time.Minute)
 	setDefault(&c.StatusKeep, 24*time.Hour)
+	setDefault(&c.QuotaWindow, 5*time.Second)
+	setDefault(&c.QuotaOverage, 0.1)
 	setDefault(&c.KeyKeep, 10*time.Minute)
 	setDefault(&c.ClaimKeep, 24*time.Hour)
 	setDefault(&c.ClaimsPerSecond, 5)
--- a/core/state.go
+++ b/core/state.go
@@ -16,6 +16,7 @@
 	cfg     Config
 	rng     *rand.Rand
 	now     time.Time
+	started time.Time // of the first event
 	effects []Effect
 
 	lastCall StoreCallID
@@ -35,6 +36,7 @@
 	leaving       leaving
 	platform      platformState
 	requests      requests
+	quotas        quotas
 	requestFaults requestFaults
 }
 
@@ -54,6 +56,7 @@
 	s.backend = newBackend(cfg)
 	s.leaving.read = cfg.FirstStart // there is no record to read
 	s.requests = newRequests(cfg, balance.New(cfg.balance(), rng))
+	s.quotas = newQuotas()
 	return s
 }
 
@@ -61,6 +64,9 @@
 // returned slice is valid until the next call.
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.now = now
+	if s.started.IsZero() {
+		s.started = now
+	}
 	s.effects = s.effects[:0]
 	switch e := e.(type) {
 	case Tick:
@@ -131,6 +137,7 @@
 	s.forgetWholeConfig()
 	s.lastTick = s.now
 	s.claimTick()
+	s.quotaTick()
 }
 
 // jitter returns a random duration below limit ("full jitter").
--- a/node/config.go
+++ b/node/config.go
@@ -32,6 +32,7 @@
 		LeaseTTL: time.Duration(s.Lease.TTL), LeaseRenew: time.Duration(s.Lease.Renew), LeaseMargin: time.Duration(s.Lease.Margin),
 		SweepEvery: time.Duration(s.Publisher.SweepEvery), StatusKeep: time.Duration(s.Publisher.StatusKeep),
 		RetryShare: s.Requests.RetryShare, RerunShare: s.Requests.RerunShare, RerunReserve: s.Requests.RerunReserve,
+		QuotaWindow: time.Duration(s.Requests.QuotaWindow), QuotaOverage: s.Requests.QuotaOverage, QuotaSlack: s.Requests.QuotaSlack,
 		KeyKeep:   time.Duration(s.Requests.KeyKeep),
 		ClaimKeep: time.Duration(s.Requests.ClaimKeep), ClaimsPerSecond: s.Requests.ClaimsPerSecond,
 		DrainAtLeast: time.Duration(s.Drain.AtLeast), DrainAtMost: time.Duration(s.Drain.AtMost),
--- a/node/observe.go
+++ b/node/observe.go
@@ -7,6 +7,7 @@
 
 	"github.com/agatekeel/agatekeel/core"
 	"github.com/agatekeel/agatekeel/core/admission"
+	"github.com/agatekeel/agatekeel/core/message"
 	"github.com/agatekeel/agatekeel/core/notice"
 	"github.com/agatekeel/agatekeel/core/retry"
 	"github.com/agatekeel/agatekeel/eventlog"
@@ -52,6 +53,9 @@
 	requests    map[string]metrics.Counter           // by class.outcome
 	refusals    map[admission.Reason]metrics.Counter // of attempts, by reason
 	retries     metrics.Counter
+	noAccount   metrics.Counter
+	overQuota   metrics.Counter
+	quotaAsks   metrics.Counter
 	attemptsRun metrics.Counter
 	applied     metrics.Counter
 	convergence metrics.Timer
@@ -73,6 +77,9 @@
 		log: log, clock: clock,
 		requests: map[string]metrics.Counter{}, refusals: map[admission.Reason]metrics.Counter{},
 		retries:     metrics.GetOrRegisterCounter("requests.retries", r),
+		noAccount:   metrics.GetOrRegisterCounter("accounts.unknown", r),
+		overQuota:   metrics.GetOrRegisterCounter("accounts.exceeded", r),
+		quotaAsks:   metrics.GetOrRegisterCounter("quota.asks", r),
 		attemptsRun: metrics.GetOrRegisterCounter("attempts.run", r),
 		applied:     metrics.GetOrRegisterCounter("config.applied", r),
 		convergence: metrics.GetOrRegisterTimer("config.convergence", r),
@@ -122,6 +129,10 @@
 		o.attemptRefused(e)
 	case core.Log:
 		o.countLogEvent(e)
+	case core.Send:
+		if _, asks := e.Message.(message.QuotaAsk); asks {
+			o.quotaAsks.Inc(1)
+		}
 	}
 }
 
@@ -141,6 +152,10 @@
 
 func (o *observer) requestFinished(e core.Finish) {
 	switch {
+	case e.NoAccount:
+		o.noAccount.Inc(1)
+	case e.OverQuota:
+		o.overQuota.Inc(1)
 	case e.NoRoute:
 		o.noRoute++
 	case e.Outcome == retry.NotRun:
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -8,6 +8,7 @@
 	"github.com/agatekeel/agatekeel/core/config"
 	"github.com/agatekeel/agatekeel/core/endpoint"
 	"github.com/agatekeel/agatekeel/core/message"
+	"github.com/agatekeel/agatekeel/core/quota"
 	pb "github.com/agatekeel/agatekeel/peer/peerpb"
 )
 
@@ -53,6 +54,10 @@
 		}}}, nil
 	case message.Report:
 		return &pb.Frame{Body: &pb.Frame_Report{Report: encodeReport(m)}}, nil
+	case message.QuotaAsk:
+		return &pb.Frame{Body: &pb.Frame_QuotaAsk{QuotaAsk: &pb.QuotaAsk{Number: m.Number, Wants: mapSlice(m.Wants, encodeWant)}}}, nil
+	case message.QuotaGrant:
+		return &pb.Frame{Body: &pb.Frame_QuotaGrant{QuotaGrant: &pb.QuotaGrant{Number: m.Number, Given: mapSlice(m.Given, encodeGiven)}}}, nil
 	}
 	return nil, fmt.Errorf("%w: message type %T", ErrFrame, m)
 }
@@ -102,6 +107,10 @@
 		return message.TableBuckets{Of: int(m.GetOf()), Numbers: m.GetNumbers(), Entries: mapSlice(m.GetEntries(), decodeEntry)}, nil
 	case *pb.Frame_Report:
 		return decodeReport(b.Report), nil
+	case *pb.Frame_QuotaAsk:
+		return message.QuotaAsk{Ask: quota.Ask{Number: b.QuotaAsk.GetNumber(), Wants: mapSlice(b.QuotaAsk.GetWants(), decodeWant)}}, nil
+	case *pb.Frame_QuotaGrant:
+		return message.QuotaGrant{Grant: quota.Grant{Number: b.QuotaGrant.GetNumber(), Given: mapSlice(b.QuotaGrant.GetGiven(), decodeGiven)}}, nil
 	}
 	return nil, fmt.Errorf("%w: body %T", ErrFrame, f.GetBody())
 }
@@ -116,10 +125,12 @@
 }
 
 func encodeHeartbeat(m message.Heartbeat) *pb.Heartbeat {
-	return &pb.Heartbeat{
+	out := &pb.Heartbeat{
 		SourceAgeMillis: encodeAge(m.Source),
 		Same:            m.Same, Path: m.Path, Rooted: m.Rooted, Config: m.Config, Newest: m.Newest, Table: m.Table, Census: m.Census, Restored: m.Restored,
 	}
+	encodeQuotaHeartbeat(m.Quota, out)
+	return out
 }
 
 // encodeAge rounds up, so that an age never appears smaller than it is.
@@ -146,6 +157,7 @@
 		return message.Heartbeat{}
 	}
 	return message.Heartbeat{
+		Quota:  decodeQuotaHeartbeat(m),
 		Source: decodeAge(m.SourceAgeMillis),
 		Same:   m.GetSame(), Path: m.GetPath(), Rooted: m.GetRooted(), Config: m.GetConfig(), Newest: m.GetNewest(),
 		Table: m.GetTable(), Census: m.GetCensus(), Restored: m.GetRestored(),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,9 @@
 	RetryShare      float64  `json:"retryShare,omitempty" validate:"min=0,max=1"`
 	RerunShare      float64  `json:"rerunShare,omitempty" validate:"min=0,max=1"`
 	RerunReserve    float64  `json:"rerunReserve,omitempty" validate:"min=0,max=1000"`
+	QuotaWindow     Duration `json:"quotaWindow,omitempty" validate:"omitempty,min=1s,max=1m"`
+	QuotaOverage    float64  `json:"quotaOverage,omitempty" validate:"min=0,max=1"`
+	QuotaSlack      float64  `json:"quotaSlack,omitempty" validate:"min=0,max=100000"`
 	KeyKeep         Duration `json:"keyKeep,omitempty" validate:"omitempty,min=1s,max=24h"`
 	ClaimKeep       Duration `json:"claimKeep,omitempty" validate:"omitempty,min=10m,max=720h"`
 	ClaimsPerSecond float64  `json:"claimsPerSecond,omitempty" validate:"min=0,max=1000"`
