Refuse answers with a status above 599

Cause: a report says that an upstream in trouble answered with status 000 and the client got it as an answer. Here 000, 001, 099, statuses with a sign or letters and those of two or four digits were refused already, with an unknown outcome. 600 and 999 were passed on, and with the mark X-Not-Executed they counted as not run.

Change: a status above 599 is no answer; its outcome is unknown.

Conclusion: the reported fault does not occur; its neighbour did and is mended.

--- a/proxy/responsecheck.go
+++ b/proxy/responsecheck.go
@@ -119,9 +119,14 @@
 	return len(signatures) == 1 && signatures[0] != ""
 }
 
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
 // headFault returns what is wrong with the head of a response, empty for nothing.
 func (n Names) headFault(resp *http.Response) string {
 	switch {
+	case resp.StatusCode > maxStatus:
+		return "has a status that HTTP does not define (RFC 9110, section 15)"
 	case resp.ProtoMajor != 1:
 		return "is of version " + resp.Proto
 	case endsWithStatusLine(resp.Status) || holdsStatusLine(resp.Header):
