Bound what clients make a process hold

Cause: a request was not charged for its parsed head, of which the runtime holds many times its bytes, twice at each of two nodes; callers' connections and requests at a time had no bound.

Change: a request is charged before it is parsed, by its header lines and bytes, to a quarter of the process's memory. Large requests may fill half of that, one connection an eighth. Callers' connections and requests are bounded by max_fds. What finds no room gets 503, not run, and its connection is closed; another node is told which attempt has not run. For a connection too many the one without progress for longest is closed.

What the accounting costs a request is not measured yet.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -46,6 +46,10 @@
 	closing     atomic.Bool   // a response announced that the connection closes
 	endsBody    atomic.Bool   // the end of the connection would end the body of the response that is being sent
 
+	occupied   atomic.Int64 // bytes that the requests read occupy
+	progressAt atomic.Int64 // Unix time in nanoseconds of the last progress
+	longHead   []byte       // the head that was scanned last, if it is a long one
+
 	slots         sync.Mutex // guards waiting, and the read deadline while it is set
 	waiting       bool       // awaitSlot reads the connection
 	aheadReserved bool       // memory for ahead is reserved
@@ -63,12 +67,14 @@
 	c.headerLimit = &io.LimitedReader{R: c.ahead}
 	c.in = bufio.NewReaderSize(c.headerLimit, readBufferBytes)
 	c.out = bufio.NewWriterSize(c, writeBufferBytes)
+	c.progress()
 	return c
 }
 
 // Write implements io.Writer for the buffered writer out.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.net.Write(p)
+	c.progress()
 	c.server.cfg.OnSent(c.net, n)
 	return n, err
 }
@@ -171,18 +177,21 @@
 	if !c.awaitRequest() {
 		return false
 	}
-	r, err := c.readRequest()
+	r, cost, err := c.readRequest()
 	if err != nil {
 		c.reject(err)
 		return false
 	}
 	e := newExchange(c, r)
+	e.cost = cost
 	if err := e.prepareBody(); err != nil {
+		c.releaseHead(cost)
 		c.reject(err)
 		return false
 	}
 	if !c.awaitSlot() || !c.accept() {
 		e.release(e.reserved) // it is not handled
+		c.releaseHead(cost)
 		return false
 	}
 	c.last = e
@@ -224,14 +233,28 @@
 	}
 }
 
-func (c *conn) readRequest() (*http.Request, error) {
+// readRequest reads a request and reserves what it occupies.
+func (c *conn) readRequest() (*http.Request, int, error) {
 	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
+	cost, err := c.reserveHead()
+	if err != nil {
+		return nil, 0, c.readError(err)
+	}
+	c.longHead = nil
+	r, err := c.readHeader()
+	if err != nil {
+		c.releaseHead(cost)
+		return nil, 0, err
+	}
+	c.progress()
+	return r, cost, nil
+}
+
+// readHeader reads the header of a request.
+func (c *conn) readHeader() (*http.Request, error) {
 	r, err := c.parseRequest()
 	if err != nil {
-		if c.headerLimit.N <= 0 {
-			return nil, ErrHeaderTooLarge
-		}
-		return nil, fmt.Errorf("read request: %w", err)
+		return nil, c.readError(err)
 	}
 	c.headerLimit.N = 1<<63 - 1
 	_ = c.net.SetReadDeadline(time.Time{})
@@ -245,6 +268,13 @@
 	return r, nil
 }
 
+func (c *conn) readError(err error) error {
+	if c.headerLimit.N <= 0 {
+		return ErrHeaderTooLarge
+	}
+	return fmt.Errorf("read request: %w", err)
+}
+
 // checkFieldNames reports a field with a space in its name or before its colon, which
 // http.ReadRequest accepts as a field of its own. If it meant the length of the body, the
 // body would be read as the next request.
@@ -265,6 +295,8 @@
 	var target *url.Error // is a net.Error too
 	switch {
 	case errors.As(reason, &target):
+	case errors.Is(reason, ErrOverloaded):
+		status = http.StatusServiceUnavailable
 	case errors.Is(reason, ErrHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(reason, &network) && network.Timeout():
@@ -280,8 +312,8 @@
 	}
 	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
 	text := reason.Error() + "\n"
-	_, _ = fmt.Fprintf(c.out, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), len(text), text)
+	_, _ = fmt.Fprintf(c.out, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), c.refusalFields(reason), len(text), text)
 	_ = c.out.Flush()
 	c.linger()
 }
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -22,6 +22,7 @@
 	body     *body                    // nil: no body, or one read completely before the handler runs
 	cancel   context.CancelFunc
 	reserved int // bytes of memory, by the reader of the connection and then by the handler
+	cost     int // bytes that the request occupies
 
 	head  sync.Mutex // held while 100 Continue is sent; guards the field below
 	begun bool       // the response is being sent, or is about to be
@@ -113,6 +114,7 @@
 		}
 		e.cancel()
 		e.release(e.reserved)
+		c.releaseHead(e.cost)
 		c.pending.Add(-1)
 		c.freeSlot()
 		if w.closesConn {
--- a/h1/server.go
+++ b/h1/server.go
@@ -26,6 +26,8 @@
 	ErrClosed = fmt.Errorf("closed")
 	// ErrHeaderTooLarge reports that a request header exceeds its limit.
 	ErrHeaderTooLarge = fmt.Errorf("request header is too large")
+	// ErrOverloaded reports that there is no room for another request.
+	ErrOverloaded = fmt.Errorf("no room for another request")
 	// ErrShortResponse reports that a handler wrote less than the
 	// Content-Length.
 	ErrShortResponse = fmt.Errorf("answer is shorter than declared")
@@ -56,6 +58,19 @@
 	// gives them back; nil: there is no bound.
 	Reserve func(n int) bool
 	Release func(n int)
+	// ReserveRequest reports whether a request that occupies n bytes may be handled, and
+	// ReleaseRequest gives them back; nil: there is no bound. A request for which there is no room is
+	// refused with 503, and its connection is closed.
+	ReserveRequest func(n int) bool
+	ReleaseRequest func(n int)
+	// RequestMemory is the number of bytes that ReserveRequest gives in all; zero: unknown. The requests
+	// of one connection get a part of it.
+	RequestMemory int64
+	// RefusalHeader returns the header of the refusal of a request with a head; nil: none.
+	RefusalHeader func(head []byte) http.Header
+	// MaxConns is the number of connections that are open at a time; zero: no bound. For a new one
+	// beyond it, the one without progress for longest is closed.
+	MaxConns int
 }
 
 func (c Config) withDefaults() Config {
@@ -73,6 +88,12 @@
 	if c.Reserve == nil || c.Release == nil {
 		c.Reserve, c.Release = func(int) bool { return true }, func(int) {}
 	}
+	if c.ReserveRequest == nil || c.ReleaseRequest == nil {
+		c.ReserveRequest, c.ReleaseRequest = func(int) bool { return true }, func(int) {}
+	}
+	if c.RefusalHeader == nil {
+		c.RefusalHeader = func([]byte) http.Header { return nil }
+	}
 	return c
 }
 
@@ -121,6 +142,10 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		if !s.makeRoom() {
+			_ = nc.Close()
+			continue
+		}
 		c := newConn(s, nc)
 		if !s.track(c) {
 			_ = nc.Close()
--- a/node/config.go
+++ b/node/config.go
@@ -54,6 +54,24 @@
 // it is the memory limit divided by this number.
 const readAheadDivisor = 8
 
+// requestMemoryDivisor sets the memory for requests that are handled: it is the memory limit divided by
+// this number.
+const requestMemoryDivisor = 4
+
+// Parts of the descriptors that callers' connections and callers' requests may take. The rest is for the
+// platform, links, attempts of other nodes and the backend server.
+const (
+	callerDescriptorShare  = 0.6
+	requestDescriptorShare = 0.2
+	// fileDescriptors is how many are left for what is no connection.
+	fileDescriptors = 200
+)
+
+// socketsOf returns the number of connections that may be open with a number of descriptors.
+func socketsOf(descriptors int) float64 {
+	return float64(max(descriptors-fileDescriptors, descriptors/2))
+}
+
 // ProxyConfig returns the configuration of a Proxy without TLS.
 func ProxyConfig(s settings.Settings) proxy.Config {
 	return proxy.Config{
@@ -62,6 +80,9 @@
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter:   time.Duration(s.Requests.SilenceAfter),
 		ReadAheadBytes: int64(s.MemoryBytes / readAheadDivisor),
+		RequestBytes:   int64(s.MemoryBytes / requestMemoryDivisor),
+		MaxConnections: int(callerDescriptorShare * socketsOf(s.Descriptors)),
+		MaxRequests:    int(requestDescriptorShare * socketsOf(s.Descriptors)),
 		LinkBytes:      s.LinkMbps * bytesPerMegabit * usableShare,
 	}
 }
--- a/node/observe.go
+++ b/node/observe.go
@@ -68,6 +68,9 @@
 	unknown          int       // calls that ended with an unknown outcome
 	noRoute          int       // calls without a matching route
 	attemptsRefused  int       // attempts refused at the node's backend server
+	overloadedBefore int64     // count of overloaded at refusalsLoggedAt
+
+	overloaded metrics.Counter // requests and attempts refused for lack of room in this process
 
 	uplink uplinkLog
 }
@@ -83,6 +86,7 @@
 		attemptsRun: metrics.GetOrRegisterCounter("attempts.run", r),
 		applied:     metrics.GetOrRegisterCounter("config.applied", r),
 		convergence: metrics.GetOrRegisterTimer("config.convergence", r),
+		overloaded:  metrics.GetOrRegisterCounter("proxy.overloaded", r),
 		uplink:      newUplinkLog(r),
 		classes:     map[core.CallID]string{}, acceptedAt: map[string]time.Time{}, tally: newTally(r),
 	}
@@ -212,11 +216,15 @@
 		return
 	}
 	o.refusalsLoggedAt = now
-	if o.notRun+o.unknown+o.noRoute+o.attemptsRefused == 0 {
+	overloaded := o.overloaded.Count()
+	noRoom := overloaded - o.overloadedBefore
+	o.overloadedBefore = overloaded
+	if o.notRun+o.unknown+o.noRoute+o.attemptsRefused == 0 && noRoom == 0 {
 		return
 	}
 	o.log.Write(notice.RequestsRefused,
 		core.Attr{Key: "notRun", Value: o.notRun}, core.Attr{Key: "unknown", Value: o.unknown},
-		core.Attr{Key: "noRoute", Value: o.noRoute}, core.Attr{Key: "attempts", Value: o.attemptsRefused})
+		core.Attr{Key: "noRoute", Value: o.noRoute}, core.Attr{Key: "attempts", Value: o.attemptsRefused},
+		core.Attr{Key: "noRoom", Value: noRoom})
 	o.notRun, o.unknown, o.noRoute, o.attemptsRefused = 0, 0, 0, 0
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -187,7 +187,7 @@
 			status = http.StatusTooManyRequests
 		}
 		if e.RetryAfter > 0 {
-			c.w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+			c.w.Header().Set("Retry-After", formatSeconds(e.RetryAfter))
 		}
 		c.proxy.fail(c.w, status, e.Outcome, e.Reason)
 	case core.Forward:
@@ -195,6 +195,9 @@
 	}
 }
 
+// formatSeconds formats a time for Retry-After.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // bodyFailed ends the call after reading the caller's body failed and ended an
 // attempt.
 func (c *call) bodyFailed(err error) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -59,6 +59,9 @@
 	MaxDepth       int           // maximum length of a chain of calls that backend servers make to one another through the mesh
 	SilenceAfter   time.Duration // time without a response after which the receiving node is asked about the attempt
 	ReadAheadBytes int64         // memory for bodies: large responses that are read before the network takes them, and those that are read whole before they are relayed
+	RequestBytes   int64         // memory for requests that are handled, their bodies not among it; zero: no bound
+	MaxRequests    int           // maximum number of callers' requests that are handled at a time; zero: no bound
+	MaxConnections int           // maximum number of connections of callers; zero: no bound
 	LinkBytes      float64       // bytes per second that the host's network link carries; zero: unknown
 
 	Service string // service of this node's backend server, sent in the header Names.Service
@@ -107,6 +110,8 @@
 	refused    metrics.Counter
 	maxBody    atomic.Int64 // maximum size in bytes of a caller's request body
 	bodies     bodyMemory
+	room       requestRoom
+	slots      requestSlots
 	readAhead  readAhead
 	link       *link
 	notices    notices
@@ -145,6 +150,9 @@
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.bodies.limit, p.readAhead.memory = cfg.ReadAheadBytes, &p.bodies
+	refused := metrics.GetOrRegisterCounter("proxy.overloaded", r)
+	p.room.limit, p.room.refused = cfg.RequestBytes, refused
+	p.slots.limit, p.slots.refused = int64(cfg.MaxRequests), refused
 	return p
 }
 
@@ -203,14 +211,32 @@
 // CallerServer returns the server for callers with its limits set. Errors in
 // the server are passed to onError.
 func (p *Proxy) CallerServer(onError func(error)) *h1.Server {
-	return p.newServer(p.CallerHandler(), maxHeaderBytes, onError, p.recordSentToCaller)
+	c := p.serverConfig(maxHeaderBytes, onError, p.recordSentToCaller)
+	c.MaxConns, c.RefusalHeader = p.cfg.MaxConnections, callerRefusal
+	c.ReserveRequest = func(n int) bool {
+		if !p.slots.take() {
+			return false
+		}
+		if !p.room.reserve(n) {
+			p.slots.free()
+			return false
+		}
+		return true
+	}
+	c.ReleaseRequest = func(n int) {
+		p.room.release(n)
+		p.slots.free()
+	}
+	return h1.New(c, p.CallerHandler())
 }
 
 // HopServer returns the server for other nodes with its limits set. Its header
 // limit leaves room for the largest request of a caller and the headers that
 // nodes add.
 func (p *Proxy) HopServer(onError func(error)) *h1.Server {
-	return p.newServer(p.HopHandler(), maxHopHeaderBytes, onError, p.recordSentToNode)
+	c := p.serverConfig(maxHopHeaderBytes, onError, p.recordSentToNode)
+	c.RefusalHeader, c.ReserveRequest, c.ReleaseRequest = hopRefusal, p.room.reserve, p.room.release
+	return h1.New(c, p.HopHandler())
 }
 
 // Server is a server that StopServer can stop.
@@ -229,10 +255,11 @@
 	_ = s.Close()
 }
 
-func (p *Proxy) newServer(h http.Handler, headerBytes int, onError func(error), onSent func(net.Conn, int)) *h1.Server {
-	return h1.New(h1.Config{
+func (p *Proxy) serverConfig(headerBytes int, onError func(error), onSent func(net.Conn, int)) h1.Config {
+	return h1.Config{
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
 		WriteTimeout: maxTransfer, OnError: onError, OnSent: onSent,
 		Reserve: func(n int) bool { return p.bodies.reserve(n, p.bodies.limit) }, Release: p.bodies.release,
-	}, h)
+		RequestMemory: p.cfg.RequestBytes,
+	}
 }
--- /dev/null
+++ b/proxy/requestroom.go
@@ -0,0 +1,89 @@
+package proxy
+
+import (
+	"bytes"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/agatekeel/agatekeel/core/retry"
+	"github.com/agatekeel/agatekeel/h1"
+)
+
+// requestRoom bounds what the requests that are handled occupy, those of callers and those of other
+// nodes together, so that no crowd of clients ends the process.
+type requestRoom struct {
+	limit    int64 // bytes; zero: no bound
+	reserved atomic.Int64
+	refused  metrics.Counter
+}
+
+// largeShareDivisor is the divisor of the room that gives the part which large requests may fill. The
+// rest is left for ordinary ones.
+const largeShareDivisor = 2
+
+// reserve reports whether a request that occupies n bytes has room, and takes it.
+func (m *requestRoom) reserve(n int) bool {
+	limit := m.limit
+	if n > h1.LargeRequestBytes {
+		limit /= largeShareDivisor
+	}
+	if reserved := m.reserved.Add(int64(n)); m.limit == 0 || reserved <= limit {
+		return true
+	}
+	m.release(n)
+	m.refused.Inc(1)
+	return false
+}
+
+func (m *requestRoom) release(n int) { m.reserved.Add(-int64(n)) }
+
+// requestSlots bounds the number of callers' requests that are handled at a time: each may take a
+// descriptor for its way to another node.
+type requestSlots struct {
+	limit   int64 // zero: no bound
+	taken   atomic.Int64
+	refused metrics.Counter
+}
+
+func (s *requestSlots) take() bool {
+	if taken := s.taken.Add(1); s.limit == 0 || taken <= s.limit {
+		return true
+	}
+	s.free()
+	s.refused.Inc(1)
+	return false
+}
+
+func (s *requestSlots) free() { s.taken.Add(-1) }
+
+// overloadRetryAfter is when a caller may come back that found no room for its request.
+const overloadRetryAfter = 200 * time.Millisecond
+
+// callerRefusal returns the header for a caller whose request found no room.
+func callerRefusal([]byte) http.Header {
+	h := http.Header{}
+	setOutcome(h, retry.NotRun, h1.ErrOverloaded.Error())
+	h.Set("Retry-After", formatSeconds(overloadRetryAfter))
+	return h
+}
+
+// hopRefusal returns the header for another node whose attempt found no room. It names the attempt, so
+// that the node knows that this one has not run.
+func hopRefusal(head []byte) http.Header {
+	h := http.Header{}
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(": "))
+		if string(name) != headerHop {
+			continue
+		}
+		if hop, err := parseHopHeader(string(value)); err == nil {
+			h[headerAttempt] = []string{formatAttempt(hop.attempt)}
+			setOutcome(h, retry.NotRun, h1.ErrOverloaded.Error())
+		}
+		return h
+	}
+	return h
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,7 @@
 	TLS          TLS          `json:"tls,omitzero"`
 	Log          Log          `json:"log,omitzero"`
 	MemoryBytes  int          `json:"memoryBytes,omitempty" validate:"omitempty,min=16777216"`
+	Descriptors  int          `json:"descriptors,omitempty" validate:"omitempty,min=256"`
 	LinkMbps     float64      `json:"linkMbps,omitempty" validate:"min=0,max=1000000"`
 }
 
