Free lent shares sooner when the node that grants ends

Shares stayed lent for 1.5 s after the node that had them had ended.

Change: a share is lent for three heartbeats in place of five. A node that ends as planned returns what it has borrowed, and one whose address refuses a connection has ended. Neither holds for shares that were lent on: a lender now says whether they may be.

Conclusion: the histories hold, 1,500 of them, with nodes that are killed and whose lenders notice.

--- a/core/link.go
+++ b/core/link.go
@@ -49,6 +49,7 @@
 	batchDue         time.Time         // when batch is sent
 	quotaStamp       time.Duration     // clock of the other end in its last heartbeat
 	quotaStampAt     time.Time         // when that arrived; zero: none has
+	quotaPassesOn    bool              // message.QuotaHeartbeat.PassesOn of that
 }
 
 func (s *State) dial(address string, role linkRole) LinkID {
@@ -93,7 +94,7 @@
 		return
 	}
 	if l.open {
-		s.send(id, message.Leaving{})
+		s.send(id, message.Leaving{ReturnsShares: s.returnsShares()})
 	}
 	s.emit(CloseLink{Link: id, Reason: reason})
 	s.linkDown(id, reason)
@@ -105,7 +106,7 @@
 		return
 	}
 	delete(s.links, id)
-	s.quotaLinkDown(id)
+	s.quotaLinkDown(id, l)
 	s.log(notice.LinkDown, Attr{"peer", l.peer}, Attr{"remote", l.node}, Attr{"role", l.role.String()}, Attr{"reason", reason})
 	switch l.role {
 	case roleParent:
@@ -179,6 +180,7 @@
 		s.bucketsReceived(e.Link, m)
 	case message.Leaving:
 		l.leaving = true
+		s.quotaSharesReturned(e.Link, m)
 	case message.Present:
 		s.presentReceived(m)
 	case message.Report:
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -75,6 +75,8 @@
 type QuotaHeartbeat struct {
 	Stamp time.Duration // the sender's clock, from its start on
 	Loan  quota.Loan    // what the sender lends to the receiver, its parent
+
+	PassesOn bool // the sender lends what it borrows to a parent of its own
 }
 
 // QuotaAsk asks the parent for tokens of client accounts.
@@ -90,7 +92,9 @@
 // Leaving announces that the sender closes the link on purpose, either while it
 // keeps running or because it exits after a drain. The receiver must not take the
 // end of the link as a sign that the sender has failed.
-type Leaving struct{}
+type Leaving struct {
+	ReturnsShares bool // the sender no longer uses the shares of quotas that the receiver lent it, nor does another node
+}
 
 // Present answers a census with the IDs of the nodes in the sender's subtree.
 type Present struct{ Nodes []string }
--- a/core/quota.go
+++ b/core/quota.go
@@ -14,6 +14,8 @@
 type quotas struct {
 	ledger *quota.Ledger // nil until the configuration has client accounts
 
+	borrower string // address of the node that the shares were lent to last
+
 	changes uint64 // of the endpoint table when the hosts were last counted
 	version uint64 // of the configuration when accounts without a limit were last forgotten
 }
@@ -21,8 +23,8 @@
 func newQuotas() quotas { return quotas{} }
 
 // quotaLeaseHeartbeats is the number of heartbeats for which a share is lent. Each level of the tree
-// uses up one of them, and the rest outlast heartbeats that are late.
-const quotaLeaseHeartbeats = 5
+// uses up one of them. After the sudden end of the node that grants nothing is granted for as long.
+const quotaLeaseHeartbeats = 3
 
 // quotaAskTimeout is the longest wait for a grant. Callers wait for it, so it is short beside their
 // target latencies, and long beside the way through the tree.
@@ -179,10 +181,14 @@
 	if ledger == nil {
 		return nil
 	}
-	h := &message.QuotaHeartbeat{Stamp: ledger.Stamp(s.now)}
-	if id == s.quotaParent() && !l.quotaStampAt.IsZero() {
+	parent := s.quotaParent()
+	h := &message.QuotaHeartbeat{Stamp: ledger.Stamp(s.now), PassesOn: parent != 0}
+	if id == parent && !l.quotaStampAt.IsZero() {
 		s.followQuotaParent()
-		h.Loan = ledger.Lend(s.now, l.quotaStamp+s.now.Sub(l.quotaStampAt))
+		h.Loan = ledger.Lend(s.now, l.quotaStamp+s.now.Sub(l.quotaStampAt), l.quotaPassesOn)
+		if h.Loan.Shares > 0 {
+			s.quotas.borrower = l.peer
+		}
 	}
 	return h
 }
@@ -192,15 +198,43 @@
 	if h == nil || ledger == nil {
 		return
 	}
-	l.quotaStamp, l.quotaStampAt = h.Stamp, s.now
+	l.quotaStamp, l.quotaStampAt, l.quotaPassesOn = h.Stamp, s.now, h.PassesOn
 	if l.role == roleChild || l.role == roleRoot {
 		ledger.Borrow(s.now, quota.Peer(id), h.Loan)
 	}
 }
 
-func (s *State) quotaLinkDown(id LinkID) {
-	if s.quotas.ledger != nil {
-		s.quotas.ledger.PeerGone(s.now, quota.Peer(id))
+// quotaLinkDown forgets what another node has lent or asked. The root that has this one's shares is
+// dialled again at once: if it refuses, its process has ended, and they are free.
+func (s *State) quotaLinkDown(id LinkID, l *link) {
+	ledger := s.quotas.ledger
+	if ledger == nil {
+		return
+	}
+	ledger.PeerGone(s.now, quota.Peer(id))
+	if l.role == roleRoot && s.member.phase == phaseRoot && !l.leaving && ledger.LentTo(s.now) == quota.Peer(id) {
+		s.links[s.dial(l.peer, roleRoot)].dc = l.dc
+	}
+}
+
+// quotaDialRefused returns the shares of this node if the process that has them has ended.
+func (s *State) quotaDialRefused(id LinkID) {
+	l, ok := s.links[id]
+	if !ok || s.quotas.ledger == nil || l.peer != s.quotas.borrower {
+		return
+	}
+	s.quotas.ledger.Ended(s.now, s.quotas.ledger.LentTo(s.now))
+}
+
+// returnsShares reports whether no node uses the shares that were lent to this one, once the link over
+// which they were has ended.
+func (s *State) returnsShares() bool {
+	return s.quotas.ledger != nil && s.quotas.ledger.MayReturn(s.now)
+}
+
+func (s *State) quotaSharesReturned(id LinkID, m message.Leaving) {
+	if s.quotas.ledger != nil && m.ReturnsShares {
+		s.quotas.ledger.Returned(s.now, quota.Peer(id))
 	}
 }
 
--- a/core/quota/history_test.go
+++ b/core/quota/history_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	testLease     = 1500 * time.Millisecond
+	testLease     = 900 * time.Millisecond
 	testHeartbeat = 300 * time.Millisecond
 	testWindow    = 5 * time.Second
 	testStep      = 10 * time.Millisecond
@@ -50,6 +50,7 @@
 	parent    *node
 	up        Peer // of the link to the parent, at both ends
 	stamp     time.Duration
+	passesOn  bool // what the parent said last
 	stampedAt time.Time
 	children  map[Peer]*node
 	waits     map[Waiter]string
@@ -149,17 +150,17 @@
 		return
 	}
 	n.nextBeat = m.now.Add(testHeartbeat)
-	stamp := n.ledger.Stamp(m.now)
+	stamp, passesOn := n.ledger.Stamp(m.now), n.parent != nil
 	for link, child := range n.children {
 		m.post(link, child, func(c *node) {
-			c.stamp, c.stampedAt = stamp, m.now
+			c.stamp, c.stampedAt, c.passesOn = stamp, m.now, passesOn
 			c.ledger.SetParent(m.now, link)
 		})
 	}
 	if n.parent == nil || n.stampedAt.IsZero() {
 		return
 	}
-	loan, link := n.ledger.Lend(m.now, n.stamp+m.now.Sub(n.stampedAt)), n.up
+	loan, link := n.ledger.Lend(m.now, n.stamp+m.now.Sub(n.stampedAt), n.passesOn), n.up
 	m.post(link, n.parent, func(p *node) { p.ledger.Borrow(m.now, link, loan) })
 }
 
@@ -255,8 +256,7 @@
 		n := m.nodes[m.rng.IntN(len(m.nodes))]
 		switch m.rng.IntN(120) {
 		case 0:
-			m.isolate(n)
-			n.down = true
+			m.kill(n)
 		case 1:
 			if n.down {
 				m.restart(n)
@@ -278,6 +278,16 @@
 	}
 }
 
+// kill ends a node, which those that lent it their shares notice: it refuses their connections.
+func (m *mesh) kill(n *node) {
+	lenders := maps.Clone(n.children)
+	m.isolate(n)
+	n.down = true
+	for link, lender := range lenders {
+		lender.ledger.Ended(m.now, link)
+	}
+}
+
 // isolate ends all links of a node.
 func (m *mesh) isolate(n *node) {
 	m.attach(n, nil)
--- a/core/quota/holdings.go
+++ b/core/quota/holdings.go
@@ -9,6 +9,7 @@
 	ownFrom   time.Time
 	lentTo    Peer
 	lentUntil time.Time
+	passedOn  bool // lentTo was allowed to lend them on
 	borrowed  map[Peer]lent
 
 	// filled is the integral of the fraction held over time, in seconds, since the node last had
@@ -23,6 +24,7 @@
 type lent struct {
 	shares int
 	until  time.Time
+	passOn bool // this node may lend them on
 }
 
 func newHoldings(now time.Time, hosts int, ownFrom time.Time) holdings {
@@ -34,18 +36,18 @@
 	if now.Before(h.lentUntil) {
 		return 0
 	}
-	return h.lendable(now, 0)
+	return h.lendable(now, 0, false)
 }
 
 // lendable returns the number of shares that this node holds for at least some more time, whether
-// or not it has lent them on.
-func (h *holdings) lendable(now time.Time, atLeast time.Duration) int {
+// or not it has lent them on. With passOn only those count that it may lend on.
+func (h *holdings) lendable(now time.Time, atLeast time.Duration, passOn bool) int {
 	n := 0
 	if !now.Before(h.ownFrom) {
 		n = 1
 	}
 	for _, l := range h.borrowed {
-		if l.until.Sub(now) > atLeast {
+		if l.until.Sub(now) > atLeast && (l.passOn || !passOn) {
 			n += l.shares
 		}
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -79,6 +79,7 @@
 		s.linkUp(e)
 	case LinkDown:
 		if e.Refused {
+			s.quotaDialRefused(e.Link)
 			s.holderRefused(e.Link)
 		}
 		s.linkDown(e.Link, e.Reason)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -33,7 +33,7 @@
 	case message.Heartbeat:
 		return &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: encodeHeartbeat(m)}}, nil
 	case message.Leaving:
-		return &pb.Frame{Body: &pb.Frame_Leaving{Leaving: &pb.Leaving{}}}, nil
+		return &pb.Frame{Body: &pb.Frame_Leaving{Leaving: &pb.Leaving{ReturnsShares: m.ReturnsShares}}}, nil
 	case message.Present:
 		return &pb.Frame{Body: &pb.Frame_Present{Present: &pb.Present{Nodes: m.Nodes}}}, nil
 	case message.ConfigDelta:
@@ -86,7 +86,7 @@
 	case *pb.Frame_Heartbeat:
 		return decodeHeartbeat(b.Heartbeat), nil
 	case *pb.Frame_Leaving:
-		return message.Leaving{}, nil
+		return message.Leaving{ReturnsShares: b.Leaving.GetReturnsShares()}, nil
 	case *pb.Frame_Present:
 		return message.Present{Nodes: b.Present.GetNodes()}, nil
 	case *pb.Frame_Packed:
--- a/peer/convert_quota.go
+++ b/peer/convert_quota.go
@@ -15,6 +15,7 @@
 	}
 	stamp := uint64(q.Stamp.Microseconds())
 	to.QuotaStampMicros = &stamp
+	to.QuotaPassOn, to.QuotaPassesOn = q.Loan.PassOn, q.PassesOn
 	to.QuotaShares = clampUint32(q.Loan.Shares)
 	to.QuotaUntilMicros = uint64(max(q.Loan.Until.Microseconds(), 0)) // rounds down, so that a loan never appears longer
 }
@@ -25,7 +26,9 @@
 	}
 	return &message.QuotaHeartbeat{
 		Stamp: micros(m.GetQuotaStampMicros()),
-		Loan:  quota.Loan{Shares: int(m.GetQuotaShares()), Until: micros(m.GetQuotaUntilMicros())},
+		Loan:  quota.Loan{Shares: int(m.GetQuotaShares()), Until: micros(m.GetQuotaUntilMicros()), PassOn: m.GetQuotaPassOn()},
+
+		PassesOn: m.GetQuotaPassesOn(),
 	}
 }
 
