--- a/core/quota.go
+++ b/core/quota.go
@@ -97,7 +97,8 @@
 	case quota.Denied:
 		s.refuseCharge(c, Finish{Call: id, Outcome: retry.NotRun, OverQuota: true, Reason: "quota of client account " + c.account.Name + " is used up", RetryAfter: s.retryAfter(after, left)})
 	default:
-		s.refuseCharge(c, Finish{Call: id, Outcome: retry.NotRun, Reason: "quota of client account " + c.account.Name + " can't be checked", RetryAfter: s.retryAfter(0, left)})
+		after = s.quotas.ledger.UsableIn(s.now) // at the latest then this node, or the one that it asks, grants again
+		s.refuseCharge(c, Finish{Call: id, Outcome: retry.NotRun, Reason: "quota of client account " + c.account.Name + " can't be checked", RetryAfter: s.retryAfter(after, left)})
 	}
 }
 
--- a/core/quota/lend.go
+++ b/core/quota/lend.go
@@ -93,6 +93,15 @@
 	return l.holdings.lentTo
 }
 
+// UsableIn returns the time until the node may use its own share again, zero if it may.
+func (l *Ledger) UsableIn(now time.Time) time.Duration {
+	from := l.holdings.ownFrom
+	if l.holdings.lentUntil.After(from) {
+		from = l.holdings.lentUntil
+	}
+	return max(from.Sub(now), 0)
+}
+
 // MayReturn reports whether no other node uses what this one has borrowed, so that it may return it.
 func (l *Ledger) MayReturn(now time.Time) bool { return l.parent == 0 && l.LentTo(now) == 0 }
 
