--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,7 +16,8 @@
 
 func main() {
 	cases := map[string]func(record string, trouble bool) (int, error){
-		"crowd": crowdedOut,
+		"crowd":     crowdedOut,
+		"oldclient": changedBody,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -25,8 +25,9 @@
 	work     func(*http.Request) time.Duration
 	slots    chan struct{}
 
-	mu   sync.Mutex     // guards the fields below
-	runs map[string]int // by request ID
+	mu     sync.Mutex          // guards the fields below
+	runs   map[string]int      // by request ID
+	bodies map[string][]string // of the runs, by request ID
 }
 
 func newUpstream(ip, id, service string, slots int, work func(*http.Request) time.Duration) (*upstream, error) {
@@ -36,7 +37,7 @@
 	}
 	u := &upstream{
 		id: id, service: service, born: time.Now().UnixMilli(), listener: l, work: work,
-		slots: make(chan struct{}, slots), runs: map[string]int{},
+		slots: make(chan struct{}, slots), runs: map[string]int{}, bodies: map[string][]string{},
 	}
 	go u.accept()
 	return u, nil
@@ -62,17 +63,18 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
-		if !u.answer(c, r) {
+		if !u.answer(c, r, string(body)) {
 			return
 		}
 	}
 }
 
 // answer handles one request and reports whether the connection stays open.
-func (u *upstream) answer(c net.Conn, r *http.Request) bool {
+func (u *upstream) answer(c net.Conn, r *http.Request, received string) bool {
 	id := r.Header.Get("X-Request-Id")
 	switch {
 	case r.URL.Path == "/healthz":
@@ -88,6 +90,7 @@
 	u.slots <- struct{}{}
 	u.mu.Lock()
 	u.runs[id]++
+	u.bodies[id] = append(u.bodies[id], received)
 	u.mu.Unlock()
 	time.Sleep(u.work(r))
 	<-u.slots
