review: case 8, an answer that waits for its turn is lost when its write deadline passes

Cause: the write deadline of an answer over 2 KiB is the end of its own attempt, and is set on the connection when its turn comes, also if it has passed. Change: a case that shows it, with a slow server of the requests in front; the case of large answers that are cut becomes case 9, within the time that the site's garble has.

--- a/review/standin2/behind.go
+++ b/review/standin2/behind.go
@@ -16,8 +16,9 @@
 	// service break off 2 in 100 of their answers.
 	garbleServers = 2 // each second one
 	garbleShare   = 0.02
+	garbleFor     = 5500 * time.Millisecond // the longest one of haenim-mesh
 	pairClients   = 12
-	pairsFor      = 15 * time.Second
+	pairsFor      = 8 * time.Second
 )
 
 // lostBehind has clients send a safe request behind a download. Some servers of the downloads break
@@ -41,6 +42,8 @@
 			shelves++
 		}
 	}
+	end := time.AfterFunc(garbleFor, m.stopBreakingOff)
+	defer end.Stop()
 	entry := m.machines[0]
 	var served, cut, lost, unrun atomic.Int64
 	var clients sync.WaitGroup
@@ -56,7 +59,7 @@
 					}
 				}
 				first, second := fmt.Sprintf("manual-%d-%d", i, n), fmt.Sprintf("lamp-%d-%d", i, n)
-				firstErr, secondErr := c.doPair(first, second)
+				firstErr, secondErr := c.doPair("/manuals/1", first, second)
 				if firstErr == nil && secondErr == nil {
 					served.Add(1)
 					continue
@@ -91,18 +94,18 @@
 	return held, nil
 }
 
-// doPair sends a download and a safe request behind it, and reads both answers.
-func (c *client) doPair(first, second string) (firstErr, secondErr error) {
-	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
-	text := ""
-	for id, path := range map[string]string{first: "/manuals/1", second: "/lamps/1"} {
-		one := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2500\r\n\r\n", path, id)
-		if id == first {
-			text = one + text
-		} else {
-			text += one
-		}
+// stopBreakingOff makes all servers sound.
+func (m *mesh) stopBreakingOff() {
+	for _, h := range m.machines {
+		h.server.setBreaksOff(nil)
 	}
+}
+
+// doPair sends a safe request to a path and a lookup behind it, and reads both answers.
+func (c *client) doPair(path, first, second string) (firstErr, secondErr error) {
+	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
+	const head = "GET %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2500\r\n\r\n"
+	text := fmt.Sprintf(head, path, first) + fmt.Sprintf(head, "/lamps/1", second)
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		return err, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 func main() {
 	cases := map[string]func(record string, trouble bool) (int, error){
 		"behind":    lostBehind,
+		"turn":      lostTurn,
 		"crowd":     crowdedOut,
 		"oldclient": changedBody,
 	}
--- a/review/standin2/mesh.go
+++ b/review/standin2/mesh.go
@@ -311,18 +311,26 @@
 {"type":"services","metadata":{"name":"wipeledger"},"spec":{"health_path":"/healthz","max_connections":130,"protocol":"h1","tls":false}},
 {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 
+// placed is where a machine stands and the service of its backend server.
+type placed struct{ zone, service string }
+
 // newHaenim returns a mesh of six machines like those of haenim-mesh, once it serves requests.
 func newHaenim(record string, work func(*http.Request) time.Duration) (*mesh, error) {
+	return newMeshOf(record, work, []placed{
+		{"gyeongnam-a", "lampbook"}, {"gyeongnam-b", "lampbook"}, {"gyeongnam-a", "wipeledger"},
+		{"gyeongnam-b", "wipeledger"}, {"gyeongnam-a", "manualshelf"}, {"gyeongnam-b", "manualshelf"},
+	})
+}
+
+// newMeshOf returns a mesh of some machines, once it serves requests.
+func newMeshOf(record string, work func(*http.Request) time.Duration, machines []placed) (*mesh, error) {
 	m, err := newMesh(record)
 	if err != nil {
 		return nil, err
 	}
 	m.store.configure(haenimConfig)
-	for i, of := range []struct{ zone, service string }{
-		{"gyeongnam-a", "lampbook"}, {"gyeongnam-b", "lampbook"}, {"gyeongnam-a", "wipeledger"}, {"gyeongnam-b", "wipeledger"},
-		{"gyeongnam-a", "manualshelf"}, {"gyeongnam-b", "manualshelf"},
-	} {
-		if _, err := m.add(fmt.Sprintf("sidecar-%d-%s", i, of.service), of.zone, of.service, 9, work); err != nil {
+	for i, at := range machines {
+		if _, err := m.add(fmt.Sprintf("sidecar-%d-%s", i, at.service), at.zone, at.service, 9, work); err != nil {
 			m.close()
 			return nil, err
 		}
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -14,6 +14,9 @@
 // manualBytes is the size of a manual: 280 kB on average in haenim-mesh, 1.7 MB at most.
 const manualBytes = 400_000
 
+// lookupBytes is the size of the answer to a lookup: 400 bytes on average in haenim-mesh, 2,400 at most.
+const lookupBytes = 2400
+
 // upstream is a sound backend server, as PROTOCOL.md describes it: one request at a time on a
 // connection, slots, a queue, answers with the request's ID and a stamp. It drops a request whose
 // connection closes while it waits for a slot.
@@ -22,13 +25,13 @@
 	service  string
 	born     int64
 	listener net.Listener
-	work     func(*http.Request) time.Duration
 	slots    chan struct{}
 
 	mu     sync.Mutex          // guards the fields below
 	runs   map[string]int      // by request ID
 	bodies map[string][]string // of the runs, by request ID
 
+	work      func(*http.Request) time.Duration
 	breaksOff func() bool // whether an answer is broken off in the middle; nil: never
 }
 
@@ -94,11 +97,14 @@
 	u.runs[id]++
 	u.bodies[id] = append(u.bodies[id], received)
 	u.mu.Unlock()
-	time.Sleep(u.work(r))
+	time.Sleep(u.workOf(r))
 	<-u.slots
 	body := "answer to " + id
-	if u.service == "manualshelf" {
+	switch u.service {
+	case "manualshelf":
 		body += strings.Repeat(".", manualBytes)
+	case "lampbook":
+		body += strings.Repeat(".", lookupBytes-len(body))
 	}
 	length := len(body)
 	broken := u.breaks()
@@ -128,3 +134,16 @@
 	defer u.mu.Unlock()
 	return u.breaksOff != nil && u.breaksOff()
 }
+
+func (u *upstream) setWork(f func(*http.Request) time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = f
+}
+
+// workOf returns how long a request takes.
+func (u *upstream) workOf(r *http.Request) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.work(r)
+}
