--- a/review/standin2/crowd.go
+++ b/review/standin2/crowd.go
@@ -16,9 +16,9 @@
 	crowdClients  = 3000
 	crowdPause    = 100 * time.Millisecond // until a client of the crowd that was closed comes back
 	crowdSources  = 30                     // loopback addresses that the crowd comes from
-	ordinaryCount = 10
+	ordinaryCount = 6
 	// wipeWork is within the work of a wipe-log of haenim-mesh: 160 ms on average, 940 ms at most.
-	wipeWork     = 400 * time.Millisecond
+	wipeWork     = 700 * time.Millisecond
 	wipeDeadline = 3 * time.Second
 	// mostClosed is how often LOST allows the end of a kept connection without an answer.
 	mostClosed = 3
