--- a/review/standin2/crowd.go
+++ b/review/standin2/crowd.go
@@ -70,6 +70,8 @@
 		return broken, nil
 	case !trouble && orders.served.Load() == 0:
 		return cannotDo, fmt.Errorf("no request was served")
+	case opened.Load() < int64(clients):
+		return cannotDo, fmt.Errorf("only %d of %d clients could connect", opened.Load(), clients)
 	}
 	return held, nil
 }
--- a/review/standin2/mesh.go
+++ b/review/standin2/mesh.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -63,8 +65,17 @@
 	if err != nil {
 		return nil, err
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
 	m := &mesh{dir: dir, program: program, limits: haenim, record: f, stop: make(chan struct{})}
 	m.store = newStore()
+	go func() {
+		<-ended
+		for _, h := range m.machines {
+			h.kill()
+		}
+		os.Exit(cannotDo)
+	}()
 	return m, nil
 }
 
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -19,7 +20,7 @@
 
 // upstream is a sound backend server, as PROTOCOL.md describes it: one request at a time on a
 // connection, slots, a queue, answers with the request's ID and a stamp. It drops a request whose
-// connection closes while it waits for a slot.
+// connection closes.
 type upstream struct {
 	id       string
 	service  string
@@ -60,8 +61,35 @@
 	}
 }
 
+// received is a request with its whole body.
+type received struct {
+	r    *http.Request
+	body string
+}
+
 func (u *upstream) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	gone, end := context.WithCancel(context.Background())
+	defer end()
+	requests := make(chan received, 1)
+	go func() {
+		defer end() // the caller has closed the connection
+		readRequests(gone, c, requests)
+	}()
+	for {
+		select {
+		case one := <-requests:
+			if !u.answer(gone, c, one.r, one.body) {
+				return
+			}
+		case <-gone.Done():
+			return
+		}
+	}
+}
+
+// readRequests reads requests until the connection or the context ends.
+func readRequests(ctx context.Context, c net.Conn, to chan<- received) {
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -72,14 +100,17 @@
 		if err != nil {
 			return
 		}
-		if !u.answer(c, r, string(body)) {
+		select {
+		case to <- received{r, string(body)}:
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// answer handles one request and reports whether the connection stays open.
-func (u *upstream) answer(c net.Conn, r *http.Request, received string) bool {
+// answer handles one request and reports whether the connection stays open. A request is dropped when
+// its connection closes, while it waits and while it is at work.
+func (u *upstream) answer(gone context.Context, c net.Conn, r *http.Request, received string) bool {
 	id := r.Header.Get("X-Request-Id")
 	switch {
 	case r.URL.Path == "/healthz":
@@ -92,13 +123,21 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, u.id)
 		return err == nil
 	}
-	u.slots <- struct{}{}
+	select {
+	case u.slots <- struct{}{}:
+		defer func() { <-u.slots }()
+	case <-gone.Done():
+		return false
+	}
 	u.mu.Lock()
 	u.runs[id]++
 	u.bodies[id] = append(u.bodies[id], received)
 	u.mu.Unlock()
-	time.Sleep(u.workOf(r))
-	<-u.slots
+	select {
+	case <-time.After(u.workOf(r)):
+	case <-gone.Done():
+		return false
+	}
 	body := "answer to " + id
 	switch u.service {
 	case "manualshelf":
