h1: read a connection through one buffer

Cause: checkOldHead laid a second buffered reader over the first. unread reset the outer one later, and what the inner one held was lost. A long head was also read, and copied twice, before anything was charged for it. Change: input is the only reader of a connection. It awaits a whole head, from which its lines are counted and an old version is recognised; the parser of net/http gets the bytes of that head only, and gives back what it has read and not used before the next head. No reader is replaced. What the buffer takes beyond 4 KiB is charged while the head grows, and refused with 503 if there is no room. A connection without a request keeps 1 KiB in place of 4. Bodies and heads have one way in, so no other reader can lose bytes.

--- a/h1/ahead.go
+++ b/h1/ahead.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"time"
 )
@@ -10,39 +9,6 @@
 // aheadBytes is how much is read of a connection whose requests have to wait.
 const aheadBytes = 16 << 10
 
-// ahead is a reader of a connection that can be read ahead of its reader.
-type ahead struct {
-	src io.Reader
-	buf []byte // read from src and not from this reader
-}
-
-// Read implements io.Reader.
-func (a *ahead) Read(p []byte) (int, error) {
-	if len(a.buf) == 0 {
-		return a.src.Read(p)
-	}
-	n := copy(p, a.buf)
-	a.buf = a.buf[n:]
-	if len(a.buf) == 0 {
-		a.buf = nil
-	}
-	return n, nil
-}
-
-// fetch reads the next bytes of src. full reports that there is no room for any.
-func (a *ahead) fetch() (full bool, err error) {
-	if len(a.buf) >= aheadBytes {
-		return true, nil
-	}
-	buf := make([]byte, aheadBytes)
-	n := copy(buf, a.buf)
-	read, err := a.src.Read(buf[n:])
-	if read > 0 {
-		a.buf = buf[:n+read]
-	}
-	return false, err
-}
-
 // awaitSlot waits until another request may be handled. Meanwhile the connection is read, so that
 // it is noticed when the client closes it: requests in front of this one may be at work for
 // long. It returns false if the connection has ended.
@@ -50,10 +16,6 @@
 	if c.takeSlot() {
 		return true
 	}
-	if !c.aheadReserved && !c.server.cfg.Reserve(aheadBytes) {
-		return c.awaitSlotBlind()
-	}
-	c.aheadReserved = true
 	c.setWaiting(true)
 	defer c.setWaiting(false)
 	for {
@@ -61,10 +23,13 @@
 		if c.takeSlot() {
 			return true
 		}
-		full, err := c.ahead.fetch()
+		if len(c.in.pending()) >= aheadBytes {
+			return c.awaitSlotBlind()
+		}
+		err := c.in.fill(aheadBytes)
 		var timeout net.Error
 		switch {
-		case full:
+		case errors.Is(err, ErrOverloaded):
 			return c.awaitSlotBlind()
 		case err == nil, errors.As(err, &timeout) && timeout.Timeout(): // a slot may be free
 		default:
@@ -112,9 +77,3 @@
 		_ = c.net.SetReadDeadline(time.Unix(1, 0))
 	}
 }
-
-func (c *conn) releaseAhead() {
-	if c.aheadReserved {
-		c.server.cfg.Release(aheadBytes)
-	}
-}
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -18,7 +18,6 @@
 
 // Buffer sizes and limits of a connection.
 const (
-	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
 	// bufferedBodyBytes is the size up to which a body is read completely
 	// before the handler runs.
@@ -32,27 +31,23 @@
 // conn is one connection. One goroutine reads the requests; each request is
 // handled in a separate goroutine.
 type conn struct {
-	server      *Server
-	net         net.Conn
-	ahead       *ahead            // reads from net
-	headerLimit *io.LimitedReader // reads from ahead; limits what is read for one request header; unlimited otherwise
-	in          *bufio.Reader     // reads from headerLimit
-	out         *bufio.Writer
-	ctx         context.Context
-	cancel      context.CancelFunc
-	inFlight    chan struct{} // semaphore: one element per request that is being handled
-	pending     atomic.Int32  // number of requests read whose responses are not complete
-	last        *exchange     // the most recent exchange; nil: none
-	closing     atomic.Bool   // a response announced that the connection closes
-	endsBody    atomic.Bool   // the end of the connection would end the body of the response that is being sent
+	server   *Server
+	net      net.Conn
+	in       *input
+	out      *bufio.Writer
+	ctx      context.Context
+	cancel   context.CancelFunc
+	inFlight chan struct{} // semaphore: one element per request that is being handled
+	pending  atomic.Int32  // number of requests read whose responses are not complete
+	last     *exchange     // the most recent exchange; nil: none
+	closing  atomic.Bool   // a response announced that the connection closes
+	endsBody atomic.Bool   // the end of the connection would end the body of the response that is being sent
 
 	occupied   atomic.Int64 // bytes that the requests read occupy
 	progressAt atomic.Int64 // Unix time in nanoseconds of the last progress
-	longHead   []byte       // the head that was scanned last, if it is a long one
 
-	slots         sync.Mutex // guards waiting, and the read deadline while it is set
-	waiting       bool       // awaitSlot reads the connection
-	aheadReserved bool       // memory for ahead is reserved
+	slots   sync.Mutex // guards waiting, and the read deadline while it is set
+	waiting bool       // awaitSlot reads the connection
 
 	// accepting is held while a request is added to pending, and while a response
 	// decides whether it is the last one.
@@ -63,9 +58,7 @@
 	ctx := context.WithValue(context.Background(), http.LocalAddrContextKey, nc.LocalAddr())
 	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.ahead = &ahead{src: nc}
-	c.headerLimit = &io.LimitedReader{R: c.ahead}
-	c.in = bufio.NewReaderSize(c.headerLimit, readBufferBytes)
+	c.in = newInput(nc, s.cfg.ReserveHead, s.cfg.ReleaseHead)
 	c.out = bufio.NewWriterSize(c, writeBufferBytes)
 	c.progress()
 	return c
@@ -133,7 +126,7 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
-	defer c.releaseAhead()
+	defer func() { c.in.release(c.in.charged) }()
 	if err := c.handshake(); err != nil {
 		c.server.cfg.OnError(err)
 		c.abort()
@@ -214,13 +207,13 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest() bool {
-	c.headerLimit.N = int64(c.server.limits.Load().MaxHeaderBytes)
+	c.in.endRequest()
 	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().IdleTimeout))
 	for {
 		if c.closing.Load() {
 			return false // either seen here, or the read deadline set by the last exchange ends the wait
 		}
-		_, err := c.in.Peek(1)
+		err := c.in.awaitByte()
 		if err == nil {
 			return true
 		}
@@ -236,12 +229,11 @@
 // readRequest reads a request and reserves what it occupies.
 func (c *conn) readRequest() (*http.Request, int, error) {
 	_ = c.net.SetReadDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
-	cost, err := c.reserveHead()
+	head, cost, err := c.reserveHead()
 	if err != nil {
-		return nil, 0, c.readError(err)
+		return nil, 0, fmt.Errorf("read request: %w", err)
 	}
-	c.longHead = nil
-	r, err := c.readHeader()
+	r, err := c.readHeader(head)
 	if err != nil {
 		c.releaseHead(cost)
 		return nil, 0, err
@@ -250,13 +242,12 @@
 	return r, cost, nil
 }
 
-// readHeader reads the header of a request.
-func (c *conn) readHeader() (*http.Request, error) {
-	r, err := c.parseRequest()
+// readHeader parses the header of a request.
+func (c *conn) readHeader(head []byte) (*http.Request, error) {
+	r, err := c.parseRequest(head)
 	if err != nil {
-		return nil, c.readError(err)
+		return nil, fmt.Errorf("read request: %w", err)
 	}
-	c.headerLimit.N = 1<<63 - 1
 	_ = c.net.SetReadDeadline(time.Time{})
 	r.RemoteAddr = c.net.RemoteAddr().String()
 	if r.ProtoAtLeast(1, 1) && r.Host == "" {
@@ -268,13 +259,6 @@
 	return r, nil
 }
 
-func (c *conn) readError(err error) error {
-	if c.headerLimit.N <= 0 {
-		return ErrHeaderTooLarge
-	}
-	return fmt.Errorf("read request: %w", err)
-}
-
 // checkFieldNames reports a field with a space in its name or before its colon, which
 // http.ReadRequest accepts as a field of its own. If it meant the length of the body, the
 // body would be read as the next request.
@@ -324,7 +308,6 @@
 	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	c.headerLimit.N = 1<<63 - 1
 	_ = c.net.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.in)
+	c.in.discard()
 }
--- a/h1/head.go
+++ b/h1/head.go
@@ -1,8 +1,6 @@
 package h1
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"strings"
 	"time"
@@ -28,23 +26,23 @@
 // connection may occupy.
 const connShareDivisor = 8
 
-// reserveHead reads ahead to the end of a request's head and reserves what the request will occupy,
-// before it is parsed. It returns ErrOverloaded if there is no room.
-func (c *conn) reserveHead() (cost int, err error) {
-	lines, size, err := c.scanHead()
+// reserveHead waits for the next head and reserves what its request will occupy, before it is parsed.
+// It returns ErrOverloaded if there is no room.
+func (c *conn) reserveHead() (head []byte, cost int, err error) {
+	head, lines, err := c.in.awaitHead(c.server.limits.Load().MaxHeaderBytes)
 	if err != nil {
-		return 0, err
+		return nil, 0, err
 	}
-	cost = requestBytes + lines*fieldBytes + size*headCopies
+	cost = requestBytes + lines*fieldBytes + len(head)*headCopies
 	most := c.server.cfg.RequestMemory / connShareDivisor
 	if most > 0 && c.occupied.Load() > 0 && c.occupied.Load()+int64(cost) > most {
-		return 0, ErrOverloaded
+		return nil, 0, ErrOverloaded
 	}
 	if !c.server.cfg.ReserveRequest(cost) {
-		return 0, ErrOverloaded
+		return nil, 0, ErrOverloaded
 	}
 	c.occupied.Add(int64(cost))
-	return cost, nil
+	return head, cost, nil
 }
 
 func (c *conn) releaseHead(cost int) {
@@ -52,59 +50,6 @@
 	c.server.cfg.ReleaseRequest(cost)
 }
 
-// scanHead returns the number of lines and of bytes of the next head, without consuming it.
-func (c *conn) scanHead() (lines, size int, err error) {
-	c.longHead = nil
-	for n := 1; ; n = c.in.Buffered() + 1 {
-		_, err := c.in.Peek(n)
-		seen, _ := c.in.Peek(c.in.Buffered())
-		if lines, size, ok := measureHead(seen); ok {
-			return lines, size, nil
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			break
-		}
-		if err != nil {
-			return 0, 0, err
-		}
-	}
-	head, err := c.readHead()
-	c.longHead = head
-	if err != nil {
-		return 0, 0, err
-	}
-	lines, size, _ = measureHead(head)
-	c.unread(head)
-	return lines, size, nil
-}
-
-// measureHead returns the number of lines and of bytes of the head that some bytes begin with, false
-// if its end is missing.
-func measureHead(b []byte) (lines, size int, ok bool) {
-	for size < len(b) {
-		i := bytes.IndexByte(b[size:], '\n')
-		if i < 0 {
-			return 0, 0, false
-		}
-		line := b[size : size+i]
-		size += i + 1
-		if len(bytes.TrimRight(line, "\r")) == 0 && lines > 0 {
-			return lines, size, true
-		}
-		lines++
-	}
-	return 0, 0, false
-}
-
-// unread puts a head back in front of what is read next.
-func (c *conn) unread(head []byte) {
-	rest, _ := c.in.Peek(c.in.Buffered())
-	read := len(head) + len(rest)
-	c.ahead.buf = append(append(append(make([]byte, 0, read+len(c.ahead.buf)), head...), rest...), c.ahead.buf...)
-	c.headerLimit.N += int64(read)
-	c.in.Reset(c.headerLimit)
-}
-
 // leastIdle is the time without progress after which a connection is closed for a new one.
 const leastIdle = 200 * time.Millisecond
 
@@ -138,11 +83,7 @@
 	if !errors.Is(reason, ErrOverloaded) {
 		return ""
 	}
-	head, _ := c.in.Peek(c.in.Buffered())
-	if c.longHead != nil {
-		head = c.longHead
-	}
 	var b strings.Builder
-	_ = c.server.cfg.RefusalHeader(head).Write(&b) // a Builder returns no error
+	_ = c.server.cfg.RefusalHeader(c.in.pending()).Write(&b) // a Builder returns no error
 	return b.String()
 }
--- a/h1/head_test.go
+++ b/h1/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -108,3 +109,45 @@
 		}
 	}
 }
+
+// TestBodyBehindOldRequestIsWhole guards against bytes that are lost where a reader of the connection
+// replaces another one: a request with a long head, behind one of HTTP/1.0, ran with a body that lacked a
+// part.
+func TestBodyBehindOldRequestIsWhole(t *testing.T) {
+	for _, lines := range []int{50, 200, 450, 900} {
+		is := is.New(t)
+		bodies := make(chan string, 1)
+		old := make(chan struct{})
+		s := New(Config{}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case "/old":
+				<-old // its response closes the connection
+				return
+			case "/":
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				body = []byte(err.Error())
+			}
+			bodies <- string(body)
+		}))
+		server, client := net.Pipe()
+		go newConn(s, server).serve()
+		var body strings.Builder
+		for i := range 1000 {
+			body.WriteString(strconv.Itoa(i) + ",")
+		}
+		text := "GET /old HTTP/1.0\r\nConnection: keep-alive\r\n" + strings.Repeat("B: old\r\n", 20) + "\r\n" +
+			"POST /new HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(body.Len()) + "\r\n" + strings.Repeat("A: value\r\n", lines) + "\r\n" + body.String()
+		go func() { _, _ = io.WriteString(client, text+strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 100)) }()
+		select {
+		case got := <-bodies:
+			is.True(got == body.String())
+		case <-time.After(5 * time.Second):
+			t.Errorf("%d lines: the request behind was not handled", lines)
+		}
+		close(old)
+		_ = client.Close()
+	}
+}
--- a/h1/server.go
+++ b/h1/server.go
@@ -63,6 +63,10 @@
 	// refused with 503, and its connection is closed.
 	ReserveRequest func(n int) bool
 	ReleaseRequest func(n int)
+	// ReserveHead reports whether n bytes may be taken for a head that has not ended or for what was read
+	// ahead, and ReleaseHead gives them back; nil: there is no bound.
+	ReserveHead func(n int) bool
+	ReleaseHead func(n int)
 	// RequestMemory is the number of bytes that ReserveRequest gives in all; zero: unknown. The requests
 	// of one connection get a part of it.
 	RequestMemory int64
@@ -91,6 +95,9 @@
 	if c.ReserveRequest == nil || c.ReleaseRequest == nil {
 		c.ReserveRequest, c.ReleaseRequest = func(int) bool { return true }, func(int) {}
 	}
+	if c.ReserveHead == nil || c.ReleaseHead == nil {
+		c.ReserveHead, c.ReleaseHead = func(int) bool { return true }, func(int) {}
+	}
 	if c.RefusalHeader == nil {
 		c.RefusalHeader = func([]byte) http.Header { return nil }
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -260,6 +260,7 @@
 		Limits:       h1.Limits{MaxHeaderBytes: headerBytes, HeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout},
 		WriteTimeout: maxTransfer, OnError: onError, OnSent: onSent,
 		Reserve: func(n int) bool { return p.bodies.reserve(n, p.bodies.limit) }, Release: p.bodies.release,
+		ReserveHead: p.room.reserveHead, ReleaseHead: p.room.release,
 		RequestMemory: p.cfg.RequestBytes,
 	}
 }
--- a/proxy/requestroom.go
+++ b/proxy/requestroom.go
@@ -26,10 +26,16 @@
 
 // reserve reports whether a request that occupies n bytes has room, and takes it.
 func (m *requestRoom) reserve(n int) bool {
-	limit := m.limit
 	if n > h1.LargeRequestBytes {
-		limit /= largeShareDivisor
+		return m.reserveWithin(n, m.limit/largeShareDivisor)
 	}
+	return m.reserveWithin(n, m.limit)
+}
+
+// reserveHead reports whether there is room for n bytes of a head that has not ended, and takes it.
+func (m *requestRoom) reserveHead(n int) bool { return m.reserveWithin(n, m.limit/largeShareDivisor) }
+
+func (m *requestRoom) reserveWithin(n int, limit int64) bool {
 	if reserved := m.reserved.Add(int64(n)); m.limit == 0 || reserved <= limit {
 		return true
 	}
