h1: never close a connection for a new one while its request is at work

Cause: makeRoom closed the connection without progress for longest, and a request at a backend server makes none. A closed connection was no longer counted, although its reader still held memory. Change: chooseEvicted decides, without a network: connections that never sent a request go first, those that hold most before others, then one that is idle, then one whose client has taken nothing of its response for 2 s. retire makes sure that no request is accepted in between. A closing connection counts until its reader has ended, and some room is left for it; several are chosen at a time, as the choice looks at all of them.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -43,8 +43,11 @@
 	closing  atomic.Bool   // a response announced that the connection closes
 	endsBody atomic.Bool   // the end of the connection would end the body of the response that is being sent
 
-	occupied   atomic.Int64 // bytes that the requests read occupy
-	progressAt atomic.Int64 // Unix time in nanoseconds of the last progress
+	occupied     atomic.Int64 // bytes that are charged for the connection
+	progressAt   atomic.Int64 // Unix time in nanoseconds of the last progress
+	writingSince atomic.Int64 // Unix time in nanoseconds at which the write in progress began; zero: none is
+	served       atomic.Bool  // a request has been handled
+	evicted      bool         // guarded by Server.mu
 
 	slots   sync.Mutex // guards waiting, and the read deadline while it is set
 	waiting bool       // awaitSlot reads the connection
@@ -58,7 +61,7 @@
 	ctx := context.WithValue(context.Background(), http.LocalAddrContextKey, nc.LocalAddr())
 	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.in = newInput(nc, s.cfg.ReserveHead, s.cfg.ReleaseHead)
+	c.in = newInput(nc, c.reserveInput, c.releaseInput)
 	c.out = bufio.NewWriterSize(c, writeBufferBytes)
 	c.progress()
 	return c
@@ -66,7 +69,9 @@
 
 // Write implements io.Writer for the buffered writer out.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writingSince.Store(time.Now().UnixNano())
 	n, err := c.net.Write(p)
+	c.writingSince.Store(0)
 	c.progress()
 	c.server.cfg.OnSent(c.net, n)
 	return n, err
@@ -126,7 +131,7 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
-	defer func() { c.in.release(c.in.charged) }()
+	defer c.in.giveBack()
 	if err := c.handshake(); err != nil {
 		c.server.cfg.OnError(err)
 		c.abort()
--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -115,6 +115,7 @@
 		e.cancel()
 		e.release(e.reserved)
 		c.releaseHead(e.cost)
+		c.served.Store(true)
 		c.pending.Add(-1)
 		c.freeSlot()
 		if w.closesConn {
--- a/h1/head.go
+++ b/h1/head.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"strings"
-	"time"
 )
 
 // What a request occupies while it is handled, in bytes: the runtime holds much more of a short
@@ -45,38 +44,23 @@
 	return head, cost, nil
 }
 
-func (c *conn) releaseHead(cost int) {
-	c.occupied.Add(-int64(cost))
-	c.server.cfg.ReleaseRequest(cost)
-}
-
-// leastIdle is the time without progress after which a connection is closed for a new one.
-const leastIdle = 200 * time.Millisecond
-
-// makeRoom closes the connection that has made no progress for longest, if there are too many, and
-// reports whether there is room for another one. A client that reads nothing of its answers makes none.
-func (s *Server) makeRoom() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cfg.MaxConns <= 0 || len(s.conns) < s.cfg.MaxConns {
-		return true
-	}
-	var oldest *conn
-	for c := range s.conns {
-		if oldest == nil || c.progressAt.Load() < oldest.progressAt.Load() {
-			oldest = c
-		}
-	}
-	if oldest == nil || time.Since(time.Unix(0, oldest.progressAt.Load())) < leastIdle {
+func (c *conn) reserveInput(n int) bool {
+	if !c.server.cfg.ReserveHead(n) {
 		return false
 	}
-	delete(s.conns, oldest)
-	oldest.abort()
+	c.occupied.Add(int64(n))
 	return true
 }
 
-// progress records that a request was read, or that a part of a response was sent.
-func (c *conn) progress() { c.progressAt.Store(time.Now().UnixNano()) }
+func (c *conn) releaseInput(n int) {
+	c.occupied.Add(-int64(n))
+	c.server.cfg.ReleaseHead(n)
+}
+
+func (c *conn) releaseHead(cost int) {
+	c.occupied.Add(-int64(cost))
+	c.server.cfg.ReleaseRequest(cost)
+}
 
 // refusalFields returns the header lines of a refusal for lack of room.
 func (c *conn) refusalFields(reason error) string {
--- a/h1/input.go
+++ b/h1/input.go
@@ -114,6 +114,11 @@
 	if len(in.buf) > idleInputBytes {
 		in.resize(idleInputBytes)
 	}
+	in.giveBack()
+}
+
+// giveBack gives back what is charged.
+func (in *input) giveBack() {
 	in.release(in.charged)
 	in.charged = 0
 }
--- a/h1/server.go
+++ b/h1/server.go
@@ -72,8 +72,8 @@
 	RequestMemory int64
 	// RefusalHeader returns the header of the refusal of a request with a head; nil: none.
 	RefusalHeader func(head []byte) http.Header
-	// MaxConns is the number of connections that are open at a time; zero: no bound. For a new one
-	// beyond it, the one without progress for longest is closed.
+	// MaxConns is the number of connections that are open at a time; zero: no bound. Short of it,
+	// connections are closed that have no request at work (chooseEvicted); beyond it, new ones.
 	MaxConns int
 }
 
@@ -115,6 +115,7 @@
 	closed    bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+	closing   int // number of conns that were evicted
 }
 
 // New returns a Server for a handler.
@@ -187,6 +188,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.evicted {
+		s.closing--
+	}
 }
 
 // Drain makes the server close each connection after the response to the last
