Charge what clients hold before it is taken, within half of the memory beside the node's own

Callers saw: nodes that share a processor took more than their memory beside clients that nobody controls, and would have ended: 110 MiB with memory_mb = 64. Cause: the limits were parts of all the memory, although the program itself takes some 36 MiB. A request was charged 16 KiB and holds more. A body that is read while it is sent, a query about an abandoned attempt and idle connections were not charged. A caller whose body had not come held all of it, and a slot of a backend server. What kept the sum below the memory was a collector with time to spare. Change: node/memory.go derives all limits from memoryBytes and descriptors: half of what is left beside the node's own 40 MiB is for clients, the other half for garbage. A request is charged 32 KiB, a body that is streamed 64 more, a query in the background 32. The first 64 KiB of a body are read before the request is passed on, and take memory only as they arrive. A connection takes a buffer for writing only while it sends. Connections of callers and idle ones to other nodes get limits that follow from memory. Connections of other nodes are not limited yet.

--- a/h1/body.go
+++ b/h1/body.go
@@ -72,7 +72,7 @@
 	}
 	c := b.exchange.conn
 	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.cfg.WriteTimeout)) // the deadline of an earlier response may have passed
-	out := c.out
+	out := c.writer()
 	if _, err := out.Write(continueLine); err != nil {
 		return err
 	}
--- a/h1/conn.go
+++ b/h1/conn.go
@@ -34,7 +34,7 @@
 	server   *Server
 	net      net.Conn
 	in       *input
-	out      *bufio.Writer
+	out      *bufio.Writer // of the response that is being sent; nil: none is (writer)
 	ctx      context.Context
 	cancel   context.CancelFunc
 	inFlight chan struct{} // semaphore: one element per request that is being handled
@@ -62,11 +62,30 @@
 	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.in = newInput(nc, c.reserveInput, c.releaseInput)
-	c.out = bufio.NewWriterSize(c, writeBufferBytes)
 	c.progress()
 	return c
 }
 
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+// writer returns the writer for the response whose turn it is.
+func (c *conn) writer() *bufio.Writer {
+	if c.out == nil {
+		c.out = writers.Get().(*bufio.Writer)
+		c.out.Reset(c)
+	}
+	return c.out
+}
+
+// freeWriter gives the writer back after a response was sent whole.
+func (c *conn) freeWriter() {
+	if c.out != nil {
+		c.out.Reset(nil)
+		writers.Put(c.out)
+		c.out = nil
+	}
+}
+
 // Write implements io.Writer for the buffered writer out.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writingSince.Store(time.Now().UnixNano())
@@ -301,9 +320,10 @@
 	}
 	_ = c.net.SetWriteDeadline(time.Now().Add(c.server.limits.Load().HeaderTimeout))
 	text := reason.Error() + "\n"
-	_, _ = fmt.Fprintf(c.out, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
+	out := c.writer()
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), c.refusalFields(reason), len(text), text)
-	_ = c.out.Flush()
+	_ = out.Flush()
 	c.linger()
 }
 
--- a/h1/head.go
+++ b/h1/head.go
@@ -9,7 +9,7 @@
 // header line than its bytes.
 const (
 	// requestBytes is for the goroutines and buffers of a request, here and on the way to the next hop.
-	requestBytes = 16 << 10
+	requestBytes = 32 << 10
 	// fieldBytes is for a header line: its name and value, the slices that hold them, and the entries
 	// of the maps of the request and of its copy for the next hop.
 	fieldBytes = 512
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -152,7 +152,7 @@
 }
 
 func (w *writer) sendHeader() {
-	out, c := w.exchange.conn.out, w.exchange.conn
+	out, c := w.exchange.conn.writer(), w.exchange.conn
 	w.decideClose()
 	_, _ = fmt.Fprintf(out, "HTTP/1.1 %03d %s\r\n", w.status, http.StatusText(w.status))
 	trailers := w.trailers()
@@ -188,7 +188,7 @@
 }
 
 func (w *writer) send(p []byte) error {
-	out := w.exchange.conn.out
+	out := w.exchange.conn.writer()
 	if w.chunked && len(p) > 0 {
 		_, _ = out.WriteString(strconv.FormatInt(int64(len(p)), 16) + "\r\n")
 	}
@@ -212,7 +212,7 @@
 	if err := w.begin(); err != nil {
 		return err
 	}
-	return w.exchange.conn.out.Flush()
+	return w.exchange.conn.writer().Flush()
 }
 
 // SetReadDeadline sets the deadline for reading the request's body.
@@ -236,7 +236,7 @@
 func (w *writer) finish() error {
 	if w.failed {
 		if w.active {
-			_ = w.exchange.conn.out.Flush()
+			_ = w.exchange.conn.writer().Flush()
 		}
 		return nil
 	}
@@ -251,13 +251,14 @@
 		return err
 	}
 	if w.chunked {
-		_, _ = w.exchange.conn.out.WriteString("0\r\n")
+		_, _ = w.exchange.conn.writer().WriteString("0\r\n")
 		w.sendTrailer()
-		_, _ = w.exchange.conn.out.WriteString("\r\n")
+		_, _ = w.exchange.conn.writer().WriteString("\r\n")
 	}
-	if err := w.exchange.conn.out.Flush(); err != nil {
+	if err := w.exchange.conn.writer().Flush(); err != nil {
 		return err
 	}
+	w.exchange.conn.freeWriter()
 	w.exchange.conn.setEndsBody(false)
 	return nil
 }
@@ -276,7 +277,7 @@
 func (w *writer) sendTrailer() {
 	for _, name := range w.trailers() {
 		for _, v := range w.header[name] {
-			_, _ = w.exchange.conn.out.WriteString(name + ": " + v + "\r\n")
+			_, _ = w.exchange.conn.writer().WriteString(name + ": " + v + "\r\n")
 		}
 	}
 }
--- a/node/config.go
+++ b/node/config.go
@@ -50,39 +50,19 @@
 // overtake.
 const usableShare = 0.9
 
-// readAheadDivisor sets the memory for large answers that wait for the network:
-// it is the memory limit divided by this number.
-const readAheadDivisor = 8
-
-// requestMemoryDivisor sets the memory for requests that are handled: it is the memory limit divided by
-// this number.
-const requestMemoryDivisor = 4
-
-// Parts of the descriptors that callers' connections and callers' requests may take. The rest is for the
-// platform, links, attempts of other nodes and the backend server.
-const (
-	callerDescriptorShare  = 0.6
-	requestDescriptorShare = 0.2
-	// fileDescriptors is how many are left for what is no connection.
-	fileDescriptors = 200
-)
-
-// socketsOf returns the number of connections that may be open with a number of descriptors.
-func socketsOf(descriptors int) float64 {
-	return float64(max(descriptors-fileDescriptors, descriptors/2))
-}
-
 // ProxyConfig returns the configuration of a Proxy without TLS.
 func ProxyConfig(s settings.Settings) proxy.Config {
+	limits := newClientLimits(s)
 	return proxy.Config{
 		Service: s.Backend.Service,
 		Backend: s.Backend.Address, Connections: s.Backend.Connections,
 		MaxBodyBytes: int64(s.Requests.MaxBodyBytes), MaxDepth: s.Requests.MaxDepth,
 		SilenceAfter:   time.Duration(s.Requests.SilenceAfter),
-		ReadAheadBytes: int64(s.MemoryBytes / readAheadDivisor),
-		RequestBytes:   int64(s.MemoryBytes / requestMemoryDivisor),
-		MaxConnections: int(callerDescriptorShare * socketsOf(s.Descriptors)),
-		MaxRequests:    int(requestDescriptorShare * socketsOf(s.Descriptors)),
+		ReadAheadBytes: limits.bodyBytes,
+		RequestBytes:   limits.requestBytes,
+		MaxConnections: limits.connections,
+		MaxRequests:    limits.requests,
+		MaxIdle:        limits.idleHops,
 		LinkBytes:      s.LinkMbps * bytesPerMegabit * usableShare,
 	}
 }
--- a/node/module.go
+++ b/node/module.go
@@ -223,8 +223,8 @@
 // that stop the listeners before the node, the transport and the proxy.
 func run(p runParams) {
 	p.Node.SetRegistry(p.Registry)
-	if p.Settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(p.Settings.MemoryBytes) / 4 * 3) // the rest is for memory that the runtime does not count
+	if heap := newClientLimits(p.Settings).heapBytes; heap > 0 {
+		debug.SetMemoryLimit(heap)
 	}
 	servers := p.servers()
 	p.Lifecycle.Append(fx.Hook{
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/agatekeel/agatekeel/h1"
 )
 
 var (
@@ -16,12 +19,13 @@
 	errBodyClosed   = fmt.Errorf("request body was closed")
 )
 
-// requestBody is the body of a request. A short one is read before anything
-// else, so that a slow caller occupies no slot. A longer one, or one for which there
-// is no memory, is read while it is sent; its beginning is kept in memory, up to
-// keptBodyBytes, so that it can be sent again.
+// requestBody is the body of a request. Its beginning, up to keptBodyBytes, is read before anything
+// else, so that a slow caller occupies no slot, and kept in memory so that it can be sent again. The
+// rest of a longer one, or all for which there is no memory, is read while it is sent.
 type requestBody struct {
 	memory   *bodyMemory
+	room     *requestRoom
+	streamed bool   // room is taken for reading while sending
 	length   int64  // declared length, -1: not declared
 	buffered []byte // the complete body if src is nil
 	limit    int64
@@ -37,27 +41,66 @@
 	err        error // the error with which src ended
 }
 
-// newRequestBody returns the body of r, or nil if it has none. It fails if a
-// short body does not arrive completely. free has to be called at the end of the request.
-// streams says that a short one is read while it is sent, too.
-func (p *Proxy) newRequestBody(w http.ResponseWriter, r *http.Request, limit int64, streams bool) (*requestBody, error) {
+// streamBytes is what reading a body while it is sent takes: buffers of the transport and of both
+// connections.
+const streamBytes = 64 << 10
+
+// bodyReading says how the body of a request is read.
+type bodyReading struct {
+	limit   int64         // maximum number of bytes
+	streams bool          // no part is read before it is sent
+	timeout time.Duration // for the part that is read before; zero: shortBodyTimeout
+}
+
+// newRequestBody returns the body of r, or nil if it has none. It fails if the beginning of the body, or a
+// short one, does not arrive in time, and with h1.ErrOverloaded if there is no room to stream it. free has
+// to be called at the end of the request.
+func (p *Proxy) newRequestBody(w http.ResponseWriter, r *http.Request, how bodyReading) (*requestBody, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
-	b := &requestBody{memory: &p.bodies, length: r.ContentLength, limit: limit, conn: http.NewResponseController(w)}
-	if streams || b.length < 0 || b.length > keptBodyBytes || !b.reserve(int(b.length)) {
-		b.src = r.Body
-		return b, nil
+	b := &requestBody{memory: &p.bodies, room: &p.room, length: r.ContentLength, limit: how.limit, conn: http.NewResponseController(w), src: r.Body}
+	if !how.streams {
+		if err := b.prefetch(cmp.Or(how.timeout, shortBodyTimeout)); err != nil {
+			b.free()
+			return nil, fmt.Errorf("request body did not come whole: %w", err)
+		}
 	}
-	_ = b.conn.SetReadDeadline(time.Now().Add(shortBodyTimeout))
-	b.buffered = make([]byte, b.length)
-	if _, err := io.ReadFull(r.Body, b.buffered); err != nil {
-		b.free()
-		return nil, fmt.Errorf("request body did not come whole: %w", err)
+	if b.src != nil {
+		if !b.room.reserve(streamBytes) {
+			b.free()
+			return nil, h1.ErrOverloaded
+		}
+		b.streamed = true
+	} else if len(r.Trailer) == 0 {
+		b.length = int64(len(b.buffered))
 	}
 	return b, nil
 }
 
+// prefetch reads the body to its end, as far as it can be kept. What a caller sends slowly takes memory
+// only as it arrives.
+func (b *requestBody) prefetch(timeout time.Duration) error {
+	_ = b.conn.SetReadDeadline(time.Now().Add(timeout))
+	for b.err == nil {
+		if len(b.kept) == keptBodyBytes || !b.makeRoom(1) {
+			_ = b.conn.SetReadDeadline(time.Time{})
+			return nil
+		}
+		n, err := b.src.Read(b.kept[len(b.kept):cap(b.kept)])
+		b.kept = b.kept[:len(b.kept)+n]
+		b.read += int64(n)
+		if b.err = err; b.read > b.limit {
+			b.err = errBodyTooLarge
+		}
+	}
+	if b.err != io.EOF {
+		return b.err
+	}
+	b.buffered, b.kept, b.src = b.kept, nil, nil
+	return nil
+}
+
 // limitUpload limits the time for the rest of the body, so that a caller who
 // sends slowly or stops sending occupies nothing for longer: the transport and
 // the server both wait for a body that is being read. Only the handler sets
@@ -158,10 +201,19 @@
 // firstKeptBytes is the size of the memory in which the beginning of a body is kept at first.
 const firstKeptBytes = 4 << 10
 
+// firstKept returns the size in bytes of the memory in which the body is kept at first. A byte beyond a
+// declared length shows the end without a larger one.
+func (b *requestBody) firstKept() int {
+	if b.length >= 0 && b.length < firstKeptBytes {
+		return int(b.length) + 1
+	}
+	return firstKeptBytes
+}
+
 // makeRoom gets memory to keep n more bytes, and reports whether there was as much.
 func (b *requestBody) makeRoom(n int) bool {
-	size := cap(b.kept)
-	for size = max(size, firstKeptBytes); size < len(b.kept)+n; size *= 2 {
+	size := max(cap(b.kept), b.firstKept())
+	for ; size < len(b.kept)+n; size *= 2 {
 	}
 	if size == cap(b.kept) {
 		return true
@@ -199,6 +251,9 @@
 	if b == nil {
 		return
 	}
+	if b.streamed && !b.freed.Load() {
+		b.room.release(streamBytes)
+	}
 	b.freed.Store(true)
 	b.release()
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -94,8 +94,12 @@
 		return core.CallArrived{}, &rejection{http.StatusLoopDetected, fmt.Sprintf(
 			"calls are nested %d deep, at most %d are allowed", c.depth, p.cfg.MaxDepth)}
 	}
-	if c.body, err = p.newRequestBody(c.w, r, p.maxBody.Load(), false); err != nil {
-		return core.CallArrived{}, &rejection{http.StatusRequestTimeout, err.Error()}
+	how := bodyReading{limit: p.maxBody.Load(), timeout: shortBodyTimeout}
+	if budget > 0 {
+		how.timeout = min(budget, shortBodyTimeout) // a request whose time is over can't be served
+	}
+	if c.body, err = p.newRequestBody(c.w, r, how); err != nil {
+		return core.CallArrived{}, p.rejectBody(c.w, err)
 	}
 	c.id = core.CallID(p.lastCall.Add(1))
 	return core.CallArrived{
@@ -105,6 +109,26 @@
 	}, nil
 }
 
+// rejectBody returns the rejection of a request whose body was not read. Nothing of it has been passed on.
+func (p *Proxy) rejectBody(w http.ResponseWriter, err error) *rejection {
+	status := statusOfBody(err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", formatSeconds(overloadRetryAfter))
+	}
+	return &rejection{status, err.Error()}
+}
+
+// statusOfBody returns the status of the answer to a request whose body was not read.
+func statusOfBody(err error) int {
+	switch {
+	case errors.Is(err, h1.ErrOverloaded):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusRequestTimeout
+}
+
 // callerDepth returns the depth that a backend server on this host passed on.
 // From other hosts the header is ignored.
 func (n Names) callerDepth(r *http.Request) int {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,6 +62,7 @@
 	RequestBytes   int64         // memory for requests that are handled, their bodies not among it; zero: no bound
 	MaxRequests    int           // maximum number of callers' requests that are handled at a time; zero: no bound
 	MaxConnections int           // maximum number of connections of callers; zero: no bound
+	MaxIdle        int           // maximum number of idle connections to other nodes; zero: 1024
 	LinkBytes      float64       // bytes per second that the host's network link carries; zero: unknown
 
 	Service string // service of this node's backend server, sent in the header Names.Service
@@ -89,6 +90,9 @@
 	if c.ReadAheadBytes == 0 {
 		c.ReadAheadBytes = DefaultReadAheadBytes
 	}
+	if c.MaxIdle == 0 {
+		c.MaxIdle = maxIdle
+	}
 	if c.SilenceAfter == 0 {
 		c.SilenceAfter = DefaultSilenceAfter
 	}
@@ -148,6 +152,7 @@
 	p.ending, p.endCalls = context.WithCancel(context.Background())
 	hopDial := counting(cfg.HopDial, p.recordSent)
 	p.hop, p.query = newTransport(hopDial, 0), newTransport(hopDial, 0)
+	p.hop.MaxIdleConns, p.query.MaxIdleConns = cfg.MaxIdle, cfg.MaxIdle
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.bodies.limit, p.readAhead.memory = cfg.ReadAheadBytes, &p.bodies
 	refused := metrics.GetOrRegisterCounter("proxy.overloaded", r)
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -35,13 +35,21 @@
 	return &attemptError{outcome: retry.NotRun, err: failed.err}
 }
 
+// abandonBytes is what a query in the background takes.
+const abandonBytes = 32 << 10
+
 // abandon asks the receiving node, in the background, to cancel an attempt
-// whose caller has disconnected or failed to send its body.
+// whose caller has disconnected or failed to send its body. Without room for that, the end of the
+// attempt's connection tells the node.
 func (c *call) abandon(f core.Forward) {
-	if f.Local {
+	p := c.proxy
+	if f.Local || !p.room.reserve(abandonBytes) {
 		return
 	}
-	go func() { _, _ = c.proxy.queryAttempt(headerCancel, f, queryTimeout) }()
+	go func() {
+		defer p.room.release(abandonBytes)
+		_, _ = p.queryAttempt(headerCancel, f, queryTimeout)
+	}()
 }
 
 // queryAttempt asks the node at an attempt's hop for the outcome of the
