proxy: a body for which there is no memory holds no slot before it begins to come

Cause: a body for which there was no memory was streamed at once, and held a slot of its backend server. Slow callers took that memory whole, as a short body reserved its declared length before a byte had come. Change: a short body takes memory as it arrives. The first 4 KiB of any body are part of what its request was charged, and have to be there before the request is passed on. Conclusion: who sends slowly waits at its entry node.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -64,22 +64,50 @@
 		return nil
 	}
 	expects := r.ProtoAtLeast(1, 1) && r.Header.Get("Expect") != ""
-	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects && e.reserve(int(r.ContentLength)) {
-		_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
-		data := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, data); err != nil {
+	if r.ContentLength > 0 && r.ContentLength <= bufferedBodyBytes && !expects {
+		data, err := e.readShortBody()
+		if err != nil {
 			e.release(e.reserved)
 			return fmt.Errorf("read request body: %w", err)
 		}
-		_ = e.conn.net.SetReadDeadline(time.Time{})
-		r.Body = io.NopCloser(bytes.NewReader(data))
-		return nil
+		if int64(len(data)) == r.ContentLength {
+			r.Body = io.NopCloser(bytes.NewReader(data))
+			return nil
+		}
+		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(data), r.Body))
 	}
 	e.body = &body{exchange: e, src: r.Body, expectsContinue: expects, ended: make(chan struct{})}
 	r.Body = e.body
 	return nil
 }
 
+// leastBodyBytes is the size of the first buffer of a body that is read before the handler runs.
+const leastBodyBytes = 4 << 10
+
+// readShortBody reads the body as far as there is memory, which is taken as the body arrives.
+func (e *exchange) readShortBody() ([]byte, error) {
+	r := e.request
+	_ = e.conn.net.SetReadDeadline(time.Now().Add(e.conn.server.limits.Load().HeaderTimeout))
+	defer func() { _ = e.conn.net.SetReadDeadline(time.Time{}) }()
+	length := int(r.ContentLength)
+	var data []byte
+	for len(data) < length {
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), leastBodyBytes), length)
+			if !e.reserve(size - cap(data)) {
+				break
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := r.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil && len(data) < length {
+			return nil, fmt.Errorf("%d of %d bytes: %w", len(data), length, io.ErrUnexpectedEOF)
+		}
+	}
+	return data, nil
+}
+
 // awaitBodyRead waits until the body has been read. It returns false if nothing
 // more is to be read from the connection.
 func (e *exchange) awaitBodyRead() bool {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -83,7 +83,7 @@
 func (b *requestBody) prefetch(timeout time.Duration) error {
 	_ = b.conn.SetReadDeadline(time.Now().Add(timeout))
 	for b.err == nil {
-		if len(b.kept) == keptBodyBytes || !b.makeRoom(1) {
+		if len(b.kept) >= keptBodyBytes || !b.makeRoom(1) {
 			_ = b.conn.SetReadDeadline(time.Time{})
 			return nil
 		}
@@ -198,7 +198,9 @@
 	b.kept = append(b.kept, p...)
 }
 
-// firstKeptBytes is the size of the memory in which the beginning of a body is kept at first.
+// firstKeptBytes is the size of the memory in which the beginning of a body is kept at first. It is a
+// part of what the request was charged, so that a body for which there is no memory holds no slot
+// either before it begins to come.
 const firstKeptBytes = 4 << 10
 
 // firstKept returns the size in bytes of the memory in which the body is kept at first. A byte beyond a
@@ -218,7 +220,7 @@
 	if size == cap(b.kept) {
 		return true
 	}
-	if !b.reserve(size - cap(b.kept)) {
+	if !b.reserve(max(size-firstKeptBytes, 0) - max(cap(b.kept)-firstKeptBytes, 0)) {
 		return false
 	}
 	b.kept = append(make([]byte, 0, size), b.kept...)
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -230,3 +230,20 @@
 		})
 	}
 }
+
+// TestSlowUploadWithoutMemoryHoldsNoSlot guards against callers who send slowly and hold the slots of
+// backend servers while the memory for bodies is taken.
+func TestSlowUploadWithoutMemoryHoldsNoSlot(t *testing.T) {
+	for _, length := range []string{"Content-Length: 60000", "Content-Length: 1000000", "Transfer-Encoding: chunked"} {
+		t.Run(length, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.ReadAheadBytes = 1 }, "", "orders")
+			m.dialRaw(0, "POST /brief HTTP/1.1\r\nHost: x\r\n"+length+"\r\n\r\n3\r\nabc\r\n")
+			time.Sleep(200 * time.Millisecond)
+			is.Equal(m.nodes[1].arrivals.count.Load(), int64(0))
+			resp, _, err := m.do(0, "POST", "/once", strings.Repeat("x", 10_000)) // one that comes whole is served
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+		})
+	}
+}
