h1: requests ahead wait for room, and leave half of it to others

Callers saw: some 50 clients can take all slots of a node with requests sent ahead behind answers that they do not read; ordinary callers got 503. A client within the limits whose requests ahead found no room got 503 and a closed connection. Cause: a request ahead counted like the only one of its connection. Change: requests behind others of their connection get half of the slots and half of the room. Without room they wait until one in front of them has ended, while the connection is read, so that a client that leaves is noticed. Only a request that has none in front is refused. Evidence: TestRequestsAheadWaitForRoom failed in three runs of three before (503). Conclusion: few connections can't take a node. Requests of equal rank still share a pressed service one by one.

--- a/h1/conn.go
+++ b/h1/conn.go
@@ -38,6 +38,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	inFlight chan struct{} // semaphore: one element per request that is being handled
+	freed    chan struct{} // gets an element when a request has ended
 	pending  atomic.Int32  // number of requests read whose responses are not complete
 	last     *exchange     // the most recent exchange; nil: none
 	closing  atomic.Bool   // a response announced that the connection closes
@@ -50,7 +51,7 @@
 	evicted      bool         // guarded by Server.mu
 
 	slots   sync.Mutex // guards waiting, and the read deadline while it is set
-	waiting bool       // awaitSlot reads the connection
+	waiting bool       // awaitFree reads the connection
 
 	// accepting is held while a request is added to pending, and while a response
 	// decides whether it is the last one.
@@ -59,7 +60,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx := context.WithValue(context.Background(), http.LocalAddrContextKey, nc.LocalAddr())
-	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined)}
+	c := &conn{server: s, net: nc, inFlight: make(chan struct{}, s.cfg.MaxPipelined), freed: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.in = newInput(nc, c.reserveInput, c.releaseInput)
 	c.progress()
--- a/h1/head.go
+++ b/h1/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"strings"
 )
 
@@ -26,22 +27,37 @@
 const connShareDivisor = 8
 
 // reserveHead waits for the next head and reserves what its request will occupy, before it is parsed.
-// It returns ErrOverloaded if there is no room.
+// A request ahead waits for those in front of it if there is no room for one. It returns ErrOverloaded
+// if there is no room for a request that has none in front.
 func (c *conn) reserveHead() (head []byte, cost int, err error) {
 	head, lines, err := c.in.awaitHead(c.server.limits.Load().MaxHeaderBytes)
 	if err != nil {
 		return nil, 0, err
 	}
-	cost = requestBytes + lines*fieldBytes + len(head)*headCopies
-	most := c.server.cfg.RequestMemory / connShareDivisor
-	if most > 0 && c.occupied.Load() > 0 && c.occupied.Load()+int64(cost) > most {
-		return nil, 0, ErrOverloaded
+	size := len(head)
+	cost = requestBytes + lines*fieldBytes + size*headCopies
+	reserved := false
+	if !c.awaitFree(func() bool {
+		ahead := c.pending.Load() > 0
+		reserved = c.reserve(cost, ahead)
+		return reserved || !ahead
+	}) {
+		return nil, 0, io.EOF
 	}
-	if !c.server.cfg.ReserveRequest(cost) {
+	if !reserved {
 		return nil, 0, ErrOverloaded
 	}
 	c.occupied.Add(int64(cost))
-	return head, cost, nil
+	return c.in.pending()[:size], cost, nil // what was read meanwhile may have moved it
+}
+
+// reserve reports whether there is room for a request, and takes it.
+func (c *conn) reserve(cost int, ahead bool) bool {
+	most := c.server.cfg.RequestMemory / connShareDivisor
+	if ahead && most > 0 && c.occupied.Load()+int64(cost) > most {
+		return false
+	}
+	return c.server.cfg.ReserveRequest(cost, ahead)
 }
 
 func (c *conn) reserveInput(n int) bool {
--- a/h1/head_test.go
+++ b/h1/head_test.go
@@ -21,7 +21,7 @@
 	reserved = &atomic.Int64{}
 	s := New(Config{
 		RequestMemory: room,
-		ReserveRequest: func(n int) bool {
+		ReserveRequest: func(n int, _ bool) bool {
 			if reserved.Add(int64(n)) <= room {
 				return true
 			}
@@ -151,3 +151,54 @@
 		_ = client.Close()
 	}
 }
+
+// TestRequestsAheadWaitForRoom guards against a refusal of what could be handled a moment later: requests
+// of one connection for which there is no room wait until those in front have ended.
+func TestRequestsAheadWaitForRoom(t *testing.T) {
+	const requests = 9
+	is := is.New(t)
+	release := make(chan struct{})
+	address, reserved := startOverloaded(t, 5*requestBytes/2, release)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", requests))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the room is taken
+	close(release)
+	in := bufio.NewReader(c)
+	for range requests {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+	}
+	for end := time.Now().Add(5 * time.Second); reserved.Load() != 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+}
+
+// TestClientIsNoticedWhileItsRequestWaits guards against requests that go on for a client that has left
+// while one of its requests waits for room.
+func TestClientIsNoticedWhileItsRequestWaits(t *testing.T) {
+	is := is.New(t)
+	began, left := make(chan struct{}), make(chan struct{})
+	s := New(Config{ReserveRequest: func(_ int, ahead bool) bool { return !ahead }, ReleaseRequest: func(int) {}},
+		http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-r.Context().Done()
+			close(left)
+		}))
+	server, client := net.Pipe()
+	go newConn(s, server).serve()
+	_, err := io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 2))
+	is.NoErr(err)
+	<-began
+	is.NoErr(client.Close())
+	select {
+	case <-left:
+	case <-time.After(5 * time.Second):
+		t.Error("the request goes on")
+	}
+}
--- a/h1/server.go
+++ b/h1/server.go
@@ -59,9 +59,10 @@
 	Reserve func(n int) bool
 	Release func(n int)
 	// ReserveRequest reports whether a request that occupies n bytes may be handled, and
-	// ReleaseRequest gives them back; nil: there is no bound. A request for which there is no room is
+	// ReleaseRequest gives them back; nil: there is no bound. ahead says that others of its connection are
+	// handled: without room it waits for them. Another request for which there is no room is
 	// refused with 503, and its connection is closed.
-	ReserveRequest func(n int) bool
+	ReserveRequest func(n int, ahead bool) bool
 	ReleaseRequest func(n int)
 	// ReserveHead reports whether n bytes may be taken for a head that has not ended or for what was read
 	// ahead, and ReleaseHead gives them back; nil: there is no bound.
@@ -93,7 +94,7 @@
 		c.Reserve, c.Release = func(int) bool { return true }, func(int) {}
 	}
 	if c.ReserveRequest == nil || c.ReleaseRequest == nil {
-		c.ReserveRequest, c.ReleaseRequest = func(int) bool { return true }, func(int) {}
+		c.ReserveRequest, c.ReleaseRequest = func(int, bool) bool { return true }, func(int) {}
 	}
 	if c.ReserveHead == nil || c.ReleaseHead == nil {
 		c.ReserveHead, c.ReleaseHead = func(int) bool { return true }, func(int) {}
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if b.src != nil {
-		if !b.room.reserve(streamBytes) {
+		if !b.room.reserve(streamBytes, false) {
 			b.free()
 			return nil, h1.ErrOverloaded
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -218,11 +218,11 @@
 func (p *Proxy) CallerServer(onError func(error)) *h1.Server {
 	c := p.serverConfig(maxHeaderBytes, onError, p.recordSentToCaller)
 	c.MaxConns, c.RefusalHeader = p.cfg.MaxConnections, callerRefusal
-	c.ReserveRequest = func(n int) bool {
-		if !p.slots.take() {
+	c.ReserveRequest = func(n int, ahead bool) bool {
+		if !p.slots.take(ahead) {
 			return false
 		}
-		if !p.room.reserve(n) {
+		if !p.room.reserve(n, ahead) {
 			p.slots.free()
 			return false
 		}
--- a/proxy/query.go
+++ b/proxy/query.go
@@ -43,7 +43,7 @@
 // attempt's connection tells the node.
 func (c *call) abandon(f core.Forward) {
 	p := c.proxy
-	if f.Local || !p.room.reserve(abandonBytes) {
+	if f.Local || !p.room.reserve(abandonBytes, false) {
 		return
 	}
 	go func() {
--- a/proxy/requestroom.go
+++ b/proxy/requestroom.go
@@ -24,12 +24,23 @@
 // rest is left for ordinary ones.
 const largeShareDivisor = 2
 
-// reserve reports whether a request that occupies n bytes has room, and takes it.
-func (m *requestRoom) reserve(n int) bool {
-	if n > h1.LargeRequestBytes {
-		return m.reserveWithin(n, m.limit/largeShareDivisor)
+// aheadShareDivisor is the divisor of the slots that gives the part which requests ahead may take.
+const aheadShareDivisor = 2
+
+// reserve reports whether a request that occupies n bytes has room, and takes it. Large ones, and those
+// ahead, get a part of the room only.
+func (m *requestRoom) reserve(n int, ahead bool) bool {
+	limit := m.limit
+	if ahead || n > h1.LargeRequestBytes {
+		limit /= largeShareDivisor
+	}
+	if m.reserveWithin(n, limit) {
+		return true
+	}
+	if !ahead {
+		m.refused.Inc(1)
 	}
-	return m.reserveWithin(n, m.limit)
+	return false
 }
 
 // reserveHead reports whether there is room for n bytes of a head that has not ended, and takes it.
@@ -40,7 +51,6 @@
 		return true
 	}
 	m.release(n)
-	m.refused.Inc(1)
 	return false
 }
 
@@ -54,12 +64,20 @@
 	refused metrics.Counter
 }
 
-func (s *requestSlots) take() bool {
-	if taken := s.taken.Add(1); s.limit == 0 || taken <= s.limit {
+// take reports whether a request may be handled. Those ahead get a part of the slots only, so that few
+// connections do not take all.
+func (s *requestSlots) take(ahead bool) bool {
+	limit := s.limit
+	if ahead {
+		limit /= aheadShareDivisor
+	}
+	if taken := s.taken.Add(1); s.limit == 0 || taken <= limit {
 		return true
 	}
 	s.free()
-	s.refused.Inc(1)
+	if !ahead {
+		s.refused.Inc(1)
+	}
 	return false
 }
 
--- a/proxy/requestroom_test.go
+++ b/proxy/requestroom_test.go
@@ -35,11 +35,33 @@
 	is := is.New(t)
 	m := requestRoom{limit: 4 * h1.LargeRequestBytes, refused: metrics.NewCounter()}
 	large := h1.LargeRequestBytes + 1
-	is.True(m.reserve(large))
-	is.True(!m.reserve(large))
-	is.True(m.reserve(h1.LargeRequestBytes))
-	is.True(m.reserve(h1.LargeRequestBytes))
+	is.True(m.reserve(large, false))
+	is.True(!m.reserve(large, false))
+	is.True(m.reserve(h1.LargeRequestBytes, false))
+	is.True(m.reserve(h1.LargeRequestBytes, false))
 	is.Equal(m.refused.Count(), int64(1))
 	m.release(large)
-	is.True(!m.reserve(large)) // ordinary ones take its part now
+	is.True(!m.reserve(large, false)) // ordinary ones take its part now
+}
+
+// TestRequestsAheadLeaveSlots guards against few connections that take all slots of a node: clients send
+// requests ahead and do not read their answers.
+func TestRequestsAheadLeaveSlots(t *testing.T) {
+	is := is.New(t)
+	s := requestSlots{limit: 8, refused: metrics.NewCounter()}
+	m := requestRoom{limit: 8, refused: metrics.NewCounter()}
+	for range 4 {
+		is.True(s.take(true))
+		is.True(m.reserve(1, true))
+	}
+	is.True(!s.take(true))
+	is.True(!m.reserve(1, true))
+	is.Equal(s.refused.Count()+m.refused.Count(), int64(0)) // they wait, and are not refused
+	for range 4 {
+		is.True(s.take(false))
+		is.True(m.reserve(1, false))
+	}
+	is.True(!s.take(false))
+	is.True(!m.reserve(1, false))
+	is.Equal(s.refused.Count()+m.refused.Count(), int64(2))
 }
