proxy: pass on the path of a target in absolute form as it was sent

Cause: oddPath looked at targets that begin with a slash only. Change: targetPath returns the path of either form. Conclusion: both forms are passed on unchanged, or refused with 400 if the path begins with two slashes and is odd.

--- a/proxy/outgoing.go
+++ b/proxy/outgoing.go
@@ -12,13 +12,27 @@
 // oddPath returns the path of a request as its caller sent it, if url.URL would encode it in
 // another way: RFC 3986 does not allow it. Otherwise it returns nothing.
 func oddPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	path := targetPath(r.RequestURI)
 	if !strings.HasPrefix(path, "/") || path == r.URL.EscapedPath() {
 		return ""
 	}
 	return path
 }
 
+// targetPath returns the path of a request target in origin or absolute form (RFC 9112, section 3.2), as
+// it was sent.
+func targetPath(target string) string {
+	target, _, _ = strings.Cut(target, "?")
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, _ := strings.Cut(target, "://")
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
+	}
+	return ""
+}
+
 // canSendTarget reports whether the path of a request can be sent on unchanged. An odd one that
 // begins with two slashes would be taken for a host.
 func canSendTarget(r *http.Request) bool { return !strings.HasPrefix(oddPath(r), "//") }
--- a/proxy/target_test.go
+++ b/proxy/target_test.go
@@ -38,6 +38,8 @@
 			"/books/a": 200, "/books/a%7Cb": 200, "/books/a|b": 200, "/books/a%2Fb|c": 200, "/books/{1}": 200, "/books/a%2fb%2F": 200,
 			"/books/a^b?q=x|y&z={1}": 200, "/books/\"a\"<b>`c`": 200, "/books/a//b|": 200, "/books/../b|": 200, "/books/é": 200, "/?": 200, "/books?": 200,
 			"//books/a": 200, "//books/a|b": 400, "/books/[1]": 200, "/books/a;b=1,2": 200, "/books/%zz": 400,
+			"http://a/books/é^": 200, "http://a/books/a|b?q=x|y": 200, "http://a/books/a%2Fb": 200, "HTTP://a/books/{1}": 200,
+			"http://a//books/a|b": 400, "http://a:80/books/<b>://c": 200,
 		} {
 			t.Run(fmt.Sprint(entry, target), func(t *testing.T) {
 				is := is.New(t)
@@ -52,7 +54,7 @@
 				_, _ = io.Copy(io.Discard, resp.Body)
 				is.Equal(resp.StatusCode, status)
 				if status == http.StatusOK {
-					is.Equal(last.Load(), target)
+					is.Equal(last.Load(), strings.TrimPrefix(strings.TrimPrefix(strings.Replace(target, "HTTP:", "http:", 1), "http://a:80"), "http://a"))
 				}
 			})
 		}
