h1: give an answer whose turn comes late time to be sent

Cause: the write deadline of such an answer is the end of its attempt, and was set on the connection when its turn came, also if it had passed. Change: an answer that waited for others of its connection gets a second at least.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -207,9 +207,10 @@
 // AwaitTurn first.
 func IsPipelined(r *http.Request) bool {
 	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
-	if !ok {
-		return false
-	}
+	return ok && e.isPipelined()
+}
+
+func (e *exchange) isPipelined() bool {
 	previous := e.previous.Load()
 	if previous == nil {
 		return false
--- a/h1/writer.go
+++ b/h1/writer.go
@@ -24,6 +24,7 @@
 	closesConn bool      // the connection is closed after this response
 	failed     bool      // the response can't be completed, so the connection is aborted
 	deadline   time.Time // write deadline; zero: Config.WriteTimeout applies
+	waited     bool      // the response came behind another one
 }
 
 // maxBufferedBytes is the size of the part of a response that is buffered until
@@ -104,17 +105,14 @@
 	if w.active {
 		return nil
 	}
+	w.waited = w.exchange.isPipelined()
 	if err := w.exchange.awaitTurn(); err != nil {
 		w.failed = true
 		return err
 	}
 	w.exchange.begin()
 	w.active = true
-	deadline := w.deadline
-	if deadline.IsZero() {
-		deadline = time.Now().Add(w.exchange.conn.server.cfg.WriteTimeout)
-	}
-	_ = w.exchange.conn.net.SetWriteDeadline(deadline)
+	_ = w.exchange.conn.net.SetWriteDeadline(w.writeDeadline(time.Now()))
 	w.sendHeader()
 	buffered := w.buffer
 	w.buffer = nil
@@ -125,6 +123,21 @@
 	return w.send(buffered)
 }
 
+// leastWriteTime is the time that a client gets at least to take a response whose turn comes. A response
+// that waited for those in front of it is not lost because its own deadline has passed meanwhile.
+const leastWriteTime = time.Second
+
+// writeDeadline returns the write deadline of a response whose turn comes at some time.
+func (w *writer) writeDeadline(turn time.Time) time.Time {
+	if w.deadline.IsZero() {
+		return turn.Add(w.exchange.conn.server.cfg.WriteTimeout)
+	}
+	if least := turn.Add(leastWriteTime); w.waited && w.deadline.Before(least) {
+		return least
+	}
+	return w.deadline
+}
+
 // mustClose reports whether the connection is closed after this response.
 func (w *writer) mustClose() bool {
 	r := w.exchange.request
@@ -229,7 +242,7 @@
 	if !w.active {
 		return nil
 	}
-	return w.exchange.conn.net.SetWriteDeadline(t)
+	return w.exchange.conn.net.SetWriteDeadline(w.writeDeadline(time.Now()))
 }
 
 // finish sends the rest of the response.
