proxy: read answers up to 2 MiB whole if requests are behind them

Cause: an answer with requests behind it was read whole up to 256 KiB only. Of a larger one that is cut, only the end of the connection tells the caller. Change: such answers are read whole up to 2 MiB, while there is memory; large ones still get half of it. Answers over 2 MiB, or without memory, stay open.

--- a/h1/exchange.go
+++ b/h1/exchange.go
@@ -232,6 +232,12 @@
 	return nil
 }
 
+// IsFollowed reports whether further requests of the same connection have been read behind r.
+func IsFollowed(r *http.Request) bool {
+	e, ok := r.Context().Value(exchangeKey{}).(*exchange)
+	return ok && e.followed.Load()
+}
+
 // BeginUnlessFollowed marks the response to r as begun, and reports true, unless further
 // requests of the same connection have been read behind this one. One that is read later meets the
 // mark in AwaitBegun.
--- a/proxy/cut_behind_test.go
+++ b/proxy/cut_behind_test.go
@@ -73,6 +73,8 @@
 		{"length and a reset", brokenServer{broken: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + half, reset: true}},
 		{"no body yet", brokenServer{broken: "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"}},
 		{"large", brokenServer{broken: "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + large}},
+		{"very large", brokenServer{broken: "HTTP/1.1 200 OK\r\nContent-Length: 1700000\r\n\r\n" + strings.Repeat(large, 8)}},
+		{"very large in chunks", brokenServer{broken: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("c350\r\n"+large+"\r\n", 8)}},
 		{"chunks", brokenServer{broken: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n32\r\n" + half + "\r\n"}},
 		{"no length", brokenServer{broken: "HTTP/1.1 200 OK\r\n\r\n" + half, reset: true}},
 		{"failure", brokenServer{broken: "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 100\r\n\r\n" + half}},
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -5,12 +5,17 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/agatekeel/agatekeel/h1"
 )
 
 const (
 	// maxHeldBytes is the size up to which a response is read completely before any
 	// of it is relayed.
 	maxHeldBytes = 256 << 10
+	// maxFollowedBytes is that size for a response with requests behind it, which are lost if it is cut
+	// after it has begun.
+	maxFollowedBytes = 2 << 20
 	// largeHeldShare is the divisor of the memory for such responses that gives the part
 	// which large ones may take: a short one that is cut costs a caller as much.
 	largeHeldShare = 2
@@ -27,6 +32,7 @@
 // heldBody is a body of which the beginning, or all, has been read into memory.
 type heldBody struct {
 	memory   *bodyMemory
+	most     int // bytes that are read before the response is relayed
 	reserved int // bytes
 	read     blockQueue
 	rest     io.ReadCloser // nil: all has been read
@@ -73,9 +79,9 @@
 	return true
 }
 
-// fill reads the body while there is memory, up to maxHeldBytes.
+// fill reads the body while there is memory, up to most bytes.
 func (b *heldBody) fill() error {
-	for b.read.pending <= maxHeldBytes {
+	for b.read.pending <= b.most {
 		if len(b.read.space()) == 0 && !b.grow() {
 			return nil
 		}
@@ -109,14 +115,17 @@
 
 // bufferResponse reads a response completely, so that no part of a truncated response
 // has been relayed when the call is sent again or fails. A
-// response over maxHeldBytes, or for which there is no memory, is left to be streamed.
+// response over maxHeldBytes, or over maxFollowedBytes if requests are behind it, or for which there is no memory, is left to be streamed.
 func (c *call) bufferResponse(resp *http.Response) error {
-	b := &heldBody{memory: &c.proxy.bodies, rest: resp.Body, read: blockQueue{memory: &c.proxy.bodies}}
+	b := &heldBody{memory: &c.proxy.bodies, most: maxHeldBytes, rest: resp.Body, read: blockQueue{memory: &c.proxy.bodies}}
+	if h1.IsFollowed(c.r) {
+		b.most = maxFollowedBytes
+	}
 	declared := resp.ContentLength
 	if resp.Request.Method == http.MethodHead {
 		declared = 0
 	}
-	if declared > maxHeldBytes || declared >= 0 && !b.reserve(int(declared)+1) {
+	if declared > int64(b.most) || declared >= 0 && !b.reserve(int(declared)+1) {
 		return nil
 	}
 	resp.Body = b
