--- a/h1/conn.go
+++ b/h1/conn.go
@@ -22,10 +22,6 @@
 	// bufferedBodyBytes is the size up to which a body is read completely
 	// before the handler runs.
 	bufferedBodyBytes = 64 << 10
-	// lingerTime is how long a closing connection is still read. Data that
-	// arrives after the connection is closed would cause a reset, which can
-	// discard the response before the client has read it.
-	lingerTime = 500 * time.Millisecond
 )
 
 // conn is one connection. One goroutine reads the requests; each request is
@@ -97,57 +93,6 @@
 	return n, err
 }
 
-// abort closes the connection and cancels the requests that are handled for it. It
-// resets the connection if a response that is cut off would look complete otherwise.
-func (c *conn) abort() {
-	c.cancel()
-	if c.endsBody.Load() {
-		c.reset()
-	}
-	_ = c.net.Close()
-}
-
-// reset closes the connection so that the client gets an error instead of the end of
-// the stream.
-func (c *conn) reset() {
-	c.setLinger(lingerReset)
-	_ = c.transport().Close()
-}
-
-// transport returns the connection below TLS. Closing the TLS connection would announce
-// the end.
-func (c *conn) transport() net.Conn {
-	if secured, ok := c.net.(*tls.Conn); ok {
-		return secured.NetConn()
-	}
-	return c.net
-}
-
-// Values of setLinger: how the system closes the connection.
-const (
-	lingerReset  = 0  // at once, with a reset
-	lingerToSend = -1 // it sends what was written first
-)
-
-func (c *conn) setLinger(seconds int) {
-	if tcp, ok := c.transport().(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds)
-	}
-}
-
-// setEndsBody sets whether the end of the connection would end the body of the response
-// that is being sent. The system resets the connection then if the process is killed.
-func (c *conn) setEndsBody(ends bool) {
-	if c.endsBody.Swap(ends) == ends {
-		return
-	}
-	if ends {
-		c.setLinger(lingerReset)
-	} else {
-		c.setLinger(lingerToSend)
-	}
-}
-
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.untrack(c)
@@ -327,13 +272,3 @@
 	_ = out.Flush()
 	c.linger()
 }
-
-// linger closes the sending side and reads and discards data for up to
-// lingerTime.
-func (c *conn) linger() {
-	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
-	_ = c.net.SetReadDeadline(time.Now().Add(lingerTime))
-	c.in.discard()
-}
