proxy: limit the connections of other nodes

Cause: connections of callers were limited by memory, those of other nodes by nothing. Each entry node keeps idle ones, so that their sum at a node beside a backend server depended on the number of others. Change: they get a limit that follows from memory, with the same order in which connections are closed. Shares changed so that the sum stays half of what clients may have: bodies an eighth, connections 1/24 each, idle ones 1/64. Figures: 512 connections of each kind with 112 MiB, 1,735 with 284. TestIdleConnectionsOfNodesLeaveRoom has no limit to test without this change, where all 24 connections stay open. Conclusion: all that clients make a node hold is charged, but for what the system buffers.

--- a/node/config.go
+++ b/node/config.go
@@ -61,6 +61,7 @@
 		ReadAheadBytes: limits.bodyBytes,
 		RequestBytes:   limits.requestBytes,
 		MaxConnections: limits.connections,
+		MaxHopConns:    limits.hopConns,
 		MaxRequests:    limits.requests,
 		MaxIdle:        limits.idleHops,
 		LinkBytes:      s.LinkMbps * bytesPerMegabit * usableShare,
--- a/node/memory.go
+++ b/node/memory.go
@@ -20,13 +20,13 @@
 
 	// Divisors of the memory for clients.
 	requestDivisor = 4  // requests that are handled, and heads that have not ended
-	bodyDivisor    = 7  // buffers of bodies
-	connDivisor    = 16 // connections of callers
-	idleDivisor    = 48 // idle connections to other nodes and to the backend server
+	bodyDivisor    = 8  // buffers of bodies
+	connDivisor    = 24 // connections of callers, and as much for those of other nodes
+	idleDivisor    = 64 // idle connections to other nodes, and as much for queries about attempts
 
-	// callerConnBytes is what the connection of a caller without a request takes: its buffer, its
-	// goroutine and what the runtime holds of its socket.
-	callerConnBytes = 6 << 10
+	// connBytes is what a connection without a request takes: its buffer, its goroutine and what the
+	// runtime holds of its socket.
+	connBytes = 6 << 10
 	// idleConnBytes is what an idle connection to another node takes: two goroutines and their buffers.
 	idleConnBytes = 16 << 10
 )
@@ -45,6 +45,7 @@
 	requestBytes int64
 	bodyBytes    int64
 	connections  int // of callers
+	hopConns     int // of other nodes
 	requests     int // of callers, at a time
 	idleHops     int // idle connections to other nodes
 	heapBytes    int64
@@ -62,7 +63,8 @@
 	}
 	clients := clientBytes(s.MemoryBytes)
 	l.requestBytes, l.bodyBytes = clients/requestDivisor, clients/bodyDivisor
-	l.connections = least(l.connections, int(clients/connDivisor/callerConnBytes))
+	l.hopConns = int(clients / connDivisor / connBytes)
+	l.connections = least(l.connections, l.hopConns)
 	l.idleHops = int(clients / idleDivisor / idleConnBytes)
 	l.heapBytes = max(int64(s.MemoryBytes)-programBytes, int64(s.MemoryBytes)/leastShare)
 	return l
--- a/node/memory_test.go
+++ b/node/memory_test.go
@@ -18,7 +18,7 @@
 				is := is.New(t)
 				s := settings.Settings{MemoryBytes: megabytes << 20, Descriptors: descriptors}
 				l := newClientLimits(s)
-				held := l.requestBytes + l.bodyBytes + int64(l.connections)*callerConnBytes + 2*int64(l.idleHops)*idleConnBytes
+				held := l.requestBytes + l.bodyBytes + int64(l.connections+l.hopConns)*connBytes + 2*int64(l.idleHops)*idleConnBytes
 				is.True(held > 0)
 				is.True(fixedBytes+2*held <= int64(s.MemoryBytes))
 				is.True(programBytes+l.heapBytes <= int64(s.MemoryBytes))
@@ -39,6 +39,7 @@
 	l := newClientLimits(settings.Settings{MemoryBytes: 112 << 20, Descriptors: 4100})
 	is.True(l.requests >= burst)
 	is.True(l.connections >= burst)
+	is.True(l.hopConns >= burst)
 	is.True(l.requestBytes >= burst*36<<10) // with a head of ordinary size
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,6 +62,7 @@
 	RequestBytes   int64         // memory for requests that are handled, their bodies not among it; zero: no bound
 	MaxRequests    int           // maximum number of callers' requests that are handled at a time; zero: no bound
 	MaxConnections int           // maximum number of connections of callers; zero: no bound
+	MaxHopConns    int           // maximum number of connections of other nodes; zero: no bound
 	MaxIdle        int           // maximum number of idle connections to other nodes; zero: 1024
 	LinkBytes      float64       // bytes per second that the host's network link carries; zero: unknown
 
@@ -240,7 +241,8 @@
 // nodes add.
 func (p *Proxy) HopServer(onError func(error)) *h1.Server {
 	c := p.serverConfig(maxHopHeaderBytes, onError, p.recordSentToNode)
-	c.RefusalHeader, c.ReserveRequest, c.ReleaseRequest = hopRefusal, p.room.reserve, p.room.release
+	c.MaxConns, c.RefusalHeader = p.cfg.MaxHopConns, hopRefusal
+	c.ReserveRequest, c.ReleaseRequest = p.room.reserve, p.room.release
 	return h1.New(c, p.HopHandler())
 }
 
--- a/proxy/slow_test.go
+++ b/proxy/slow_test.go
@@ -247,3 +247,38 @@
 		})
 	}
 }
+
+// TestIdleConnectionsOfNodesLeaveRoom guards against connections of other nodes that take the memory of a
+// node, or its room for those that carry attempts.
+func TestIdleConnectionsOfNodesLeaveRoom(t *testing.T) {
+	const most = 8
+	is := is.New(t)
+	m := newMesh(t, func(_ *core.Config, p *proxy.Config) { p.MaxHopConns = most }, "", "orders")
+	var conns []net.Conn
+	isClosed := func(c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err := c.Read(make([]byte, 1))
+		return err == io.EOF
+	}
+	refused := 0
+	for range 3 * most {
+		c, err := net.Dial("tcp", m.nodes[1].hop)
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		if isClosed(c) {
+			refused++
+		}
+		conns = append(conns, c)
+	}
+	is.True(refused < 2*most) // older ones are closed in place of new ones
+	open := 0
+	for _, c := range conns {
+		if !isClosed(c) {
+			open++
+		}
+	}
+	is.True(open <= most)
+	resp, _, err := m.do(0, "POST", "/once", "x")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
