h1: look for connections to close before there is no room, and not without end

Cause: connections were looked through when the last place was taken, so that with a small limit the new one was closed although an old one had been chosen. While none could be closed, each new connection looked through all. Change: the search begins while there is room for one more, and pauses for 10 ms. Conclusion: clients that come back at once cost at most 100 searches a second.

--- a/h1/evict.go
+++ b/h1/evict.go
@@ -16,6 +16,9 @@
 	// evictDivisor is the divisor of Config.MaxConns that gives how many connections are closed at a
 	// time: looking for them takes a look at all. As many are left for those that are closing.
 	evictDivisor = 32
+	// evictPause is the time after which connections are looked through again. Clients that come back at
+	// once would take the processor otherwise.
+	evictPause = 10 * time.Millisecond
 )
 
 // connState is what decides whether a connection is closed for a new one.
@@ -84,15 +87,15 @@
 		return true
 	}
 	spare := most/evictDivisor + 1
-	if len(s.conns) > most-spare && s.closing < spare {
-		s.evict(spare - s.closing)
+	if now := time.Now(); len(s.conns) >= most-spare && s.closing < spare && !now.Before(s.nextEviction) {
+		s.nextEviction = now.Add(evictPause)
+		s.evict(now, spare-s.closing)
 	}
 	return len(s.conns) < most
 }
 
 // evict closes up to some connections.
-func (s *Server) evict(most int) {
-	now := time.Now()
+func (s *Server) evict(now time.Time, most int) {
 	var conns []*conn
 	var states []connState
 	for c := range s.conns {
--- a/h1/server.go
+++ b/h1/server.go
@@ -116,7 +116,9 @@
 	closed    bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
-	closing   int // number of conns that were evicted
+	closing   int // number of conns that were evicted and have not ended
+	// nextEviction is when connections are looked through again for ones to close
+	nextEviction time.Time
 }
 
 // New returns a Server for a handler.
