h1: count connections that are closed for others

Cause: an operator could see refused requests, and no closed connections. Conclusion: TestCrowdLeavesRequestAtWork checks that they are counted.

--- a/h1/evict.go
+++ b/h1/evict.go
@@ -108,6 +108,7 @@
 			c.evicted = true
 			s.closing++
 			c.abort()
+			s.cfg.OnEvicted(1)
 		}
 	}
 }
--- a/h1/evict_test.go
+++ b/h1/evict_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,8 @@
 	const most = 8
 	is := is.New(t)
 	began, end := make(chan struct{}), make(chan struct{})
-	s := New(Config{MaxConns: most}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var evicted atomic.Int64
+	s := New(Config{MaxConns: most, OnEvicted: func(n int) { evicted.Add(int64(n)) }}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			close(began)
 			<-end
@@ -95,4 +97,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	is.True(len(s.conns) <= most)
+	is.True(evicted.Load() >= 5*most) // it is counted
 }
--- a/h1/server.go
+++ b/h1/server.go
@@ -76,6 +76,9 @@
 	// MaxConns is the number of connections that are open at a time; zero: no bound. Short of it,
 	// connections are closed that have no request at work (chooseEvicted); beyond it, new ones.
 	MaxConns int
+	// OnEvicted is called with the number of connections that are closed to keep within MaxConns, be they
+	// old or new ones; nil: they are not counted.
+	OnEvicted func(n int)
 }
 
 func (c Config) withDefaults() Config {
@@ -90,6 +93,9 @@
 	if c.OnSent == nil {
 		c.OnSent = func(net.Conn, int) {}
 	}
+	if c.OnEvicted == nil {
+		c.OnEvicted = func(int) {}
+	}
 	if c.Reserve == nil || c.Release == nil {
 		c.Reserve, c.Release = func(int) bool { return true }, func(int) {}
 	}
@@ -154,6 +160,7 @@
 			continue
 		}
 		if !s.makeRoom() {
+			s.cfg.OnEvicted(1)
 			_ = nc.Close()
 			continue
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -113,6 +113,7 @@
 	query      *http.Transport // asks other nodes about attempts, over separate connections
 	calls      metrics.Timer
 	refused    metrics.Counter
+	evicted    metrics.Counter
 	maxBody    atomic.Int64 // maximum size in bytes of a caller's request body
 	bodies     bodyMemory
 	room       requestRoom
@@ -156,6 +157,7 @@
 	p.hop.MaxIdleConns, p.query.MaxIdleConns = cfg.MaxIdle, cfg.MaxIdle
 	p.maxBody.Store(cfg.MaxBodyBytes)
 	p.bodies.limit, p.readAhead.memory = cfg.ReadAheadBytes, &p.bodies
+	p.evicted = metrics.GetOrRegisterCounter("proxy.evicted", r)
 	refused := metrics.GetOrRegisterCounter("proxy.overloaded", r)
 	p.room.limit, p.room.refused = cfg.RequestBytes, refused
 	p.slots.limit, p.slots.refused = int64(cfg.MaxRequests), refused
@@ -268,6 +270,6 @@
 		WriteTimeout: maxTransfer, OnError: onError, OnSent: onSent,
 		Reserve: func(n int) bool { return p.bodies.reserve(n, p.bodies.limit) }, Release: p.bodies.release,
 		ReserveHead: p.room.reserveHead, ReleaseHead: p.room.release,
-		RequestMemory: p.cfg.RequestBytes,
+		RequestMemory: p.cfg.RequestBytes, OnEvicted: func(n int) { p.evicted.Inc(int64(n)) },
 	}
 }
