h1: call a request large from the same head on as before

Cause: a request is charged 32 KiB in place of 16, while the cost from which it is a large one stayed at 64, so that a head with some 50 lines would have counted as large. Change: the bound is the cost of a request and 48 KiB, as before. Figures: 80 KiB. Conclusion: go test ./h1 ./proxy passes for rooms and heads.

--- a/h1/head.go
+++ b/h1/head.go
@@ -20,7 +20,7 @@
 
 // LargeRequestBytes is the cost from which a request is a large one, which may not take the room that
 // is left for others.
-const LargeRequestBytes = 64 << 10
+const LargeRequestBytes = requestBytes + 48<<10
 
 // connShareDivisor is the divisor of Config.RequestMemory that gives what the requests of one
 // connection may occupy.
