proxy: read an answer whole that has to wait for its turn

Callers saw: an answer of 400 kB that its server had sent in time was cut when the one in front of it took longer than its own route allows, and the connection was closed with it (LOST). Cause: such an answer was read from its server while it waited, within the time of its attempt, unless its call could be sent again and it had at most 256 KiB. Change: an answer with others of its connection in front is read whole like one with requests behind it, up to 2 MiB and while there is memory.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -52,9 +52,9 @@
 }
 
 // sendAndBuffer sends an attempt and returns its response, completely read if the call
-// may still be sent again, or if there are requests behind it: of a response that is cut after
-// it has begun, only the end of the connection tells the caller, and they go with it. Those that
-// come later wait for its end.
+// may still be sent again, if it has to wait for its turn, which may come after the attempt has ended, or
+// if there are requests behind it: of a response that is cut after it has begun, only the end of the
+// connection tells the caller, and they go with it. Those that come later wait for its end.
 func (c *call) sendAndBuffer(ctx context.Context, cancel context.CancelFunc, f core.Forward) (*http.Response, error) {
 	var relay uplink.Load
 	if !f.Local && !c.onHost {
@@ -62,7 +62,7 @@
 		defer c.proxy.link.asked(f.AnswerBytes)
 	}
 	resp, err := c.send(ctx, cancel, f, relay)
-	if err != nil || !f.MayRetry && h1.BeginUnlessFollowed(c.r) {
+	if err != nil || !f.MayRetry && !h1.IsPipelined(c.r) && h1.BeginUnlessFollowed(c.r) {
 		return resp, err
 	}
 	if err := c.bufferResponse(resp); err != nil {
--- a/proxy/held.go
+++ b/proxy/held.go
@@ -13,9 +13,9 @@
 	// maxHeldBytes is the size up to which a response is read completely before any
 	// of it is relayed.
 	maxHeldBytes = 256 << 10
-	// maxFollowedBytes is that size for a response with requests behind it, which are lost if it is cut
-	// after it has begun.
-	maxFollowedBytes = 2 << 20
+	// maxQueuedBytes is that size for a response with others of its connection in front, whose turn may
+	// come after its attempt has ended, or with requests behind it, which are lost if it is cut.
+	maxQueuedBytes = 2 << 20
 	// largeHeldShare is the divisor of the memory for such responses that gives the part
 	// which large ones may take: a short one that is cut costs a caller as much.
 	largeHeldShare = 2
@@ -115,11 +115,11 @@
 
 // bufferResponse reads a response completely, so that no part of a truncated response
 // has been relayed when the call is sent again or fails. A
-// response over maxHeldBytes, or over maxFollowedBytes if requests are behind it, or for which there is no memory, is left to be streamed.
+// response over maxHeldBytes, or over maxQueuedBytes if it is one of several of its connection, or for which there is no memory, is left to be streamed.
 func (c *call) bufferResponse(resp *http.Response) error {
 	b := &heldBody{memory: &c.proxy.bodies, most: maxHeldBytes, rest: resp.Body, read: blockQueue{memory: &c.proxy.bodies}}
-	if h1.IsFollowed(c.r) {
-		b.most = maxFollowedBytes
+	if h1.IsPipelined(c.r) || h1.IsFollowed(c.r) {
+		b.most = maxQueuedBytes
 	}
 	declared := resp.ContentLength
 	if resp.Request.Method == http.MethodHead {
